--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# The commands of the project; CONTRIBUTING.md says more.
+DEPLOYMENT ?= midlands
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+
+.PHONY: build demo check test lint tools
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bin/bench demo --deployment examples/$(DEPLOYMENT)
+
+check: tools lint test
+
+tools:
+	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint:
+	$(GOBIN)/golangci-lint fmt --diff
+	$(GOBIN)/golangci-lint run
+
+test:
+	go test -race ./...
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,22 @@
+// Command bench runs the demonstration and the experiments against real
+// processes on loopback addresses.
+//
+//	bench demo --deployment examples/midlands
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("bench", "Demonstration and experiments on real processes.")
+	addDemo(app)
+
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/pollencart/node.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollencart/pollencart/internal/config"
+	"github.com/pollencart/pollencart/internal/node"
+)
+
+func addNode(app *kingpin.Application) {
+	c := app.Command("node", "Run the node on this host until SIGTERM, then drain.")
+	file := c.Flag("settings", "Settings file, JSON with comments.").Required().String()
+
+	c.Action(action(func() error {
+		conf, err := config.Load(*file)
+		if err != nil {
+			return err
+		}
+
+		var level slog.Level
+		if err := level.UnmarshalText([]byte(conf.LogLevel)); err != nil {
+			return config.ErrConfig.With("%s: key LogLevel: %s", *file, err)
+		}
+
+		logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+
+		return node.New(conf, logger).Run(ctx)
+	}))
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,179 @@
+// Package call holds the request and the answer as they pass through the pipe
+// of filters, at the entry node and at the gate node.
+//
+// Values are immutable: a filter that changes something makes a copy by a With
+// method and hands that on.
+//
+//	pipe := call.Chain(route, deadline, once, attempt)
+//	answer, err := pipe(ctx, c)
+package call
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// ErrInvalid is returned for a message that does not check.
+var ErrInvalid = errs.New("call.invalid", http.StatusBadRequest, "call message not accepted")
+
+// Field is one header line.
+type Field struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Name  string
+	Value string
+}
+
+// Call is one request of a caller.
+type Call struct {
+	ID         string            `msgpack:"ID"`
+	Caller     string            `msgpack:"Caller"`
+	Service    string            `msgpack:"Service"`
+	Route      string            `msgpack:"Route"`
+	Class      settings.Class    `msgpack:"Class"`
+	Idempotent bool              `msgpack:"Idempotent"`
+	Method     string            `msgpack:"Method"`
+	URI        string            `msgpack:"URI"`
+	Header     []Field           `msgpack:"Header"`
+	Body       []byte            `msgpack:"Body"`
+	Key        string            `msgpack:"Key,omitempty"`
+	Attempt    int               `msgpack:"Attempt"`
+	Depth      int               `msgpack:"Depth"`
+	Version    uint64            `msgpack:"Version"`
+	Queue      int               `msgpack:"Queue"`
+	Values     *settings.Values  `msgpack:"-"`
+	Remaining  settings.Duration `msgpack:"Remaining"`
+}
+
+// Check reports whether a decoded call can be used.
+func (c *Call) Check() error {
+	if c.ID == "" || c.Service == "" || c.Method == "" || c.URI == "" {
+		return ErrInvalid.With("ID, Service, Method or URI is missing")
+	}
+
+	if !c.Class.Valid() {
+		return ErrInvalid.With("class %q", c.Class)
+	}
+
+	return nil
+}
+
+// WithRoute returns the call with the values of its route.
+func (c Call) WithRoute(r settings.Resolved, version uint64) Call {
+	c.Route = r.Path
+	c.Service = r.Values.Service
+	c.Class = r.Values.Class
+	c.Idempotent = r.Values.Idempotent
+	c.Queue = r.Values.Queue
+	c.Version = version
+	c.Values = &r.Values
+
+	return c
+}
+
+// WithAttempt returns the call as it is sent for the nth time.
+func (c Call) WithAttempt(n int) Call {
+	c.Attempt = n
+
+	return c
+}
+
+// WithKey returns the call with an idempotency key.
+func (c Call) WithKey(key string) Call {
+	c.Key = key
+
+	return c
+}
+
+// WithRemaining returns the call with the time that is left.
+func (c Call) WithRemaining(d time.Duration) Call {
+	c.Remaining = settings.Duration(d)
+
+	return c
+}
+
+// Ran says whether a backend server ran the call.
+type Ran string
+
+// The outcomes.
+const (
+	// RanNo is said only when no byte of the call reached a backend server and
+	// none will.
+	RanNo Ran = "not-run"
+	// RanYes means that a backend server answered.
+	RanYes Ran = "ran"
+	// RanUnknown means that a backend server was reached and did not answer.
+	RanUnknown Ran = "unknown"
+)
+
+// Load is what a gate tells about its backend server with every answer.
+type Load struct {
+	Slots    int               `msgpack:"Slots"`
+	InFlight int               `msgpack:"InFlight"`
+	Queued   int               `msgpack:"Queued"`
+	Wait     settings.Duration `msgpack:"Wait"`
+	Leaving  bool              `msgpack:"Leaving"`
+}
+
+// Answer is what the caller gets.
+type Answer struct {
+	Status   int     `msgpack:"Status"`
+	Header   []Field `msgpack:"Header"`
+	Body     []byte  `msgpack:"Body"`
+	Ran      Ran     `msgpack:"Ran"`
+	Upstream string  `msgpack:"Upstream"`
+	Load     Load    `msgpack:"Load"`
+	Repeat   bool    `msgpack:"Repeat,omitempty"`
+}
+
+// WithRepeat marks the answer as one that an earlier run gave.
+func (a Answer) WithRepeat() Answer {
+	a.Repeat = true
+
+	return a
+}
+
+// Refusal is the final answer to a call that was given up.
+type Refusal struct { //nolint:errname // a wire type, named as callers see it
+	Fault      *errs.Error       `msgpack:"Fault"`
+	Ran        Ran               `msgpack:"Ran"`
+	RetryAfter settings.Duration `msgpack:"RetryAfter"`
+	Load       Load              `msgpack:"Load"`
+}
+
+// Refuse returns a refusal.
+func Refuse(fault error, ran Ran, retryAfter time.Duration) *Refusal {
+	return &Refusal{Fault: errs.From(fault), Ran: ran, RetryAfter: settings.Duration(retryAfter)}
+}
+
+// WithLoad returns the refusal with the gate's load.
+func (r Refusal) WithLoad(l Load) *Refusal {
+	r.Load = l
+
+	return &r
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Fault.Error() + " (" + string(r.Ran) + ")" }
+
+// Unwrap returns the fault.
+func (r *Refusal) Unwrap() error { return r.Fault }
+
+// Handler takes a call to its answer.
+type Handler func(ctx context.Context, c Call) (Answer, error)
+
+// Filter is one stage of the pipe.
+type Filter func(next Handler) Handler
+
+// Chain makes one handler of the filters, first to last, and the end.
+func Chain(end Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		end = filters[i](end)
+	}
+
+	return end
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,287 @@
+// Package caller speaks HTTP with callers: the entry of a call's path.
+//
+// The pipe is decode, route, deadline, attempt, answer. Each stage is a filter
+// that can be read by itself.
+//
+//	entry := caller.New(caller.Settings(holder), caller.Members(table), caller.Peers(client))
+//	http.Serve(listener, entry.Handler())
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// Errors of the entry.
+var (
+	ErrNoSettings = errs.New("entry.no_settings", http.StatusServiceUnavailable, "this node holds no settings yet")
+	ErrNoRoute    = errs.New("entry.no_route", http.StatusNotFound, "no route takes this request")
+	ErrBody       = errs.New("entry.body", http.StatusRequestEntityTooLarge, "request body over the route's limit")
+	ErrNoUpstream = errs.New("entry.no_upstream", http.StatusServiceUnavailable, "no backend server of the service is ready")
+	ErrLeaving    = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
+	ErrHeader     = errs.New("entry.header", http.StatusBadRequest, "header not accepted")
+)
+
+// Headers towards callers.
+const (
+	HeaderCall     = "Pollencart-Call"
+	HeaderCaller   = "Pollencart-Caller"
+	HeaderNode     = "Pollencart-Node"
+	HeaderUpstream = "Pollencart-Upstream"
+	HeaderVersion  = "Pollencart-Version"
+	HeaderRan      = "Pollencart-Ran"
+	HeaderRepeat   = "Pollencart-Repeat"
+	HeaderDeadline = "Pollencart-Deadline-Ms"
+	HeaderAttempt  = "Pollencart-Attempt"
+	HeaderDepth    = "Pollencart-Depth"
+	HeaderKey      = "Idempotency-Key"
+)
+
+// Entry takes calls of callers.
+type Entry struct {
+	options Options
+	pipe    call.Handler
+	gates   *gates
+}
+
+// New returns an entry.
+func New(opts ...Option) *Entry {
+	o := newOptions(opts...)
+	e := &Entry{options: o}
+	e.gates = &gates{options: o}
+	e.pipe = call.Chain(e.gates.attempt, e.deadline)
+
+	return e
+}
+
+// Handler returns the HTTP interface.
+func (e *Entry) Handler() http.Handler {
+	s := echo.New()
+	s.HideBanner = true
+	s.Any("/*", e.serve)
+
+	return s
+}
+
+func (e *Entry) serve(c echo.Context) error {
+	snapshot := e.options.Settings.Load()
+	id := callID(c.Request())
+
+	a, err := e.run(c.Request(), id, snapshot)
+	if snapshot != nil {
+		c.Response().Header().Set(HeaderVersion, strconv.FormatUint(snapshot.Version().Number, 10))
+	}
+
+	c.Response().Header().Set(HeaderNode, e.options.Node)
+	c.Response().Header().Set(HeaderCall, id)
+
+	if err != nil {
+		return e.turnAway(c, id, err)
+	}
+
+	e.options.Recorder.Record(event.CallAnswered, timeline.Entry{Call: id, Peer: a.Upstream})
+
+	return writeAnswer(c, a)
+}
+
+func callID(r *http.Request) string {
+	if id := r.Header.Get(HeaderCall); id != "" {
+		return id
+	}
+
+	return ulid.Make().String()
+}
+
+func (e *Entry) run(r *http.Request, id string, snapshot *settings.Snapshot) (call.Answer, error) {
+	if e.options.Leaving() {
+		return call.Answer{}, call.Refuse(ErrLeaving, call.RanNo, time.Second)
+	}
+
+	if snapshot == nil {
+		return call.Answer{}, call.Refuse(ErrNoSettings, call.RanNo, time.Second)
+	}
+
+	route, ok := snapshot.Match(r.Method, r.URL.Path)
+	if !ok {
+		return call.Answer{}, call.Refuse(ErrNoRoute.With("%s %s", r.Method, r.URL.Path), call.RanNo, 0)
+	}
+
+	c, err := decode(r, id, route.Values.BodyLimit)
+	if err != nil {
+		return call.Answer{}, call.Refuse(err, call.RanNo, 0)
+	}
+
+	return e.pipe(r.Context(), c.WithRoute(route, snapshot.Version().Number))
+}
+
+func decode(r *http.Request, id string, limit int) (call.Call, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return call.Call{}, ErrBody.Wrap(err)
+	}
+
+	if len(body) > limit {
+		return call.Call{}, ErrBody.With("limit %d bytes", limit)
+	}
+
+	remaining, err := headerInt(r, HeaderDeadline)
+	if err != nil {
+		return call.Call{}, err
+	}
+
+	attempt, err := headerInt(r, HeaderAttempt)
+	if err != nil {
+		return call.Call{}, err
+	}
+
+	depth, err := headerInt(r, HeaderDepth)
+	if err != nil {
+		return call.Call{}, err
+	}
+
+	return call.Call{
+		ID: id, Caller: callerOf(r), Method: r.Method, URI: r.URL.RequestURI(), Header: fields(r.Header), Body: body,
+		Key: r.Header.Get(HeaderKey), Attempt: attempt, Depth: depth + 1,
+		Remaining: settings.Duration(time.Duration(remaining) * time.Millisecond),
+	}, nil
+}
+
+func headerInt(r *http.Request, name string) (int, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, ErrHeader.With("%s: %q is not a number", name, text)
+	}
+
+	return n, nil
+}
+
+func callerOf(r *http.Request) string {
+	if c := r.Header.Get(HeaderCaller); c != "" {
+		return c
+	}
+
+	host, _, _ := strings.Cut(r.RemoteAddr, ":")
+
+	return host
+}
+
+func fields(h http.Header) []call.Field {
+	out := make([]call.Field, 0, len(h))
+
+	for name, values := range h {
+		if hopByHop(name) || strings.HasPrefix(name, "Pollencart-") || name == HeaderKey {
+			continue
+		}
+
+		for _, v := range values {
+			out = append(out, call.Field{Name: name, Value: v})
+		}
+	}
+
+	return out
+}
+
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
+		"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
+		return true
+	}
+
+	return false
+}
+
+// deadline bounds the call by the route's deadline or by what the caller says
+// is left, whichever is less.
+func (e *Entry) deadline(next call.Handler) call.Handler {
+	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		limit := c.Values.Deadline
+		if c.Remaining > 0 {
+			limit = min(limit, c.Remaining)
+		}
+
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(limit))
+		defer cancel()
+
+		return next(ctx, c)
+	}
+}
+
+func writeAnswer(c echo.Context, a call.Answer) error {
+	h := c.Response().Header()
+	for _, f := range a.Header {
+		if !hopByHop(f.Name) {
+			h.Add(f.Name, f.Value)
+		}
+	}
+
+	h.Set(HeaderRan, string(a.Ran))
+	h.Set(HeaderUpstream, a.Upstream)
+
+	if a.Repeat {
+		h.Set(HeaderRepeat, "true")
+	}
+
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	c.Response().WriteHeader(a.Status)
+	_, err := c.Response().Write(a.Body)
+
+	return err
+}
+
+// TurnedAway is the one form of the final answer to a call that was given up.
+type TurnedAway struct {
+	ID           string   `json:"ID"`
+	Code         int      `json:"Code"`
+	Detail       string   `json:"Detail"`
+	Call         string   `json:"Call"`
+	Node         string   `json:"Node"`
+	Ran          call.Ran `json:"Ran"`
+	RetryAfterMs int64    `json:"RetryAfterMs"`
+}
+
+func (e *Entry) turnAway(c echo.Context, id string, err error) error {
+	var r *call.Refusal
+	if !errors.As(err, &r) {
+		r = call.Refuse(err, call.RanUnknown, time.Second)
+	}
+
+	number := event.CallTurnedAway
+	if r.Ran == call.RanUnknown {
+		number = event.CallUnknown
+	}
+
+	e.options.Recorder.Record(number, timeline.Entry{Call: id, Detail: r.Error()})
+
+	h := c.Response().Header()
+	h.Set(HeaderRan, string(r.Ran))
+
+	wait := time.Duration(r.RetryAfter)
+	if wait > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
+	}
+
+	return c.JSON(r.Fault.Code, TurnedAway{
+		ID: r.Fault.ID, Code: r.Fault.Code, Detail: r.Fault.Detail, Call: id, Node: e.options.Node,
+		Ran: r.Ran, RetryAfterMs: wait.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/caller/options.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"context"
+
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/selection"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// Snapshots gives the settings in force.
+type Snapshots interface {
+	Load() *settings.Snapshot
+}
+
+// Serving gives the nodes whose backend server takes calls of a service.
+type Serving interface {
+	Serving(service string) []membership.Record
+}
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
+}
+
+// Options of an entry.
+type Options struct {
+	Node     string
+	Settings Snapshots
+	Members  Serving
+	Peers    Peers
+	Selector *selection.Selector
+	Recorder *timeline.Recorder
+	Leaving  func() bool
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+func newOptions(opts ...Option) Options {
+	o := Options{
+		Selector: selection.New(),
+		Recorder: timeline.New(),
+		Leaving:  func() bool { return false },
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	return o
+}
+
+// Node names this node.
+func Node(id string) Option { return func(o *Options) { o.Node = id } }
+
+// Settings sets where the settings in force are.
+func Settings(s Snapshots) Option { return func(o *Options) { o.Settings = s } }
+
+// Members sets who knows the nodes.
+func Members(m Serving) Option { return func(o *Options) { o.Members = m } }
+
+// WithPeers sets who sends messages.
+func WithPeers(p Peers) Option { return func(o *Options) { o.Peers = p } }
+
+// Selector sets who picks a gate.
+func Selector(s *selection.Selector) Option { return func(o *Options) { o.Selector = s } }
+
+// Recorder sets where events go.
+func Recorder(r *timeline.Recorder) Option { return func(o *Options) { o.Recorder = r } }
+
+// Leaving sets what tells that this node takes no more calls.
+func Leaving(f func() bool) Option { return func(o *Options) { o.Leaving = f } }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,144 @@
+// Package config reads the settings file of one node.
+//
+// The file is JSON with comments. It tells the process what it can't learn from
+// anyone: its identity, its addresses, its failure domain, and whom to ask first.
+//
+//	c, err := config.Load("node.jsonc")
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/jsonc"
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// ErrConfig is returned for a file that can't be used.
+var ErrConfig = errs.New("config.invalid", http.StatusBadRequest, "settings file not accepted")
+
+// Config is the settings file of one node.
+type Config struct {
+	// ID names the node; it stays the same when the process is replaced.
+	ID string `json:"ID"`
+	// Region and FailureDomain say where the host stands.
+	Region        string `json:"Region"`
+	FailureDomain string `json:"FailureDomain"`
+	// PeerAddress is for frames between nodes, CallerAddress for callers,
+	// ControlAddress for operators, the backend server and metrics.
+	PeerAddress    string `json:"PeerAddress"`
+	CallerAddress  string `json:"CallerAddress"`
+	ControlAddress string `json:"ControlAddress"`
+	// Peers are peer addresses to ask first.
+	Peers []string `json:"Peers"`
+	// Platform are the base URLs of the key-value service.
+	Platform []string `json:"Platform"`
+	// Mode moves the trade between convergence time and control bytes.
+	Mode Mode `json:"Mode"`
+	// DrainTimeout bounds a graceful stop.
+	DrainTimeout settings.Duration `json:"DrainTimeout"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"LogLevel"`
+}
+
+// Mode says what the spread of settings saves.
+type Mode string
+
+// The modes.
+const (
+	// ModeFast spends bytes to be in force sooner.
+	ModeFast Mode = "Fast"
+	// ModeFrugal spends time to send fewer bytes.
+	ModeFrugal Mode = "Frugal"
+)
+
+// defaultDrain is longer than the deadline of most routes.
+const defaultDrain = 15 * time.Second
+
+// Default returns the values of keys that a file leaves out.
+func Default() Config {
+	return Config{
+		Mode:         ModeFast,
+		DrainTimeout: settings.Duration(defaultDrain),
+		LogLevel:     "info",
+	}
+}
+
+// Load reads and checks a file.
+func Load(file string) (Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, ErrConfig.With("%s", file).Wrap(err)
+	}
+
+	return Parse(file, data)
+}
+
+// Parse decodes and checks the text of a file.
+func Parse(file string, data []byte) (Config, error) {
+	c := Default()
+	if err := jsonc.Decode(file, data, &c); err != nil {
+		return Config{}, err
+	}
+
+	if key, reason := c.fault(); key != "" {
+		return Config{}, ErrConfig.With("%s: key %s: %s", file, key, reason)
+	}
+
+	return c, nil
+}
+
+func (c Config) fault() (key, reason string) {
+	for _, f := range []struct{ key, value string }{
+		{"ID", c.ID},
+		{"Region", c.Region},
+		{"FailureDomain", c.FailureDomain},
+	} {
+		if f.value == "" {
+			return f.key, "is missing"
+		}
+	}
+
+	for _, f := range []struct{ key, value string }{
+		{"PeerAddress", c.PeerAddress},
+		{"CallerAddress", c.CallerAddress},
+		{"ControlAddress", c.ControlAddress},
+	} {
+		if reason := addressFault(f.value); reason != "" {
+			return f.key, reason
+		}
+	}
+
+	for _, p := range c.Peers {
+		if reason := addressFault(p); reason != "" {
+			return "Peers", reason
+		}
+	}
+
+	if c.Mode != ModeFast && c.Mode != ModeFrugal {
+		return "Mode", "want Fast or Frugal"
+	}
+
+	if c.DrainTimeout <= 0 {
+		return "DrainTimeout", "want more than 0s"
+	}
+
+	return "", ""
+}
+
+func addressFault(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return err.Error()
+	}
+
+	if net.ParseIP(host) == nil {
+		return fmt.Sprintf("%q is not an IP number", host)
+	}
+
+	return ""
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,73 @@
+// Package event is the catalogue of numbered events.
+//
+// Every log line and every entry of the time line names one of these. Numbers
+// are never used again; docs/EVENTS.md lists them for operators.
+//
+//	recorder.Record(event.VersionInForce, timeline.Entry{Version: 7})
+package event
+
+import "log/slog"
+
+// Event is one kind of thing that a node tells about.
+type Event struct {
+	Number int
+	Name   string
+	Level  slog.Level
+	Text   string
+}
+
+// Node life.
+var (
+	NodeStarted  = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
+	NodeReady    = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
+	NodeDraining = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
+	NodeStopped  = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
+	NodeFailed   = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
+)
+
+// Settings.
+var (
+	VersionAccepted = add(200, "VersionAccepted", slog.LevelInfo, "An operator's version was accepted on the platform.")
+	VersionInForce  = add(201, "VersionInForce", slog.LevelInfo, "The node answers with this version from now on.")
+	VersionRefused  = add(202, "VersionRefused", slog.LevelError, "The node was offered a version that does not check; it holds the old one whole.")
+	VersionOlder    = add(203, "VersionOlder", slog.LevelWarn, "The node was offered a version lower than its own and did not take it.")
+	PlatformLost    = add(210, "PlatformLost", slog.LevelWarn, "The platform can't be reached; the node goes on with what it holds.")
+	PlatformBack    = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
+)
+
+// Fleet.
+var (
+	MemberJoined   = add(300, "MemberJoined", slog.LevelInfo, "A node became known.")
+	MemberSuspect  = add(301, "MemberSuspect", slog.LevelWarn, "A node did not answer and is suspected.")
+	MemberDead     = add(302, "MemberDead", slog.LevelWarn, "A suspected node did not refute in time and is taken for dead.")
+	MemberLeft     = add(303, "MemberLeft", slog.LevelInfo, "A node left by itself.")
+	MemberRefuted  = add(304, "MemberRefuted", slog.LevelInfo, "The node was suspected by others and refuted it with a higher incarnation.")
+	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The backend server on this host announced itself.")
+	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The backend server on this host changed its state.")
+	UpstreamLost   = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
+)
+
+// Calls.
+var (
+	CallAnswered   = add(400, "CallAnswered", slog.LevelDebug, "A call got its answer.")
+	CallTurnedAway = add(401, "CallTurnedAway", slog.LevelDebug, "A call was given up; the caller has its final answer.")
+	CallRetried    = add(402, "CallRetried", slog.LevelDebug, "An attempt failed and another one is made.")
+	CallUnknown    = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
+)
+
+// Faults of the program itself.
+var (
+	InvariantBroken = add(900, "InvariantBroken", slog.LevelError, "A promise that always holds was found broken; report it.")
+)
+
+var catalogue []Event
+
+func add(number int, name string, level slog.Level, text string) Event {
+	e := Event{Number: number, Name: name, Level: level, Text: text}
+	catalogue = append(catalogue, e)
+
+	return e
+}
+
+// All returns the catalogue in the order of numbers.
+func All() []Event { return append([]Event(nil), catalogue...) }
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,108 @@
+// Package gate is the end of a call's path: the node beside the backend server
+// takes the call from the entry node, lets it in and runs it.
+//
+//	g := gate.New(host, queue)
+//	server.Handle(gate.MethodRun, peer.Typed(g.Serve))
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
+)
+
+// MethodRun is the peer method that runs a call.
+const MethodRun = "Gate.Run"
+
+// Reply is the answer or the refusal of a call.
+type Reply struct {
+	Answer  *call.Answer  `msgpack:"Answer,omitempty"`
+	Refusal *call.Refusal `msgpack:"Refusal,omitempty"`
+}
+
+// Check reports whether a decoded reply can be used.
+func (r *Reply) Check() error {
+	if (r.Answer == nil) == (r.Refusal == nil) {
+		return call.ErrInvalid.With("reply wants an answer or a refusal")
+	}
+
+	return nil
+}
+
+// Runner runs a call on the backend server.
+type Runner interface {
+	Run(ctx context.Context, c call.Call) (call.Answer, error)
+}
+
+// Gate lets calls in to one backend server.
+type Gate struct {
+	node    string
+	queue   *admission.Queue
+	pipe    call.Handler
+	running atomic.Int64
+}
+
+// New returns a gate.
+func New(node string, r Runner, q *admission.Queue) *Gate {
+	g := &Gate{node: node, queue: q}
+	g.pipe = call.Chain(r.Run, g.deadline, g.admit)
+
+	return g
+}
+
+// Serve answers the entry node.
+func (g *Gate) Serve(ctx context.Context, c call.Call) (Reply, error) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+
+	a, err := g.pipe(ctx, c)
+	if err != nil {
+		return Reply{Refusal: asRefusal(err).WithLoad(g.queue.Load())}, nil
+	}
+
+	a.Upstream = g.node
+	a.Load = g.queue.Load()
+
+	return Reply{Answer: &a}, nil
+}
+
+// Running returns how many calls are inside.
+func (g *Gate) Running() int64 { return g.running.Load() }
+
+func asRefusal(err error) *call.Refusal {
+	var r *call.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+
+	return call.Refuse(err, call.RanUnknown, time.Second)
+}
+
+// deadline bounds the call by the time that its caller still waits.
+func (g *Gate) deadline(next call.Handler) call.Handler {
+	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Remaining))
+		defer cancel()
+
+		return next(ctx, c)
+	}
+}
+
+func (g *Gate) admit(next call.Handler) call.Handler {
+	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		release, err := g.queue.Admit(ctx, admission.Ticket{Class: c.Class, Caller: c.Caller, Queue: c.Queue})
+		if err != nil {
+			return call.Answer{}, call.Refuse(err, call.RanNo, max(g.queue.Wait(), minRetryAfter))
+		}
+		defer release()
+
+		return next(ctx, c)
+	}
+}
+
+// minRetryAfter keeps a caller that was turned away from coming straight back.
+const minRetryAfter = 100 * time.Millisecond
--- /dev/null
+++ b/internal/node/calls.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/selection"
+	"github.com/pollencart/pollencart/internal/upstream"
+)
+
+// calls makes the two ends of a call's path.
+func (n *Node) calls() {
+	n.queue = admission.New()
+	n.host = upstream.New(n.table, n.queue, n.recorder, upstream.Changed(func() {
+		go n.gossip.Tell(context.Background())
+	}))
+	n.gate = gate.New(n.config.ID, n.host, n.queue)
+	n.selector = selection.New()
+	n.entry = caller.New(
+		caller.Node(n.config.ID),
+		caller.Settings(n.holder),
+		caller.Members(n.table),
+		caller.WithPeers(n.client),
+		caller.Selector(n.selector),
+		caller.Recorder(n.recorder),
+		caller.Leaving(n.leaving.Load),
+	)
+}
+
+func (n *Node) entryHandler() http.Handler {
+	next := n.entry.Handler()
+
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.inFlight.Add(1)
+		defer n.inFlight.Add(-1)
+
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/operator"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// controlHandler serves operators, the backend server on this host and metrics.
+func (n *Node) controlHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+
+	operator.New(
+		operator.Acceptor(n.acceptor),
+		operator.WithSnapshots(n.holder),
+		operator.Fleet(n),
+		operator.Host(n.host),
+		operator.Accepted(n.accepted),
+	).Register(e)
+
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", n.readyz)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(n.metrics(), promhttp.HandlerOpts{})))
+
+	return e
+}
+
+func (n *Node) accepted(v settings.Version) {
+	n.recorder.Record(event.VersionAccepted, timeline.Entry{Version: v.Number, Detail: v.AcceptanceID})
+}
+
+func (n *Node) readyz(c echo.Context) error {
+	if n.leaving.Load() {
+		return c.String(http.StatusServiceUnavailable, "leaving\n")
+	}
+
+	if n.holder.Number() == 0 {
+		return c.String(http.StatusServiceUnavailable, "no settings held yet\n")
+	}
+
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (n *Node) metrics() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+
+	for _, m := range []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
+		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(len(n.table.Live())) }},
+		{"pollencart_gate_slots", "Slots of the backend server.", func() float64 { return float64(n.queue.Load().Slots) }},
+		{"pollencart_gate_in_flight", "Calls that hold a slot.", func() float64 { return float64(n.queue.Load().InFlight) }},
+		{"pollencart_gate_queued", "Calls that wait for a slot.", func() float64 { return float64(n.queue.Load().Queued) }},
+		{"pollencart_peer_sent_bytes", "Bytes sent to other nodes.", func() float64 {
+			return float64(n.client.Sent.Load() + n.server.Sent.Load())
+		}},
+		{"pollencart_peer_received_bytes", "Bytes received from other nodes.", func() float64 {
+			return float64(n.client.Received.Load() + n.server.Received.Load())
+		}},
+		{"pollencart_platform_calls", "Calls made to the platform.", func() float64 { return float64(n.store.Calls.Load()) }},
+	} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: m.name, Help: m.help}, m.value))
+	}
+
+	return r
+}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,203 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/config"
+	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/node"
+	"github.com/pollencart/pollencart/internal/operator"
+	"github.com/pollencart/pollencart/internal/standin/backend"
+	"github.com/pollencart/pollencart/internal/standin/platform"
+)
+
+// patience bounds waits for something that must come; no test asserts on how
+// long it took.
+const patience = 20 * time.Second
+
+// fleet is a deployment inside the test process: the real nodes on loopback
+// addresses, with stand-ins around them.
+type fleet struct {
+	t        *testing.T
+	platform *platform.Platform
+	url      string
+	hosts    []*host
+}
+
+type host struct {
+	harness.Host
+	config  config.Config
+	backend *backend.Server
+	stop    context.CancelFunc
+	done    chan error
+}
+
+// startFleet starts the Midlands of the examples.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+
+	d, err := harness.LoadDeployment("../../examples/midlands/deployment.jsonc")
+	assert.NilError(t, err)
+
+	hosts, err := d.Hosts()
+	assert.NilError(t, err)
+
+	f := &fleet{t: t, platform: platform.New()}
+	server := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(server.Close)
+	f.url = server.URL
+
+	for _, h := range hosts {
+		c := config.Default()
+		c.ID, c.Region, c.FailureDomain = h.ID, d.Region, h.FailureDomain
+		c.PeerAddress, c.CallerAddress, c.ControlAddress = h.Peer, h.Caller, h.Control
+		c.Peers, c.Platform = []string{hosts[0].Peer, hosts[len(hosts)/2].Peer}, []string{f.url}
+		f.hosts = append(f.hosts, &host{Host: h, config: c})
+	}
+
+	for _, h := range f.hosts {
+		f.start(h)
+		f.startBackend(h)
+	}
+
+	return f
+}
+
+// start starts the node of a host and waits until it listens.
+func (f *fleet) start(h *host) {
+	f.t.Helper()
+
+	ctx, stop := context.WithCancel(f.t.Context())
+	h.stop, h.done = stop, make(chan error, 1)
+
+	go func() { h.done <- node.New(h.config, slog.New(slog.DiscardHandler)).Run(ctx) }()
+
+	f.t.Cleanup(stop)
+	f.wait("health of "+h.ID, func() bool { return statusOf("http://"+h.Control+"/healthz") == http.StatusOK })
+}
+
+func (f *fleet) startBackend(h *host) {
+	f.t.Helper()
+
+	h.backend = backend.New(backend.Config{
+		Name: h.ID, Service: h.Service.Name, Slots: h.Service.Slots, Connections: h.Service.Connections,
+		Work: time.Millisecond,
+	})
+
+	l, err := net.Listen("tcp", h.Backend)
+	assert.NilError(f.t, err)
+
+	s := &http.Server{Handler: h.backend.Handler()}
+	go func() { _ = s.Serve(l) }()
+
+	ctx, stop := context.WithCancel(f.t.Context())
+	go h.backend.Announce(ctx, h.Control, h.Backend)
+
+	f.t.Cleanup(func() {
+		stop()
+		_ = s.Close()
+	})
+}
+
+func statusOf(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+
+	_ = resp.Body.Close()
+
+	return resp.StatusCode
+}
+
+func (f *fleet) wait(what string, holds func() bool) {
+	f.t.Helper()
+
+	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+	defer cancel()
+
+	assert.NilError(f.t, harness.Wait(ctx, what, holds))
+}
+
+func (f *fleet) operator(i int) *operator.Client { return operator.NewClient(f.hosts[i].Control) }
+
+// accept accepts the example's tree and waits until it is in force everywhere
+// and every backend server is known.
+func (f *fleet) accept() uint64 {
+	f.t.Helper()
+
+	data, err := os.ReadFile("../../examples/midlands/tree.jsonc")
+	assert.NilError(f.t, err)
+
+	v, err := f.operator(0).Accept(f.t.Context(), operator.AcceptRequest{
+		File: "tree.jsonc", Tree: data, ID: ulid.Make().String(),
+	})
+	assert.NilError(f.t, err)
+	f.wait("version in force and backend servers ready", func() bool {
+		s, err := f.operator(1).Status(f.t.Context())
+		if err != nil || s.InForce != len(f.hosts) {
+			return false
+		}
+
+		for _, n := range s.Nodes {
+			if n.Known != len(f.hosts) {
+				return false
+			}
+		}
+
+		return s.Newest == v.Number
+	})
+
+	return v.Number
+}
+
+type reply struct {
+	status int
+	header http.Header
+	answer backend.Answer
+	away   caller.TurnedAway
+}
+
+// send sends a request through a node.
+func (f *fleet) send(i int, method, path, body string, header map[string]string) reply {
+	f.t.Helper()
+
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.hosts[i].Caller+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+
+	defer resp.Body.Close()
+
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(f.t, err)
+
+	r := reply{status: resp.StatusCode, header: resp.Header}
+	if resp.StatusCode == http.StatusOK {
+		assert.NilError(f.t, json.NewDecoder(bytes.NewReader(data)).Decode(&r.answer))
+	} else {
+		assert.NilError(f.t, json.Unmarshal(data, &r.away), "%s", data)
+	}
+
+	return r
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,190 @@
+// Package node puts one process together: settings, requests and fleet.
+//
+//	n, err := node.New(config, logger)
+//	err = n.Run(ctx) // until ctx ends, then drains
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/acceptance"
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/config"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/platform/etcd"
+	"github.com/pollencart/pollencart/internal/selection"
+	"github.com/pollencart/pollencart/internal/spread"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/internal/upstream"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// ErrListen is returned if an address can't be listened on.
+var ErrListen = errs.New("node.listen", http.StatusServiceUnavailable, "can't listen")
+
+// Node is one process beside one backend server.
+type Node struct {
+	config   config.Config
+	recorder *timeline.Recorder
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	server *peer.Server
+	client *peer.Client
+
+	store    *etcd.Store
+	acceptor *acceptance.Acceptor
+	holder   *spread.Holder
+	spreader *spread.Spreader
+
+	table  *membership.Table
+	gossip *membership.Gossip
+
+	queue    *admission.Queue
+	host     *upstream.Host
+	gate     *gate.Gate
+	selector *selection.Selector
+	entry    *caller.Entry
+
+	listeners []net.Listener
+	https     []*http.Server
+}
+
+// New returns a node that does not listen yet.
+func New(c config.Config, logger *slog.Logger) *Node {
+	n := &Node{config: c}
+	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
+	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()))
+	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()))
+	n.settings()
+	n.fleet()
+	n.calls()
+	n.methods()
+
+	return n
+}
+
+// methods adds what other nodes may ask of this one.
+func (n *Node) methods() {
+	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
+	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
+	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
+	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
+	n.server.Handle(methodTimeline, peer.Typed(n.ownTimeline))
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.listen(); err != nil {
+		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
+
+		return err
+	}
+
+	n.recorder.Record(event.NodeStarted, timeline.Entry{Detail: n.config.PeerAddress})
+
+	// The background work goes on while the node drains.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+
+	var running sync.WaitGroup
+
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady} {
+		running.Go(func() { f(work) })
+	}
+
+	<-ctx.Done()
+	n.drain()
+	stop()
+	running.Wait()
+	n.close()
+	n.recorder.Record(event.NodeStopped, timeline.Entry{})
+
+	return nil
+}
+
+func (n *Node) listen() error {
+	handlers := []struct {
+		address string
+		serve   func(net.Listener)
+	}{
+		{n.config.PeerAddress, func(l net.Listener) { _ = n.server.Serve(l) }},
+		{n.config.CallerAddress, n.serveHTTP(n.entryHandler())},
+		{n.config.ControlAddress, n.serveHTTP(n.controlHandler())},
+	}
+
+	for _, h := range handlers {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			n.close()
+
+			return ErrListen.With("%s", h.address).Wrap(err)
+		}
+
+		n.listeners = append(n.listeners, l)
+
+		go h.serve(l)
+	}
+
+	return nil
+}
+
+// headerTime bounds how long a connection may take over its request header;
+// without it idle connections of slow callers use up the process.
+const headerTime = 5 * time.Second
+
+func (n *Node) serveHTTP(h http.Handler) func(net.Listener) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+	n.https = append(n.https, s)
+
+	return func(l net.Listener) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
+		}
+	}
+}
+
+// drain is the planned stop: nothing new is let in, what is inside is finished.
+func (n *Node) drain() {
+	n.recorder.Record(event.NodeDraining, timeline.Entry{})
+
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.DrainTimeout))
+	defer cancel()
+
+	n.leaving.Store(true)
+	n.host.Withdraw()
+	n.table.Update(func(r membership.Record) membership.Record { return r.WithState(membership.StateLeft) })
+	n.gossip.Tell(ctx)
+
+	const pause = 20 * time.Millisecond
+
+	for n.inFlight.Load()+n.gate.Running() > 0 && ctx.Err() == nil {
+		time.Sleep(pause)
+	}
+}
+
+func (n *Node) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+
+	for _, s := range n.https {
+		_ = s.Shutdown(ctx)
+	}
+
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+
+	n.server.Close()
+	n.client.Close()
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// ErrNode is returned if the node can't be asked.
+var ErrNode = errs.New("operator.node", http.StatusServiceUnavailable, "the node can't be asked")
+
+// Client asks one node.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the node with the control address.
+func NewClient(address string) *Client {
+	const timeout = 30 * time.Second
+
+	return &Client{base: "http://" + address, http: &http.Client{Timeout: timeout}}
+}
+
+// Check returns the faults of a tree.
+func (c *Client) Check(ctx context.Context, file string, tree []byte) ([]settings.Fault, error) {
+	var out Checked
+
+	err := c.do(ctx, http.MethodPost, pathCheck, url.Values{"file": {file}}, tree, &out)
+
+	return out.Faults, err
+}
+
+// AcceptRequest is what an operator sends.
+type AcceptRequest struct {
+	File     string
+	Tree     []byte
+	Base     uint64
+	ID       string
+	Operator string
+	Message  string
+}
+
+// Accept makes the tree the accepted version.
+func (c *Client) Accept(ctx context.Context, r AcceptRequest) (settings.Version, error) {
+	q := url.Values{
+		"file": {r.File}, "base": {strconv.FormatUint(r.Base, 10)}, "id": {r.ID},
+		"operator": {r.Operator}, "message": {r.Message},
+	}
+
+	var out settings.Version
+
+	err := c.do(ctx, http.MethodPost, pathAccept, q, r.Tree, &out)
+
+	return out, err
+}
+
+// Tree returns the tree in force on the node.
+func (c *Client) Tree(ctx context.Context) (TreeText, error) {
+	var out TreeText
+
+	err := c.do(ctx, http.MethodGet, pathTree, nil, nil, &out)
+
+	return out, err
+}
+
+// History returns the accepted versions, newest first.
+func (c *Client) History(ctx context.Context) ([]settings.Version, error) {
+	var out []settings.Version
+
+	err := c.do(ctx, http.MethodGet, pathHistory, nil, nil, &out)
+
+	return out, err
+}
+
+// Status returns what the node sees of the fleet.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+
+	err := c.do(ctx, http.MethodGet, pathStatus, nil, nil, &out)
+
+	return out, err
+}
+
+// Timeline returns the merged events of all nodes.
+func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Entry, error) {
+	q := url.Values{"call": {f.Call}, "key": {f.Key}, "node": {f.Node}}
+	if f.Version > 0 {
+		q.Set("version", strconv.FormatUint(f.Version, 10))
+	}
+
+	if f.SinceMs > 0 {
+		q.Set("since", strconv.FormatInt(f.SinceMs, 10))
+	}
+
+	var out []timeline.Entry
+
+	err := c.do(ctx, http.MethodGet, pathTimeline, q, nil, &out)
+
+	return out, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, q url.Values, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+q.Encode(), bytes.NewReader(body))
+	if err != nil {
+		return ErrNode.Wrap(err)
+	}
+
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return ErrNode.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ErrNode.Wrap(err)
+	}
+
+	if resp.StatusCode >= http.StatusBadRequest {
+		var e errs.Error
+		if json.Unmarshal(data, &e) != nil || e.ID == "" {
+			return ErrNode.With("status %d: %s", resp.StatusCode, data)
+		}
+
+		return &e
+	}
+
+	if err := json.Unmarshal(data, out); err != nil {
+		return ErrNode.Wrap(err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/operator/options.go
@@ -0,0 +1,82 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/acceptance"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/internal/upstream"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// NodeStatus is what one node tells of itself.
+type NodeStatus struct {
+	ID            string              `json:"ID" msgpack:"ID"`
+	FailureDomain string              `json:"FailureDomain" msgpack:"FailureDomain"`
+	Belief        string              `json:"Belief" msgpack:"Belief"`
+	Version       uint64              `json:"Version" msgpack:"Version"`
+	InForceSince  time.Time           `json:"InForceSince" msgpack:"InForceSince"`
+	Upstream      membership.Upstream `json:"Upstream" msgpack:"Upstream"`
+	InFlight      int64               `json:"InFlight" msgpack:"InFlight"`
+	// Known is how many ready backend servers the node could send a call to.
+	Known int    `json:"Known" msgpack:"Known"`
+	Error string `json:"Error,omitempty" msgpack:"Error,omitempty"`
+}
+
+// Status is what a node sees of the fleet.
+type Status struct {
+	Newest  uint64       `json:"Newest"`
+	InForce int          `json:"InForce"`
+	Nodes   []NodeStatus `json:"Nodes"`
+}
+
+// FleetView asks all nodes.
+type FleetView interface {
+	Status(ctx context.Context) Status
+	Timeline(ctx context.Context, f timeline.Filter) []timeline.Entry
+	// Floor is the newest version known here.
+	Floor() uint64
+}
+
+// Snapshots gives the settings in force.
+type Snapshots interface {
+	Load() *settings.Snapshot
+}
+
+// Options of the interface.
+type Options struct {
+	Acceptor  *acceptance.Acceptor
+	Snapshots Snapshots
+	Fleet     FleetView
+	Host      *upstream.Host
+	Accepted  func(settings.Version)
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+func newOptions(opts ...Option) Options {
+	o := Options{Accepted: func(settings.Version) {}}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	return o
+}
+
+// Acceptor sets who accepts trees.
+func Acceptor(a *acceptance.Acceptor) Option { return func(o *Options) { o.Acceptor = a } }
+
+// WithSnapshots sets where the settings in force are.
+func WithSnapshots(s Snapshots) Option { return func(o *Options) { o.Snapshots = s } }
+
+// Fleet sets who asks all nodes.
+func Fleet(f FleetView) Option { return func(o *Options) { o.Fleet = f } }
+
+// Host sets who takes announcements.
+func Host(h *upstream.Host) Option { return func(o *Options) { o.Host = h } }
+
+// Accepted sets who is told of an accepted version.
+func Accepted(f func(settings.Version)) Option { return func(o *Options) { o.Accepted = f } }
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// writer sends whole frames on a shared connection. The last of several
+// concurrent writers flushes, so that a burst costs one system call.
+type writer struct {
+	conn    net.Conn
+	waiting atomic.Int32
+	sent    *atomic.Int64
+
+	mu  sync.Mutex
+	buf *bufio.Writer
+}
+
+func newWriter(conn net.Conn, sent *atomic.Int64) *writer {
+	return &writer{conn: conn, sent: sent, buf: bufio.NewWriterSize(conn, writeBuffer)}
+}
+
+const (
+	writeBuffer = 16 << 10
+	readBuffer  = 16 << 10
+)
+
+func (w *writer) write(data []byte) error {
+	w.waiting.Add(1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	_, err := w.buf.Write(data)
+	last := w.waiting.Add(-1) == 0
+
+	if err == nil && last {
+		err = w.buf.Flush()
+	}
+
+	w.sent.Add(int64(len(data)))
+
+	return err
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,144 @@
+// Package peer carries typed messages between nodes: msgpack in length-prefixed
+// frames over TCP.
+//
+// Many requests share a connection. Each has a number, and an answer goes to
+// the request with its number only, so that late or crossed answers can't reach
+// another caller; an answer without a waiting request is dropped.
+//
+// # Usage
+//
+//	s := peer.NewServer()
+//	s.Handle("Ping", peer.Typed(func(ctx context.Context, in Ping) (Pong, error) { ... }))
+//	go s.Serve(listener)
+//
+//	c := peer.NewClient()
+//	var out Pong
+//	err := c.Do(ctx, "127.0.0.1:7000", peer.LaneControl, "Ping", Ping{}, &out)
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// MaxFrame bounds a frame. A peer that announces more is cut off before memory
+// is set aside for it; without the bound one broken length takes the node down.
+const MaxFrame = 8 << 20
+
+const lengthBytes = 4
+
+// Errors of the connection.
+var (
+	ErrFrameTooLarge = errs.New("peer.frame.large", http.StatusRequestEntityTooLarge, "frame over the limit")
+	ErrFrameShort    = errs.New("peer.frame.short", http.StatusBadGateway, "frame was cut short")
+	ErrFrameInvalid  = errs.New("peer.frame.invalid", http.StatusBadGateway, "frame does not decode")
+	// ErrUnreachable means that no byte of the request left this process.
+	ErrUnreachable = errs.New("peer.unreachable", http.StatusServiceUnavailable, "peer can't be reached")
+	// ErrBroken means that the request may have reached the peer.
+	ErrBroken = errs.New("peer.broken", http.StatusBadGateway, "connection broke before the answer")
+	// ErrNoMethod means that the peer does not know the method.
+	ErrNoMethod = errs.New("peer.method", http.StatusNotImplemented, "unknown method")
+)
+
+// Kind tells frames apart.
+type Kind uint8
+
+// The kinds of frames.
+const (
+	KindRequest Kind = iota + 1
+	KindAnswer
+	KindCancel
+)
+
+// Frame is what travels.
+type Frame struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Kind        Kind
+	ID          uint64
+	Method      string
+	Clock       timeline.Stamp
+	RemainingMs int64
+	Fault       *errs.Error
+	Body        msgpack.RawMessage
+}
+
+// Check reports whether a decoded frame can be used.
+func (f *Frame) Check() error {
+	if f.Kind < KindRequest || f.Kind > KindCancel {
+		return ErrFrameInvalid.With("kind %d", f.Kind)
+	}
+
+	if f.Kind == KindRequest && f.Method == "" {
+		return ErrFrameInvalid.With("request without a method")
+	}
+
+	return nil
+}
+
+// Encode returns the bytes of a frame with its length in front.
+func Encode(f *Frame) ([]byte, error) {
+	body, err := msgpack.Marshal(f)
+	if err != nil {
+		return nil, ErrFrameInvalid.Wrap(err)
+	}
+
+	if len(body) > MaxFrame {
+		return nil, ErrFrameTooLarge.With("%d bytes, limit %d", len(body), MaxFrame)
+	}
+
+	out := make([]byte, lengthBytes, lengthBytes+len(body))
+	binary.BigEndian.PutUint32(out, uint32(len(body)))
+
+	return append(out, body...), nil
+}
+
+// Read reads one frame and returns it with its size. A connection that ends
+// between frames gives io.EOF, one that ends inside a frame ErrFrameShort.
+func Read(r *bufio.Reader) (*Frame, int, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:1]); err != nil {
+		return nil, 0, io.EOF
+	}
+
+	if _, err := io.ReadFull(r, head[1:]); err != nil {
+		return nil, 0, ErrFrameShort.Wrap(err)
+	}
+
+	size := binary.BigEndian.Uint32(head[:])
+	if size > MaxFrame {
+		return nil, 0, ErrFrameTooLarge.With("%d bytes, limit %d", size, MaxFrame)
+	}
+
+	body := make([]byte, size)
+	if n, err := io.ReadFull(r, body); err != nil {
+		return nil, 0, ErrFrameShort.With("%d of %d bytes", n, size).Wrap(err)
+	}
+
+	var f Frame
+	if err := Decode(body, &f); err != nil {
+		return nil, 0, err
+	}
+
+	return &f, lengthBytes + len(body), nil
+}
+
+// Decode decodes a message and lets it check itself.
+func Decode(data []byte, out any) error {
+	if err := msgpack.Unmarshal(data, out); err != nil {
+		return ErrFrameInvalid.Wrap(err)
+	}
+
+	if c, ok := out.(interface{ Check() error }); ok {
+		return c.Check()
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/peer/options.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// Defaults of the options.
+const (
+	// DefaultDialTimeout bounds how long a call waits on a host that is gone:
+	// hosts are milliseconds apart, so a second means that nobody is there.
+	DefaultDialTimeout = time.Second
+	// DefaultMaxConns leaves room for two lanes from each node of a large
+	// service and for the members that gossip at the same time.
+	DefaultMaxConns = 4096
+	// DefaultMaxInFlight bounds the requests of one connection.
+	DefaultMaxInFlight = 1024
+)
+
+// Clock stamps messages.
+type Clock interface {
+	Now() timeline.Stamp
+	Observe(timeline.Stamp)
+}
+
+// Links tells which links are cut; tests and experiments cut them.
+type Links interface {
+	Blocked(address string) bool
+}
+
+// Options of a client or server.
+type Options struct {
+	Clock       Clock
+	Links       Links
+	DialTimeout time.Duration
+	MaxConns    int
+	MaxInFlight int
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+func newOptions(opts ...Option) Options {
+	o := Options{
+		Clock:       &timeline.Clock{},
+		Links:       noCuts{},
+		DialTimeout: DefaultDialTimeout,
+		MaxConns:    DefaultMaxConns,
+		MaxInFlight: DefaultMaxInFlight,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	return o
+}
+
+// WithClock sets the clock.
+func WithClock(c Clock) Option { return func(o *Options) { o.Clock = c } }
+
+// WithLinks sets the switch that cuts links.
+func WithLinks(l Links) Option { return func(o *Options) { o.Links = l } }
+
+// WithDialTimeout bounds connection attempts.
+func WithDialTimeout(d time.Duration) Option { return func(o *Options) { o.DialTimeout = d } }
+
+// WithMaxConns bounds the connections of a server.
+func WithMaxConns(n int) Option { return func(o *Options) { o.MaxConns = n } }
+
+// WithMaxInFlight bounds the requests of one connection.
+func WithMaxInFlight(n int) Option { return func(o *Options) { o.MaxInFlight = n } }
+
+type noCuts struct{}
+
+func (noCuts) Blocked(string) bool { return false }
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// Handler answers one request.
+type Handler func(ctx context.Context, body []byte) (any, error)
+
+// Typed makes a handler of a function with typed messages.
+func Typed[In, Out any](f func(context.Context, In) (Out, error)) Handler {
+	return func(ctx context.Context, body []byte) (any, error) {
+		var in In
+		if err := Decode(body, &in); err != nil {
+			return nil, err
+		}
+
+		return f(ctx, in)
+	}
+}
+
+// Server answers requests of other nodes.
+type Server struct {
+	options  Options
+	handlers map[string]Handler
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	done  bool
+
+	Received atomic.Int64
+	Sent     atomic.Int64
+}
+
+// NewServer returns a server without methods.
+func NewServer(opts ...Option) *Server {
+	return &Server{options: newOptions(opts...), handlers: map[string]Handler{}, conns: map[net.Conn]struct{}{}}
+}
+
+// Handle adds a method; all are added before Serve.
+func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+
+		if !s.track(conn) {
+			_ = conn.Close()
+
+			continue
+		}
+
+		go s.serveConn(conn)
+	}
+}
+
+// track refuses connections over the limit, so that a flood of them can't take
+// the memory that running calls need.
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.done || len(s.conns) >= s.options.MaxConns {
+		return false
+	}
+
+	s.conns[conn] = struct{}{}
+
+	return true
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.done = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+
+	defer func() {
+		cancel()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		_ = conn.Close()
+	}()
+
+	sc := &serverConn{
+		server:  s,
+		out:     newWriter(conn, &s.Sent),
+		slots:   make(chan struct{}, s.options.MaxInFlight),
+		running: map[uint64]context.CancelFunc{},
+	}
+	in := bufio.NewReaderSize(conn, readBuffer)
+
+	for {
+		f, size, err := Read(in)
+		if err != nil {
+			return
+		}
+
+		s.Received.Add(int64(size))
+		s.options.Clock.Observe(f.Clock)
+		sc.take(ctx, f)
+	}
+}
+
+type serverConn struct {
+	server *Server
+	out    *writer
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	running map[uint64]context.CancelFunc
+}
+
+func (c *serverConn) take(ctx context.Context, f *Frame) {
+	switch f.Kind {
+	case KindCancel:
+		c.cancel(f.ID)
+	case KindRequest:
+		c.slots <- struct{}{}
+
+		ctx, cancel := requestContext(ctx, f)
+
+		c.mu.Lock()
+		c.running[f.ID] = cancel
+		c.mu.Unlock()
+
+		go func() {
+			defer func() { <-c.slots }()
+			defer c.cancel(f.ID)
+
+			c.answer(ctx, f)
+		}()
+	case KindAnswer:
+	}
+}
+
+func requestContext(ctx context.Context, f *Frame) (context.Context, context.CancelFunc) {
+	if f.RemainingMs <= 0 {
+		return context.WithCancel(ctx)
+	}
+
+	return context.WithTimeout(ctx, time.Duration(f.RemainingMs)*time.Millisecond)
+}
+
+func (c *serverConn) cancel(id uint64) {
+	c.mu.Lock()
+	cancel := c.running[id]
+	delete(c.running, id)
+	c.mu.Unlock()
+
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (c *serverConn) answer(ctx context.Context, f *Frame) {
+	out := &Frame{Kind: KindAnswer, ID: f.ID, Clock: c.server.options.Clock.Now()}
+
+	body, err := c.server.handle(ctx, f)
+	if err != nil {
+		out.Fault = errs.From(err)
+	} else {
+		out.Body = body
+	}
+
+	data, err := Encode(out)
+	if err != nil {
+		data, err = Encode(&Frame{Kind: KindAnswer, ID: f.ID, Clock: out.Clock, Fault: errs.From(err)})
+	}
+
+	if err == nil {
+		_ = c.out.write(data)
+	}
+}
+
+func (s *Server) handle(ctx context.Context, f *Frame) ([]byte, error) {
+	h, ok := s.handlers[f.Method]
+	if !ok {
+		return nil, ErrNoMethod.With("%s", f.Method)
+	}
+
+	v, err := h(ctx, f.Body)
+	if err != nil {
+		return nil, err
+	}
+
+	return msgpack.Marshal(v)
+}
+
+var _ Clock = (*timeline.Clock)(nil)
--- /dev/null
+++ b/internal/platform/etcd/etcd.go
@@ -0,0 +1,251 @@
+// Package etcd speaks the JSON form of the etcd v3 gateway to the platform.
+//
+//	store := etcd.New(etcd.Endpoints("http://127.0.0.1:2379"))
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/platform"
+)
+
+// Store implements platform.Store over HTTP.
+type Store struct {
+	options Options
+	http    *http.Client
+	next    atomic.Uint32
+
+	// Calls counts the calls that this process made.
+	Calls atomic.Int64
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns a store; it connects when it is used.
+func New(opts ...Option) *Store {
+	o := newOptions(opts...)
+
+	return &Store{options: o, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdle,
+	}}}
+}
+
+const maxIdle = 4
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	var out rangeResponse
+	if err := s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
+		return platform.Entry{}, err
+	}
+
+	if len(out.Kvs) == 0 {
+		return platform.Entry{}, platform.ErrNotFound.With("%s", key)
+	}
+
+	return entryOf(out.Kvs[0]), nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	end := []byte(prefix)
+	end[len(end)-1]++
+
+	var out rangeResponse
+	if err := s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: end}, &out); err != nil {
+		return nil, err
+	}
+
+	entries := make([]platform.Entry, 0, len(out.Kvs))
+	for _, kv := range out.Kvs {
+		entries = append(entries, entryOf(kv))
+	}
+
+	return entries, nil
+}
+
+func entryOf(kv keyValue) platform.Entry {
+	return platform.Entry{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
+}
+
+// Swap implements platform.Store.
+func (s *Store) Swap(
+	ctx context.Context, key string, revision int64, value []byte, opts ...platform.PutOption,
+) (int64, error) {
+	if len(value) > platform.MaxValue {
+		return 0, platform.ErrTooLarge.With("%s has %d bytes, limit %d", key, len(value), platform.MaxValue)
+	}
+
+	var o platform.PutOptions
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	in := txnRequest{
+		Compare: []compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: revision}},
+		Success: []requestOp{{RequestPut: &putRequest{Key: []byte(key), Value: value, Lease: int64(o.Lease)}}},
+	}
+
+	var out txnResponse
+	if err := s.call(ctx, "/v3/kv/txn", in, &out); err != nil {
+		return 0, err
+	}
+
+	if !out.Succeeded {
+		return 0, platform.ErrConflict.With("%s", key)
+	}
+
+	return out.Header.Revision, nil
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	var out leaseResponse
+	if err := s.call(ctx, "/v3/lease/grant", leaseRequest{TTL: int64(ttl / time.Second)}, &out); err != nil {
+		return 0, err
+	}
+
+	return platform.Lease(out.ID), nil
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, l platform.Lease) error {
+	var out keepAliveResponse
+	if err := s.call(ctx, "/v3/lease/keepalive", leaseRequest{ID: int64(l)}, &out); err != nil {
+		return err
+	}
+
+	if out.Result.TTL <= 0 {
+		return platform.ErrNotFound.With("lease %d has lapsed", l)
+	}
+
+	return nil
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, key string, from int64) (<-chan platform.Entry, error) {
+	in := watchRequest{CreateRequest: watchCreate{Key: []byte(key), StartRevision: from}}
+
+	resp, err := s.post(ctx, "/v3/watch", in) //nolint:bodyclose // forward's goroutine closes it
+	if err != nil {
+		return nil, err
+	}
+
+	out := make(chan platform.Entry)
+
+	go func() {
+		defer close(out)
+		defer func() { _ = resp.Body.Close() }()
+
+		forward(ctx, json.NewDecoder(resp.Body), out)
+	}()
+
+	return out, nil
+}
+
+func forward(ctx context.Context, dec *json.Decoder, out chan<- platform.Entry) {
+	for {
+		var r watchResponse
+		if err := dec.Decode(&r); err != nil {
+			return
+		}
+
+		for _, e := range r.Result.Events {
+			select {
+			case out <- entryOf(e.Kv):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (s *Store) call(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+
+	resp, err := s.post(ctx, path, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return platform.ErrUnknown.Wrap(err)
+	}
+
+	return nil
+}
+
+func (s *Store) post(ctx context.Context, path string, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, platform.ErrUnavailable.Wrap(err)
+	}
+
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.endpoint()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, platform.ErrUnavailable.Wrap(err)
+	}
+
+	req.Header.Set("Content-Type", "application/json")
+	s.Calls.Add(1)
+
+	resp, err := s.http.Do(req)
+	if err != nil {
+		s.next.Add(1)
+
+		return nil, classify(err)
+	}
+
+	if resp.StatusCode != http.StatusOK {
+		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail))
+		_ = resp.Body.Close()
+
+		return nil, refusal(resp.StatusCode, string(detail))
+	}
+
+	return resp, nil
+}
+
+const maxDetail = 512
+
+func (s *Store) endpoint() string {
+	if len(s.options.Endpoints) == 0 {
+		return "http://127.0.0.1:0"
+	}
+
+	return s.options.Endpoints[int(s.next.Load())%len(s.options.Endpoints)]
+}
+
+// classify tells calls that never left from calls that may have taken effect. A
+// writer that took a lost answer for a failure would accept a version twice.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return platform.ErrUnavailable.Wrap(err)
+	}
+
+	return platform.ErrUnknown.Wrap(err)
+}
+
+func refusal(status int, detail string) error {
+	if status == http.StatusRequestEntityTooLarge {
+		return platform.ErrTooLarge.With("%s", detail)
+	}
+
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		return platform.ErrUnavailable.With("status %d", status)
+	}
+
+	return platform.ErrUnknown.With("status %d: %s", status, detail)
+}
--- /dev/null
+++ b/internal/upstream/options.go
@@ -0,0 +1,22 @@
+package upstream
+
+// Options of a host.
+type Options struct {
+	// Changed is called after the own record changed.
+	Changed func()
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+func newOptions(opts ...Option) Options {
+	o := Options{Changed: func() {}}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	return o
+}
+
+// Changed sets who is told that the own record changed.
+func Changed(f func()) Option { return func(o *Options) { o.Changed = f } }
--- /dev/null
+++ b/internal/upstream/run.go
@@ -0,0 +1,161 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// Errors of a run.
+var (
+	ErrNone      = errs.New("upstream.none", http.StatusServiceUnavailable, "no backend server on this host")
+	ErrUnreached = errs.New("upstream.unreached", http.StatusServiceUnavailable, "the backend server can't be reached")
+	ErrNoAnswer  = errs.New("upstream.no_answer", http.StatusGatewayTimeout, "the backend server gave no whole answer")
+	ErrShed      = errs.New("upstream.shed", http.StatusServiceUnavailable, "the backend server shed the call")
+	ErrTooLarge  = errs.New("upstream.too_large", http.StatusBadGateway, "the answer is over the limit")
+)
+
+// MaxAnswer bounds the body of an answer, so that it fits a frame.
+const MaxAnswer = 4 << 20
+
+// Headers towards the backend server.
+const (
+	HeaderCall     = "Pollencart-Call"
+	HeaderDeadline = "Pollencart-Deadline-Ms"
+	HeaderAttempt  = "Pollencart-Attempt"
+	HeaderDepth    = "Pollencart-Depth"
+	// HeaderNotRun is set by a backend server on an answer to a call that it
+	// shed before running any of it.
+	HeaderNotRun = "Pollencart-Not-Run"
+	HeaderKey    = "Idempotency-Key"
+)
+
+func newClient(connections int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			DisableCompression:  true,
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// onceBody hides the body from the transport's own retry. net/http sends a
+// request again by itself after a broken connection if it carries an
+// Idempotency-Key and its body can be replayed; an upload would run twice. A
+// body of this type can't be replayed.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Run sends the call to the backend server and returns its whole answer. The
+// error is a Refusal that says whether the call may have run.
+func (h *Host) Run(ctx context.Context, c call.Call) (call.Answer, error) {
+	h.mu.Lock()
+	client, address := h.client, h.current.Address
+	h.mu.Unlock()
+
+	if client == nil {
+		return call.Answer{}, call.Refuse(ErrNone, call.RanNo, time.Second)
+	}
+
+	req, err := newRequest(ctx, address, c)
+	if err != nil {
+		return call.Answer{}, call.Refuse(ErrUnreached.Wrap(err), call.RanNo, 0)
+	}
+
+	resp, err := client.Do(req)
+	if err != nil {
+		return call.Answer{}, refuse(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	return readAnswer(resp)
+}
+
+func newRequest(ctx context.Context, address string, c call.Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+address+c.URI, nil)
+	if err != nil {
+		return nil, err
+	}
+
+	req.Body = onceBody{bytes.NewReader(c.Body)}
+	req.ContentLength = int64(len(c.Body))
+
+	if len(c.Body) == 0 && c.Idempotent {
+		req.Body = http.NoBody
+	}
+
+	for _, f := range c.Header {
+		req.Header.Add(f.Name, f.Value)
+	}
+
+	req.Header.Set(HeaderCall, c.ID)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(c.Attempt))
+	req.Header.Set(HeaderDepth, strconv.Itoa(c.Depth))
+
+	if c.Key != "" {
+		req.Header.Set(HeaderKey, c.Key)
+	}
+
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
+
+	return req, nil
+}
+
+// refuse tells a call that never reached the backend server from one that may
+// have run: only a failed connection attempt is proof that no byte went out.
+func refuse(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return call.Refuse(ErrUnreached.Wrap(err), call.RanNo, time.Second)
+	}
+
+	return call.Refuse(ErrNoAnswer.Wrap(err), call.RanUnknown, time.Second)
+}
+
+func readAnswer(resp *http.Response) (call.Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+	if err != nil {
+		return call.Answer{}, call.Refuse(ErrNoAnswer.Wrap(err), call.RanUnknown, time.Second)
+	}
+
+	if len(body) > MaxAnswer {
+		return call.Answer{}, call.Refuse(ErrTooLarge, call.RanYes, 0)
+	}
+
+	if resp.Header.Get(HeaderNotRun) != "" {
+		return call.Answer{}, call.Refuse(ErrShed, call.RanNo, retryAfter(resp))
+	}
+
+	a := call.Answer{Status: resp.StatusCode, Body: body, Ran: call.RanYes}
+
+	for name, values := range resp.Header {
+		for _, v := range values {
+			a.Header = append(a.Header, call.Field{Name: name, Value: v})
+		}
+	}
+
+	return a, nil
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Second
+	}
+
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/pkg/settings/records.go
@@ -0,0 +1,180 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// ErrRecord is returned for records that do not make up a tree.
+var ErrRecord = errs.New("settings.record", http.StatusUnprocessableEntity, "records do not make up a tree")
+
+// Digest addresses the bytes of a record.
+type Digest string
+
+// DigestOf returns the digest of the bytes.
+func DigestOf(data []byte) Digest {
+	sum := sha256.Sum256(data)
+
+	return Digest(hex.EncodeToString(sum[:16]))
+}
+
+// Records is a tree cut into its branches: the encoded branch by path.
+type Records map[string][]byte
+
+// Records cuts the tree. The encoding is deterministic, so that equal branches
+// have equal digests on every node.
+func (t Tree) Records() (Records, error) {
+	records := Records{}
+
+	var failed error
+
+	t.Walk(func(path string, b Branch) {
+		data, err := encode(b)
+		if err != nil {
+			failed = err
+		}
+
+		records[path] = data
+	})
+
+	return records, failed
+}
+
+// record is the wire form of a branch without its child branches. Routes are a
+// sorted list, since the order of a map would change the digest.
+type record struct {
+	Region    *Region     `msgpack:"Region,omitempty"`
+	Service   *Service    `msgpack:"Service,omitempty"`
+	Overrides Overrides   `msgpack:"Overrides"`
+	Routes    []namedLeaf `msgpack:"Routes,omitempty"`
+}
+
+type namedLeaf struct {
+	Name  string `msgpack:"Name"`
+	Route Route  `msgpack:"Route"`
+}
+
+func encode(b Branch) ([]byte, error) {
+	r := record{Region: b.Region, Service: b.Service, Overrides: b.Overrides}
+	for _, name := range slices.Sorted(maps.Keys(b.Routes)) {
+		r.Routes = append(r.Routes, namedLeaf{Name: name, Route: b.Routes[name]})
+	}
+
+	data, err := msgpack.Marshal(r)
+	if err != nil {
+		return nil, ErrRecord.Wrap(err)
+	}
+
+	return data, nil
+}
+
+func decode(path string, data []byte) (Branch, error) {
+	var r record
+	if err := msgpack.Unmarshal(data, &r); err != nil {
+		return Branch{}, ErrRecord.With("/%s", path).Wrap(err)
+	}
+
+	b := Branch{Region: r.Region, Service: r.Service, Overrides: r.Overrides}
+	if len(r.Routes) > 0 {
+		b.Routes = make(map[string]Route, len(r.Routes))
+	}
+
+	for _, leaf := range r.Routes {
+		b.Routes[leaf.Name] = leaf.Route
+	}
+
+	return b, nil
+}
+
+// Digests returns the digest of each record by path.
+func (r Records) Digests() map[string]Digest {
+	out := make(map[string]Digest, len(r))
+	for path, data := range r {
+		out[path] = DigestOf(data)
+	}
+
+	return out
+}
+
+// TreeDigest returns one digest over all branch digests.
+func TreeDigest(branches map[string]Digest) Digest {
+	var b strings.Builder
+
+	for _, path := range slices.Sorted(maps.Keys(branches)) {
+		b.WriteString(path)
+		b.WriteByte(0)
+		b.WriteString(string(branches[path]))
+		b.WriteByte('\n')
+	}
+
+	return DigestOf([]byte(b.String()))
+}
+
+// Tree puts the records together again.
+func (r Records) Tree() (Tree, error) {
+	if _, ok := r[RootPath]; !ok {
+		return Tree{}, ErrRecord.With("the root is missing")
+	}
+
+	nodes := make(map[string]Branch, len(r))
+
+	for path, data := range r {
+		b, err := decode(path, data)
+		if err != nil {
+			return Tree{}, err
+		}
+
+		nodes[path] = b
+	}
+
+	// Longest paths first, so that a child is whole before its parent takes it.
+	paths := slices.Sorted(maps.Keys(nodes))
+	slices.SortStableFunc(paths, func(a, b string) int { return depth(b) - depth(a) })
+
+	for _, path := range paths {
+		if path == RootPath {
+			continue
+		}
+
+		parent := parentOf(path)
+
+		p, ok := nodes[parent]
+		if !ok {
+			return Tree{}, ErrRecord.With("%s has no parent", path)
+		}
+
+		if p.Branches == nil {
+			p.Branches = map[string]Branch{}
+		}
+
+		p.Branches[lastName(path)] = nodes[path]
+		nodes[parent] = p
+	}
+
+	return Tree{Branch: nodes[RootPath]}, nil
+}
+
+func depth(path string) int {
+	if path == RootPath {
+		return 0
+	}
+
+	return strings.Count(path, "/") + 1
+}
+
+func parentOf(path string) string {
+	i := strings.LastIndexByte(path, '/')
+	if i < 0 {
+		return RootPath
+	}
+
+	return path[:i]
+}
--- /dev/null
+++ b/pkg/settings/snapshot.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Version names an accepted tree.
+type Version struct {
+	Number       uint64            `json:"Number" msgpack:"Number"`
+	Digest       Digest            `json:"Digest" msgpack:"Digest"`
+	AcceptanceID string            `json:"AcceptanceID" msgpack:"AcceptanceID"`
+	AcceptedAt   time.Time         `json:"AcceptedAt" msgpack:"AcceptedAt"`
+	Operator     string            `json:"Operator,omitempty" msgpack:"Operator,omitempty"`
+	Message      string            `json:"Message,omitempty" msgpack:"Message,omitempty"`
+	Branches     map[string]Digest `json:"Branches,omitempty" msgpack:"Branches,omitempty"`
+}
+
+// Snapshot is one accepted version, whole and immutable.
+type Snapshot struct {
+	version Version
+	records Records
+	tree    Tree
+	routes  []Resolved
+}
+
+// NewSnapshot checks the records as a whole against the version and returns the
+// snapshot, or an error and nothing.
+//
+// A half fetched or mixed set of records would send calls by rules that no
+// operator accepted; the digests show it before anything is swapped.
+func NewSnapshot(v Version, records Records) (*Snapshot, error) {
+	digests := records.Digests()
+	if got := TreeDigest(digests); got != v.Digest {
+		return nil, ErrRecord.With("version %d has digest %s, records have %s", v.Number, v.Digest, got)
+	}
+
+	tree, err := records.Tree()
+	if err != nil {
+		return nil, err
+	}
+
+	if err := tree.CheckErr(); err != nil {
+		return nil, err
+	}
+
+	routes := tree.Resolve()
+	// Longest prefix first: the first match is the most specific one.
+	slices.SortStableFunc(routes, func(a, b Resolved) int {
+		return len(b.Match.PathPrefix) - len(a.Match.PathPrefix)
+	})
+
+	v.Branches = digests
+
+	return &Snapshot{version: v, records: records, tree: tree, routes: routes}, nil
+}
+
+// Version returns the version.
+func (s *Snapshot) Version() Version { return s.version }
+
+// Records returns the records; callers must not change them.
+func (s *Snapshot) Records() Records { return s.records }
+
+// Tree returns the tree; callers must not change it.
+func (s *Snapshot) Tree() Tree { return s.tree }
+
+// Match returns the most specific route for a request.
+func (s *Snapshot) Match(method, path string) (Resolved, bool) {
+	for _, r := range s.routes {
+		if r.Match.Method == method && strings.HasPrefix(path, r.Match.PathPrefix) {
+			return r, true
+		}
+	}
+
+	return Resolved{}, false
+}
--- /dev/null
+++ b/pkg/settings/tree.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pollencart/pollencart/internal/jsonc"
+)
+
+// Tree is the whole of the settings; its fields are the root's.
+type Tree struct {
+	Branch
+}
+
+// Branch is the root, a region or a service.
+type Branch struct {
+	Region    *Region           `json:"Region,omitempty" msgpack:"Region,omitempty"`
+	Service   *Service          `json:"Service,omitempty" msgpack:"Service,omitempty"`
+	Overrides Overrides         `json:"Overrides,omitzero" msgpack:"Overrides"`
+	Routes    map[string]Route  `json:"Routes,omitempty" msgpack:"Routes,omitempty"`
+	Branches  map[string]Branch `json:"Branches,omitempty" msgpack:"-"`
+}
+
+// Region declares a region and its failure domains.
+type Region struct {
+	FailureDomains []string `json:"FailureDomains" msgpack:"FailureDomains"`
+}
+
+// Service declares the service that has the name of its branch.
+type Service struct {
+	Slots       int `json:"Slots" msgpack:"Slots"`
+	Connections int `json:"Connections" msgpack:"Connections"`
+}
+
+// Route is a leaf: which requests it takes, and what it overrides.
+type Route struct {
+	Match     Match     `json:"Match" msgpack:"Match"`
+	Overrides Overrides `json:"Overrides,omitzero" msgpack:"Overrides"`
+}
+
+// Match says which requests a route takes.
+type Match struct {
+	Method     string `json:"Method" msgpack:"Method"`
+	PathPrefix string `json:"PathPrefix" msgpack:"PathPrefix"`
+}
+
+// Parse decodes a tree from JSON with comments.
+func Parse(file string, data []byte) (Tree, error) {
+	var t Tree
+	if err := jsonc.Decode(file, data, &t.Branch); err != nil {
+		return Tree{}, err
+	}
+
+	return t, nil
+}
+
+// RootPath is the path of the root.
+const RootPath = ""
+
+// Join returns the path of a child.
+func Join(path, name string) string {
+	if path == RootPath {
+		return name
+	}
+
+	return path + "/" + name
+}
+
+// Walk calls visit for each branch, parents first, in the order of names.
+func (t Tree) Walk(visit func(path string, b Branch)) {
+	walk(RootPath, t.Branch, visit)
+}
+
+func walk(path string, b Branch, visit func(string, Branch)) {
+	visit(path, b)
+
+	for _, name := range slices.Sorted(maps.Keys(b.Branches)) {
+		walk(Join(path, name), b.Branches[name], visit)
+	}
+}
+
+// Services returns the declared services by name.
+func (t Tree) Services() map[string]Service {
+	found := map[string]Service{}
+
+	t.Walk(func(path string, b Branch) {
+		if b.Service != nil {
+			found[lastName(path)] = *b.Service
+		}
+	})
+
+	return found
+}
+
+func lastName(path string) string {
+	return path[strings.LastIndexByte(path, '/')+1:]
+}
+
+// Resolved is a route with its effective values.
+type Resolved struct {
+	Path   string
+	Match  Match
+	Values Values
+}
+
+// Resolve returns every route with the values it inherits or overrides.
+func (t Tree) Resolve() []Resolved {
+	return resolve(RootPath, t.Branch, DefaultValues(), nil)
+}
+
+func resolve(path string, b Branch, v Values, out []Resolved) []Resolved {
+	if b.Service != nil {
+		v.Service = lastName(path)
+	}
+
+	v = v.With(b.Overrides)
+
+	for _, name := range slices.Sorted(maps.Keys(b.Routes)) {
+		r := b.Routes[name]
+		out = append(out, Resolved{Path: Join(path, name), Match: r.Match, Values: v.With(r.Overrides)})
+	}
+
+	for _, name := range slices.Sorted(maps.Keys(b.Branches)) {
+		out = resolve(Join(path, name), b.Branches[name], v, out)
+	}
+
+	return out
+}
+
+// Text returns the tree as a file that Parse takes.
+func (t Tree) Text() ([]byte, error) {
+	return json.MarshalIndent(t.Branch, "", "  ")
+}
