Settle each acceptance: races, lost answers, outages, older copies

Cause: an acceptance ID was only looked for in the last 64 versions of the head, a swap without an answer was reported as unknown though the next read would settle it, and a platform back from an older copy refused the base or would have given out a number that nodes already hold. A tree of 310 branches cost 313 writes, since each branch was a call of its own. A conflict named paths, not values.

Ruled out: a per-ID record written before the head (it says nothing about whether the swap took effect); a longer history in the head (each watcher receives the head at each change).

Change: the outcome of an ID is written in the transaction of the head, with the history as a record of its own; attempts repeat after an unknown answer, which is safe since both compare the same revision; values go in transactions of up to 64 keys or a megabyte, four at a time; the head says what changed against its base; Repair gives an older copy back what nodes hold and puts versions accepted meanwhile on top, or tells which could not be kept; a conflict and diff show value by value.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -7,15 +7,18 @@
 //
 //	a := acceptance.New(store)
 //	version, err := a.Accept(ctx, acceptance.Request{ID: id, Base: 6, Tree: tree})
+//
+// An acceptance ends in one of three ways: accepted; not accepted, with the
+// reason; or ErrUnknown, and asking again with the same ID settles it.
 package acceptance
 
 import (
 	"context"
 	"errors"
-	"maps"
+	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,78 +28,55 @@
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
-// Errors of an acceptance.
+// Errors of an acceptance. All but ErrUnknown mean that nothing was accepted.
 var (
 	ErrConflict = errs.New("acceptance.conflict", http.StatusConflict, "the same branches were changed by another acceptance")
-	ErrUnknown  = errs.New("acceptance.unknown", http.StatusGatewayTimeout, "no answer from the platform; ask again with the same ID")
-	ErrBase     = errs.New("acceptance.base", http.StatusConflict, "the base version is not known")
-	ErrBusy     = errs.New("acceptance.busy", http.StatusServiceUnavailable, "other acceptances went first too often; try again")
+	ErrUnknown  = errs.New("acceptance.unknown", http.StatusGatewayTimeout,
+		"no answer from the platform; the version may have been accepted, ask again with the same ID")
+	ErrOutage = errs.New("acceptance.outage", http.StatusServiceUnavailable, "not accepted: the platform can't be reached")
+	ErrBase   = errs.New("acceptance.base", http.StatusConflict, "not accepted: the base version is not known")
+	ErrBusy   = errs.New("acceptance.busy", http.StatusServiceUnavailable, "not accepted: other acceptances went first too often")
+	ErrID     = errs.New("acceptance.id", http.StatusBadRequest,
+		"an acceptance ID of 1 to 64 letters, digits, dots, dashes or underscores is needed")
 )
 
-// Keys on the platform.
+// Bounds of one acceptance. Sixteen operators can race at once; an outage of
+// the platform is waited out for about two seconds, since its usual hiccups are
+// shorter and an operator prefers an answer to a longer wait.
 const (
-	HeadKey        = "/pollencart/head"
-	branchPrefix   = "/pollencart/branch/"
-	manifestPrefix = "/pollencart/manifest/"
+	maxRaces   = 16
+	maxOutages = 4
+	firstPause = 100 * time.Millisecond
 )
 
-// historyLength bounds the head record: an acceptance ID can be asked for again
-// while it is among the last so many versions.
-const historyLength = 64
-
-// maxRaces bounds how often an acceptance starts again after losing a race.
-const maxRaces = 16
-
-// Head is the accepted version and the ones before it, newest first.
-type Head struct {
-	Version settings.Version   `msgpack:"Version"`
-	History []settings.Version `msgpack:"History"`
-}
-
-// Find returns the version that an acceptance ID led to.
-func (h Head) Find(id string) (settings.Version, bool) {
-	if id != "" && h.Version.AcceptanceID == id {
-		return h.Version, true
-	}
-
-	for _, v := range h.History {
-		if id != "" && v.AcceptanceID == id {
-			return v, true
-		}
-	}
-
-	return settings.Version{}, false
-}
-
-// With returns the head after the next version.
-func (h Head) With(v settings.Version) Head {
-	next := Head{Version: v}
-	if h.Version.Number > 0 {
-		next.History = append([]settings.Version{h.Version}, h.History...)
-	}
-
-	if len(next.History) > historyLength {
-		next.History = next.History[:historyLength]
-	}
-
-	return next
-}
-
 // Request is what an operator asks for.
 type Request struct {
 	// ID tells this acceptance apart from all others; asking again with the same
 	// ID never accepts twice.
 	ID string
+	// Again says that the ID was used before with an unknown outcome.
+	Again bool
 	// Base is the version that the tree was edited from.
 	Base uint64
-	// Floor is the newest version that the asking node knows; the new number is
-	// above it even if the platform came back from an older copy.
-	Floor    uint64
+	// Known is what the asking node holds; the new number is above it even if
+	// the platform came back from an older copy.
+	Known    Known
 	Tree     settings.Tree
 	Operator string
 	Message  string
 }
 
+// idForm bounds what becomes a part of a key on the platform.
+var idForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+func (r Request) check() error {
+	if !idForm.MatchString(r.ID) {
+		return ErrID.With("%q", r.ID)
+	}
+
+	return r.Tree.CheckErr()
+}
+
 // Acceptor accepts trees and reads accepted ones.
 type Acceptor struct {
 	store platform.Store
@@ -107,7 +87,7 @@
 
 // Accept checks the tree as a whole and makes it the accepted version.
 func (a *Acceptor) Accept(ctx context.Context, r Request) (settings.Version, error) {
-	if err := r.Tree.CheckErr(); err != nil {
+	if err := r.check(); err != nil {
 		return settings.Version{}, err
 	}
 
@@ -116,289 +96,138 @@
 		return settings.Version{}, err
 	}
 
-	for range maxRaces {
-		v, err := a.attempt(ctx, r, mine)
-		if !errors.Is(err, platform.ErrConflict) {
-			return v, err
-		}
-	}
-
-	return settings.Version{}, ErrBusy
+	return a.accept(ctx, r, mine)
 }
 
-func (a *Acceptor) attempt(ctx context.Context, r Request, mine settings.Records) (settings.Version, error) {
-	head, revision, err := a.Head(ctx)
-	if err != nil {
-		return settings.Version{}, err
-	}
+func (a *Acceptor) accept(ctx context.Context, r Request, mine settings.Records) (settings.Version, error) {
+	// Once a swap was sent whose answer is lost, only the platform's own record
+	// of the ID says whether it took effect.
+	unsure := r.Again
 
-	if v, ok := head.Find(r.ID); ok {
-		return v, nil
-	}
+	for races, outages := 0, 0; ; {
+		v, sent, err := a.attempt(ctx, r, mine)
+		unsure = unsure || sent && errors.Is(err, platform.ErrUnknown)
 
-	records, err := a.rebase(ctx, r, head, mine)
-	if err != nil {
-		return settings.Version{}, err
-	}
-
-	digests := records.Digests()
-	v := settings.Version{
-		Number:       max(head.Version.Number, r.Floor) + 1,
-		Digest:       settings.TreeDigest(digests),
-		AcceptanceID: r.ID,
-		AcceptedAt:   time.Now().UTC(),
-		Operator:     r.Operator,
-		Message:      r.Message,
-	}
+		switch {
+		case errors.Is(err, platform.ErrConflict):
+			races++
+		case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrUnavailable):
+			outages++
+		case err != nil:
+			return settings.Version{}, err
+		default:
+			return v, nil
+		}
 
-	if err := a.write(ctx, v, digests, records); err != nil {
-		return settings.Version{}, err
+		if races == maxRaces || outages == maxOutages || !pause(ctx, races+outages) {
+			return settings.Version{}, failure(r, unsure, err)
+		}
 	}
-
-	return a.swap(ctx, head, revision, v)
 }
 
-// swap makes the version the accepted one. If the answer is lost, the head is
-// read again: it names the acceptance ID if the swap took effect.
-func (a *Acceptor) swap(ctx context.Context, head Head, revision int64, v settings.Version) (settings.Version, error) {
-	data, err := msgpack.Marshal(head.With(v))
-	if err != nil {
-		return settings.Version{}, err
+func failure(r Request, unsure bool, err error) error {
+	switch {
+	case unsure:
+		return ErrUnknown.With("ID %s", r.ID).Wrap(err)
+	case errors.Is(err, platform.ErrConflict):
+		return ErrBusy
+	default:
+		return ErrOutage.Wrap(err)
 	}
-
-	_, err = a.store.Swap(ctx, HeadKey, revision, data)
-	if err == nil {
-		return v, nil
-	}
-
-	if !errors.Is(err, platform.ErrUnknown) {
-		return settings.Version{}, err
-	}
-
-	now, _, readErr := a.Head(ctx)
-	if readErr != nil {
-		return settings.Version{}, ErrUnknown.With("ID %s", v.AcceptanceID).Wrap(err)
-	}
-
-	if found, ok := now.Find(v.AcceptanceID); ok {
-		return found, nil
-	}
-
-	return settings.Version{}, ErrUnknown.With("ID %s", v.AcceptanceID).Wrap(err)
 }
 
-// Head returns the head and its revision; before the first acceptance both are
-// zero.
-func (a *Acceptor) Head(ctx context.Context) (Head, int64, error) {
-	e, err := a.store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return Head{}, 0, nil
-	}
+// pause waits with full jitter, so that operators who lost the same race do not
+// meet again in the next one.
+func pause(ctx context.Context, n int) bool {
+	const most = 4
 
-	if err != nil {
-		return Head{}, 0, err
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(rand.N(firstPause << min(n, most))):
+		return true
 	}
-
-	h, err := DecodeHead(e.Value)
-
-	return h, e.Revision, err
 }
 
-// DecodeHead decodes a head record.
-func DecodeHead(data []byte) (Head, error) {
-	var h Head
-	if err := msgpack.Unmarshal(data, &h); err != nil {
-		return Head{}, settings.ErrRecord.Wrap(err)
-	}
-
-	return h, nil
-}
-
-// rebase puts the operator's changes on top of what others accepted meanwhile.
-func (a *Acceptor) rebase(ctx context.Context, r Request, head Head, mine settings.Records) (settings.Records, error) {
-	if head.Version.Number == r.Base {
-		return mine, nil
-	}
-
-	base, err := a.manifestOf(ctx, head, r.Base)
-	if err != nil {
-		return nil, err
-	}
-
-	theirs, err := a.Manifest(ctx, head.Version.Digest)
+// attempt reads, rebases, writes and swaps once. It reports whether the swap was
+// sent.
+func (a *Acceptor) attempt(ctx context.Context, r Request, mine settings.Records) (settings.Version, bool, error) {
+	s, err := a.state(ctx, r.ID)
 	if err != nil {
-		return nil, err
+		return settings.Version{}, false, err
 	}
 
-	own := changes(base, mine.Digests())
-	other := changes(base, theirs)
-
-	if both := intersect(own, other); len(both) > 0 {
-		return nil, ErrConflict.With("branches %s; yours on version %d, theirs is version %d by %q: %s",
-			strings.Join(both, ", "), r.Base, head.Version.Number, head.Version.Operator, head.Version.Message)
+	if s.outcome != nil {
+		return *s.outcome, false, nil
 	}
 
-	merged, err := a.Records(ctx, theirs, nil)
-	if err != nil {
-		return nil, err
-	}
-
-	for _, path := range own {
-		if data, ok := mine[path]; ok {
-			merged[path] = data
-		} else {
-			delete(merged, path)
+	if r.Known.lacks(s) {
+		if _, err := a.Repair(ctx, r.Known); err != nil {
+			return settings.Version{}, false, err
 		}
-	}
 
-	tree, err := merged.Tree()
-	if err != nil {
-		return nil, err
-	}
-
-	return merged, tree.CheckErr()
-}
-
-func (a *Acceptor) manifestOf(ctx context.Context, head Head, number uint64) (map[string]settings.Digest, error) {
-	if number == 0 {
-		return map[string]settings.Digest{}, nil
-	}
-
-	for _, v := range append([]settings.Version{head.Version}, head.History...) {
-		if v.Number == number {
-			return a.Manifest(ctx, v.Digest)
-		}
-	}
-
-	return nil, ErrBase.With("version %d, accepted is %d", number, head.Version.Number)
-}
-
-// changes returns the paths at which the digests differ, in order.
-func changes(from, to map[string]settings.Digest) []string {
-	set := map[string]bool{}
-
-	for path, d := range to {
-		if from[path] != d {
-			set[path] = true
+		if s, err = a.state(ctx, r.ID); err != nil {
+			return settings.Version{}, false, err
 		}
 	}
 
-	for path := range from {
-		if _, ok := to[path]; !ok {
-			set[path] = true
-		}
+	records, err := a.rebase(ctx, r, s, mine)
+	if err != nil {
+		return settings.Version{}, false, err
 	}
 
-	return slices.Sorted(maps.Keys(set))
-}
-
-func intersect(a, b []string) []string {
-	var out []string
-
-	for _, s := range a {
-		if slices.Contains(b, s) {
-			out = append(out, "/"+s)
-		}
+	next, err := a.write(ctx, r, s, records)
+	if err != nil {
+		return settings.Version{}, false, err
 	}
 
-	return out
+	return next.Version, true, a.swap(ctx, s, next, s.history.With(next.Version))
 }
 
-func (a *Acceptor) write(
-	ctx context.Context, v settings.Version, digests map[string]settings.Digest, records settings.Records,
-) error {
+// write writes the values of the next version and returns its head.
+func (a *Acceptor) write(ctx context.Context, r Request, s state, records settings.Records) (Head, error) {
 	known := map[string]settings.Digest{}
-	if head, _, err := a.Head(ctx); err == nil && head.Version.Number > 0 {
-		if m, err := a.Manifest(ctx, head.Version.Digest); err == nil {
-			known = m
-		}
-	}
 
-	for path, d := range digests {
-		if known[path] == d {
-			continue
+	if s.head.Version.Number > 0 {
+		var err error
+		if known, err = a.Manifest(ctx, s.head.Version.Digest); err != nil {
+			return Head{}, err
 		}
-
-		if err := a.writeOnce(ctx, branchPrefix+string(d), records[path]); err != nil {
-			return err
-		}
-	}
-
-	manifest, err := msgpack.Marshal(digests)
-	if err != nil {
-		return err
-	}
-
-	return a.writeOnce(ctx, manifestPrefix+string(v.Digest), manifest)
-}
-
-// writeOnce writes a value addressed by its digest; it is right if it is there
-// already, and a lost answer is settled by writing again.
-func (a *Acceptor) writeOnce(ctx context.Context, key string, data []byte) error {
-	_, err := a.store.Swap(ctx, key, 0, data)
-	if errors.Is(err, platform.ErrUnknown) {
-		_, err = a.store.Swap(ctx, key, 0, data)
-	}
-
-	if errors.Is(err, platform.ErrConflict) {
-		return nil
 	}
 
-	return err
-}
-
-// Manifest returns the branch digests of the version with the tree digest.
-func (a *Acceptor) Manifest(ctx context.Context, tree settings.Digest) (map[string]settings.Digest, error) {
-	e, err := a.store.Get(ctx, manifestPrefix+string(tree))
-	if err != nil {
-		return nil, err
+	digests := records.Digests()
+	differ := changes(known, digests)
+	next := Head{
+		Version: settings.Version{
+			Number:       max(s.head.Version.Number, r.Known.number()) + 1,
+			Digest:       settings.TreeDigest(digests),
+			AcceptanceID: r.ID,
+			AcceptedAt:   time.Now().UTC(),
+			Operator:     r.Operator,
+			Message:      r.Message,
+		},
 	}
 
-	out := map[string]settings.Digest{}
-	if err := msgpack.Unmarshal(e.Value, &out); err != nil {
-		return nil, settings.ErrRecord.Wrap(err)
+	if len(differ) <= maxChanged {
+		next.Base, next.Changed = s.head.Version.Number, only(digests, differ)
+		next.Removed = slices.DeleteFunc(differ, func(path string) bool { return digests[path] != "" })
 	}
 
-	return out, nil
+	return next, a.writeValues(ctx, next.Version.Digest, digests, records, known)
 }
 
-// Records returns the records of a manifest, from those at hand where they fit.
-func (a *Acceptor) Records(
-	ctx context.Context, manifest map[string]settings.Digest, have settings.Records,
-) (settings.Records, error) {
-	out := make(settings.Records, len(manifest))
-
-	for path, d := range manifest {
-		if data, ok := have[path]; ok && settings.DigestOf(data) == d {
-			out[path] = data
-
-			continue
-		}
-
-		e, err := a.store.Get(ctx, branchPrefix+string(d))
-		if err != nil {
-			return nil, err
-		}
-
-		out[path] = e.Value
+func encodeAll(head Head, outcome settings.Version, history History) (h, o, past []byte, err error) {
+	if h, err = msgpack.Marshal(head); err != nil {
+		return nil, nil, nil, settings.ErrRecord.Wrap(err)
 	}
 
-	return out, nil
-}
-
-// Snapshot reads a version whole.
-func (a *Acceptor) Snapshot(
-	ctx context.Context, v settings.Version, have settings.Records,
-) (*settings.Snapshot, error) {
-	manifest, err := a.Manifest(ctx, v.Digest)
-	if err != nil {
-		return nil, err
+	if o, err = msgpack.Marshal(outcome); err != nil {
+		return nil, nil, nil, settings.ErrRecord.Wrap(err)
 	}
 
-	records, err := a.Records(ctx, manifest, have)
-	if err != nil {
-		return nil, err
+	if past, err = msgpack.Marshal(history); err != nil {
+		return nil, nil, nil, settings.ErrRecord.Wrap(err)
 	}
 
-	return settings.NewSnapshot(v, records)
+	return h, o, past, nil
 }
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -117,7 +117,7 @@
 	}
 
 	v, err := a.options.Acceptor.Accept(c.Request().Context(), acceptance.Request{
-		ID: c.QueryParam("id"), Base: base, Floor: a.options.Fleet.Floor(), Tree: tree,
+		ID: c.QueryParam("id"), Again: c.QueryParam("again") != "", Base: base, Known: a.options.Snapshots.Known(), Tree: tree,
 		Operator: c.QueryParam("operator"), Message: c.QueryParam("message"),
 	})
 	if err != nil {
@@ -153,17 +153,12 @@
 }
 
 func (a *API) history(c echo.Context) error {
-	head, _, err := a.options.Acceptor.Head(c.Request().Context())
+	history, err := a.options.Acceptor.History(c.Request().Context())
 	if err != nil {
 		return err
 	}
 
-	var out []settings.Version
-	if head.Version.Number > 0 {
-		out = append([]settings.Version{head.Version}, head.History...)
-	}
-
-	return c.JSON(http.StatusOK, out)
+	return c.JSON(http.StatusOK, history)
 }
 
 func (a *API) status(c echo.Context) error {
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -43,6 +43,8 @@
 // Snapshots gives the settings in force.
 type Snapshots interface {
 	Load() *settings.Snapshot
+	// Known is the version in force here and the ones before it.
+	Known() acceptance.Known
 }
 
 // Options of the interface.
--- a/internal/platform/etcd/etcd.go
+++ b/internal/platform/etcd/etcd.go
@@ -81,18 +81,20 @@
 func (s *Store) Swap(
 	ctx context.Context, key string, revision int64, value []byte, opts ...platform.PutOption,
 ) (int64, error) {
-	if len(value) > platform.MaxValue {
-		return 0, platform.ErrTooLarge.With("%s has %d bytes, limit %d", key, len(value), platform.MaxValue)
-	}
-
 	var o platform.PutOptions
 	for _, opt := range opts {
 		opt(&o)
 	}
 
+	puts, err := putsOf(append([]platform.Entry{{Key: key, Value: value}}, o.Also...))
+	if err != nil {
+		return 0, err
+	}
+
+	puts[0].RequestPut.Lease = int64(o.Lease)
 	in := txnRequest{
 		Compare: []compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: revision}},
-		Success: []requestOp{{RequestPut: &putRequest{Key: []byte(key), Value: value, Lease: int64(o.Lease)}}},
+		Success: puts,
 	}
 
 	var out txnResponse
@@ -107,6 +109,67 @@
 	return out.Header.Revision, nil
 }
 
+// GetMany implements platform.Store.
+func (s *Store) GetMany(ctx context.Context, keys ...string) (map[string]platform.Entry, error) {
+	if len(keys) > platform.MaxOps {
+		return nil, platform.ErrTooLarge.With("%d keys, limit %d", len(keys), platform.MaxOps)
+	}
+
+	var in txnRequest
+	for _, key := range keys {
+		in.Success = append(in.Success, requestOp{RequestRange: &rangeRequest{Key: []byte(key)}})
+	}
+
+	var out txnResponse
+	if err := s.call(ctx, "/v3/kv/txn", in, &out); err != nil {
+		return nil, err
+	}
+
+	found := make(map[string]platform.Entry, len(keys))
+
+	for _, r := range out.Responses {
+		if r.ResponseRange == nil {
+			continue
+		}
+
+		for _, kv := range r.ResponseRange.Kvs {
+			found[string(kv.Key)] = entryOf(kv)
+		}
+	}
+
+	return found, nil
+}
+
+// PutMany implements platform.Store.
+func (s *Store) PutMany(ctx context.Context, entries ...platform.Entry) error {
+	puts, err := putsOf(entries)
+	if err != nil {
+		return err
+	}
+
+	var out txnResponse
+
+	return s.call(ctx, "/v3/kv/txn", txnRequest{Success: puts}, &out)
+}
+
+func putsOf(entries []platform.Entry) ([]requestOp, error) {
+	if len(entries) > platform.MaxOps {
+		return nil, platform.ErrTooLarge.With("%d keys, limit %d", len(entries), platform.MaxOps)
+	}
+
+	puts := make([]requestOp, len(entries))
+
+	for i, e := range entries {
+		if len(e.Value) > platform.MaxValue {
+			return nil, platform.ErrTooLarge.With("%s has %d bytes, limit %d", e.Key, len(e.Value), platform.MaxValue)
+		}
+
+		puts[i] = requestOp{RequestPut: &putRequest{Key: []byte(e.Key), Value: e.Value}}
+	}
+
+	return puts, nil
+}
+
 // Grant implements platform.Store.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
 	var out leaseResponse
--- a/internal/platform/etcd/wire.go
+++ b/internal/platform/etcd/wire.go
@@ -32,11 +32,16 @@
 }
 
 type requestOp struct {
-	RequestPut *putRequest `json:"request_put,omitempty"`
+	RequestPut   *putRequest   `json:"request_put,omitempty"`
+	RequestRange *rangeRequest `json:"request_range,omitempty"`
+}
+
+type responseOp struct {
+	ResponseRange *rangeResponse `json:"response_range,omitempty"`
 }
 
 type txnRequest struct {
-	Compare []compare   `json:"compare"`
+	Compare []compare   `json:"compare,omitempty"`
 	Success []requestOp `json:"success"`
 }
 
@@ -45,8 +50,9 @@
 }
 
 type txnResponse struct {
-	Header    header `json:"header"`
-	Succeeded bool   `json:"succeeded"`
+	Header    header       `json:"header"`
+	Succeeded bool         `json:"succeeded"`
+	Responses []responseOp `json:"responses"`
 }
 
 type watchCreate struct {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,8 +16,13 @@
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
-// MaxValue is the platform's limit for one value.
-const MaxValue = 1 << 20
+// Limits of the platform.
+const (
+	// MaxValue is the limit for one value.
+	MaxValue = 1 << 20
+	// MaxOps is the limit of keys in one call.
+	MaxOps = 128
+)
 
 // Errors of a call to the platform.
 var (
@@ -44,6 +49,12 @@
 type Store interface {
 	// Get returns ErrNotFound for a key that is not there.
 	Get(ctx context.Context, key string) (Entry, error)
+	// GetMany returns the entries of the keys that are there, as of one moment,
+	// in one call; at most MaxOps keys.
+	GetMany(ctx context.Context, keys ...string) (map[string]Entry, error)
+	// PutMany writes all entries in one call, whatever is there. It is for
+	// values addressed by their digest, where writing twice changes nothing.
+	PutMany(ctx context.Context, entries ...Entry) error
 	// List returns the entries whose keys start with the prefix.
 	List(ctx context.Context, prefix string) ([]Entry, error)
 	// Swap writes the value if the key still has the revision; 0 means that the
@@ -58,10 +69,19 @@
 }
 
 // PutOptions of a write.
-type PutOptions struct{ Lease Lease }
+type PutOptions struct {
+	Lease Lease
+	// Also are written in the same transaction, if the swap takes effect.
+	Also []Entry
+}
 
 // PutOption sets an option of a write.
 type PutOption func(*PutOptions)
 
 // WithLease binds the key to a lease.
 func WithLease(l Lease) PutOption { return func(o *PutOptions) { o.Lease = l } }
+
+// Also writes another key in the same transaction: both or neither.
+func Also(key string, value []byte) PutOption {
+	return func(o *PutOptions) { o.Also = append(o.Also, Entry{Key: key, Value: value}) }
+}
--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -23,6 +24,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	past    acceptance.History
 }
 
 // Held is a snapshot and when it came into force here.
@@ -63,6 +65,14 @@
 	return 0
 }
 
+// Known returns the version held and the ones held before it.
+func (h *Holder) Known() acceptance.Known {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return acceptance.Known{Snapshot: h.Load(), Versions: h.past}
+}
+
 // Offer takes the snapshot if it is newer than the one held, and reports so.
 //
 // Updates cross in flight and a source can come back from an older copy; a node
@@ -81,6 +91,7 @@
 		return false
 	}
 
+	h.past = h.past.With(s.Version())
 	h.current.Store(&Held{Snapshot: s, Since: time.Now()})
 	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: number})
 	close(h.changed)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -126,12 +126,7 @@
 		return nil
 	}
 
-	var have map[string][]byte
-	if snapshot := s.holder.Load(); snapshot != nil {
-		have = snapshot.Records()
-	}
-
-	snapshot, err := s.acceptor.Snapshot(ctx, head.Version, have)
+	snapshot, err := s.acceptor.Snapshot(ctx, head.Version, s.holder.Load())
 	if err != nil {
 		s.recorder.Record(event.VersionRefused, timeline.Entry{Version: head.Version.Number, Detail: err.Error()})
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -29,6 +29,12 @@
 	// LoseAnswers is the number of writes to come that take effect and whose
 	// answers are lost.
 	LoseAnswers int `json:"LoseAnswers"`
+	// LoseWrites is the number of writes to come that are lost on the way.
+	LoseWrites int `json:"LoseWrites"`
+	// SpareWrites is the number of writes that go well before any is lost.
+	SpareWrites int `json:"SpareWrites"`
+	// DownAfterLoss takes the platform down with the last lost answer or write.
+	DownAfterLoss bool `json:"DownAfterLoss"`
 	// Cut lists the listen addresses that refuse every call.
 	Cut []string `json:"Cut"`
 }
@@ -217,24 +223,30 @@
 	p.counts.Reads++
 	p.expire()
 
+	return c.JSON(http.StatusOK, p.read(in))
+}
+
+func (p *Platform) read(in rangeIn) rangeOut {
 	out := rangeOut{Header: wireHeader{p.revision}}
 
-	for k, v := range p.values {
-		if inRange(k, string(in.Key), string(in.RangeEnd)) {
-			out.Kvs = append(out.Kvs, wireKV{[]byte(k), v.data, v.revision})
+	if len(in.RangeEnd) == 0 {
+		if v, ok := p.values[string(in.Key)]; ok {
+			out.Kvs = append(out.Kvs, wireKV{in.Key, v.data, v.revision})
+		}
+	} else {
+		for k, v := range p.values {
+			if inRange(k, string(in.Key), string(in.RangeEnd)) {
+				out.Kvs = append(out.Kvs, wireKV{[]byte(k), v.data, v.revision})
+			}
 		}
 	}
 
 	out.Count = int64(len(out.Kvs))
 
-	return c.JSON(http.StatusOK, out)
+	return out
 }
 
 func inRange(key, from, to string) bool {
-	if to == "" {
-		return key == from
-	}
-
 	return strings.Compare(key, from) >= 0 && strings.Compare(key, to) < 0
 }
 
--- a/internal/standin/platform/write.go
+++ b/internal/standin/platform/write.go
@@ -21,12 +21,28 @@
 			Value []byte `json:"value"`
 			Lease int64  `json:"lease,string"`
 		} `json:"request_put"`
+		RequestRange *rangeIn `json:"request_range"`
 	} `json:"success"`
 }
 
 type txnOut struct {
 	Header    wireHeader `json:"header"`
 	Succeeded bool       `json:"succeeded"`
+	Responses []txnRead  `json:"responses,omitempty"`
+}
+
+type txnRead struct {
+	ResponseRange *rangeOut `json:"response_range,omitempty"`
+}
+
+func (t txnIn) writes() bool {
+	for _, op := range t.Success {
+		if op.RequestPut != nil {
+			return true
+		}
+	}
+
+	return false
 }
 
 func (p *Platform) txn(c echo.Context) error {
@@ -53,11 +69,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.counts.Writes++
 	p.expire()
 
 	out = txnOut{Header: wireHeader{p.revision}, Succeeded: true}
 
+	if !in.writes() {
+		p.counts.Reads++
+
+		for _, op := range in.Success {
+			r := p.read(*op.RequestRange)
+			out.Responses = append(out.Responses, txnRead{ResponseRange: &r})
+		}
+
+		return out, false
+	}
+
+	p.counts.Writes++
+
+	loseWrite, loseAnswer := p.loses()
+	if loseWrite {
+		return out, true
+	}
+
 	for _, cmp := range in.Compare {
 		if p.values[string(cmp.Key)].revision != cmp.ModRevision {
 			out.Succeeded = false
@@ -66,9 +99,41 @@
 		}
 	}
 
-	p.revision++
+	p.put(in)
 	out.Header.Revision = p.revision
 
+	return out, loseAnswer
+}
+
+// loses says what happens to the write at hand.
+func (p *Platform) loses() (write, answer bool) {
+	f := &p.faults
+
+	switch {
+	case f.SpareWrites > 0:
+		f.SpareWrites--
+
+		return false, false
+	case f.LoseWrites > 0:
+		f.LoseWrites--
+
+		write = true
+	case f.LoseAnswers > 0:
+		f.LoseAnswers--
+
+		answer = true
+	}
+
+	if (write || answer) && f.DownAfterLoss && f.LoseWrites+f.LoseAnswers == 0 {
+		f.Down = true
+	}
+
+	return write, answer
+}
+
+func (p *Platform) put(in txnIn) {
+	p.revision++
+
 	for _, op := range in.Success {
 		if op.RequestPut != nil {
 			p.values[string(op.RequestPut.Key)] = value{op.RequestPut.Value, p.revision, op.RequestPut.Lease}
@@ -76,14 +141,6 @@
 	}
 
 	p.notify()
-
-	if p.faults.LoseAnswers > 0 {
-		p.faults.LoseAnswers--
-
-		return out, true
-	}
-
-	return out, false
 }
 
 type watchIn struct {
--- a/pkg/settings/diff.go
+++ b/pkg/settings/diff.go
@@ -1,76 +1,123 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
-// Change is one difference between two trees.
+// Change is one value that differs between two trees.
 type Change struct {
-	Path string `json:"Path"`
-	From string `json:"From,omitempty"`
-	To   string `json:"To,omitempty"`
+	Path  string `json:"Path"`
+	Field string `json:"Field"`
+	From  string `json:"From,omitempty"`
+	To    string `json:"To,omitempty"`
 }
 
 // String returns the change on a line.
 func (c Change) String() string {
 	switch {
 	case c.From == "":
-		return fmt.Sprintf("+ /%s %s", c.Path, c.To)
+		return fmt.Sprintf("+ /%s %s %s", c.Path, c.Field, c.To)
 	case c.To == "":
-		return fmt.Sprintf("- /%s %s", c.Path, c.From)
+		return fmt.Sprintf("- /%s %s %s", c.Path, c.Field, c.From)
 	default:
-		return fmt.Sprintf("~ /%s %s -> %s", c.Path, c.From, c.To)
+		return fmt.Sprintf("~ /%s %s %s -> %s", c.Path, c.Field, c.From, c.To)
 	}
 }
 
-// Diff returns the changes of branches and routes from one tree to another, in
-// the order of paths.
+// Diff returns the values that differ from one tree to another, in the order of
+// paths and fields.
 func Diff(from, to Tree) []Change {
-	a, b := flat(from), flat(to)
+	a, b := flatMap{}, flatMap{}
+	from.Walk(a.add)
+	to.Walk(b.add)
 
-	paths := map[string]bool{}
-	for path := range a {
-		paths[path] = true
-	}
+	return a.changes(b)
+}
 
-	for path := range b {
-		paths[path] = true
-	}
+// DiffRecords is Diff for some branches of two trees. A record that does not
+// decode counts as absent.
+func DiffRecords(from, to Records) []Change {
+	return flatRecords(from).changes(flatRecords(to))
+}
 
-	var out []Change
+func flatRecords(records Records) flatMap {
+	out := flatMap{}
 
-	for _, path := range slices.Sorted(maps.Keys(paths)) {
-		if a[path] != b[path] {
-			out = append(out, Change{Path: path, From: a[path], To: b[path]})
+	for path, data := range records {
+		if b, err := decode(path, data); err == nil {
+			out.add(path, b)
 		}
 	}
 
 	return out
 }
 
-func flat(t Tree) map[string]string {
-	out := map[string]string{}
+type valueKey struct{ path, field string }
 
-	t.Walk(func(path string, b Branch) {
-		for name, r := range b.Routes {
-			out[Join(path, name)] = text(r)
-		}
+// flatMap holds each value of a tree as text.
+type flatMap map[valueKey]string
 
-		b.Routes, b.Branches = nil, nil
-		out[path] = text(b)
-	})
+func (f flatMap) add(path string, b Branch) {
+	for name, r := range b.Routes {
+		f.flatten(Join(path, name), r)
+	}
 
-	return out
+	b.Routes, b.Branches = nil, nil
+	f.flatten(path, b)
 }
 
-func text(v any) string {
+func (f flatMap) flatten(path string, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
-		return err.Error()
+		f[valueKey{path, ""}] = err.Error()
+
+		return
+	}
+
+	f.object(path, "", data)
+}
+
+func (f flatMap) object(path, field string, data json.RawMessage) {
+	var fields map[string]json.RawMessage
+	if !bytes.HasPrefix(data, []byte("{")) || json.Unmarshal(data, &fields) != nil {
+		f[valueKey{path, field}] = string(data)
+
+		return
 	}
 
-	return string(data)
+	for name, value := range fields {
+		if field != "" {
+			name = field + "." + name
+		}
+
+		f.object(path, name, value)
+	}
+}
+
+func (f flatMap) changes(to flatMap) []Change {
+	all := maps.Clone(f)
+	maps.Copy(all, to)
+
+	keys := slices.SortedFunc(maps.Keys(all), func(a, b valueKey) int {
+		if a.path != b.path {
+			return strings.Compare(a.path, b.path)
+		}
+
+		return strings.Compare(a.field, b.field)
+	})
+
+	var out []Change
+
+	for _, k := range keys {
+		if f[k] != to[k] {
+			out = append(out, Change{Path: k.path, Field: k.field, From: f[k], To: to[k]})
+		}
+	}
+
+	return out
 }
