Spread deltas down a tree, pull from peers, spare the platform

Cause: each node that heard of a version pulled the whole tree, as often as gossip named it; a fresh process believed itself the only member and watched the platform; a version found bad was asked for again at each round; a platform with an older copy stayed so.

Ruled out: every node polls the platform (StrategyPoll, Mode Poll) and full trees pushed by watchers (StrategyFullPush, Mode FullPush): both stay runnable as baselines. Lists of receivers inside the push: more bytes than the delta.

--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -329,9 +329,9 @@
 	_, err = b.accept("fork", 1, withDeadline(tree, "s001", time.Second))
 	assert.NilError(t, err)
 
-	lost, err := b.acceptor.Repair(t.Context(), known)
+	out, err := b.acceptor.Repair(t.Context(), known)
 	assert.NilError(t, err)
-	assert.Equal(t, len(lost), 0)
+	assert.Equal(t, len(out.Lost), 0)
 
 	s := b.accepted()
 	assert.Equal(t, s.Version().Number, uint64(3))
@@ -367,18 +367,18 @@
 			assert.NilError(t, err)
 		}
 
-		lost, err := b.acceptor.Repair(t.Context(), known)
+		out, err := b.acceptor.Repair(t.Context(), known)
 		assert.NilError(t, err)
-		assert.Equal(t, len(lost), 1)
-		assert.Equal(t, lost[0].AcceptanceID, "second")
+		assert.Equal(t, len(out.Lost), 1)
+		assert.Equal(t, out.Lost[0].AcceptanceID, "second")
 		assert.Equal(t, b.accepted().Version().Number, uint64(3))
 
 		// A second watcher that repairs too finds nothing to do.
 		known.Snapshot = b.accepted()
 		known.Versions = known.Versions.With(known.Snapshot.Version())
-		lost, err = b.acceptor.Repair(t.Context(), known)
+		out, err = b.acceptor.Repair(t.Context(), known)
 		assert.NilError(t, err)
-		assert.Equal(t, len(lost), 0)
+		assert.Equal(t, len(out.Lost), 0)
 		assert.Equal(t, b.accepted().Version().Number, uint64(3))
 	}
 }
--- a/internal/acceptance/repair.go
+++ b/internal/acceptance/repair.go
@@ -54,17 +54,24 @@
 	return forked, 0
 }
 
+// Outcome of a repair.
+type Outcome struct {
+	Repaired bool
+	// Lost are the acceptances that could not be kept, because both sides changed
+	// the same branches.
+	Lost []settings.Version
+}
+
 // Repair gives the platform back the version that the node holds, if the
-// platform has lost it, and returns the acceptances that could not be kept
-// because both sides changed the same branches.
+// platform has lost it.
 //
 // A platform that comes back from an older copy has forgotten accepted
 // versions. Nodes keep answering with them, and without the repair each later
 // acceptance would be built on a tree that is in force nowhere.
-func (a *Acceptor) Repair(ctx context.Context, k Known) ([]settings.Version, error) {
+func (a *Acceptor) Repair(ctx context.Context, k Known) (Outcome, error) {
 	s, err := a.state(ctx, "")
 	if err != nil || !k.lacks(s) {
-		return nil, err
+		return Outcome{}, err
 	}
 
 	forked, common := k.forked(s)
@@ -73,31 +80,31 @@
 	}
 
 	if err := a.restore(ctx, s, k); err != nil {
-		return nil, err
+		return Outcome{}, err
 	}
 
-	var lost []settings.Version
+	out := Outcome{Repaired: true}
 
 	for _, v := range forked {
 		err := a.again(ctx, v, common)
 		if errors.Is(err, ErrConflict) {
-			lost = append(lost, v)
+			out.Lost = append(out.Lost, v)
 		} else if err != nil {
-			return lost, err
+			return out, err
 		}
 	}
 
-	return lost, nil
+	return out, nil
 }
 
 // putOnTop accepts the node's version anew, above versions that have the same or
 // higher numbers and may be in force elsewhere already.
-func (a *Acceptor) putOnTop(ctx context.Context, s state, k Known, common uint64) ([]settings.Version, error) {
+func (a *Acceptor) putOnTop(ctx context.Context, s state, k Known, common uint64) (Outcome, error) {
 	v, head := k.Snapshot.Version(), s.head.Version
 
 	_, err := a.accept(ctx, againRequest(v, common), k.Snapshot.Records())
 	if !errors.Is(err, ErrConflict) {
-		return nil, err
+		return Outcome{Repaired: err == nil}, err
 	}
 
 	// The platform's version stands. Nodes that hold the other one under the same
@@ -110,7 +117,7 @@
 
 	v.Branches = nil
 
-	return []settings.Version{v}, err
+	return Outcome{Repaired: true, Lost: []settings.Version{v}}, err
 }
 
 func (a *Acceptor) restore(ctx context.Context, s state, k Known) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/jsonc"
@@ -54,6 +55,10 @@
 	ModeFast Mode = "Fast"
 	// ModeFrugal spends time to send fewer bytes.
 	ModeFrugal Mode = "Frugal"
+	// ModePoll and ModeFullPush are baselines for measurements: every node polls
+	// the platform; watchers push the whole tree to each node of their domain.
+	ModePoll     Mode = "Poll"
+	ModeFullPush Mode = "FullPush"
 )
 
 // defaultDrain is longer than the deadline of most routes.
@@ -119,7 +124,7 @@
 		}
 	}
 
-	if c.Mode != ModeFast && c.Mode != ModeFrugal {
+	if !slices.Contains([]Mode{ModeFast, ModeFrugal, ModePoll, ModeFullPush}, c.Mode) {
 		return "Mode", "want Fast or Frugal"
 	}
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,10 +29,16 @@
 var (
 	VersionAccepted = add(200, "VersionAccepted", slog.LevelInfo, "An operator's version was accepted on the platform.")
 	VersionInForce  = add(201, "VersionInForce", slog.LevelInfo, "The node answers with this version from now on.")
-	VersionRefused  = add(202, "VersionRefused", slog.LevelError, "The node was offered a version that does not check; it holds the old one whole.")
-	VersionOlder    = add(203, "VersionOlder", slog.LevelWarn, "The node was offered a version lower than its own and did not take it.")
-	PlatformLost    = add(210, "PlatformLost", slog.LevelWarn, "The platform can't be reached; the node goes on with what it holds.")
-	PlatformBack    = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
+	VersionRefused  = add(202, "VersionRefused", slog.LevelError,
+		"The node was offered a version that does not check; it holds the old one whole.")
+	VersionOlder = add(203, "VersionOlder", slog.LevelWarn, "The node was offered a version lower than its own and did not take it.")
+	VersionLost  = add(204, "VersionLost", slog.LevelError,
+		"Two versions were accepted on different copies of the platform and changed the same branches; "+
+			"this one could not be kept, accept it again.")
+	PlatformLost     = add(210, "PlatformLost", slog.LevelWarn, "The platform can't be reached; the node goes on with what it holds.")
+	PlatformBack     = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
+	PlatformRepaired = add(212, "PlatformRepaired", slog.LevelWarn,
+		"The platform came back from an older copy and was given back the version that this node holds.")
 )
 
 // Fleet.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	acceptor *acceptance.Acceptor
 	holder   *spread.Holder
 	spreader *spread.Spreader
+	started  time.Time
 
 	table  *membership.Table
 	gossip *membership.Gossip
@@ -77,7 +78,6 @@
 
 // methods adds what other nodes may ask of this one.
 func (n *Node) methods() {
-	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
@@ -99,7 +99,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady} {
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady} {
 		running.Go(func() { f(work) })
 	}
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/acceptance"
+	"github.com/pollencart/pollencart/internal/config"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
 	"github.com/pollencart/pollencart/internal/spread"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -16,16 +18,77 @@
 	n.store = etcd.New(etcd.Endpoints(n.config.Platform...))
 	n.acceptor = acceptance.New(n.store)
 	n.holder = spread.NewHolder(n.recorder)
-	n.spreader = spread.New(n.holder, n.acceptor, n.store, n.client, n.recorder, spread.Watching(n.watching))
+	n.started = time.Now()
+
+	opts := []spread.Option{
+		spread.Self(n.config.ID, n.config.PeerAddress, n.config.FailureDomain),
+		spread.Members(n.domain), spread.Others(n.others), spread.Watching(n.watching),
+	}
+
+	n.spreader = spread.New(n.holder, n.acceptor, n.store, n.client, n.recorder, append(opts, modes[n.config.Mode]...)...)
+	n.spreader.Register(n.server)
+}
+
+var modes = map[config.Mode][]spread.Option{
+	config.ModeFrugal:   {spread.Frugal()},
+	config.ModePoll:     {spread.With(spread.StrategyPoll)},
+	config.ModeFullPush: {spread.With(spread.StrategyFullPush)},
 }
 
 // watchersPerDomain is how many nodes of a failure domain watch the platform:
 // one would leave a gap when its host dies, and each more costs a watch.
 const watchersPerDomain = 2
 
+// lonely is how long a fresh process that has met nobody holds back from
+// watching the platform. All of a herd know only themselves at first, and each
+// would take itself for a watcher.
+const lonely = 3 * time.Second
+
 // watching reports whether this node is among the watchers of its domain.
 func (n *Node) watching() bool {
-	return n.table.Chosen(n.config.ID, n.config.FailureDomain, watchersPerDomain)
+	live := n.table.Live()
+	if len(live) < 2 && len(n.config.Peers) > 0 && time.Since(n.started) < lonely {
+		return false
+	}
+
+	return spread.Watches(n.config.FailureDomain, n.config.ID, n.inDomain(live), watchersPerDomain)
+}
+
+func (n *Node) domain() []spread.Member { return n.inDomain(n.table.Live()) }
+
+func (n *Node) inDomain(live []membership.Record) []spread.Member {
+	var out []spread.Member
+
+	for _, r := range live {
+		if r.FailureDomain == n.config.FailureDomain {
+			out = append(out, spread.Member{ID: r.ID, Address: r.PeerAddress})
+		}
+	}
+
+	return out
+}
+
+// others are the nodes that this one can ask, and the seeds while it knows none.
+func (n *Node) others() []string {
+	var out []string
+
+	for _, r := range n.table.Live() {
+		if r.ID != n.config.ID {
+			out = append(out, r.PeerAddress)
+		}
+	}
+
+	if len(out) > 0 {
+		return out
+	}
+
+	for _, seed := range n.config.Peers {
+		if seed != n.config.PeerAddress {
+			out = append(out, seed)
+		}
+	}
+
+	return out
 }
 
 func (n *Node) announceReady(ctx context.Context) {
--- /dev/null
+++ b/internal/spread/cluster_test.go
@@ -0,0 +1,413 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/acceptance"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/peer"
+	keyvalue "github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/internal/spread"
+	"github.com/pollencart/pollencart/internal/standin/platform"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+const domains = 4
+
+// cluster is many spreaders in one paused clock. Messages are encoded and
+// counted; membership is known at once; gossip is a random exchange of numbers.
+type cluster struct {
+	*testing.T
+
+	platform *platform.Platform
+	acceptor *acceptance.Acceptor
+	options  []spread.Option
+	quiet    bool // no gossip
+
+	mu       sync.Mutex
+	nodes    map[string]*node
+	sorted   []string
+	domains  map[string][]spread.Member
+	random   *rand.Rand
+	messages int
+	bytes    int
+	wholes   int
+	tree     settings.Tree
+	number   uint64
+}
+
+type node struct {
+	id, domain string
+	holder     *spread.Holder
+	spreader   *spread.Spreader
+	recorder   *timeline.Recorder
+	stop       context.CancelFunc
+	// frozen does not answer and does not run; others still believe in it.
+	frozen bool
+}
+
+func startCluster(t *testing.T, size, branches int, opts ...spread.Option) *cluster {
+	t.Helper()
+
+	c := &cluster{
+		T: t, platform: platform.New(), options: opts,
+		nodes: map[string]*node{}, random: rand.New(rand.NewPCG(1, 2)), tree: tree(branches),
+	}
+	c.acceptor = acceptance.New(c.platform.Direct("operator"))
+
+	for i := range size {
+		c.start(nodeID(i), fmt.Sprintf("d%d", i%domains))
+	}
+
+	return c
+}
+
+func nodeID(i int) string { return fmt.Sprintf("node-%03d", i) }
+
+func tree(n int) settings.Tree {
+	t := settings.Tree{}
+	t.Branches = map[string]settings.Branch{}
+
+	for i := range n {
+		t.Branches[fmt.Sprintf("s%03d", i)] = settings.Branch{
+			Service: &settings.Service{Slots: 10, Connections: 100},
+			Routes: map[string]settings.Route{
+				"open": {Match: settings.Match{Method: "GET", PathPrefix: fmt.Sprintf("/s%03d/", i)}},
+			},
+		}
+	}
+
+	return t
+}
+
+// start starts a fresh process of a node.
+func (c *cluster) start(id, domain string) *node {
+	n := &node{id: id, domain: domain, recorder: timeline.New(timeline.Node(id))}
+	n.holder = spread.NewHolder(n.recorder)
+	store := c.platform.Direct(domain)
+
+	opts := append([]spread.Option{
+		spread.Self(id, id, domain),
+		spread.Members(func() []spread.Member { return c.members(domain) }),
+		spread.Others(func() []string { return c.others(id) }),
+		spread.Watching(func() bool { return spread.Watches(domain, id, c.members(domain), 2) }),
+	}, c.options...)
+	n.spreader = spread.New(n.holder, acceptance.New(store), store, &wire{c, id}, n.recorder, opts...)
+
+	ctx, stop := context.WithCancel(c.Context())
+	n.stop = stop
+
+	c.mu.Lock()
+	c.nodes[id] = n
+	c.listed()
+	c.mu.Unlock()
+
+	go n.spreader.Run(ctx)
+	go c.exchange(ctx, n)
+
+	return n
+}
+
+// kill ends a process; others know it at once.
+func (c *cluster) kill(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.nodes[id].stop()
+	delete(c.nodes, id)
+	c.listed()
+}
+
+func (c *cluster) stopAll() {
+	for _, id := range c.ids() {
+		c.kill(id)
+	}
+
+	time.Sleep(time.Minute)
+}
+
+func (c *cluster) ids() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return slices.Clone(c.sorted)
+}
+
+// listed keeps the lists of nodes, which are read far more often than changed.
+func (c *cluster) listed() {
+	c.sorted = slices.Sorted(maps.Keys(c.nodes))
+	c.domains = map[string][]spread.Member{}
+
+	for _, id := range c.sorted {
+		domain := c.nodes[id].domain
+		c.domains[domain] = append(c.domains[domain], spread.Member{ID: id, Address: id})
+	}
+}
+
+func (c *cluster) members(domain string) []spread.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return slices.Clone(c.domains[domain])
+}
+
+func (c *cluster) node(id string) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.nodes[id]
+}
+
+func (c *cluster) others(id string) []string {
+	return slices.DeleteFunc(c.ids(), func(other string) bool { return other == id })
+}
+
+// exchange is the gossip of version numbers.
+func (c *cluster) exchange(ctx context.Context, n *node) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		pause := time.Second/2 + time.Duration(c.random.Int64N(int64(time.Second)))
+		c.mu.Unlock()
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+
+		others := c.others(n.id)
+		if len(others) == 0 || c.quiet {
+			continue
+		}
+
+		c.mu.Lock()
+		other := c.nodes[others[c.random.IntN(len(others))]]
+		c.mu.Unlock()
+
+		if other != nil && !n.frozen && !other.frozen {
+			other.spreader.Hear(ctx, n.id, n.holder.Number())
+			n.spreader.Hear(ctx, other.id, other.holder.Number())
+		}
+	}
+}
+
+// wire carries messages from one node, encoded as on a connection.
+type wire struct {
+	c    *cluster
+	from string
+}
+
+func (w *wire) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
+	data, err := msgpack.Marshal(in)
+	if err != nil {
+		return err
+	}
+
+	time.Sleep(500 * time.Microsecond)
+
+	n, from := w.c.node(address), w.c.node(w.from)
+	if n == nil || from == nil {
+		return peer.ErrUnreachable
+	}
+
+	if n.frozen || from.frozen {
+		<-ctx.Done()
+
+		return peer.ErrBroken
+	}
+
+	reply, err := n.answer(ctx, method, data)
+
+	w.c.mu.Lock()
+	w.c.messages++
+	w.c.bytes += len(data) + len(reply)
+
+	if method == spread.MethodPull && err == nil {
+		w.c.wholes++
+	}
+	w.c.mu.Unlock()
+
+	time.Sleep(500 * time.Microsecond)
+
+	if err != nil {
+		return errs.From(err)
+	}
+
+	return peer.Decode(reply, out)
+}
+
+func (n *node) answer(ctx context.Context, method string, data []byte) ([]byte, error) {
+	handlers := map[string]peer.Handler{
+		spread.MethodPull:   peer.Typed(n.spreader.Serve),
+		spread.MethodPush:   peer.Typed(n.spreader.Receive),
+		spread.MethodNumber: peer.Typed(n.spreader.Tell),
+	}
+
+	v, err := handlers[method](ctx, data)
+	if err != nil {
+		return nil, err
+	}
+
+	return msgpack.Marshal(v)
+}
+
+// accept accepts the tree as it stands.
+func (c *cluster) accept() uint64 {
+	c.Helper()
+
+	v, err := c.acceptor.Accept(c.Context(), acceptance.Request{
+		ID: fmt.Sprintf("id-%d", c.number), Base: c.number, Tree: c.tree, Operator: "op",
+	})
+	assert.NilError(c, err)
+
+	c.number = v.Number
+
+	return v.Number
+}
+
+// change accepts a change of one leaf.
+func (c *cluster) change() uint64 {
+	c.Helper()
+
+	next := settings.Tree{Branch: c.tree.Branch}
+	next.Branches = map[string]settings.Branch{}
+
+	for k, v := range c.tree.Branches {
+		next.Branches[k] = v
+	}
+
+	b := next.Branches["s000"]
+	d := settings.Duration(time.Second + time.Duration(c.number))
+	r := b.Routes["open"]
+	r.Overrides.Deadline = &d
+	b.Routes = map[string]settings.Route{"open": r}
+	next.Branches["s000"] = b
+	c.tree = next
+
+	return c.accept()
+}
+
+// behind returns the nodes that do not hold the version.
+func (c *cluster) behind(number uint64) []string {
+	var out []string
+
+	for _, id := range c.ids() {
+		if n := c.node(id); n.holder.Number() != number {
+			out = append(out, fmt.Sprintf("%s has %d %s", id, n.holder.Number(), n.spreader.Trouble()))
+		}
+	}
+
+	return out
+}
+
+func (c *cluster) inForce(number uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	for _, n := range c.nodes {
+		if n.holder.Number() != number {
+			return false
+		}
+	}
+
+	return true
+}
+
+// settle waits until the version is in force everywhere and returns how long it
+// took on the paused clock.
+func (c *cluster) settle(number uint64) time.Duration {
+	c.Helper()
+
+	start := time.Now()
+
+	for time.Since(start) < time.Minute {
+		if c.inForce(number) {
+			return time.Since(start)
+		}
+
+		time.Sleep(time.Millisecond)
+	}
+
+	c.Fatalf("version %d is not in force after a minute: %v", number, c.behind(number))
+
+	return 0
+}
+
+type traffic struct{ messages, bytes, wholes, calls int }
+
+func (c *cluster) traffic() traffic {
+	n := c.platform.Counts()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return traffic{c.messages, c.bytes, c.wholes, int(n.Reads + n.Writes + n.Watches)}
+}
+
+func (t traffic) since(o traffic) traffic {
+	return traffic{t.messages - o.messages, t.bytes - o.bytes, t.wholes - o.wholes, t.calls - o.calls}
+}
+
+func (n *node) count(e event.Event) int {
+	total := 0
+
+	for _, entry := range n.recorder.Entries(timeline.Filter{}) {
+		if entry.Number == e.Number {
+			total++
+		}
+	}
+
+	return total
+}
+
+// acceptBad puts a version with a route to a service that is not there onto the
+// platform, as an operator's side with a fault in its check would.
+func (c *cluster) acceptBad() {
+	c.Helper()
+
+	bad := settings.Tree{Branch: c.tree.Branch}
+	bad.Branches = map[string]settings.Branch{}
+
+	for k, v := range c.tree.Branches {
+		bad.Branches[k] = v
+	}
+
+	b := bad.Branches["s000"]
+	service := "nowhere"
+	b.Overrides.Service = &service
+	bad.Branches["s000"] = b
+
+	records, err := bad.Records()
+	assert.NilError(c, err)
+
+	store := c.platform.Direct("operator")
+	head, revision, err := c.acceptor.Head(c.Context())
+	assert.NilError(c, err)
+
+	digests := records.Digests()
+	next := acceptance.Head{Base: head.Version.Number, Changed: map[string]settings.Digest{"s000": digests["s000"]}}
+	next.Version = settings.Version{Number: c.number + 1, Digest: settings.TreeDigest(digests), AcceptanceID: "bad"}
+
+	manifest, err := msgpack.Marshal(digests)
+	assert.NilError(c, err)
+
+	data, err := msgpack.Marshal(next)
+	assert.NilError(c, err)
+
+	_, err = store.Swap(c.Context(), acceptance.HeadKey, revision, data,
+		keyvalue.Also("/pollencart/branch/"+string(digests["s000"]), records["s000"]),
+		keyvalue.Also("/pollencart/manifest/"+string(next.Version.Digest), manifest))
+	assert.NilError(c, err)
+}
--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -1,9 +1,3 @@
-// Package spread brings accepted versions to every node and keeps the one that
-// this node answers with.
-//
-//	h := spread.NewHolder(recorder)
-//	h.Offer(snapshot)       // taken only if it is newer
-//	route, ok := h.Load().Match("GET", "/folders/1")
 package spread
 
 import (
@@ -25,12 +19,14 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	past    acceptance.History
+	steps   []step
 }
 
-// Held is a snapshot and when it came into force here.
+// Held is a snapshot, when it came into force here and where it came from.
 type Held struct {
 	Snapshot *settings.Snapshot
 	Since    time.Time
+	Source   string
 }
 
 // NewHolder returns an empty holder.
@@ -74,32 +70,81 @@
 }
 
 // Offer takes the snapshot if it is newer than the one held, and reports so.
+func (h *Holder) Offer(s *settings.Snapshot) bool { return h.OfferFrom(s, "") }
+
+// OfferFrom is Offer with the source that status and the time line name.
 //
 // Updates cross in flight and a source can come back from an older copy; a node
 // that took what came last would answer by rules that were withdrawn.
-func (h *Holder) Offer(s *settings.Snapshot) bool {
+func (h *Holder) OfferFrom(s *settings.Snapshot, source string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	number := s.Version().Number
+	v, held := s.Version(), h.Load()
 
-	if number <= h.Number() {
-		if number < h.Number() {
-			h.recorder.Record(event.VersionOlder, timeline.Entry{Version: number})
+	if held != nil && v.Number <= held.Version().Number {
+		if v.Number < held.Version().Number {
+			h.recorder.Record(event.VersionOlder, timeline.Entry{Version: v.Number, Peer: source})
 		}
 
 		return false
 	}
 
-	h.past = h.past.With(s.Version())
-	h.current.Store(&Held{Snapshot: s, Since: time.Now()})
-	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: number})
+	h.remember(held, v)
+	h.current.Store(&Held{Snapshot: s, Since: time.Now(), Source: source})
+	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: v.Number, Peer: source})
 	close(h.changed)
 	h.changed = make(chan struct{})
 
 	return true
 }
 
+// remember keeps what deltas to other nodes and the repair of the platform need.
+func (h *Holder) remember(held *settings.Snapshot, v settings.Version) {
+	h.past = h.past.With(v)
+
+	if held == nil {
+		return
+	}
+
+	from := held.Version()
+	h.steps = append(h.steps, step{from: from.Number, paths: between(from.Branches, v.Branches)})
+
+	if len(h.steps) > maxSteps {
+		h.steps = append([]step(nil), h.steps[len(h.steps)-maxSteps:]...)
+	}
+}
+
+// Delta returns what leads from a version to the one held: a piece of it, after
+// the path. It is the whole tree if that version was not held here.
+func (h *Holder) Delta(have uint64, after string) (Delta, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	s := h.Load()
+	if s == nil || s.Version().Number <= have {
+		return Delta{}, ErrNoVersion
+	}
+
+	if paths, ok := pathsSince(h.steps, have); ok {
+		return cut(s, have, paths, after), nil
+	}
+
+	return cut(s, 0, s.Paths(), after), nil
+}
+
+// Previous returns the version that was held before, or 0.
+func (h *Holder) Previous() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if len(h.steps) == 0 {
+		return 0
+	}
+
+	return h.steps[len(h.steps)-1].from
+}
+
 // Changed returns a channel that is closed at the next change.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/spread/pull_test.go
@@ -0,0 +1,96 @@
+package spread_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/spread"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// slowPeer answers each pull with one delta, after a while.
+type slowPeer struct {
+	delta spread.Delta
+	pulls int
+}
+
+func (p *slowPeer) Do(_ context.Context, _ string, _ peer.Lane, method string, _, out any) error {
+	time.Sleep(300 * time.Millisecond)
+
+	if method != spread.MethodPull {
+		return peer.ErrNoMethod
+	}
+
+	p.pulls++
+	*out.(*spread.Delta) = p.delta
+
+	return nil
+}
+
+func whole(s *settings.Snapshot) spread.Delta {
+	v := s.Version()
+	v.Branches = nil
+
+	return spread.Delta{Version: v, Changed: s.Records()}
+}
+
+// Within one round of gossip fifty peers say that they hold a newer version. A
+// pull for each would be fifty times the bytes, on every node at once.
+func TestOneFillAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &slowPeer{delta: whole(snapshots(t, 2)[1])}
+		h := spread.NewHolder(timeline.New())
+		s := spread.New(h, nil, nil, p, timeline.New())
+
+		for range 50 {
+			s.Hear(t.Context(), "peer", 2)
+			time.Sleep(time.Millisecond)
+		}
+
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, h.Number(), uint64(2))
+		assert.Equal(t, p.pulls, 1)
+	})
+}
+
+// A peer with another program holds a version that this node finds bad, and says
+// so in each round of gossip. To ask for it each time would be a storm that
+// lasts until the next version.
+func TestBadVersionFromAPeerIsPulledOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bad := tree(2)
+		service := "nowhere"
+		bad.Overrides.Service = &service
+		r := bad.Branches["s000"].Routes["open"]
+		r.Overrides.Service = &service
+		bad.Branches["s000"].Routes["open"] = r
+
+		records, err := bad.Records()
+		assert.NilError(t, err)
+
+		p := &slowPeer{delta: spread.Delta{Changed: records, Version: settings.Version{
+			Number: 2, Digest: settings.TreeDigest(records.Digests()),
+		}}}
+		recorder := timeline.New()
+		h := spread.NewHolder(recorder)
+		s := spread.New(h, nil, nil, p, recorder)
+
+		for range 100 {
+			s.Hear(t.Context(), "peer", 2)
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, h.Number(), uint64(0))
+		assert.Equal(t, p.pulls, 1)
+		assert.Equal(t, len(recorder.Entries(timeline.Filter{})), 1)
+		assert.Equal(t, recorder.Entries(timeline.Filter{})[0].Number, event.VersionRefused.Number)
+		assert.Equal(t, s.Trouble()[:8], "refused:")
+	})
+}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -1,7 +1,22 @@
+// Package spread brings accepted versions to every node and keeps the one that
+// this node answers with.
+//
+// A few watchers in each failure domain follow the head on the platform and push
+// what changed down a tree of the domain's live members. Version numbers that
+// travel with gossip show a node that it is behind; it then pulls from a peer.
+//
+//	h := spread.NewHolder(recorder)
+//	s := spread.New(h, acceptor, store, client, recorder, spread.Self(id, address, domain))
+//	s.Register(server)
+//	go s.Run(ctx)
+//	route, ok := h.Load().Match("GET", "/folders/1")
 package spread
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/acceptance"
@@ -9,10 +24,15 @@
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/settings"
 )
 
-// MethodPull is the peer method that answers a PullRequest.
-const MethodPull = "Settings.Pull"
+// Peer methods.
+const (
+	MethodPull   = "Settings.Pull"
+	MethodPush   = "Settings.Push"
+	MethodNumber = "Settings.Number"
+)
 
 // Caller sends a message to a peer.
 type Caller interface {
@@ -27,113 +47,118 @@
 	peers    Caller
 	recorder *timeline.Recorder
 	options  Options
+	serving  chan struct{}
+
+	mu      sync.Mutex
+	links   map[string]*link
+	wanted  source
+	filling bool
+	refused refusal
+}
+
+// refusal is the newest version that does not check.
+type refusal struct {
+	number uint64
+	digest settings.Digest
+	reason string
 }
 
 // New returns a spreader.
 func New(
 	h *Holder, a *acceptance.Acceptor, s platform.Store, c Caller, r *timeline.Recorder, opts ...Option,
 ) *Spreader {
-	return &Spreader{holder: h, acceptor: a, store: s, peers: c, recorder: r, options: newOptions(opts...)}
-}
+	o := newOptions(opts...)
 
-// Serve answers a peer that is behind.
-func (s *Spreader) Serve(_ context.Context, in PullRequest) (Delta, error) {
-	snapshot := s.holder.Load()
-	if snapshot == nil || snapshot.Version().Number <= in.Have {
-		return Delta{}, ErrNoVersion
+	return &Spreader{
+		holder: h, acceptor: a, store: s, peers: c, recorder: r, options: o,
+		serving: make(chan struct{}, o.Serves), links: map[string]*link{},
 	}
+}
 
-	return Whole(snapshot), nil
+// Register adds the peer methods to a server.
+func (s *Spreader) Register(server *peer.Server) {
+	server.Handle(MethodPull, peer.Typed(s.Serve))
+	server.Handle(MethodPush, peer.Typed(s.Receive))
+	server.Handle(MethodNumber, peer.Typed(s.Tell))
 }
 
-// Hear is called when a peer says which version it holds.
-func (s *Spreader) Hear(ctx context.Context, address string, number uint64) {
-	if number <= s.holder.Number() {
-		return
-	}
+// Run keeps the holder up to date until ctx ends.
+func (s *Spreader) Run(ctx context.Context) {
+	if s.options.Strategy == StrategyPoll {
+		s.poll(ctx)
 
-	var d Delta
-	if err := s.peers.Do(ctx, address, peer.LaneControl, MethodPull, PullRequest{Have: s.holder.Number()}, &d); err != nil {
 		return
 	}
 
-	snapshot, err := Apply(s.holder.Load(), d)
-	if err != nil {
-		s.recorder.Record(event.VersionRefused, timeline.Entry{Version: number, Peer: address, Detail: err.Error()})
+	s.join(ctx)
+	s.watch(ctx)
+}
 
-		return
+// Trouble tells why this node does not hold a newer version that it has heard
+// of, or nothing.
+func (s *Spreader) Trouble() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	switch held := s.holder.Number(); {
+	case s.refused.number > held:
+		return "refused: " + s.refused.reason
+	case s.wanted.number > held:
+		return "pulling from " + s.wanted.address
+	default:
+		return ""
 	}
-
-	s.holder.Offer(snapshot)
 }
 
-// Watch follows the platform's head while this node is one of the watchers of
-// its failure domain. It returns when ctx ends.
-func (s *Spreader) Watch(ctx context.Context) {
-	up := true
-
-	for ctx.Err() == nil {
-		if !s.options.Watching() {
-			sleep(ctx, s.options.Retry)
-
-			continue
-		}
-
-		err := s.follow(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-
-		if err != nil && up {
-			s.recorder.Record(event.PlatformLost, timeline.Entry{Detail: err.Error()})
-		}
-
-		if err == nil && !up {
-			s.recorder.Record(event.PlatformBack, timeline.Entry{})
-		}
+// Heard returns the newest version number that this node has heard of.
+func (s *Spreader) Heard() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-		up = err == nil
+	return max(s.holder.Number(), s.wanted.number, s.refused.number)
+}
 
-		sleep(ctx, s.options.Retry)
+// refuse notes a version that does not check, and tells it once. Only a version
+// that arrived whole can be found bad; a piece that was damaged on the way is
+// asked for again.
+func (s *Spreader) refuse(v settings.Version, from string, err error) {
+	if !errors.Is(err, settings.ErrInvalid) {
+		return
 	}
-}
 
-func (s *Spreader) follow(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	s.mu.Lock()
+	known := s.refused.number == v.Number && s.refused.digest == v.Digest
+	s.refused = refusal{v.Number, v.Digest, err.Error()}
+	s.mu.Unlock()
 
-	changes, err := s.store.Watch(ctx, acceptance.HeadKey, 0)
-	if err != nil {
-		return err
+	if !known {
+		s.recorder.Record(event.VersionRefused, timeline.Entry{Version: v.Number, Peer: from, Detail: err.Error()})
 	}
+}
 
-	for e := range changes {
-		if err := s.take(ctx, e.Value); err != nil {
-			return err
-		}
-	}
+func (s *Spreader) isRefused(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-	return nil
+	return s.refused.number == number && number > 0
 }
 
-func (s *Spreader) take(ctx context.Context, data []byte) error {
-	head, err := acceptance.DecodeHead(data)
-	if err != nil {
-		return err
-	}
-
-	if head.Version.Number <= s.holder.Number() {
+// take applies a delta and passes the version on.
+func (s *Spreader) take(d Delta, from string, outside bool) error {
+	if d.Version.Number <= s.holder.Number() || s.isRefused(d.Version.Number) {
 		return nil
 	}
 
-	snapshot, err := s.acceptor.Snapshot(ctx, head.Version, s.holder.Load())
+	snapshot, err := Apply(s.holder.Load(), d)
 	if err != nil {
-		s.recorder.Record(event.VersionRefused, timeline.Entry{Version: head.Version.Number, Detail: err.Error()})
+		s.refuse(d.Version, from, err)
 
 		return err
 	}
 
-	s.holder.Offer(snapshot)
+	if s.holder.OfferFrom(snapshot, from) {
+		s.passOn(outside)
+	}
 
 	return nil
 }
@@ -144,3 +169,12 @@
 	case <-time.After(d):
 	}
 }
+
+// jitter returns a random pause up to d.
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+
+	return rand.N(d)
+}
--- a/internal/standin/platform/write.go
+++ b/internal/standin/platform/write.go
@@ -9,20 +9,26 @@
 )
 
 type txnIn struct {
-	Compare []struct {
-		Key         []byte `json:"key"`
-		Target      string `json:"target"`
-		Result      string `json:"result"`
-		ModRevision int64  `json:"mod_revision,string"`
-	} `json:"compare"`
-	Success []struct {
-		RequestPut *struct {
-			Key   []byte `json:"key"`
-			Value []byte `json:"value"`
-			Lease int64  `json:"lease,string"`
-		} `json:"request_put"`
-		RequestRange *rangeIn `json:"request_range"`
-	} `json:"success"`
+	Compare []txnCompare `json:"compare"`
+	Success []txnOp      `json:"success"`
+}
+
+type txnCompare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type txnOp struct {
+	RequestPut   *txnPut  `json:"request_put"`
+	RequestRange *rangeIn `json:"request_range"`
+}
+
+type txnPut struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string"`
 }
 
 type txnOut struct {
--- /dev/null
+++ b/pkg/settings/main_test.go
@@ -0,0 +1,18 @@
+package settings_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The property tests draw the same cases each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+
+	os.Exit(m.Run())
+}
--- a/pkg/settings/records.go
+++ b/pkg/settings/records.go
@@ -120,54 +120,66 @@
 
 // Tree puts the records together again.
 func (r Records) Tree() (Tree, error) {
-	if _, ok := r[RootPath]; !ok {
-		return Tree{}, ErrRecord.With("the root is missing")
+	nodes, err := r.nodes()
+	if err != nil {
+		return Tree{}, err
 	}
 
+	return assemble(nodes)
+}
+
+// nodes decodes each record, without its child branches.
+func (r Records) nodes() (map[string]Branch, error) {
 	nodes := make(map[string]Branch, len(r))
 
 	for path, data := range r {
 		b, err := decode(path, data)
 		if err != nil {
-			return Tree{}, err
+			return nil, err
 		}
 
 		nodes[path] = b
 	}
 
-	// Longest paths first, so that a child is whole before its parent takes it.
-	paths := slices.Sorted(maps.Keys(nodes))
-	slices.SortStableFunc(paths, func(a, b string) int { return depth(b) - depth(a) })
+	return nodes, nil
+}
+
+// assemble puts decoded branches into a tree and leaves them as they are.
+func assemble(nodes map[string]Branch) (Tree, error) {
+	if _, ok := nodes[RootPath]; !ok {
+		return Tree{}, ErrRecord.With("the root is missing")
+	}
 
-	for _, path := range paths {
+	children := map[string][]string{}
+
+	for path := range nodes {
 		if path == RootPath {
 			continue
 		}
 
 		parent := parentOf(path)
-
-		p, ok := nodes[parent]
-		if !ok {
+		if _, ok := nodes[parent]; !ok {
 			return Tree{}, ErrRecord.With("%s has no parent", path)
 		}
 
-		if p.Branches == nil {
-			p.Branches = map[string]Branch{}
-		}
-
-		p.Branches[lastName(path)] = nodes[path]
-		nodes[parent] = p
+		children[parent] = append(children[parent], path)
 	}
 
-	return Tree{Branch: nodes[RootPath]}, nil
+	return Tree{Branch: withChildren(RootPath, nodes, children)}, nil
 }
 
-func depth(path string) int {
-	if path == RootPath {
-		return 0
+func withChildren(path string, nodes map[string]Branch, children map[string][]string) Branch {
+	b := nodes[path]
+
+	if len(children[path]) > 0 {
+		b.Branches = make(map[string]Branch, len(children[path]))
+	}
+
+	for _, child := range children[path] {
+		b.Branches[lastName(child)] = withChildren(child, nodes, children)
 	}
 
-	return strings.Count(path, "/") + 1
+	return b
 }
 
 func parentOf(path string) string {
--- a/pkg/settings/snapshot.go
+++ b/pkg/settings/snapshot.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 type Snapshot struct {
 	version Version
 	records Records
+	nodes   map[string]Branch
 	tree    Tree
 	routes  []Resolved
 }
@@ -31,12 +33,43 @@
 // A half fetched or mixed set of records would send calls by rules that no
 // operator accepted; the digests show it before anything is swapped.
 func NewSnapshot(v Version, records Records) (*Snapshot, error) {
-	digests := records.Digests()
+	nodes, err := records.nodes()
+	if err != nil {
+		return nil, err
+	}
+
+	return newSnapshot(v, records, nodes, records.Digests())
+}
+
+// Apply returns the snapshot after some branches changed, checked as a whole. It
+// decodes and digests only those, so that a change of one leaf in a large tree
+// costs little on each node.
+func (s *Snapshot) Apply(v Version, changed Records, removed []string) (*Snapshot, error) {
+	decoded, err := changed.nodes()
+	if err != nil {
+		return nil, err
+	}
+
+	records, nodes, digests := maps.Clone(s.records), maps.Clone(s.nodes), maps.Clone(s.version.Branches)
+	maps.Copy(records, changed)
+	maps.Copy(nodes, decoded)
+	maps.Copy(digests, changed.Digests())
+
+	for _, path := range removed {
+		delete(records, path)
+		delete(nodes, path)
+		delete(digests, path)
+	}
+
+	return newSnapshot(v, records, nodes, digests)
+}
+
+func newSnapshot(v Version, records Records, nodes map[string]Branch, digests map[string]Digest) (*Snapshot, error) {
 	if got := TreeDigest(digests); got != v.Digest {
 		return nil, ErrRecord.With("version %d has digest %s, records have %s", v.Number, v.Digest, got)
 	}
 
-	tree, err := records.Tree()
+	tree, err := assemble(nodes)
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +86,7 @@
 
 	v.Branches = digests
 
-	return &Snapshot{version: v, records: records, tree: tree, routes: routes}, nil
+	return &Snapshot{version: v, records: records, nodes: nodes, tree: tree, routes: routes}, nil
 }
 
 // Version returns the version.
@@ -75,3 +108,6 @@
 
 	return Resolved{}, false
 }
+
+// Paths returns the paths of all branches, in order.
+func (s *Snapshot) Paths() []string { return slices.Sorted(maps.Keys(s.records)) }
--- /dev/null
+++ b/pkg/settings/snapshot_test.go
@@ -0,0 +1,139 @@
+package settings_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+func tree(services int) settings.Tree {
+	t := settings.Tree{}
+	t.Branches = map[string]settings.Branch{}
+
+	for i := range services {
+		t.Branches[fmt.Sprintf("s%03d", i)] = service(i)
+	}
+
+	return t
+}
+
+func service(i int) settings.Branch {
+	return settings.Branch{
+		Service: &settings.Service{Slots: 10 + i, Connections: 100},
+		Routes: map[string]settings.Route{
+			"open": {Match: settings.Match{Method: "GET", PathPrefix: fmt.Sprintf("/s%03d/", i)}},
+			"save": {Match: settings.Match{Method: "PUT", PathPrefix: fmt.Sprintf("/s%03d/", i)}},
+		},
+	}
+}
+
+func snapshot(t assert.TestingT, number uint64, tree settings.Tree) *settings.Snapshot {
+	records, err := tree.Records()
+	assert.NilError(t, err)
+
+	v := settings.Version{Number: number, Digest: settings.TreeDigest(records.Digests())}
+	s, err := settings.NewSnapshot(v, records)
+	assert.NilError(t, err)
+
+	return s
+}
+
+// A node that applies changes one after the other has to answer as one that read
+// the whole tree. If it did not, two nodes would send the same request to
+// different places under one version number.
+func TestChangesLeadToTheSameAsTheWholeTree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := tree(8)
+		held := snapshot(rt, 1, now)
+
+		for step := range rapid.IntRange(1, 6).Draw(rt, "steps") {
+			next := settings.Tree{Branch: now.Branch}
+			next.Branches = map[string]settings.Branch{}
+
+			for name, b := range now.Branches {
+				if rapid.Bool().Draw(rt, "keep") {
+					next.Branches[name] = b
+				}
+			}
+
+			for range rapid.IntRange(0, 3).Draw(rt, "edits") {
+				i := rapid.IntRange(0, 12).Draw(rt, "service")
+				b := service(i)
+				attempts := rapid.IntRange(1, settings.MaxAttempts).Draw(rt, "attempts")
+				b.Overrides.Attempts = &attempts
+				next.Branches[fmt.Sprintf("s%03d", i)] = b
+			}
+
+			whole := snapshot(rt, uint64(step+2), next)
+			changed, removed := difference(held, whole)
+
+			got, err := held.Apply(whole.Version(), changed, removed)
+			assert.NilError(rt, err)
+			assert.DeepEqual(rt, got.Tree(), whole.Tree())
+			assert.DeepEqual(rt, got.Version(), whole.Version())
+
+			held, now = got, next
+		}
+	})
+}
+
+func difference(from, to *settings.Snapshot) (settings.Records, []string) {
+	changed := settings.Records{}
+
+	for path, data := range to.Records() {
+		if string(from.Records()[path]) != string(data) {
+			changed[path] = data
+		}
+	}
+
+	var removed []string
+
+	for path := range from.Records() {
+		if _, ok := to.Records()[path]; !ok {
+			removed = append(removed, path)
+		}
+	}
+
+	return changed, removed
+}
+
+// A change that arrives with a branch missing or of another version must not be
+// answered with: the digest over all branches shows it.
+func TestMixedRecordsAreRefused(t *testing.T) {
+	one := snapshot(t, 1, tree(3))
+	two := tree(3)
+	b := two.Branches["s001"]
+	b.Service = &settings.Service{Slots: 1, Connections: 1}
+	two.Branches["s001"] = b
+
+	_, err := one.Apply(snapshot(t, 2, two).Version(), nil, nil)
+	assert.ErrorIs(t, err, settings.ErrRecord)
+}
+
+func BenchmarkOneLeafOf310(b *testing.B) {
+	one := tree(310)
+	two := tree(310)
+	x := two.Branches["s001"]
+	x.Service = &settings.Service{Slots: 1, Connections: 1}
+	two.Branches["s001"] = x
+
+	from, to := snapshot(b, 1, one), snapshot(b, 2, two)
+	changed, removed := difference(from, to)
+
+	b.Run("whole", func(b *testing.B) {
+		for b.Loop() {
+			_, err := settings.NewSnapshot(to.Version(), to.Records())
+			assert.NilError(b, err)
+		}
+	})
+	b.Run("change", func(b *testing.B) {
+		for b.Loop() {
+			_, err := from.Apply(to.Version(), changed, removed)
+			assert.NilError(b, err)
+		}
+	})
+}
