Admission by class, caller and deadline

Cause: the gate's queue was one line in the order of arrival.

Slots are bounded by the announced connections too.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,10 +1,33 @@
 // Package admission decides at the gate which calls run now, which wait and
 // which are turned away.
 //
-// It answers bursts and saturation: only the process beside a backend server
-// sees all of its work, so it counts slots exactly. Without it a burst piles up
-// inside the backend server, every call gets slow and most answers come after
-// their deadlines.
+// # The load it answers
+//
+// Bursts, saturation, long work among short and callers that send most of the
+// load. Only the process beside a backend server sees all of its work, so it
+// counts slots exactly. Without it a burst piles up inside the backend server,
+// every call gets slow and most answers come after their deadlines.
+//
+//   - Classes: Interactive before Write before Background. Without them an
+//     archive sweep holds the slots that folder opens need. A lower class keeps
+//     a guaranteed share (WriteShare, BackgroundShare), or it would starve for
+//     as long as people work; and it leaves free the slots that the classes
+//     above it needed a moment ago (see limit), or each of its long calls would
+//     hold up a burst of short ones for as long as it runs.
+//   - Callers: inside a class the caller with the fewest slots goes next, and a
+//     full queue pushes out the newest call of the caller with the longest
+//     queue. Without it one caller with 80% of the load gets 80% of the slots.
+//   - Deadlines: a call whose expected wait and run are over its remaining time
+//     is turned away at once with the time when to come back, instead of waiting
+//     for an answer that nobody reads.
+//   - Order: first come, first served, with a bounded wait. A queue that is not
+//     empty for StandingAfter is a standing queue, no burst: waiting brings no
+//     more work through, only older calls. From then on a call may only wait
+//     for 1/StandingPart of its time. An unbounded queue in the same order
+//     serves only calls that are nearly dead; docs/design/0201-admission.md has
+//     the figures against newest first and earliest deadline first.
+//
+// # Usage
 //
 //	q := admission.New(admission.Slots(10))
 //	release, err := q.Admit(ctx, admission.Ticket{Class: settings.ClassInteractive})
@@ -22,13 +45,34 @@
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
-// Errors of a call that is not let in.
+// Errors of a call that is not let in; none of it has run.
 var (
 	ErrFull     = errs.New("admission.full", http.StatusServiceUnavailable, "the queue is full")
+	ErrShare    = errs.New("admission.share", http.StatusTooManyRequests, "this caller has more than its share of a full queue")
+	ErrWait     = errs.New("admission.wait", http.StatusServiceUnavailable, "the expected wait is over the time that is left")
 	ErrDeadline = errs.New("admission.deadline", http.StatusGatewayTimeout, "the deadline passed while waiting")
+	ErrCanceled = errs.New("admission.canceled", StatusClientClosed, "the caller went away while waiting")
 	ErrClosed   = errs.New("admission.closed", http.StatusServiceUnavailable, "the backend server is leaving")
 )
 
+// StatusClientClosed is the customary status of a call whose caller went away.
+const StatusClientClosed = 499
+
+// Thresholds.
+const (
+	// WriteShare and BackgroundShare of the slots are kept for these classes as
+	// long as they have work. Five percent is what a sweep needs to end within
+	// a night; the rest allows for shares being measured over a second.
+	WriteShare      = 0.20
+	BackgroundShare = 0.08
+	// StandingAfter tells a burst from overload: a burst of twice the slots is
+	// through in a few service times, far less than this.
+	StandingAfter = 100 * time.Millisecond
+	// StandingPart of its time a call may wait in a standing queue; the rest is
+	// left for its run, its way back and one more attempt elsewhere.
+	StandingPart = 4
+)
+
 // Ticket is what the queue needs to know of a call.
 type Ticket struct {
 	Class  settings.Class
@@ -38,19 +82,29 @@
 
 // Queue lets calls in to the slots of one backend server.
 type Queue struct {
+	order Order
+	start time.Time
+
 	mu       sync.Mutex
 	slots    int
 	inFlight int
 	closed   bool
-	waiting  []chan struct{}
-	service  time.Duration // smoothed time that a call holds a slot
+	observed time.Duration // when the smoothed figures were last brought up to date
+	classes  [classCount]class
+	served   rate
+	refused  rate
 }
 
 // New returns a queue.
 func New(opts ...Option) *Queue {
 	o := newOptions(opts...)
+	q := &Queue{order: o.Order, slots: o.Slots, start: time.Now()}
+
+	for i := range q.classes {
+		q.classes[i] = newClass(o.ServiceTime)
+	}
 
-	return &Queue{slots: o.Slots, service: o.ServiceTime}
+	return q
 }
 
 // Resize sets the slots, as the backend server announces them.
@@ -59,7 +113,7 @@
 	defer q.mu.Unlock()
 
 	q.slots = slots
-	q.wake()
+	q.wake(q.now())
 }
 
 // Close lets nothing new in; what waits or runs goes on.
@@ -81,20 +135,43 @@
 // Admit waits for a slot. The error is a sentinel of this package, and then the
 // call has not run.
 func (q *Queue) Admit(ctx context.Context, t Ticket) (release func(), err error) {
-	wait, err := q.enter(ctx, t)
+	w, err := q.enter(ctx, t)
 	if err != nil {
 		return nil, err
 	}
 
+	if w.decided == nil {
+		return func() { q.release(w) }, nil
+	}
+
 	select {
-	case <-wait:
-		return q.releaser(time.Now()), nil
+	case <-w.decided:
 	case <-ctx.Done():
-		return nil, q.leave(wait)
+		q.leave(w)
+
+		return nil, gaveUp(ctx)
+	}
+
+	if w.err != nil {
+		return nil, w.err
+	}
+
+	return func() { q.release(w) }, nil
+}
+
+func gaveUp(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return ErrCanceled
 	}
+
+	return ErrDeadline
 }
 
-func (q *Queue) enter(ctx context.Context, t Ticket) (chan struct{}, error) {
+// now is the time since the queue was made; sums of it stay small.
+func (q *Queue) now() time.Duration { return time.Since(q.start) }
+
+// enter starts the call, puts it in the queue or turns it away.
+func (q *Queue) enter(ctx context.Context, t Ticket) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -102,93 +179,160 @@
 		return nil, ErrClosed
 	}
 
-	wait := make(chan struct{})
+	now := q.now()
+	w := &waiter{class: indexOf(t.Class), arrived: now}
+	c := &q.classes[w.class]
+	w.line = c.line(t.Caller)
+	q.observe(now)
 
-	if q.inFlight < q.slots {
-		q.inFlight++
-		close(wait)
+	if c.waiting == 0 && q.free(w.class) {
+		q.begin(w, now)
 
-		return wait, nil
+		return w, nil
 	}
 
-	if len(q.waiting) >= t.Queue {
-		return nil, ErrFull
+	if deadline, ok := ctx.Deadline(); ok {
+		w.deadline = deadline.Sub(q.start)
+		if q.tooLate(w, now) {
+			return nil, q.refuse(now, ErrWait)
+		}
 	}
 
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < q.expected() {
-		return nil, ErrDeadline
+	if err := q.makeRoom(c, w.line, t.Queue, now); err != nil {
+		return nil, err
 	}
 
-	q.waiting = append(q.waiting, wait)
+	w.decided = make(chan struct{})
+	c.push(w, now)
+	q.observe(now)
+	q.wake(now)
 
-	return wait, nil
+	return w, nil
 }
 
-func (q *Queue) leave(wait chan struct{}) error {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	for i, w := range q.waiting {
-		if w == wait {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+// makeRoom keeps the queue bounded. The bound hits whoever uses most of it:
+// without this a caller that floods the queue turns everyone else away.
+func (q *Queue) makeRoom(c *class, l *line, limit int, now time.Duration) error {
+	if c.waiting < limit {
+		return nil
+	}
 
-			return ErrDeadline
-		}
+	longest := c.longest()
+	if longest == nil || len(longest.waiters) <= len(l.waiters)+1 {
+		return q.refuse(now, ErrFull)
 	}
 
-	// The slot was given in the same moment; give it back.
-	q.inFlight--
-	q.wake()
+	newest := longest.waiters[len(longest.waiters)-1]
+	c.remove(newest)
+	newest.decide(q.refuse(now, ErrShare))
 
-	return ErrDeadline
+	return nil
 }
 
-func (q *Queue) releaser(start time.Time) func() {
-	return func() {
-		q.mu.Lock()
-		defer q.mu.Unlock()
+func (q *Queue) refuse(now time.Duration, err error) error {
+	q.refused.add(now)
 
-		const weight = 8
+	return err
+}
 
-		q.service += (time.Since(start) - q.service) / weight
-		q.inFlight--
-		q.wake()
-	}
+// begin gives the call a slot.
+func (q *Queue) begin(w *waiter, now time.Duration) {
+	w.started = now
+	q.inFlight++
+	q.classes[w.class].begin(w)
+	q.observe(now)
 }
 
-func (q *Queue) wake() {
-	for q.inFlight < q.slots && len(q.waiting) > 0 {
-		close(q.waiting[0])
-		q.waiting = q.waiting[1:]
-		q.inFlight++
+// leave takes a call out whose caller went away or whose deadline passed. If it
+// was given a slot in the same moment, the slot goes back.
+func (q *Queue) leave(w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	now := q.now()
+
+	if q.classes[w.class].remove(w) {
+		q.observe(now)
+
+		return
 	}
-}
 
-func (q *Queue) expected() time.Duration {
-	return q.service * time.Duration(len(q.waiting)+1) / time.Duration(max(q.slots, 1))
+	if w.err == nil {
+		q.end(w, now)
+	}
 }
 
-// Wait returns how long a call that comes now is expected to wait.
-func (q *Queue) Wait() time.Duration {
+func (q *Queue) release(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	if q.inFlight < q.slots {
-		return 0
+	now := q.now()
+	q.classes[w.class].learn(now - w.started)
+	q.served.add(now)
+	q.end(w, now)
+}
+
+func (q *Queue) end(w *waiter, now time.Duration) {
+	q.observe(now)
+	q.inFlight--
+	q.classes[w.class].end(w)
+	q.wake(now)
+}
+
+// wake gives free slots to waiting calls.
+func (q *Queue) wake(now time.Duration) {
+	for {
+		w := q.next(now)
+		if w == nil {
+			return
+		}
+
+		if w.deadline > 0 && w.deadline-now < q.classes[w.class].typical {
+			// It could not end in time; a slot given to it is lost for the next.
+			w.decide(q.refuse(now, ErrDeadline))
+
+			continue
+		}
+
+		q.begin(w, now)
+		w.decide(nil)
+	}
+}
+
+// next takes the call out of the queue that gets the next free slot.
+func (q *Queue) next(now time.Duration) *waiter {
+	q.observe(now)
+
+	// A class below its guaranteed share goes first, the lowest of them before
+	// the others, since it is the one that strict order would starve.
+	for i := classCount - 1; i > 0; i-- {
+		if q.owed(i) && q.free(i) {
+			return q.classes[i].take(q.order)
+		}
 	}
 
-	return q.expected()
+	for i := range q.classes {
+		if q.classes[i].waiting > 0 && q.free(i) {
+			return q.classes[i].take(q.order)
+		}
+	}
+
+	return nil
 }
 
 // Load returns what the gate tells about itself.
 func (q *Queue) Load() call.Load {
-	wait := q.Wait()
-
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	return call.Load{
-		Slots: q.slots, InFlight: q.inFlight, Queued: len(q.waiting),
-		Wait: settings.Duration(wait), Leaving: q.closed,
+	l := call.Load{Slots: q.slots, InFlight: q.inFlight, Leaving: q.closed}
+	for i := range q.classes {
+		l.Queued += q.classes[i].waiting
 	}
+
+	if q.inFlight >= q.slots {
+		l.Wait = settings.Duration(q.expected(0, nil, q.now()))
+	}
+
+	return l
 }
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -6,6 +6,7 @@
 type Options struct {
 	Slots       int
 	ServiceTime time.Duration
+	Order       Order
 }
 
 // Option sets an option.
@@ -25,3 +26,6 @@
 
 // ServiceTime sets the first guess of how long a call holds a slot.
 func ServiceTime(d time.Duration) Option { return func(o *Options) { o.ServiceTime = d } }
+
+// WithOrder sets which of a caller's waiting calls goes next.
+func WithOrder(order Order) Option { return func(o *Options) { o.Order = order } }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -96,13 +96,10 @@
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
 		release, err := g.queue.Admit(ctx, admission.Ticket{Class: c.Class, Caller: c.Caller, Queue: c.Queue})
 		if err != nil {
-			return call.Answer{}, call.Refuse(err, call.RanNo, max(g.queue.Wait(), minRetryAfter))
+			return call.Answer{}, call.Refuse(err, call.RanNo, g.queue.RetryAfter())
 		}
 		defer release()
 
 		return next(ctx, c)
 	}
 }
-
-// minRetryAfter keeps a caller that was turned away from coming straight back.
-const minRetryAfter = 100 * time.Millisecond
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -146,7 +146,7 @@
 		h.recorder.Record(event.UpstreamState, timeline.Entry{Detail: a.Service + " " + string(a.State)})
 	}
 
-	h.queue.Resize(a.Slots)
+	h.queue.Resize(min(a.Slots, a.Connections))
 
 	if a.State == membership.UpstreamReady {
 		h.queue.Open()
