Keys that name their home run at most once, end to end

Cause: a repeat of an upload through any node was run again; nobody knew of the first run. A key from the mesh did not exist.

Ruled out: a record on the platform (several hundred writes a second for all), a lease per key (depends on clocks), forwarding by who is believed alive.

Change: a key names the process that may start it (node, life, generation of records). The home records it before anything leaves, shares the outcome with repeats from any node, and ends it in ran, not-run or unknown. Attempts carry tickets; a gate starts each once and a home closes it before it says not-run. Only the home says not-run of a key.

Before: TestARepeatThroughAnyNodeGetsTheFirstAnswer had no key to repeat.

Left: opaque keys pass as before, without a home.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -47,6 +47,7 @@
 	Queue      int               `msgpack:"Queue"`
 	Values     *settings.Values  `msgpack:"-"`
 	Remaining  settings.Duration `msgpack:"Remaining"`
+	Ticket     *Ticket           `msgpack:"Ticket,omitempty"`
 }
 
 // Check reports whether a decoded call can be used.
@@ -59,6 +60,10 @@
 		return ErrInvalid.With("class %q", c.Class)
 	}
 
+	if c.Ticket != nil {
+		return c.Ticket.Check()
+	}
+
 	return nil
 }
 
@@ -89,6 +94,13 @@
 	return c
 }
 
+// WithTicket returns the call as one attempt of its home.
+func (c Call) WithTicket(t Ticket) Call {
+	c.Ticket = &t
+
+	return c
+}
+
 // WithRemaining returns the call with the time that is left.
 func (c Call) WithRemaining(d time.Duration) Call {
 	c.Remaining = settings.Duration(d)
@@ -96,6 +108,27 @@
 	return c
 }
 
+// Ticket names one attempt of a call that must run at most once.
+type Ticket struct {
+	// Home is the life of the process that sends the attempt, Number the
+	// attempt; Home sends no number twice.
+	Home   string `msgpack:"Home"`
+	Number uint64 `msgpack:"Number"`
+	// Low is the lowest number that Home still cares for.
+	Low uint64 `msgpack:"Low"`
+	// Epoch is the epoch of the gate that the attempt is meant for.
+	Epoch string `msgpack:"Epoch"`
+}
+
+// Check reports whether a decoded ticket can be used.
+func (t *Ticket) Check() error {
+	if t.Home == "" || t.Number == 0 || t.Low > t.Number {
+		return ErrInvalid.With("ticket of home %q, number %d, low %d", t.Home, t.Number, t.Low)
+	}
+
+	return nil
+}
+
 // Ran says whether a backend server ran the call.
 type Ran string
 
@@ -128,6 +161,14 @@
 	Upstream string  `msgpack:"Upstream"`
 	Load     Load    `msgpack:"Load"`
 	Repeat   bool    `msgpack:"Repeat,omitempty"`
+	Key      string  `msgpack:"Key,omitempty"`
+}
+
+// WithKey returns the answer with the idempotency key that it belongs to.
+func (a Answer) WithKey(key string) Answer {
+	a.Key = key
+
+	return a
 }
 
 // WithRepeat marks the answer as one that an earlier run gave.
@@ -143,6 +184,12 @@
 	Ran        Ran               `msgpack:"Ran"`
 	RetryAfter settings.Duration `msgpack:"RetryAfter"`
 	Load       Load              `msgpack:"Load"`
+	// Key is set by the home of the key: what Ran says holds for the key, not
+	// only for this attempt.
+	Key string `msgpack:"Key,omitempty"`
+	// NotForwarded says that this attempt did not get to the key's home; an
+	// earlier one may have run.
+	NotForwarded bool `msgpack:"NotForwarded,omitempty"`
 }
 
 // Refuse returns a refusal.
@@ -157,6 +204,22 @@
 	return &r
 }
 
+// WithKey returns the refusal as the home's word on a key.
+func (r Refusal) WithKey(key string) *Refusal {
+	r.Key = key
+
+	return &r
+}
+
+// WithNotForwarded returns the refusal as it must be told of a key whose home
+// was not asked.
+func (r Refusal) WithNotForwarded() *Refusal {
+	r.Ran = RanUnknown
+	r.NotForwarded = true
+
+	return &r
+}
+
 // Error implements error.
 func (r *Refusal) Error() string { return r.Fault.Error() + " (" + string(r.Ran) + ")" }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -49,12 +49,14 @@
 	HeaderAttempt  = "Pollencart-Attempt"
 	HeaderDepth    = "Pollencart-Depth"
 	HeaderKey      = "Idempotency-Key"
+	HeaderHome     = "Pollencart-Home"
 )
 
 // Entry takes calls of callers.
 type Entry struct {
 	options Options
 	pipe    call.Handler
+	home    call.Handler // the pipe of a call that another node forwarded here
 	gates   *gates
 }
 
@@ -62,8 +64,10 @@
 func New(opts ...Option) *Entry {
 	o := newOptions(opts...)
 	e := &Entry{options: o}
+	o.Peers = o.Home.Guard(o.Peers)
 	e.gates = &gates{options: o}
-	e.pipe = call.Chain(e.gates.attempt, e.deadline)
+	e.pipe = call.Chain(e.gates.attempt, e.deadline, e.once, e.start)
+	e.home = call.Chain(e.gates.attempt, e.deadline, e.start)
 
 	return e
 }
@@ -88,6 +92,7 @@
 
 	c.Response().Header().Set(HeaderNode, e.options.Node)
 	c.Response().Header().Set(HeaderCall, id)
+	c.Response().Header().Set(HeaderHome, e.options.Home.Name().String())
 
 	if err != nil {
 		return e.turnAway(c, id, err)
@@ -237,6 +242,10 @@
 	h.Set(HeaderRan, string(a.Ran))
 	h.Set(HeaderUpstream, a.Upstream)
 
+	if a.Key != "" {
+		h.Set(HeaderKey, a.Key)
+	}
+
 	if a.Repeat {
 		h.Set(HeaderRepeat, "true")
 	}
@@ -257,6 +266,8 @@
 	Node         string   `json:"Node"`
 	Ran          call.Ran `json:"Ran"`
 	RetryAfterMs int64    `json:"RetryAfterMs"`
+	Key          string   `json:"Key,omitempty"`
+	NotForwarded bool     `json:"NotForwarded,omitempty"`
 }
 
 func (e *Entry) turnAway(c echo.Context, id string, err error) error {
@@ -265,6 +276,7 @@
 		r = call.Refuse(err, call.RanUnknown, time.Second)
 	}
 
+	r = ofKey(c.Request(), r)
 	number := event.CallTurnedAway
 	if r.Ran == call.RanUnknown {
 		number = event.CallUnknown
@@ -275,6 +287,10 @@
 	h := c.Response().Header()
 	h.Set(HeaderRan, string(r.Ran))
 
+	if r.Key != "" {
+		h.Set(HeaderKey, r.Key)
+	}
+
 	wait := time.Duration(r.RetryAfter)
 	if wait > 0 {
 		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
@@ -283,5 +299,6 @@
 	return c.JSON(r.Fault.Code, TurnedAway{
 		ID: r.Fault.ID, Code: r.Fault.Code, Detail: r.Fault.Detail, Call: id, Node: e.options.Node,
 		Ran: r.Ran, RetryAfterMs: wait.Milliseconds(),
+		Key: r.Key, NotForwarded: r.NotForwarded,
 	})
 }
--- /dev/null
+++ b/internal/caller/once.go
@@ -0,0 +1,199 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// MethodOnce is the peer method by which a call gets to the home of its key.
+const MethodOnce = "Caller.Once"
+
+// once takes a call that must not run twice to the home of its key.
+func (e *Entry) once(next call.Handler) call.Handler {
+	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		if c.Idempotent {
+			return next(ctx, c)
+		}
+
+		if c.Key == "" {
+			c = c.WithKey(e.options.Home.Mint())
+		}
+
+		a, err := e.atHome(ctx, c, next)
+		if err != nil {
+			return call.Answer{}, keyed(c.Key, err)
+		}
+
+		return a.WithKey(c.Key), nil
+	}
+}
+
+func (e *Entry) atHome(ctx context.Context, c call.Call, next call.Handler) (call.Answer, error) {
+	if err := key.Check(c.Key); err != nil {
+		return call.Answer{}, call.Refuse(err, call.RanUnknown, 0).WithNotForwarded()
+	}
+
+	k, named := key.Parse(c.Key)
+	if !named {
+		return next(ctx, c)
+	}
+
+	if k.Home.Node == e.options.Node {
+		return next(ctx, c)
+	}
+
+	return e.forward(ctx, k.Home.Node, c)
+}
+
+// start runs the call as the home of its key.
+func (e *Entry) start(next call.Handler) call.Handler {
+	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		if _, named := key.Parse(c.Key); c.Idempotent || !named {
+			return next(ctx, c)
+		}
+
+		return e.options.Home.Run(ctx, c, next)
+	}
+}
+
+// keyed makes sure that only the home of a key says not-run of it. Any other
+// stage knows of this attempt alone; an earlier one may have run.
+func keyed(text string, err error) error {
+	var r *call.Refusal
+	if !errors.As(err, &r) {
+		r = call.Refuse(err, call.RanUnknown, time.Second)
+	}
+
+	if r.Key != "" {
+		return r
+	}
+
+	out := r.WithKey(text)
+	if r.Ran == call.RanNo {
+		out = out.WithNotForwarded()
+	}
+
+	return out
+}
+
+// ofKey does the same for a call that was turned away before its route was
+// known.
+func ofKey(req *http.Request, r *call.Refusal) *call.Refusal {
+	text := req.Header.Get(HeaderKey)
+	if text == "" || r.Key != "" {
+		return r
+	}
+
+	var out *call.Refusal
+
+	_ = errors.As(keyed(text, r), &out)
+
+	return out
+}
+
+// forward sends the call to the home of its key. It looks at beliefs only to
+// answer at once where nobody will: a wrong one costs an answer, never a second
+// run.
+func (e *Entry) forward(ctx context.Context, node string, c call.Call) (call.Answer, error) {
+	home, ok := e.options.Nodes.Find(node)
+	if !ok || home.State != membership.StateAlive {
+		return call.Answer{}, e.notForwarded(node, c, nil)
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	go e.watch(ctx, cancel, node)
+
+	deadline, _ := ctx.Deadline()
+
+	var reply gate.Reply
+
+	err := e.options.Peers.Do(ctx, home.PeerAddress, peer.LaneCalls, MethodOnce, c.WithRemaining(time.Until(deadline)), &reply)
+
+	switch {
+	case errors.Is(err, peer.ErrUnreachable):
+		return call.Answer{}, e.notForwarded(node, c, err)
+	case err != nil:
+		return call.Answer{}, call.Refuse(once.ErrUnreachable.With("no answer from %s", node).Wrap(err), call.RanUnknown, time.Second)
+	case reply.Refusal != nil:
+		return call.Answer{}, reply.Refusal
+	}
+
+	return *reply.Answer, nil
+}
+
+// watch ends the wait for a home that froze or was cut off: its connection
+// stays open and its caller would wait until the deadline.
+func (e *Entry) watch(ctx context.Context, cancel context.CancelFunc, node string) {
+	const pause = 100 * time.Millisecond
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+
+		if r, ok := e.options.Nodes.Find(node); !ok || r.State != membership.StateAlive {
+			cancel()
+
+			return
+		}
+	}
+}
+
+func (e *Entry) notForwarded(node string, c call.Call, cause error) error {
+	e.options.Recorder.Record(event.KeyHomeLost, timeline.Entry{Call: c.ID, Key: c.Key, Peer: node})
+
+	return call.Refuse(once.ErrUnreachable.With("%s", node).Wrap(cause), call.RanUnknown, time.Second).WithNotForwarded()
+}
+
+// ServeOnce takes a call that another node forwarded to the home of its key.
+func (e *Entry) ServeOnce(ctx context.Context, c call.Call) (gate.Reply, error) {
+	a, err := e.serveOnce(ctx, c)
+	if err == nil {
+		return gate.Reply{Answer: &a}, nil
+	}
+
+	var r *call.Refusal
+
+	_ = errors.As(keyed(c.Key, err), &r)
+
+	return gate.Reply{Refusal: r}, nil
+}
+
+// serveOnce uses the settings of the home: they say how often it may try.
+func (e *Entry) serveOnce(ctx context.Context, c call.Call) (call.Answer, error) {
+	snapshot := e.options.Settings.Load()
+	if snapshot == nil {
+		return call.Answer{}, call.Refuse(ErrNoSettings, call.RanNo, time.Second)
+	}
+
+	u, err := url.ParseRequestURI(c.URI)
+	if err != nil {
+		return call.Answer{}, call.Refuse(ErrNoRoute.Wrap(err), call.RanNo, 0)
+	}
+
+	route, ok := snapshot.Match(c.Method, u.Path)
+	if !ok {
+		return call.Answer{}, call.Refuse(ErrNoRoute.With("%s %s", c.Method, u.Path), call.RanNo, 0)
+	}
+
+	c = c.WithRoute(route, snapshot.Version().Number)
+	c.Idempotent = false // the entry took it for one that must not run twice
+
+	return e.home(ctx, c)
+}
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/selection"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -20,6 +21,11 @@
 	Serving(service string) []membership.Record
 }
 
+// Finder gives the record of a node.
+type Finder interface {
+	Find(id string) (membership.Record, bool)
+}
+
 // Peers sends messages to other nodes.
 type Peers interface {
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
@@ -34,6 +40,8 @@
 	Selector *selection.Selector
 	Recorder *timeline.Recorder
 	Leaving  func() bool
+	Home     *once.Home
+	Nodes    Finder
 }
 
 // Option sets an option.
@@ -49,6 +57,10 @@
 		opt(&o)
 	}
 
+	if o.Home == nil {
+		o.Home = once.New(o.Node, 0)
+	}
+
 	return o
 }
 
@@ -72,3 +84,9 @@
 
 // Leaving sets what tells that this node takes no more calls.
 func Leaving(f func() bool) Option { return func(o *Options) { o.Leaving = f } }
+
+// Home sets the home of the keys that this process starts.
+func Home(h *once.Home) Option { return func(o *Options) { o.Home = h } }
+
+// Nodes sets who finds the homes of other keys.
+func Nodes(f Finder) Option { return func(o *Options) { o.Nodes = f } }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,13 @@
 	CallUnknown    = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
 )
 
+// At most once.
+var (
+	KeySettled     = add(500, "KeySettled", slog.LevelDebug, "The home of a key ended its record without an answer.")
+	KeyHomeLost    = add(501, "KeyHomeLost", slog.LevelWarn, "The home of a key can't be reached; the call was not forwarded.")
+	KeyAttemptLost = add(502, "KeyAttemptLost", slog.LevelWarn, "An attempt got no answer and its gate would not close it; it is not sent again.")
+)
+
 // Faults of the program itself.
 var (
 	InvariantBroken = add(900, "InvariantBroken", slog.LevelError, "A promise that always holds was found broken; report it.")
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -42,6 +42,7 @@
 type Gate struct {
 	node    string
 	queue   *admission.Queue
+	starts  Starts
 	pipe    call.Handler
 	running atomic.Int64
 }
@@ -49,7 +50,7 @@
 // New returns a gate.
 func New(node string, r Runner, q *admission.Queue) *Gate {
 	g := &Gate{node: node, queue: q}
-	g.pipe = call.Chain(r.Run, g.deadline, g.admit)
+	g.pipe = call.Chain(r.Run, g.deadline, g.settled, g.admit, g.start)
 
 	return g
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -17,7 +17,7 @@
 	n.host = upstream.New(n.table, n.queue, n.recorder, upstream.Changed(func() {
 		go n.gossip.Tell(context.Background())
 	}))
-	n.gate = gate.New(n.config.ID, n.host, n.queue)
+	n.gate = gate.New(n.config.ID, n.host, n.queue).WithStarts(n.register)
 	n.selector = selection.New()
 	n.entry = caller.New(
 		caller.Node(n.config.ID),
@@ -27,6 +27,8 @@
 		caller.Selector(n.selector),
 		caller.Recorder(n.recorder),
 		caller.Leaving(n.leaving.Load),
+		caller.Home(n.home),
+		caller.Nodes(n.table),
 	)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,8 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/attempt"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -56,6 +58,8 @@
 	gate     *gate.Gate
 	selector *selection.Selector
 	entry    *caller.Entry
+	home     *once.Home
+	register *attempt.Register
 
 	listeners []net.Listener
 	https     []*http.Server
@@ -69,6 +73,7 @@
 	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()))
 	n.settings()
 	n.fleet()
+	n.once()
 	n.calls()
 	n.methods()
 
@@ -80,6 +85,7 @@
 	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
+	n.onceMethods()
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
 	n.server.Handle(methodTimeline, peer.Typed(n.ownTimeline))
 }
@@ -99,7 +105,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady} {
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady, n.home.Rotate} {
 		running.Go(func() { f(work) })
 	}
 
@@ -168,7 +174,7 @@
 
 	const pause = 20 * time.Millisecond
 
-	for n.inFlight.Load()+n.gate.Running() > 0 && ctx.Err() == nil {
+	for n.inFlight.Load()+n.gate.Running()+n.home.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(pause)
 	}
 }
--- /dev/null
+++ b/internal/node/once_test.go
@@ -0,0 +1,140 @@
+package node_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/standin/backend"
+)
+
+// runs counts how often the backend servers ran a key.
+func (f *fleet) runs(key string) int {
+	n := 0
+	for _, h := range f.hosts {
+		n += h.backend.Counts().Keys[key]
+	}
+
+	return n
+}
+
+func upload(key string) map[string]string {
+	h := map[string]string{backend.HeaderEcho: "mine"}
+	if key != "" {
+		h[caller.HeaderKey] = key
+	}
+
+	return h
+}
+
+// A caller sends an upload without a key, gets an answer, loses it, and sends it
+// again with the key that came with the answer, through every other node. A
+// second run would book the donation twice.
+func TestARepeatThroughAnyNodeGetsTheFirstAnswer(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+
+	first := f.send(0, http.MethodPost, "/uploads/1", "gift aid", upload(""))
+	assert.Equal(t, first.status, http.StatusOK)
+
+	key := first.header.Get(caller.HeaderKey)
+	assert.Assert(t, key != "")
+
+	for i := range f.hosts {
+		r := f.send(i, http.MethodPost, "/uploads/1", "gift aid", upload(key))
+		assert.Equal(t, r.status, http.StatusOK)
+		assert.DeepEqual(t, r.answer, first.answer)
+		assert.Equal(t, r.header.Get(caller.HeaderRepeat), "true")
+		assert.Equal(t, r.header.Get(caller.HeaderKey), key)
+	}
+
+	assert.Equal(t, f.runs(key), 1)
+}
+
+// An impatient parent presses the button twenty times while the first enrolment
+// still runs, and each press goes to another node. Every press must show the one
+// seat, not one more.
+func TestRepeatsAtTheSameTimeShareOneRun(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+
+	home := f.send(3, http.MethodGet, "/folders/1", "", nil).header.Get(caller.HeaderHome)
+	key := home + ".enrolment-1"
+
+	var wg sync.WaitGroup
+
+	for n := range 20 {
+		wg.Go(func() {
+			h := upload(key)
+			h[backend.HeaderWorkMs] = "100"
+
+			r := f.send(n%len(f.hosts), http.MethodPost, "/uploads/1", "seat", h)
+			assert.Check(t, r.status == http.StatusOK && r.answer.Echo == "mine")
+		})
+	}
+
+	wg.Wait()
+	assert.Equal(t, f.runs(key), 1)
+}
+
+// The process that started a key is replaced, and the caller, who got no answer,
+// asks again. The new process has no record; if it took the key for a new one,
+// the upload would be there twice.
+func TestAKeyOfAReplacedHomeIsUnknown(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+
+	first := f.send(2, http.MethodPost, "/uploads/1", "gift aid", upload(""))
+	key := first.header.Get(caller.HeaderKey)
+
+	h := f.hosts[2]
+	h.stop()
+	assert.NilError(t, <-h.done)
+
+	r := f.send(5, http.MethodPost, "/uploads/1", "gift aid", upload(key))
+	assert.Equal(t, r.away.ID, "once.home_unreachable")
+	assert.Equal(t, string(r.away.Ran), "unknown")
+	assert.Equal(t, r.away.NotForwarded, true)
+
+	f.start(h)
+	f.wait("the new process to be the home of new keys", func() bool {
+		r := f.send(5, http.MethodPost, "/uploads/1", "gift aid", upload(key))
+
+		return r.away.ID == "once.home_gone"
+	})
+
+	assert.Equal(t, f.runs(key), 1)
+}
+
+// A refusal outside the home of a key can't know whether an earlier attempt ran.
+// A caller that is told not-run takes a new key and books twice.
+func TestOnlyTheHomeSaysNotRunOfAKey(t *testing.T) {
+	f := startFleet(t)
+	r := f.send(0, http.MethodPost, "/uploads/1", "gift aid", upload("pc1.nottm-a-browse-1.x.1.y"))
+	assert.Equal(t, r.away.ID, "entry.no_settings")
+	assert.Equal(t, string(r.away.Ran), "unknown")
+
+	f.accept()
+
+	r = f.send(0, http.MethodPost, "/uploads/1", "gift aid", upload("pc1.nottm-a-browse-1.x.1.y"))
+	assert.Equal(t, r.away.ID, "once.home_gone")
+	assert.Equal(t, string(r.away.Ran), "unknown")
+}
+
+// The same key with another body is a mistake of the caller. Answering it from
+// the first record would lose the second upload without anybody noticing.
+func TestAKeyBelongsToOneRequest(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+
+	first := f.send(0, http.MethodPost, "/uploads/1", "one", upload(""))
+	key := first.header.Get(caller.HeaderKey)
+
+	r := f.send(1, http.MethodPost, "/uploads/1", "two", upload(key))
+	assert.Equal(t, r.away.ID, "once.mismatch")
+	assert.Equal(t, r.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, f.runs(key), 1)
+}
--- /dev/null
+++ b/internal/once/book/book.go
@@ -0,0 +1,216 @@
+// Package book holds the records of the keys that one process is the home of.
+//
+// It answers repeats: a caller that got no answer sends its upload again, and a
+// donation is booked twice unless somebody knows that the first one was started.
+// A key is recorded before anything of its call leaves the process. The record
+// ends in ran, not-run or unknown and never changes after that.
+//
+// Memory is bounded twice: by a number of records, at which new keys are
+// refused, and by generations, which are dropped whole. A record is never
+// dropped before its generation, and a key of a dropped generation is refused as
+// unknown, so that forgetting can't run a key again.
+//
+//	r, fresh, err := b.Open(text, book.Named(generation), digest)
+//	if fresh { ...run the call...; b.Settle(r, book.Outcome{Answer: &answer}) }
+//	outcome := <-b.Wait(r)
+package book
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// Errors of a key that gets no record.
+var (
+	ErrFull    = errs.New("once.full", http.StatusServiceUnavailable, "the home of the key holds as many records as it may")
+	ErrDropped = errs.New("once.dropped", http.StatusConflict, "the key is older than the records that are held")
+	ErrFuture  = errs.New("once.future", http.StatusBadRequest, "the key names a generation that has not begun")
+	// ErrWaiting keeps a caller that hammers one key from taking the memory.
+	ErrWaiting  = errs.New("once.waiting", http.StatusTooManyRequests, "too many repeats wait for the same key")
+	ErrMismatch = errs.New("once.mismatch", http.StatusUnprocessableEntity, "the key was used for another request")
+)
+
+// Digest tells requests apart.
+type Digest [16]byte
+
+// Outcome is how a record ends: an answer, or a refusal that says whether the
+// call ran.
+type Outcome struct {
+	Answer  *call.Answer
+	Refusal *call.Refusal
+	// Dropped says that the body of the answer was too large to keep.
+	Dropped bool
+}
+
+// Record is what is known of one key.
+type Record struct {
+	id      string
+	digest  Digest
+	settled bool
+	outcome Outcome
+	waiting []chan Outcome
+}
+
+// Book holds records.
+type Book struct {
+	options Options
+
+	mu         sync.Mutex
+	records    map[string]*Record
+	lists      map[uint64][]*Record // by generation, to drop them whole
+	generation uint64
+	lowest     uint64
+	answers    int // bytes
+}
+
+// New returns an empty book in its first generation.
+func New(opts ...Option) *Book {
+	return &Book{
+		options: newOptions(opts...), records: map[string]*Record{}, lists: map[uint64][]*Record{},
+		generation: 1, lowest: 1,
+	}
+}
+
+// Generation returns the newest generation, which new keys name.
+func (b *Book) Generation() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.generation
+}
+
+// Size returns the number of records and the bytes of their answers.
+func (b *Book) Size() (records, bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return len(b.records), b.answers
+}
+
+// Open returns the record of a key of a generation and whether it was made now.
+// Only who made it may run the call.
+func (b *Book) Open(id string, generation uint64, d Digest) (r *Record, fresh bool, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if r := b.records[id]; r != nil {
+		if r.digest != d {
+			return nil, false, ErrMismatch
+		}
+
+		return r, false, nil
+	}
+
+	if generation < b.lowest {
+		return nil, false, ErrDropped.With("generation %d, held from %d", generation, b.lowest)
+	}
+
+	if generation > b.generation {
+		return nil, false, ErrFuture
+	}
+
+	if len(b.records) >= b.options.Records {
+		return nil, false, ErrFull.With("%d", b.options.Records)
+	}
+
+	r = &Record{id: id, digest: d}
+	b.records[id] = r
+	b.lists[generation] = append(b.lists[generation], r)
+
+	return r, true, nil
+}
+
+// MaxWaiting bounds the repeats that wait for one key.
+const MaxWaiting = 64
+
+// Wait returns a channel that gets the outcome.
+func (b *Book) Wait(r *Record) (<-chan Outcome, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	out := make(chan Outcome, 1)
+
+	if r.settled {
+		out <- r.outcome
+
+		return out, nil
+	}
+
+	if len(r.waiting) >= MaxWaiting {
+		return nil, ErrWaiting
+	}
+
+	r.waiting = append(r.waiting, out)
+
+	return out, nil
+}
+
+// Settle ends a record. Who waits gets the whole outcome; what is kept for later
+// repeats may be without the body.
+func (b *Book) Settle(r *Record, o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for _, w := range r.waiting {
+		w <- o
+	}
+
+	r.waiting = nil
+	r.settled = true
+	r.outcome = b.fit(o)
+}
+
+// fit drops a body that is over the bounds, so that a few large answers can't
+// take the memory of the node.
+func (b *Book) fit(o Outcome) Outcome {
+	if o.Answer == nil {
+		return o
+	}
+
+	size := len(o.Answer.Body)
+	if size > b.options.Answer || b.answers+size > b.options.Answers {
+		short := *o.Answer
+		short.Body = nil
+
+		return Outcome{Answer: &short, Dropped: true}
+	}
+
+	b.answers += size
+
+	return o
+}
+
+// Rotate begins a generation and drops the ones that are over the number held.
+// What has not ended yet is moved to the new one: dropping it would let its key
+// end in nothing.
+func (b *Book) Rotate() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.generation++
+	for b.generation-b.lowest >= b.options.Generations {
+		for _, r := range b.lists[b.lowest] {
+			b.drop(r)
+		}
+
+		delete(b.lists, b.lowest)
+		b.lowest++
+	}
+}
+
+func (b *Book) drop(r *Record) {
+	if !r.settled {
+		b.lists[b.generation] = append(b.lists[b.generation], r)
+
+		return
+	}
+
+	delete(b.records, r.id)
+
+	if r.outcome.Answer != nil {
+		b.answers -= len(r.outcome.Answer.Body)
+	}
+}
--- /dev/null
+++ b/internal/once/once.go
@@ -0,0 +1,229 @@
+// Package once runs a call that must not run twice: uploads, permission changes,
+// enrolments.
+//
+// It answers repeats. A caller that hears nothing sends its enrolment again,
+// through another node, in another failure domain, after a crash or while a
+// process is frozen. Each key has one home, the only process that may start it;
+// repeats are forwarded there and get the outcome of the first run. Nothing here
+// depends on who is believed alive or on what time it is: a home that is gone
+// takes its keys with it, and they end in unknown.
+//
+//	h := once.New("nottm-a-browse-1", incarnation)
+//	answer, err := h.Run(ctx, c, run) // run sends attempts through h.Guard(peers)
+//
+// The record of a key ends in one of three ways, and the home is the only one
+// that says so:
+//
+//   - ran, with the answer;
+//   - not-run: no attempt reached a backend server and none ever will;
+//   - unknown: an attempt may have run; the mesh never sends it again.
+package once
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/once/attempt"
+	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// Errors of a keyed call.
+var (
+	ErrHomeGone    = errs.New("once.home_gone", http.StatusConflict, "the process that was the home of the key is gone")
+	ErrRunning     = errs.New("once.running", http.StatusGatewayTimeout, "the first run of the key has not ended; repeat the key")
+	ErrAmbiguous   = errs.New("once.ambiguous", http.StatusGatewayTimeout, "an attempt of the key may have run; it is not sent again")
+	ErrNotKept     = errs.New("once.answer_not_kept", http.StatusConflict, "the key ran; its answer was too large to keep for repeats")
+	ErrUnreachable = errs.New("once.home_unreachable", http.StatusServiceUnavailable, "the home of the key can't be reached")
+)
+
+// Home starts the keys of one process.
+type Home struct {
+	options  Options
+	node     string
+	life     string
+	book     *book.Book
+	sequence *attempt.Sequence
+	running  atomic.Int64
+}
+
+// New returns the home of a node's life.
+func New(node string, incarnation uint64, opts ...Option) *Home {
+	o := newOptions(opts...)
+	life := key.NewLife(incarnation)
+
+	return &Home{options: o, node: node, life: life, book: o.Book, sequence: attempt.NewSequence(node + "." + life)}
+}
+
+// Name returns what callers put before their tokens.
+func (h *Home) Name() key.Home {
+	return key.Home{Node: h.node, Life: h.life, Generation: h.book.Generation()}
+}
+
+// Life names the process.
+func (h *Home) Life() string { return h.life }
+
+// Mint returns a key of this home for a call that came without one.
+func (h *Home) Mint() string { return h.Name().Key(ulid.Make().String()) }
+
+// Running returns how many keys have not ended.
+func (h *Home) Running() int64 { return h.running.Load() }
+
+// Size returns the number of records and the bytes of their answers.
+func (h *Home) Size() (records, bytes int) { return h.book.Size() }
+
+// Rotate drops the oldest records as time goes by, until ctx ends.
+func (h *Home) Rotate(ctx context.Context) {
+	period := h.options.Retention / time.Duration(h.options.Generations-1)
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(period):
+			h.book.Rotate()
+		}
+	}
+}
+
+// Run runs the call under its key, or waits for the run that an earlier one
+// began. run makes attempts until it has an answer or a refusal.
+func (h *Home) Run(ctx context.Context, c call.Call, run call.Handler) (call.Answer, error) {
+	generation, err := h.generation(c.Key)
+	if err != nil {
+		return call.Answer{}, refuse(c, err, call.RanUnknown, 0)
+	}
+
+	r, fresh, err := h.book.Open(c.Key, generation, digestOf(c))
+	if err != nil {
+		return call.Answer{}, refuse(c, err, call.RanUnknown, time.Second)
+	}
+
+	wait, err := h.book.Wait(r)
+	if err != nil {
+		return call.Answer{}, refuse(c, err, call.RanUnknown, time.Second)
+	}
+
+	if fresh {
+		h.running.Add(1)
+
+		go h.run(ctx, c, r, run)
+	}
+
+	select {
+	case o := <-wait:
+		return answerOf(c, o, !fresh)
+	case <-ctx.Done():
+		return call.Answer{}, refuse(c, ErrRunning, call.RanUnknown, time.Second)
+	}
+}
+
+// generation says which generation a key belongs to, or that this process is not
+// its home. A process that takes a key of the one before it for its own would
+// run it again.
+func (h *Home) generation(text string) (uint64, error) {
+	k, named := key.Parse(text)
+	if !named {
+		return 0, key.ErrKey.With("it names no home")
+	}
+
+	if k.Home.Node != h.node || k.Home.Life != h.life {
+		return 0, ErrHomeGone.With("%s.%s", k.Home.Node, k.Home.Life)
+	}
+
+	return k.Home.Generation, nil
+}
+
+// run goes on when its caller hangs up: the caller will ask again, and an
+// upload that was cut off half way could only be answered with unknown.
+func (h *Home) run(ctx context.Context, c call.Call, r *book.Record, run call.Handler) {
+	defer h.running.Add(-1)
+
+	deadline, ok := ctx.Deadline()
+	ctx = context.WithoutCancel(ctx)
+
+	if ok {
+		var cancel context.CancelFunc
+
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+
+	attempts := &attempt.Run{}
+	a, err := run(context.WithValue(ctx, runKey{}, attempts), c)
+
+	h.settle(c, r, attempts, a, err)
+}
+
+// settle ends the record by what the attempts themselves say: a refusal made
+// anywhere in the pipe can't turn an ambiguous attempt into not-run.
+func (h *Home) settle(c call.Call, r *book.Record, attempts *attempt.Run, a call.Answer, err error) {
+	mayHaveRun := attempts.Finish()
+
+	if err == nil {
+		h.book.Settle(r, book.Outcome{Answer: &a})
+
+		return
+	}
+
+	var refusal *call.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = call.Refuse(err, call.RanUnknown, time.Second)
+	}
+
+	out := *refusal
+
+	switch {
+	case !mayHaveRun:
+		out.Ran = call.RanNo
+	case out.Ran != call.RanYes:
+		out.Ran = call.RanUnknown
+	}
+
+	h.options.Recorder.Record(event.KeySettled, timeline.Entry{Call: c.ID, Key: c.Key, Detail: out.Error()})
+	h.book.Settle(r, book.Outcome{Refusal: &out})
+}
+
+func answerOf(c call.Call, o book.Outcome, repeat bool) (call.Answer, error) {
+	if o.Refusal != nil {
+		return call.Answer{}, o.Refusal.WithKey(c.Key)
+	}
+
+	if o.Dropped {
+		return call.Answer{}, refuse(c, ErrNotKept.With("its status was %d", o.Answer.Status), call.RanYes, 0)
+	}
+
+	a := o.Answer.WithKey(c.Key)
+	if repeat {
+		a = a.WithRepeat()
+	}
+
+	return a, nil
+}
+
+func refuse(c call.Call, err error, ran call.Ran, after time.Duration) error {
+	return call.Refuse(err, ran, after).WithKey(c.Key)
+}
+
+// digestOf tells the requests of one key apart. Headers are left out: traces and
+// dates differ between repeats of the same upload.
+func digestOf(c call.Call) book.Digest {
+	s := sha256.New()
+	s.Write([]byte(c.Method))
+	s.Write([]byte{0})
+	s.Write([]byte(c.URI))
+	s.Write([]byte{0})
+	s.Write(c.Body)
+
+	return book.Digest(s.Sum(nil)[:len(book.Digest{})])
+}
--- /dev/null
+++ b/internal/once/options.go
@@ -0,0 +1,57 @@
+package once
+
+import (
+	"time"
+
+	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// DefaultCloseTimeout bounds how long a home waits for a gate's word that an
+// attempt was not started, before it says unknown: a hundred round trips between
+// failure domains.
+const DefaultCloseTimeout = 250 * time.Millisecond
+
+// DefaultRetention is how long a caller may repeat a key. The people behind the
+// calls press a button again within a minute or two.
+const DefaultRetention = 5 * time.Minute
+
+// Options of a home.
+type Options struct {
+	Book         *book.Book
+	Recorder     *timeline.Recorder
+	CloseTimeout time.Duration
+	Retention    time.Duration
+	Generations  uint64
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+func newOptions(opts ...Option) Options {
+	o := Options{
+		Recorder: timeline.New(), CloseTimeout: DefaultCloseTimeout,
+		Retention: DefaultRetention, Generations: book.DefaultGenerations,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	if o.Book == nil {
+		o.Book = book.New(book.Generations(o.Generations))
+	}
+
+	return o
+}
+
+// WithBook sets where the records are.
+func WithBook(b *book.Book) Option { return func(o *Options) { o.Book = b } }
+
+// Recorder sets where events go.
+func Recorder(r *timeline.Recorder) Option { return func(o *Options) { o.Recorder = r } }
+
+// CloseTimeout bounds the wait for a gate to close an attempt.
+func CloseTimeout(d time.Duration) Option { return func(o *Options) { o.CloseTimeout = d } }
+
+// Retention sets how long a key can be repeated.
+func Retention(d time.Duration) Option { return func(o *Options) { o.Retention = d } }
