invariant: promises checked inside the running program

Wired with one call each: the holder (versions go up, are whole, know their services), the entry (an answer names the call that it was given for; call.Answer carries the ID), the gate (nothing let in after a drain began), the upstream (service of the host, a non-idempotent key starts once in this process; a repeat is refused as unknown). /metrics has pollencart_invariant_checks_total and _broken_total. An entry that believes an older announcement of a host is refused as not run when the host has another service now.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -121,6 +121,8 @@
 
 // Answer is what the caller gets.
 type Answer struct {
+	// Call is the ID of the call that this answers.
+	Call     string  `msgpack:"Call"`
 	Status   int     `msgpack:"Status"`
 	Header   []Field `msgpack:"Header"`
 	Body     []byte  `msgpack:"Body"`
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -106,6 +107,11 @@
 
 	done(reply.Answer.Load)
 
+	if !invariant.Check(g.options.Recorder, invariant.AnswersMatch, reply.Answer.Call == c.ID,
+		timeline.Entry{Call: c.ID, Peer: to.ID, Detail: "answer to " + reply.Answer.Call}) {
+		return call.Answer{}, call.Refuse(ErrCrossed, call.RanUnknown, time.Second)
+	}
+
 	return *reply.Answer, nil
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -33,6 +33,7 @@
 	ErrBody       = errs.New("entry.body", http.StatusRequestEntityTooLarge, "request body over the route's limit")
 	ErrNoUpstream = errs.New("entry.no_upstream", http.StatusServiceUnavailable, "no backend server of the service is ready")
 	ErrLeaving    = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
+	ErrCrossed    = errs.New("entry.crossed", http.StatusBadGateway, "the answer belongs to another call")
 	ErrHeader     = errs.New("entry.header", http.StatusBadRequest, "header not accepted")
 )
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,8 @@
 
 	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/invariant"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
 // MethodRun is the peer method that runs a call.
@@ -43,12 +45,13 @@
 	node    string
 	queue   *admission.Queue
 	pipe    call.Handler
+	options Options
 	running atomic.Int64
 }
 
 // New returns a gate.
-func New(node string, r Runner, q *admission.Queue) *Gate {
-	g := &Gate{node: node, queue: q}
+func New(node string, r Runner, q *admission.Queue, opts ...Option) *Gate {
+	g := &Gate{node: node, queue: q, options: newOptions(opts...)}
 	g.pipe = call.Chain(r.Run, g.deadline, g.admit)
 
 	return g
@@ -64,6 +67,7 @@
 		return Reply{Refusal: asRefusal(err).WithLoad(g.queue.Load())}, nil
 	}
 
+	a.Call = c.ID
 	a.Upstream = g.node
 	a.Load = g.queue.Load()
 
@@ -94,12 +98,17 @@
 
 func (g *Gate) admit(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		leaving := g.queue.Load().Leaving
+
 		release, err := g.queue.Admit(ctx, admission.Ticket{Class: c.Class, Caller: c.Caller, Queue: c.Queue})
 		if err != nil {
 			return call.Answer{}, call.Refuse(err, call.RanNo, max(g.queue.Wait(), minRetryAfter))
 		}
 		defer release()
 
+		invariant.Check(g.options.Recorder, invariant.NothingAfterDrain, !leaving || !g.queue.Load().Leaving,
+			timeline.Entry{Call: c.ID, Key: c.Key})
+
 		return next(ctx, c)
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/operator"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -52,6 +53,7 @@
 
 func (n *Node) metrics() *prometheus.Registry {
 	r := prometheus.NewRegistry()
+	r.MustRegister(invariant.Collector{})
 	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
 	for _, m := range []struct {
--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -81,6 +82,7 @@
 		return false
 	}
 
+	h.check(s)
 	h.current.Store(&Held{Snapshot: s, Since: time.Now()})
 	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: number})
 	close(h.changed)
@@ -89,6 +91,16 @@
 	return true
 }
 
+// check asserts what Offer and NewSnapshot promise of what comes into force.
+func (h *Holder) check(s *settings.Snapshot) {
+	v := s.Version()
+	entry := timeline.Entry{Version: v.Number}
+
+	invariant.Check(h.recorder, invariant.VersionsGoUp, v.Number > h.Number(), entry)
+	invariant.Check(h.recorder, invariant.VersionsAreWhole, settings.TreeDigest(v.Branches) == v.Digest, entry)
+	invariant.Check(h.recorder, invariant.ServicesAreKnown, s.UnknownService() == "", entry)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/invariant"
+	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -20,6 +22,7 @@
 	ErrUnreached = errs.New("upstream.unreached", http.StatusServiceUnavailable, "the backend server can't be reached")
 	ErrNoAnswer  = errs.New("upstream.no_answer", http.StatusGatewayTimeout, "the backend server gave no whole answer")
 	ErrShed      = errs.New("upstream.shed", http.StatusServiceUnavailable, "the backend server shed the call")
+	ErrTwice     = errs.New("upstream.twice", http.StatusConflict, "the key was sent to the backend server before")
 	ErrTooLarge  = errs.New("upstream.too_large", http.StatusBadGateway, "the answer is over the limit")
 )
 
@@ -62,18 +65,44 @@
 // error is a Refusal that says whether the call may have run.
 func (h *Host) Run(ctx context.Context, c call.Call) (call.Answer, error) {
 	h.mu.Lock()
-	client, address := h.client, h.current.Address
+	client, current := h.client, h.current
 	h.mu.Unlock()
 
-	if client == nil {
+	// The entry may believe what was true before this host got another service.
+	if client == nil || current.Service != c.Service {
 		return call.Answer{}, call.Refuse(ErrNone, call.RanNo, time.Second)
 	}
 
-	req, err := newRequest(ctx, address, c)
+	req, err := newRequest(ctx, current.Address, c)
 	if err != nil {
 		return call.Answer{}, call.Refuse(ErrUnreached.Wrap(err), call.RanNo, 0)
 	}
 
+	invariant.Check(h.recorder, invariant.ServicesAreKnown, c.Service == current.Service, timeline.Entry{Call: c.ID})
+
+	if !h.start(c) {
+		return call.Answer{}, call.Refuse(ErrTwice, call.RanUnknown, 0)
+	}
+
+	a, err := exchange(client, req)
+
+	var r *call.Refusal
+	if watched(c) && errors.As(err, &r) && r.Ran == call.RanNo {
+		h.keys.NotRun(c.Key)
+	}
+
+	return a, err
+}
+
+// start reports whether the call may go to the backend server. The decision was
+// taken before; this is the last place that can see a key go out twice.
+func (h *Host) start(c call.Call) bool {
+	return !watched(c) || h.keys.Start(c.Key, c.ID)
+}
+
+func watched(c call.Call) bool { return !c.Idempotent && c.Key != "" }
+
+func exchange(client *http.Client, req *http.Request) (call.Answer, error) {
 	resp, err := client.Do(req)
 	if err != nil {
 		return call.Answer{}, refuse(err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -67,6 +68,7 @@
 	queue    *admission.Queue
 	recorder *timeline.Recorder
 	changed  func()
+	keys     *invariant.Keys
 
 	mu      sync.Mutex
 	current Announcement
@@ -78,7 +80,7 @@
 func New(t *membership.Table, q *admission.Queue, r *timeline.Recorder, opts ...Option) *Host {
 	o := newOptions(opts...)
 
-	return &Host{table: t, queue: q, recorder: r, changed: o.Changed}
+	return &Host{table: t, queue: q, recorder: r, changed: o.Changed, keys: invariant.NewKeys(r)}
 }
 
 // Announce takes an announcement or its renewal.
--- a/pkg/settings/snapshot.go
+++ b/pkg/settings/snapshot.go
@@ -65,6 +65,20 @@
 // Tree returns the tree; callers must not change it.
 func (s *Snapshot) Tree() Tree { return s.tree }
 
+// UnknownService returns the path of a route whose service is not declared, or
+// nothing. NewSnapshot lets no such snapshot come about.
+func (s *Snapshot) UnknownService() string {
+	known := s.tree.Services()
+
+	for _, r := range s.routes {
+		if _, ok := known[r.Values.Service]; !ok {
+			return r.Path
+		}
+	}
+
+	return ""
+}
+
 // Match returns the most specific route for a request.
 func (s *Snapshot) Match(method, path string) (Resolved, bool) {
 	for _, r := range s.routes {
