standin: a ledger of what ran, a long drain, an older copy of the platform

Cause: a backend server stand-in that crashes takes its counts with it, so nothing outside could show that a key ran twice; it also ended half a second after it announced its drain, so a call sent two seconds later had nowhere to arrive and could not be seen.

Conclusion: additive, defaults as before.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -99,6 +99,10 @@
 	c.Flag("work", "Time of a call.").Default("2ms").DurationVar(&config.Work)
 	c.Flag("cold-start", "Time until warm.").Default("0s").DurationVar(&config.ColdStart)
 
+	c.Flag("drain-notice", "Least time between the word that it leaves and its end.").
+		Default("500ms").DurationVar(&config.DrainNotice)
+	c.Flag("ledger", "URL that is told of each call before it runs.").StringVar(&config.Ledger)
+
 	c.Action(func(*kingpin.ParseContext) error {
 		ctx, stop := signals()
 		defer stop()
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -24,6 +24,8 @@
 	Work time.Duration
 	// NoBackends starts nodes only.
 	NoBackends bool
+	// BackendArgs are added to the command line of every backend server.
+	BackendArgs []string
 	// LogLevel of the nodes.
 	LogLevel string
 }
@@ -130,10 +132,14 @@
 func (f *Fleet) StartBackend(i int) error {
 	h := f.Hosts[i]
 
-	return f.run(BackendName(h.ID), "standin", "backend",
+	args := []string{
+		"backend",
 		"--name", h.ID, "--service", h.Service.Name, "--listen", h.Backend, "--node", h.Control,
 		"--slots", strconv.Itoa(h.Service.Slots), "--connections", strconv.Itoa(h.Service.Connections),
-		"--work", f.work().String())
+		"--work", f.work().String(),
+	}
+
+	return f.run(BackendName(h.ID), "standin", append(args, f.options.BackendArgs...)...)
 }
 
 func (f *Fleet) work() time.Duration {
--- a/internal/standin/backend/announce.go
+++ b/internal/standin/backend/announce.go
@@ -42,12 +42,9 @@
 func (s *Server) drain(node, address string) {
 	s.say(node, address, membership.UpstreamDraining)
 
-	const (
-		notice = 500 * time.Millisecond
-		pause  = 20 * time.Millisecond
-	)
+	const pause = 20 * time.Millisecond
 
-	time.Sleep(notice)
+	time.Sleep(s.config.DrainNotice)
 
 	for s.InFlight() > 0 {
 		time.Sleep(pause)
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -41,6 +41,11 @@
 	Connections int
 	Work        time.Duration
 	ColdStart   time.Duration
+	// DrainNotice is the least time between the word that it leaves and its end.
+	DrainNotice time.Duration
+	// Ledger is where each call is reported before any of it runs, so that what
+	// ran is known also of a server that crashes; nothing if empty.
+	Ledger string
 	// Crash ends the process; tests replace it.
 	Crash func()
 }
@@ -87,6 +92,10 @@
 
 // New returns a backend server.
 func New(c Config) *Server {
+	if c.DrainNotice == 0 {
+		c.DrainNotice = defaultNotice
+	}
+
 	if c.Crash == nil {
 		c.Crash = func() { os.Exit(crashStatus) }
 	}
@@ -94,7 +103,10 @@
 	return &Server{config: c, start: time.Now(), counts: Counts{Keys: map[string]int{}}}
 }
 
-const crashStatus = 3
+const (
+	crashStatus   = 3
+	defaultNotice = 500 * time.Millisecond
+)
 
 // SetFaults changes what goes wrong.
 func (s *Server) SetFaults(f Faults) {
@@ -156,6 +168,12 @@
 	}
 	defer s.leave(c.Request().Context())
 
+	if err := s.report(c.Request()); err != nil {
+		c.Response().Header().Set(upstream.HeaderNotRun, "ledger")
+
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+
 	body, err := io.ReadAll(c.Request().Body)
 	if err != nil {
 		return err
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -60,6 +60,7 @@
 	leases   map[int64]lease
 	faults   Faults
 	counts   Counts
+	kept     map[string][]byte
 	changed  chan struct{}
 	broken   chan struct{}
 }
@@ -121,6 +122,26 @@
 	p.notify()
 }
 
+// keepCopy keeps the state as it is now, restoreCopy goes back to it.
+func (p *Platform) keepCopy() {
+	state := p.Snapshot()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.kept = state
+}
+
+func (p *Platform) restoreCopy() {
+	p.mu.Lock()
+	state := p.kept
+	p.mu.Unlock()
+
+	if state != nil {
+		p.Restore(state)
+	}
+}
+
 func (p *Platform) notify() {
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -148,6 +169,16 @@
 
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.POST("/standin/copy", func(c echo.Context) error {
+		p.keepCopy()
+
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST("/standin/restore", func(c echo.Context) error {
+		p.restoreCopy()
+
+		return c.NoContent(http.StatusNoContent)
+	})
 	e.GET("/standin/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, p.Counts()) })
 
 	return e
