soak: random faults on real processes, checked from outside

Cause: every part had tests of its own failures; nothing played them together, twice or at the wrong moment, and nothing outside the program counted what ran.

Change: internal/soak and `make soak SEED=1 MINUTES=10`.

Cuts of domains were skipped: nodes have no fault switch yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo check test lint tools
+.PHONY: build demo check test lint tools soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -23,3 +23,10 @@
 
 test:
 	go test -race ./...
+
+# Faults of every kind at random, under load, on real processes.
+SEED ?= 1
+MINUTES ?= 10
+
+soak: build
+	bin/bench soak --seed $(SEED) --minutes $(MINUTES) --deployment examples/$(DEPLOYMENT)
--- /dev/null
+++ b/cmd/bench/soak.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollencart/pollencart/internal/soak"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+var errBroken = errs.New("soak.broken", http.StatusInternalServerError, "a promise was broken")
+
+func addSoak(app *kingpin.Application) {
+	c := app.Command("soak", "Play faults of every kind at random under load, and check what must always hold.")
+	o := soak.Options{Log: os.Stderr, Lengths: soak.Lengths{
+		Random: 20 * time.Second, Planned: 12 * time.Second, Gap: 700 * time.Millisecond,
+	}}
+
+	var minutes float64
+
+	c.Flag("seed", "Seed of the schedule.").Default("1").Uint64Var(&o.Seed)
+	c.Flag("minutes", "How long, about.").Default("10").Float64Var(&minutes)
+	c.Flag("rate", "Calls a second.").Default("120").IntVar(&o.Rate)
+	c.Flag("deployment", "Folder of the deployment.").Default("examples/midlands").StringVar(&o.Deployment)
+	c.Flag("binaries", "Folder of the programs.").Default("bin").StringVar(&o.Binaries)
+	c.Flag("repair", "Longest time until the fleet has repaired itself.").Default("20s").DurationVar(&o.Repair)
+
+	c.Action(func(*kingpin.ParseContext) error {
+		round := o.Lengths.Random + o.Lengths.Planned
+		o.Rounds = max(1, int(time.Duration(minutes*float64(time.Minute))/round))
+
+		var err error
+		if o.Dir, err = os.MkdirTemp("", "pollencart-soak-"); err != nil {
+			return err
+		}
+
+		fmt.Fprintln(os.Stderr, "logs in", o.Dir)
+
+		ctx, stop := interrupted()
+		defer stop()
+
+		return runSoak(ctx, o)
+	})
+}
+
+func runSoak(ctx context.Context, o soak.Options) error {
+	report, err := soak.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+
+	report.Print(os.Stdout)
+
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return err
+	}
+
+	if report.Broken > 0 {
+		return errBroken.With("%d times", report.Broken)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,348 @@
+package soak
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/standin/backend"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// Bounds of the callers.
+const (
+	// hangBound is what a call may take over its route's deadline; callers on a
+	// busy machine need most of it themselves.
+	hangBound  = 2 * time.Second
+	maxRepeats = 4
+	// impatientShare of the keyed calls is sent again while the first attempt is
+	// still under way.
+	impatientShare = 0.1
+	crashShare     = 5 // a poison request is sent so often
+)
+
+// callers make the mixed load and check every answer against its request.
+type callers struct {
+	recorder *recorder
+	ledger   *ledger
+	fleet    *harness.Fleet
+	routes   []settings.Resolved
+	client   *http.Client
+
+	// planned is set while only planned stops happen; stopping tells which
+	// nodes are being stopped, so that callers keep away as from any host that
+	// said that it leaves.
+	planned  atomic.Bool
+	stopping sync.Map
+
+	mu     sync.Mutex
+	told   map[string]*told
+	frozen map[string]time.Time // until when a node was frozen at least
+}
+
+// freeze notes that a node is frozen until the given time.
+func (c *callers) freeze(id string, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.frozen[id] = until
+}
+
+func (c *callers) wasFrozen(id string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.frozen[id].After(since)
+}
+
+// told is what the callers of one key were told.
+type told struct {
+	answered int
+	notRun   bool
+}
+
+func newCallers(r *recorder, l *ledger, f *harness.Fleet, t settings.Tree) *callers {
+	return &callers{
+		recorder: r, ledger: l, fleet: f, routes: t.Resolve(), told: map[string]*told{}, frozen: map[string]time.Time{},
+		// One connection per call: a refused connection is then proof that
+		// nothing was sent, and an end without an answer is a cut.
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// run sends calls at a fixed rate until ctx ends, and waits for their answers.
+func (c *callers) run(ctx context.Context, rate int) {
+	var wg sync.WaitGroup
+
+	start, gap := time.Now(), time.Second/time.Duration(rate)
+
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(start.Add(time.Duration(n) * gap)))
+
+		route := c.routes[n%len(c.routes)]
+
+		wg.Go(func() { c.call(route) })
+	}
+
+	wg.Wait()
+}
+
+// attempt is one request of a call.
+type attempt struct {
+	route   settings.Resolved
+	key     string
+	crash   string
+	planned bool
+}
+
+// outcome is what an attempt led to.
+type outcome struct {
+	ok     bool
+	ran    call.Ran
+	unsent bool
+	reason string
+}
+
+// call sends one call; a keyed one is repeated through other nodes with the same
+// key until it is known to have run or not.
+func (c *callers) call(route settings.Resolved) {
+	a := attempt{route: route, planned: c.planned.Load()}
+	if route.Values.Idempotent {
+		c.send(a)
+
+		return
+	}
+
+	a.key = ulid.Make().String()
+	c.recorder.add(func(r *Report) { r.Calls.Keys++ })
+
+	if rand.Float64() < impatientShare {
+		a.planned = false // either attempt may find the other one under way
+
+		go c.send(a)
+	}
+
+	for range maxRepeats {
+		o := c.send(a)
+		if o.ok || o.ran == call.RanNo || o.ran == call.RanYes {
+			return
+		}
+
+		const pause = 300 * time.Millisecond
+
+		time.Sleep(rand.N(pause))
+		c.recorder.add(func(r *Report) { r.Calls.Repeats++ })
+	}
+}
+
+func (c *callers) node() harness.Host {
+	for {
+		h := c.fleet.Hosts[rand.IntN(len(c.fleet.Hosts))]
+		if _, leaving := c.stopping.Load(h.ID); !leaving {
+			return h
+		}
+	}
+}
+
+func (c *callers) send(a attempt) outcome {
+	host, echo := c.node(), ulid.Make().String()
+	body := ""
+
+	if a.route.Match.Method != http.MethodGet {
+		body = "body " + echo
+	}
+
+	limit := time.Duration(a.route.Values.Deadline) + hangBound
+
+	// The caller would wait for longer, so that a hang is seen as such.
+	ctx, cancel := context.WithTimeout(context.Background(), limit+hangBound)
+	defer cancel()
+
+	req := c.request(ctx, a, host, echo, body)
+	start := time.Now()
+	o := c.exchange(req, a, echo, body)
+	elapsed := time.Since(start)
+
+	// Nothing comes from a frozen process; what the fleet promises is that no
+	// other node makes callers wait for it.
+	if !c.wasFrozen(host.ID, start) {
+		c.recorder.check(PromiseNoHang, elapsed <= limit, "%s through %s took %s, %s", a.route.Path, host.ID, elapsed, o.reason)
+	}
+
+	if a.planned && c.planned.Load() && !o.unsent {
+		c.recorder.check(PromisePlannedStop, o.ok || o.ran == call.RanNo, "%s through %s: %s", a.route.Path, host.ID, o.reason)
+	}
+
+	c.count(a, o)
+
+	return o
+}
+
+func (c *callers) request(ctx context.Context, a attempt, host harness.Host, echo, body string) *http.Request {
+	path := a.route.Match.PathPrefix + echo
+	if a.crash != "" {
+		path = a.route.Match.PathPrefix + a.crash
+	}
+
+	req, err := http.NewRequestWithContext(ctx, a.route.Match.Method, "http://"+host.Caller+path, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the addresses are the harness's own
+	}
+
+	req.GetBody = nil // the transport must not send an upload twice
+	req.Header.Set(backend.HeaderEcho, echo)
+
+	if a.key != "" {
+		req.Header.Set(caller.HeaderKey, a.key)
+	}
+
+	if a.crash != "" {
+		req.Header.Set(backend.HeaderCrash, a.crash)
+	}
+
+	return req
+}
+
+func (c *callers) exchange(req *http.Request, a attempt, echo, body string) outcome {
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return outcome{reason: err.Error(), unsent: strings.Contains(err.Error(), "connection refused")}
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return outcome{reason: "answer cut short: " + err.Error()}
+	}
+
+	ran := call.Ran(resp.Header.Get(caller.HeaderRan))
+
+	if resp.StatusCode != http.StatusOK {
+		var t caller.TurnedAway
+
+		_ = json.Unmarshal(data, &t)
+
+		return outcome{ran: ran, reason: fmt.Sprintf("status %d %s %s (%s)", resp.StatusCode, t.ID, t.Detail, ran)}
+	}
+
+	c.verify(resp, data, a, req.URL.Path, echo, body)
+
+	return outcome{ok: true, ran: ran}
+}
+
+// verify checks an answer against its request; a repeat gets the answer of the
+// attempt that ran.
+func (c *callers) verify(resp *http.Response, data []byte, a attempt, path, echo, body string) {
+	var got backend.Answer
+
+	err := json.Unmarshal(data, &got)
+	sum := sha256.Sum256([]byte(body))
+	own := err == nil && got.Echo == echo && got.Path == path && got.Digest == hex.EncodeToString(sum[:8])
+
+	if resp.Header.Get(caller.HeaderRepeat) != "" && a.key != "" {
+		own = err == nil && strings.HasPrefix(got.Path, a.route.Match.PathPrefix)
+	}
+
+	c.recorder.check(PromiseAnswersMatch, own, "%s %s: got %s", a.route.Path, echo, data)
+}
+
+func (c *callers) count(a attempt, o outcome) {
+	c.recorder.add(func(r *Report) {
+		r.Calls.Sent++
+
+		switch {
+		case o.ok:
+			r.Calls.Answered++
+		case o.ran == call.RanNo:
+			r.Calls.NotRun++
+		case o.ran == call.RanUnknown:
+			r.Calls.Unknown++
+		case o.ran == call.RanYes:
+			r.Calls.Ran++
+		default:
+			r.Calls.NoAnswer++
+		}
+	})
+
+	if a.key == "" {
+		return
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	t := c.told[a.key]
+	if t == nil {
+		t = &told{}
+		c.told[a.key] = t
+	}
+
+	if o.ok || o.ran == call.RanYes {
+		t.answered++
+	}
+
+	t.notRun = t.notRun || o.ran == call.RanNo
+}
+
+// settle checks at the end what each key ran against what its callers were told.
+func (c *callers) settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	for key, t := range c.told {
+		ran := c.ledger.ran(key)
+
+		c.recorder.check(PromiseKeyOnce, len(ran) <= 1, "key %s ran on %v", key, ran)
+		c.recorder.check(PromiseRan, t.answered == 0 || len(ran) > 0, "key %s was answered and never ran", key)
+
+		if t.notRun {
+			c.recorder.check(PromiseNotRun, len(ran) == 0, "key %s was told not-run and ran on %v", key, ran)
+		}
+
+		c.recorder.add(func(r *Report) {
+			r.Calls.KeysRun += min(len(ran), 1)
+			r.Calls.KeysAnswer += min(t.answered, 1)
+		})
+	}
+}
+
+// poison sends a request that ends each backend server which runs it, again and
+// again through any node.
+func (c *callers) poison(ctx context.Context, name string) {
+	for _, route := range c.routes {
+		if !route.Values.Idempotent || route.Match.Method != http.MethodGet {
+			continue
+		}
+
+		for range crashShare {
+			c.send(attempt{route: route, crash: name})
+
+			const pause = 400 * time.Millisecond
+
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		}
+
+		break
+	}
+
+	n := c.ledger.crashes(name)
+	c.recorder.check(PromisePoison, n <= 2, "%s ended %d backend servers", name, n)
+	c.recorder.add(func(r *Report) { r.Poisons[name] = n })
+}
