--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -13,6 +13,7 @@
 
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -91,6 +92,7 @@
 		return false
 	}
 
+	h.check(s)
 	h.past = h.past.With(s.Version())
 	h.current.Store(&Held{Snapshot: s, Since: time.Now()})
 	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: number})
@@ -100,6 +102,16 @@
 	return true
 }
 
+// check asserts what Offer and NewSnapshot promise of what comes into force.
+func (h *Holder) check(s *settings.Snapshot) {
+	v := s.Version()
+	entry := timeline.Entry{Version: v.Number}
+
+	invariant.Check(h.recorder, invariant.VersionsGoUp, v.Number > h.Number(), entry)
+	invariant.Check(h.recorder, invariant.VersionsAreWhole, settings.TreeDigest(v.Branches) == v.Digest, entry)
+	invariant.Check(h.recorder, invariant.ServicesAreKnown, s.UnknownService() == "", entry)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
