--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo check test lint tools soak
+.PHONY: build demo check test lint tools soak bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,7 @@
 
 soak: build
 	bin/bench soak --seed $(SEED) --minutes $(MINUTES) --deployment examples/$(DEPLOYMENT)
+
+# Costs at 100, 1,000 and 4,300 records; read times as ratios within one run.
+bench:
+	go test -run '^$$' -bench . -benchmem ./bench
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -16,32 +16,41 @@
 
 // Branch is the root, a region or a service.
 type Branch struct {
-	Region    *Region           `json:"Region,omitempty" msgpack:"Region,omitempty"`
-	Service   *Service          `json:"Service,omitempty" msgpack:"Service,omitempty"`
-	Overrides Overrides         `json:"Overrides,omitzero" msgpack:"Overrides"`
-	Routes    map[string]Route  `json:"Routes,omitempty" msgpack:"Routes,omitempty"`
-	Branches  map[string]Branch `json:"Branches,omitempty" msgpack:"-"`
+	// Region makes the branch a region, Service a service of the branch's name.
+	Region  *Region  `json:"Region,omitempty" msgpack:"Region,omitempty"`
+	Service *Service `json:"Service,omitempty" msgpack:"Service,omitempty"`
+	// Overrides hold for everything below unless it overrides them again.
+	Overrides Overrides `json:"Overrides,omitzero" msgpack:"Overrides"`
+	// Routes are leaves by name, Branches more branches by name.
+	Routes   map[string]Route  `json:"Routes,omitempty" msgpack:"Routes,omitempty"`
+	Branches map[string]Branch `json:"Branches,omitempty" msgpack:"-"`
 }
 
 // Region declares a region and its failure domains.
 type Region struct {
+	// FailureDomains are the names of the region's failure domains.
 	FailureDomains []string `json:"FailureDomains" msgpack:"FailureDomains"`
 }
 
 // Service declares the service that has the name of its branch.
 type Service struct {
+	// Slots is how many calls one backend server runs at once, Connections how
+	// many connections it takes.
 	Slots       int `json:"Slots" msgpack:"Slots"`
 	Connections int `json:"Connections" msgpack:"Connections"`
 }
 
 // Route is a leaf: which requests it takes, and what it overrides.
 type Route struct {
+	// Match says which requests it takes, Overrides what holds for them.
 	Match     Match     `json:"Match" msgpack:"Match"`
 	Overrides Overrides `json:"Overrides,omitzero" msgpack:"Overrides"`
 }
 
 // Match says which requests a route takes.
 type Match struct {
+	// Method is the HTTP method; PathPrefix the start of the path: the longest
+	// one that fits wins.
 	Method     string `json:"Method" msgpack:"Method"`
 	PathPrefix string `json:"PathPrefix" msgpack:"PathPrefix"`
 }
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -70,14 +70,22 @@
 
 // Overrides are the values that a node of the tree sets; nil inherits.
 type Overrides struct {
-	Service     *string   `json:"Service,omitempty" msgpack:"Service,omitempty"`
-	Class       *Class    `json:"Class,omitempty" msgpack:"Class,omitempty"`
-	Idempotent  *bool     `json:"Idempotent,omitempty" msgpack:"Idempotent,omitempty"`
-	Deadline    *Duration `json:"Deadline,omitempty" msgpack:"Deadline,omitempty"`
-	Attempts    *int      `json:"Attempts,omitempty" msgpack:"Attempts,omitempty"`
-	RetryBudget *float64  `json:"RetryBudget,omitempty" msgpack:"RetryBudget,omitempty"`
-	BodyLimit   *int      `json:"BodyLimit,omitempty" msgpack:"BodyLimit,omitempty"`
-	Queue       *int      `json:"Queue,omitempty" msgpack:"Queue,omitempty"`
+	// Service is where calls go; without it, to the nearest service above.
+	Service *string `json:"Service,omitempty" msgpack:"Service,omitempty"`
+	// Class is Interactive, Write or Background, most urgent first.
+	Class *Class `json:"Class,omitempty" msgpack:"Class,omitempty"`
+	// Idempotent calls may be run more than once; others are run at most once.
+	Idempotent *bool `json:"Idempotent,omitempty" msgpack:"Idempotent,omitempty"`
+	// Deadline bounds a call from its arrival to its answer.
+	Deadline *Duration `json:"Deadline,omitempty" msgpack:"Deadline,omitempty"`
+	// Attempts bounds how often one call is sent to a gate.
+	Attempts *int `json:"Attempts,omitempty" msgpack:"Attempts,omitempty"`
+	// RetryBudget bounds the attempts after the first, as a share of the calls.
+	RetryBudget *float64 `json:"RetryBudget,omitempty" msgpack:"RetryBudget,omitempty"`
+	// BodyLimit bounds the body of a request, in bytes.
+	BodyLimit *int `json:"BodyLimit,omitempty" msgpack:"BodyLimit,omitempty"`
+	// Queue bounds the calls that wait at one gate.
+	Queue *int `json:"Queue,omitempty" msgpack:"Queue,omitempty"`
 }
 
 // Values are the effective values of a route after inheritance.
