--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -44,6 +44,7 @@
 type Gate struct {
 	node    string
 	queue   *admission.Queue
+	starts  Starts
 	pipe    call.Handler
 	options Options
 	running atomic.Int64
@@ -52,7 +53,7 @@
 // New returns a gate.
 func New(node string, r Runner, q *admission.Queue, opts ...Option) *Gate {
 	g := &Gate{node: node, queue: q, options: newOptions(opts...)}
-	g.pipe = call.Chain(r.Run, g.deadline, g.admit)
+	g.pipe = call.Chain(r.Run, g.deadline, g.settled, g.admit, g.start)
 
 	return g
 }
@@ -102,7 +103,7 @@
 
 		release, err := g.queue.Admit(ctx, admission.Ticket{Class: c.Class, Caller: c.Caller, Queue: c.Queue})
 		if err != nil {
-			return call.Answer{}, call.Refuse(err, call.RanNo, max(g.queue.Wait(), minRetryAfter))
+			return call.Answer{}, call.Refuse(err, call.RanNo, g.queue.RetryAfter())
 		}
 		defer release()
 
@@ -112,6 +113,3 @@
 		return next(ctx, c)
 	}
 }
-
-// minRetryAfter keeps a caller that was turned away from coming straight back.
-const minRetryAfter = 100 * time.Millisecond
