--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -7,6 +7,7 @@
 
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -90,6 +91,7 @@
 		return false
 	}
 
+	h.check(s)
 	h.remember(held, v)
 	h.current.Store(&Held{Snapshot: s, Since: time.Now(), Source: source})
 	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: v.Number, Peer: source})
@@ -145,6 +147,16 @@
 	return h.steps[len(h.steps)-1].from
 }
 
+// check asserts what Offer and NewSnapshot promise of what comes into force.
+func (h *Holder) check(s *settings.Snapshot) {
+	v := s.Version()
+	entry := timeline.Entry{Version: v.Number}
+
+	invariant.Check(h.recorder, invariant.VersionsGoUp, v.Number > h.Number(), entry)
+	invariant.Check(h.recorder, invariant.VersionsAreWhole, settings.TreeDigest(v.Branches) == v.Digest, entry)
+	invariant.Check(h.recorder, invariant.ServicesAreKnown, s.UnknownService() == "", entry)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
