Measure convergence, bytes and idle cost on many nodes

Cause: nothing told how a change costs at 50, 100 or 200 nodes.

Change: 'make scale N=100' starts nodes without backend servers over four failure domains, accepts 20 changes of one leaf in a tree of 310 services and prints one JSON object: convergence from AcceptedAt to InForceSince, bytes from the nodes' metrics, processor time and memory from /proc, platform calls from the stand-in. Idle bytes of the same time are taken off the bytes of a change.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo check test lint tools soak bench
+.PHONY: build demo scale check test lint tools soak bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,3 +34,10 @@
 # Costs at 100, 1,000 and 4,300 records; read times as ratios within one run.
 bench:
 	go test -run '^$$' -bench . -benchmem ./bench
+
+# One change of one leaf on many nodes, and what they cost idle.
+N ?= 100
+MODE ?= Fast
+
+scale: build
+	bin/bench scale --nodes $(N) --mode $(MODE)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -2,6 +2,7 @@
 // processes on loopback addresses.
 //
 //	bench demo --deployment examples/midlands
+//	bench scale --nodes 100
 package main
 
 import (
@@ -14,6 +15,7 @@
 func main() {
 	app := kingpin.New("bench", "Demonstration and experiments on real processes.")
 	addDemo(app)
+	addScale(app)
 	addSoak(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,6 +62,9 @@
 		value      func() float64
 	}{
 		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
+		{"pollencart_settings_in_force_since_seconds", "When the version came into force here, in Unix time.", func() float64 {
+			return float64(n.holder.Held().Since.UnixNano()) / float64(time.Second)
+		}},
 		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(len(n.table.Live())) }},
 		{"pollencart_gate_slots", "Slots of the backend server.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_gate_in_flight", "Calls that hold a slot.", func() float64 { return float64(n.queue.Load().InFlight) }},
