--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	acceptor *acceptance.Acceptor
 	holder   *spread.Holder
 	spreader *spread.Spreader
+	started  time.Time
 
 	table  *membership.Table
 	gossip *membership.Gossip
@@ -82,7 +83,6 @@
 
 // methods adds what other nodes may ask of this one.
 func (n *Node) methods() {
-	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
 	n.onceMethods()
@@ -105,7 +105,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady, n.home.Rotate} {
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady, n.home.Rotate} {
 		running.Go(func() { f(work) })
 	}
 
