Selection by own outcomes, near before far; retries by budget

Cause: a gate was picked at random out of two by calls in flight, without regard to distance, slowness, failures or a cold start, and each failed call was sent again up to the route's attempts.

Change: internal/selection with tiers, two choices by cost, slow start, ejection that never empties a service; internal/retry with a budget that answers fill and one layer only; gates report the averaged load and the times of each call.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -91,6 +91,7 @@
 	closed   bool
 	observed time.Duration // when the smoothed figures were last brought up to date
 	classes  [classCount]class
+	usual    float64 // smoothed count of calls inside
 	served   rate
 	refused  rate
 }
@@ -325,7 +326,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	l := call.Load{Slots: q.slots, InFlight: q.inFlight, Leaving: q.closed}
+	q.observe(q.now())
+
+	l := call.Load{Slots: q.slots, InFlight: q.inFlight, Leaving: q.closed, Usual: q.usual}
 	for i := range q.classes {
 		l.Queued += q.classes[i].waiting
 	}
--- a/internal/admission/expect.go
+++ b/internal/admission/expect.go
@@ -38,6 +38,8 @@
 		used := float64(c.inFlight) / float64(max(q.slots, 1))
 		c.share = used + (c.share-used)*keep
 	}
+
+	q.usual = float64(wanted) + (q.usual-float64(wanted))*keep
 }
 
 // owed reports whether a class has work and less than its guaranteed share.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -117,6 +117,20 @@
 	Queued   int               `msgpack:"Queued"`
 	Wait     settings.Duration `msgpack:"Wait"`
 	Leaving  bool              `msgpack:"Leaving"`
+	// Usual is InFlight and Queued together, averaged over the last second.
+	Usual float64 `msgpack:"Usual"`
+	// Waited and Held are the times that this call spent in the queue and in a
+	// slot.
+	Waited settings.Duration `msgpack:"Waited"`
+	Held   settings.Duration `msgpack:"Held"`
+}
+
+// WithTimes returns the load with the times of one call.
+func (l Load) WithTimes(waited, held time.Duration) Load {
+	l.Waited = settings.Duration(waited)
+	l.Held = settings.Duration(held)
+
+	return l
 }
 
 // Answer is what the caller gets.
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
@@ -10,13 +11,16 @@
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/retry"
 	"github.com/pollencart/pollencart/internal/selection"
 	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/internal/upstream"
 )
 
 // gates sends attempts of a call to the gates of its service.
 type gates struct {
 	options Options
+	budget  *retry.Budget
 }
 
 // attempt sends the call until it has an answer, a refusal that must not be
@@ -24,27 +28,29 @@
 func (g *gates) attempt(ctx context.Context, c call.Call) (call.Answer, error) {
 	var last error
 
-	tried := map[string]bool{}
+	upper := max(c.Attempt, 1)
+	need := selection.Need{Class: c.Class, Idempotent: c.Idempotent}
 
-	for n := 1; n <= c.Values.Attempts; n++ {
-		candidate, ok := g.pick(c.Service, tried)
+	for n := 1; ; n++ {
+		candidate, ok := g.options.Selector.Pick(c.Service, g.candidates(c.Service), need)
 		if !ok {
 			break
 		}
 
-		tried[candidate.ID] = true
-
-		a, err := g.send(ctx, candidate, c.WithAttempt(n))
+		a, err := g.send(ctx, candidate, c.WithAttempt(upper+n-1))
 		if err == nil {
+			g.budget.Answered(c.Route, c.Values.RetryBudget)
+
 			return a, nil
 		}
 
 		last = err
 
-		if !mayRetry(ctx, c, err) {
+		if !g.budget.Again(ctx, c, n, err) {
 			break
 		}
 
+		need.Tried = append(need.Tried, candidate.ID)
 		g.options.Recorder.Record(event.CallRetried, timeline.Entry{Call: c.ID, Peer: candidate.ID, Detail: err.Error()})
 	}
 
@@ -55,66 +61,104 @@
 	return call.Answer{}, last
 }
 
-// mayRetry allows another attempt only if the call surely did not run or may run
-// twice.
-func mayRetry(ctx context.Context, c call.Call, err error) bool {
-	var r *call.Refusal
-	if !errors.As(err, &r) || ctx.Err() != nil {
-		return false
-	}
-
-	return r.Ran == call.RanNo || c.Idempotent
-}
-
-func (g *gates) pick(service string, tried map[string]bool) (selection.Candidate, bool) {
-	var candidates []selection.Candidate
+func (g *gates) candidates(service string) []selection.Candidate {
+	records := g.options.Members.Serving(service)
+	out := make([]selection.Candidate, len(records))
 
-	for _, r := range g.options.Members.Serving(service) {
-		if !tried[r.ID] {
-			candidates = append(candidates, candidateOf(r))
-		}
+	for i := range records {
+		out[i] = candidateOf(&records[i])
 	}
 
-	return g.options.Selector.Pick(candidates)
+	return out
 }
 
-func candidateOf(r membership.Record) selection.Candidate {
+func candidateOf(r *membership.Record) selection.Candidate {
 	return selection.Candidate{
-		ID: r.ID, Address: r.PeerAddress, FailureDomain: r.FailureDomain, Slots: r.Upstream.Slots,
+		ID: r.ID, Address: r.PeerAddress, Region: r.Region, FailureDomain: r.FailureDomain,
+		Slots: r.Upstream.Slots, ReadySince: time.UnixMilli(r.Upstream.ReadySince),
 	}
 }
 
 func (g *gates) send(ctx context.Context, to selection.Candidate, c call.Call) (call.Answer, error) {
-	done := g.options.Selector.Start(to.ID)
-
-	deadline, _ := ctx.Deadline()
+	started := g.options.Selector.Start(c.Service, to.ID, c.Class)
 
 	var reply gate.Reply
 
-	err := g.options.Peers.Do(ctx, to.Address, peer.LaneCalls, gate.MethodRun, c.WithRemaining(time.Until(deadline)), &reply)
+	err := g.options.Peers.Do(ctx, to.Address, peer.LaneCalls, gate.MethodRun, c.WithRemaining(forGate(ctx)), &reply)
 	if err != nil {
-		done(call.Load{})
-
-		return call.Answer{}, lost(err)
+		err = lost(ctx, err)
+	} else if reply.Refusal != nil {
+		err = reply.Refusal
 	}
 
-	if reply.Refusal != nil {
-		done(reply.Refusal.Load)
+	if err != nil {
+		started.End(outcomeOf(ctx, err))
 
-		return call.Answer{}, reply.Refusal
+		return call.Answer{}, err
 	}
 
-	done(reply.Answer.Load)
+	o := selection.Outcome{Load: reply.Answer.Load}
+	if reply.Answer.Status >= http.StatusInternalServerError {
+		o.Result = selection.Failed
+	}
+
+	started.End(o)
 
 	return *reply.Answer, nil
 }
 
+// forGate is the time that the gate has: a little less than is left, so that
+// its exact refusal (not run) arrives before the entry gives up not knowing.
+func forGate(ctx context.Context) time.Duration {
+	const (
+		wayBack = 2 * time.Millisecond
+		part    = 10
+	)
+
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+
+	left := time.Until(deadline)
+
+	return left - min(wayBack, left/part)
+}
+
 // lost makes a refusal of an attempt without a reply.
-func lost(err error) error {
+func lost(ctx context.Context, err error) error {
 	ran := call.RanUnknown
 	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge) {
 		ran = call.RanNo
 	}
 
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		err = ErrCanceled.Wrap(err)
+	case ctx.Err() != nil:
+		err = ErrDeadline.Wrap(err)
+	}
+
 	return call.Refuse(err, ran, time.Second)
 }
+
+// outcomeOf says what a failed attempt tells of its gate.
+func outcomeOf(ctx context.Context, err error) selection.Outcome {
+	var r *call.Refusal
+	if !errors.As(err, &r) {
+		return selection.Outcome{Result: selection.Failed}
+	}
+
+	o := selection.Outcome{Result: selection.Failed, Load: r.Load}
+
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		o.Result = selection.Abandoned
+	case ctx.Err() != nil:
+		o.Result = selection.TimedOut
+	case r.Ran == call.RanNo && r.Load.Slots > 0 && !errors.Is(err, upstream.ErrUnreached):
+		o.Result = selection.Refused
+	}
+
+	return o
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,8 +19,10 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/retry"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -33,6 +35,8 @@
 	ErrBody       = errs.New("entry.body", http.StatusRequestEntityTooLarge, "request body over the route's limit")
 	ErrNoUpstream = errs.New("entry.no_upstream", http.StatusServiceUnavailable, "no backend server of the service is ready")
 	ErrLeaving    = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
+	ErrDeadline   = errs.New("entry.deadline", http.StatusGatewayTimeout, "no answer came before the deadline")
+	ErrCanceled   = errs.New("entry.canceled", admission.StatusClientClosed, "the caller went away")
 	ErrHeader     = errs.New("entry.header", http.StatusBadRequest, "header not accepted")
 )
 
@@ -62,7 +66,7 @@
 func New(opts ...Option) *Entry {
 	o := newOptions(opts...)
 	e := &Entry{options: o}
-	e.gates = &gates{options: o}
+	e.gates = &gates{options: o, budget: retry.New()}
 	e.pipe = call.Chain(e.gates.attempt, e.deadline)
 
 	return e
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -65,7 +65,11 @@
 	}
 
 	a.Upstream = g.node
-	a.Load = g.queue.Load()
+
+	// A filter that answers by itself has not asked the queue.
+	if a.Load.Slots == 0 {
+		a.Load = g.queue.Load()
+	}
 
 	return Reply{Answer: &a}, nil
 }
@@ -94,12 +98,20 @@
 
 func (g *Gate) admit(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		start := time.Now()
+
 		release, err := g.queue.Admit(ctx, admission.Ticket{Class: c.Class, Caller: c.Caller, Queue: c.Queue})
 		if err != nil {
 			return call.Answer{}, call.Refuse(err, call.RanNo, g.queue.RetryAfter())
 		}
-		defer release()
 
-		return next(ctx, c)
+		begun := time.Now()
+		a, err := next(ctx, c)
+
+		release()
+
+		a.Load = g.queue.Load().WithTimes(begun.Sub(start), time.Since(begun))
+
+		return a, err
 	}
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -18,7 +18,7 @@
 		go n.gossip.Tell(context.Background())
 	}))
 	n.gate = gate.New(n.config.ID, n.host, n.queue)
-	n.selector = selection.New()
+	n.selector = selection.New(selection.Region(n.config.Region), selection.FailureDomain(n.config.FailureDomain))
 	n.entry = caller.New(
 		caller.Node(n.config.ID),
 		caller.Settings(n.holder),
--- /dev/null
+++ b/internal/selection/model_test.go
@@ -0,0 +1,260 @@
+package selection_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/selection"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+const (
+	service = "browse"
+	slots   = 10
+	hold    = 40 * time.Millisecond
+	way     = time.Millisecond
+)
+
+// server is a gate with a backend server behind it.
+type server struct {
+	id, domain string
+	ready      time.Time
+	queue      *admission.Queue
+	hold       time.Duration
+	fails      bool
+	odd        *rand.Rand // if set, one call of fifty takes ten times as long
+	report     func(call.Load) call.Load
+
+	mu   sync.Mutex
+	ran  int
+	most int
+}
+
+func newServer(id, domain string) *server {
+	return &server{
+		id: id, domain: domain, ready: time.Now().Add(-time.Hour), hold: hold,
+		queue:  admission.New(admission.Slots(slots), admission.ServiceTime(hold)),
+		report: func(l call.Load) call.Load { return l },
+	}
+}
+
+func (s *server) candidate() selection.Candidate {
+	return selection.Candidate{ID: s.id, Region: "midlands", FailureDomain: s.domain, Slots: slots, ReadySince: s.ready}
+}
+
+func (s *server) run(ctx context.Context) selection.Outcome {
+	time.Sleep(way / 2)
+
+	start := time.Now()
+
+	release, err := s.queue.Admit(ctx, admission.Ticket{Class: settings.ClassInteractive, Caller: "desk", Queue: 256})
+	if err != nil {
+		return selection.Outcome{Result: selection.Refused, Load: s.report(s.queue.Load())}
+	}
+
+	begun := time.Now()
+
+	s.mu.Lock()
+	s.ran++
+	s.most = max(s.most, s.queue.Load().InFlight)
+	held, fails := s.hold, s.fails
+
+	if s.odd != nil && s.odd.IntN(50) == 0 {
+		held *= 10
+	}
+
+	s.mu.Unlock()
+
+	time.Sleep(held)
+	release()
+
+	o := selection.Outcome{Load: s.report(s.queue.Load().WithTimes(begun.Sub(start), time.Since(begun)))}
+	if fails {
+		o.Result = selection.Failed
+	}
+
+	time.Sleep(way / 2)
+
+	return o
+}
+
+func (s *server) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	change()
+}
+
+// picker is what a way of choosing needs; selection.Selector is one.
+type picker interface {
+	Pick(string, []selection.Candidate, selection.Need) (selection.Candidate, bool)
+	Start(string, string, settings.Class) selection.Attempt
+}
+
+// mesh is some entries in front of some servers.
+type mesh struct {
+	servers []*server
+	entries []picker
+	// hedge is after how long a second attempt is made beside the first.
+	hedge time.Duration
+}
+
+func newMesh(entries int, servers ...*server) *mesh {
+	m := &mesh{servers: servers}
+	for i := range entries {
+		m.entries = append(m.entries, selection.New(
+			selection.Region("midlands"), selection.FailureDomain(fmt.Sprint("domain-", i%4)),
+			selection.WithRandom(rand.New(rand.NewPCG(1, uint64(i)))),
+		))
+	}
+
+	return m
+}
+
+func fourServers() []*server {
+	var out []*server
+	for i := range 4 {
+		out = append(out, newServer(fmt.Sprint("server-", i), fmt.Sprint("domain-", i)))
+	}
+
+	return out
+}
+
+// got is what the callers got.
+type got struct {
+	ok, failed, refused int
+	took                []time.Duration
+}
+
+func (g *got) p99() time.Duration {
+	if len(g.took) == 0 {
+		return 0
+	}
+
+	slices.Sort(g.took)
+
+	return g.took[len(g.took)*99/100]
+}
+
+func (g *got) mean() time.Duration {
+	var sum time.Duration
+	for _, d := range g.took {
+		sum += d
+	}
+
+	return sum / time.Duration(max(1, len(g.took)))
+}
+
+// play sends calls at random moments at a fixed mean rate through all entries.
+func (m *mesh) play(t *testing.T, rate float64, d time.Duration) *got {
+	t.Helper()
+
+	var (
+		wg     sync.WaitGroup
+		mu     sync.Mutex
+		out    = &got{}
+		random = rand.New(rand.NewPCG(3, 3))
+		end    = time.Now().Add(d)
+	)
+
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+
+		entry := m.entries[random.IntN(len(m.entries))]
+
+		wg.Go(func() {
+			start := time.Now()
+			o := m.hedged(t.Context(), entry)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			out.add(o, time.Since(start))
+		})
+	}
+
+	wg.Wait()
+
+	return out
+}
+
+func (g *got) add(o selection.Outcome, took time.Duration) {
+	switch o.Result {
+	case selection.Answered:
+		g.ok++
+		g.took = append(g.took, took)
+	case selection.Refused:
+		g.refused++
+	case selection.Failed, selection.TimedOut, selection.Abandoned:
+		g.failed++
+	}
+}
+
+// hedged takes whichever of two attempts answers first.
+func (m *mesh) hedged(ctx context.Context, entry picker) selection.Outcome {
+	if m.hedge == 0 {
+		return m.one(ctx, entry)
+	}
+
+	answers := make(chan selection.Outcome, 2)
+
+	go func() { answers <- m.one(ctx, entry) }()
+
+	select {
+	case o := <-answers:
+		return o
+	case <-time.After(m.hedge):
+	}
+
+	go func() { answers <- m.one(ctx, entry) }()
+
+	return <-answers
+}
+
+func (m *mesh) one(ctx context.Context, entry picker) selection.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+
+	candidates := make([]selection.Candidate, len(m.servers))
+	for i, s := range m.servers {
+		candidates[i] = s.candidate()
+	}
+
+	c, ok := entry.Pick(service, candidates, selection.Need{Class: settings.ClassInteractive, Idempotent: true})
+	if !ok {
+		return selection.Outcome{Result: selection.Refused}
+	}
+
+	attempt := entry.Start(service, c.ID, settings.ClassInteractive)
+	i := slices.IndexFunc(m.servers, func(s *server) bool { return s.id == c.ID })
+	o := m.servers[i].run(ctx)
+	attempt.End(o)
+
+	return o
+}
+
+// Ways of choosing that were weighed against selection.Selector.
+
+// atRandom picks any.
+type atRandom struct{ *selection.Selector }
+
+func (atRandom) Pick(_ string, c []selection.Candidate, _ selection.Need) (selection.Candidate, bool) {
+	return c[rand.IntN(len(c))], true
+}
+
+// leastReported picks the one that last reported the least work.
+type leastReported struct {
+	*selection.Selector
+	load func(id string) int
+}
+
+func (l leastReported) Pick(_ string, c []selection.Candidate, _ selection.Need) (selection.Candidate, bool) {
+	return slices.MinFunc(c, func(a, b selection.Candidate) int { return l.load(a.ID) - l.load(b.ID) }), true
+}
