--- a/internal/selection/model_test.go
+++ b/internal/selection/model_test.go
@@ -243,10 +243,25 @@
 // Ways of choosing that were weighed against selection.Selector.
 
 // atRandom picks any.
-type atRandom struct{ *selection.Selector }
+type atRandom struct {
+	*selection.Selector
+	random *lockedRand
+}
+
+type lockedRand struct {
+	mu sync.Mutex
+	r  *rand.Rand
+}
+
+func (l *lockedRand) intN(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.r.IntN(n)
+}
 
-func (atRandom) Pick(_ string, c []selection.Candidate, _ selection.Need) (selection.Candidate, bool) {
-	return c[rand.IntN(len(c))], true
+func (a atRandom) Pick(_ string, c []selection.Candidate, _ selection.Need) (selection.Candidate, bool) {
+	return c[a.random.intN(len(c))], true
 }
 
 // leastReported picks the one that last reported the least work.
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -175,6 +175,7 @@
 
 // TestWaysOfChoosing prints the figures of docs/design/0202-selection.md.
 func TestWaysOfChoosing(t *testing.T) {
+	random := &lockedRand{r: rand.New(rand.NewPCG(9, 9))}
 	tail := map[string]time.Duration{}
 
 	for _, w := range []struct {
@@ -185,7 +186,7 @@
 			return func(s *selection.Selector) picker { return s }
 		}},
 		{"at random", func(*mesh) func(*selection.Selector) picker {
-			return func(s *selection.Selector) picker { return atRandom{s} }
+			return func(s *selection.Selector) picker { return atRandom{s, random} }
 		}},
 		{"least reported", func(m *mesh) func(*selection.Selector) picker {
 			load := lagging(m)
@@ -230,10 +231,15 @@
 
 				ran := 0
 				for _, s := range servers {
-					ran += s.ran
+					s.set(func() { ran += s.ran })
 				}
 
-				t.Logf("load %.1f, hedge after %-4s: p99 %s, ran %.3f of the calls", load, hedge, g.p99(), float64(ran)/float64(g.ok))
+				work := float64(ran) / float64(g.ok)
+				t.Logf("load %.1f, hedge after %-4s: p99 %s, ran %.3f of the calls", load, hedge, g.p99(), work)
+
+				if hedge > 0 && load > 0.6 {
+					assert.Assert(t, work > 1.5, "hedging at high load was ruled out for its work")
+				}
 			})
 		}
 	}
