--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -37,6 +37,7 @@
 	ErrLeaving    = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
 	ErrDeadline   = errs.New("entry.deadline", http.StatusGatewayTimeout, "no answer came before the deadline")
 	ErrCanceled   = errs.New("entry.canceled", admission.StatusClientClosed, "the caller went away")
+	ErrCrossed    = errs.New("entry.crossed", http.StatusBadGateway, "the answer belongs to another call")
 	ErrHeader     = errs.New("entry.header", http.StatusBadRequest, "header not accepted")
 )
 
