--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -70,7 +70,11 @@
 
 	a.Call = c.ID
 	a.Upstream = g.node
-	a.Load = g.queue.Load()
+
+	// A filter that answers by itself has not asked the queue.
+	if a.Load.Slots == 0 {
+		a.Load = g.queue.Load()
+	}
 
 	return Reply{Answer: &a}, nil
 }
@@ -99,17 +103,24 @@
 
 func (g *Gate) admit(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		start := time.Now()
 		leaving := g.queue.Load().Leaving
 
 		release, err := g.queue.Admit(ctx, admission.Ticket{Class: c.Class, Caller: c.Caller, Queue: c.Queue})
 		if err != nil {
 			return call.Answer{}, call.Refuse(err, call.RanNo, g.queue.RetryAfter())
 		}
-		defer release()
 
 		invariant.Check(g.options.Recorder, invariant.NothingAfterDrain, !leaving || !g.queue.Load().Leaving,
 			timeline.Entry{Call: c.ID, Key: c.Key})
 
-		return next(ctx, c)
+		begun := time.Now()
+		a, err := next(ctx, c)
+
+		release()
+
+		a.Load = g.queue.Load().WithTimes(begun.Sub(start), time.Since(begun))
+
+		return a, err
 	}
 }
