--- /dev/null
+++ b/internal/once/world_test.go
@@ -0,0 +1,537 @@
+package once_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/attempt"
+	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+// world is a few nodes with their real entries, homes and gates on a network in
+// memory that delays, crosses, drops, holds and cuts, and fake backend servers
+// that count what they ran. It runs inside a synctest bubble.
+type world struct {
+	snapshot *settings.Snapshot
+	mutant   mutant
+
+	mu     sync.Mutex
+	random *rand.Rand
+	procs  []*proc
+	cuts   map[[2]int]bool
+	calm   bool
+	ran    map[string]int
+	told   map[string]map[call.Ran]int
+	faults []string
+}
+
+// mutant switches one guard off; the search must then find a fault.
+type mutant struct {
+	// noRecord forgets each key at once.
+	noRecord bool
+	// noClose takes an attempt for closed without asking its gate.
+	noClose bool
+	// noLife lets a process take the keys of the one before it for its own.
+	noLife bool
+	// noTicket lets a gate start any attempt.
+	noTicket bool
+}
+
+// proc is one life of a node's process.
+type proc struct {
+	w        *world
+	index    int
+	life     int
+	book     *book.Book
+	home     *once.Home
+	register *attempt.Register
+	gate     *gate.Gate
+	entry    *caller.Entry
+	handler  http.Handler
+
+	froze  atomic.Int64  // how often
+	thawed chan struct{} // closed while the process runs
+	dead   chan struct{} // closed when it has ended
+}
+
+const nodes = 4
+
+func newWorld(s *settings.Snapshot, seed uint64, m mutant) *world {
+	w := &world{
+		snapshot: s, mutant: m, random: rand.New(rand.NewPCG(seed, seed)), cuts: map[[2]int]bool{},
+		ran: map[string]int{}, told: map[string]map[call.Ran]int{}, procs: make([]*proc, nodes),
+	}
+	for i := range w.procs {
+		w.procs[i] = w.newProc(i, 1)
+	}
+
+	return w
+}
+
+func nodeID(i int) string  { return fmt.Sprintf("node-%d", i) }
+func address(i int) string { return fmt.Sprintf("127.0.0.%d:1", i+1) }
+
+func (w *world) newProc(i, life int) *proc {
+	p := &proc{w: w, index: i, life: life, thawed: make(chan struct{}), dead: make(chan struct{})}
+	close(p.thawed)
+
+	p.book = book.New(book.Generations(3), book.Records(32))
+	p.home = once.New(nodeID(i), 7, once.WithBook(p.book)) // one incarnation, as after a clock was set back
+	p.register = attempt.NewRegister(p.home.Life(), 64)
+
+	queue := admission.New(admission.Slots(2))
+
+	var starts gate.Starts = p.register
+	if w.mutant.noTicket {
+		starts = startAll{}
+	}
+
+	p.gate = gate.New(nodeID(i), p, queue).WithStarts(starts)
+	p.entry = caller.New(caller.Node(nodeID(i)), caller.Settings(p), caller.Members(w), caller.Nodes(w),
+		caller.WithPeers(p), caller.Home(p.home))
+	p.handler = p.entry.Handler()
+
+	return p
+}
+
+// startAll is a gate that remembers nothing.
+type startAll struct{}
+
+func (startAll) Start(call.Ticket) error { return nil }
+func (startAll) Close(call.Ticket) bool  { return true }
+
+// Load implements caller.Snapshots.
+func (p *proc) Load() *settings.Snapshot { return p.w.snapshot }
+
+// Serving implements caller.Serving: beliefs are wrong all the time.
+func (w *world) Serving(string) []membership.Record {
+	var out []membership.Record
+
+	for i := range nodes {
+		if !w.chance(10) {
+			out = append(out, w.record(i))
+		}
+	}
+
+	return out
+}
+
+// Find implements caller.Finder.
+func (w *world) Find(id string) (membership.Record, bool) {
+	for i := range nodes {
+		if nodeID(i) == id {
+			return w.record(i), true
+		}
+	}
+
+	return membership.Record{}, false
+}
+
+func (w *world) record(i int) membership.Record {
+	r := membership.Record{ID: nodeID(i), PeerAddress: address(i), State: membership.StateAlive}
+	if w.chance(3) {
+		r.State = membership.StateDead
+	}
+
+	return r
+}
+
+// chance is true in so many of a hundred cases, and never when the world is calm.
+func (w *world) chance(percent int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return !w.calm && w.random.IntN(100) < percent
+}
+
+func (w *world) delay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.calm {
+		return time.Millisecond
+	}
+
+	if w.random.IntN(10) == 0 {
+		return time.Duration(w.random.IntN(4000)) * time.Millisecond
+	}
+
+	return time.Duration(w.random.IntN(5)) * time.Millisecond
+}
+
+func (w *world) proc(i int) *proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.procs[i]
+}
+
+func (w *world) cut(a, b int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.cuts[[2]int{min(a, b), max(a, b)}]
+}
+
+func (w *world) setCut(a, b int, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.cuts[[2]int{min(a, b), max(a, b)}] = cut
+}
+
+func (w *world) heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	clear(w.cuts)
+}
+
+// replace ends a process at once and starts the next one in its place.
+func (w *world) replace(i int) {
+	old := w.proc(i)
+	w.wake(i)
+	close(old.dead)
+
+	next := w.newProc(i, old.life+1)
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.procs[i] = next
+}
+
+func (w *world) freeze(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	p := w.procs[i]
+	select {
+	case <-p.thawed:
+		p.thawed = make(chan struct{})
+		p.froze.Add(1)
+	default:
+	}
+}
+
+func (w *world) wake(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	p := w.procs[i]
+	select {
+	case <-p.thawed:
+	default:
+		close(p.thawed)
+	}
+}
+
+func (p *proc) running() <-chan struct{} {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+
+	return p.thawed
+}
+
+func (p *proc) ended() bool {
+	select {
+	case <-p.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+// Do implements peer messages over the network in memory.
+func (p *proc) Do(ctx context.Context, to string, _ peer.Lane, method string, in, out any) error {
+	<-p.running()
+
+	if p.ended() {
+		<-ctx.Done() // a process that has ended does nothing more
+
+		return peer.ErrBroken
+	}
+
+	target := -1
+
+	for i := range nodes {
+		if address(i) == to {
+			target = i
+		}
+	}
+
+	if p.w.cut(p.index, target) {
+		return peer.ErrUnreachable
+	}
+
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return err
+	}
+
+	answer := make(chan []byte, 1)
+	remaining, _ := ctx.Deadline()
+
+	go p.w.carry(ctx, p, target, method, body, time.Until(remaining), answer)
+
+	// The connection may break while the message is under way.
+	broken := make(<-chan time.Time)
+	if p.w.chance(15) {
+		broken = time.After(p.w.delay())
+	}
+
+	select {
+	case data := <-answer:
+		return peer.Decode(data, out)
+	case <-broken:
+	case <-ctx.Done():
+	}
+
+	return peer.ErrBroken
+}
+
+// carry takes a message to the process that is there when it arrives, however
+// late that is, and its answer back.
+func (w *world) carry(ctx context.Context, from *proc, to int, method string, body []byte, remaining time.Duration, answer chan<- []byte) {
+	time.Sleep(w.delay())
+
+	target := w.proc(to)
+	<-target.running()
+
+	if w.chance(5) || w.cut(from.index, to) || target.ended() {
+		return
+	}
+
+	handling, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(remaining, time.Millisecond))
+	defer cancel()
+
+	if !w.chance(50) { // else the cancellation is lost
+		stop := context.AfterFunc(ctx, cancel)
+		defer stop()
+	}
+
+	v, err := target.handle(handling, method, body)
+	if err != nil {
+		return
+	}
+
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return
+	}
+
+	time.Sleep(w.delay())
+	<-target.running()
+	<-from.running()
+
+	if !w.chance(5) && !w.cut(from.index, to) && !target.ended() {
+		answer <- data
+	}
+}
+
+func (p *proc) handle(ctx context.Context, method string, body []byte) (any, error) {
+	switch method {
+	case gate.MethodRun:
+		return typed(ctx, body, p.gate.Serve)
+	case caller.MethodOnce:
+		return typed(ctx, body, func(ctx context.Context, c call.Call) (gate.Reply, error) {
+			c.Key = p.mutate(c.Key)
+
+			return p.entry.ServeOnce(ctx, c)
+		})
+	case once.MethodEpoch:
+		return once.Epoch{Epoch: p.register.Epoch()}, nil
+	case once.MethodClose:
+		return typed(ctx, body, func(_ context.Context, t call.Ticket) (once.Closed, error) {
+			return once.Closed{Closed: p.w.mutant.noClose || p.register.Close(t)}, nil
+		})
+	}
+
+	return nil, peer.ErrNoMethod
+}
+
+func typed[In, Out any](ctx context.Context, body []byte, f func(context.Context, In) (Out, error)) (any, error) {
+	return peer.Typed(f)(ctx, body)
+}
+
+// Run implements gate.Runner: the backend server.
+func (p *proc) Run(ctx context.Context, c call.Call) (call.Answer, error) {
+	switch {
+	case p.w.chance(10):
+		return call.Answer{}, call.Refuse(errors.New("connection refused"), call.RanNo, time.Second)
+	case p.w.chance(10):
+		return call.Answer{}, call.Refuse(errors.New("shed"), call.RanNo, time.Second)
+	}
+
+	time.Sleep(p.w.delay() / 8) // on the wire; a cancellation does not call it back
+
+	p.w.mu.Lock()
+	p.w.ran[tokenOf(c.Key)]++
+	p.w.mu.Unlock()
+
+	select {
+	case <-time.After(p.w.delay()):
+	case <-ctx.Done():
+		return call.Answer{}, call.Refuse(ctx.Err(), call.RanUnknown, time.Second)
+	}
+
+	if p.w.chance(10) {
+		return call.Answer{}, call.Refuse(errors.New("crashed"), call.RanUnknown, time.Second)
+	}
+
+	return call.Answer{Status: http.StatusOK, Body: []byte(tokenOf(c.Key)), Ran: call.RanYes}, nil
+}
+
+// tokenOf is what the caller sees as one key, also where a mutant renames it.
+func tokenOf(key string) string {
+	token, _, _ := strings.Cut(key[strings.LastIndexByte(key, '.')+1:], "~")
+
+	return token
+}
+
+// mutate plays a home without one of its guards by changing the key's name.
+func (p *proc) mutate(text string) string {
+	parts := strings.Split(text, ".")
+
+	const life, generation = 2, 3
+
+	if len(parts) != generation+2 {
+		return text
+	}
+
+	if p.w.mutant.noRecord {
+		parts[len(parts)-1] = tokenOf(text) + "~" + ulid.Make().String()
+	}
+
+	if p.w.mutant.noLife && parts[1] == nodeID(p.index) {
+		parts[life] = p.home.Life()
+	}
+
+	return strings.Join(parts, ".")
+}
+
+// send sends a call through a node and notes what its caller is told.
+func (w *world) send(via int, key string) {
+	p := w.proc(via)
+	froze := p.froze.Load()
+	<-p.running()
+
+	const limit = 5 * time.Second
+
+	req := httptest.NewRequest(http.MethodPost, "/uploads/1", strings.NewReader("gift aid"))
+	req.Header.Set(caller.HeaderKey, p.mutate(key))
+
+	start := time.Now()
+	rec := httptest.NewRecorder()
+	p.handler.ServeHTTP(rec, req)
+
+	// A frozen process can't answer; all others must, in time.
+	if late := time.Since(start) - limit; late > 0 && froze == p.froze.Load() {
+		w.fault("%s: answer %s after the deadline", key, late)
+	}
+
+	<-p.running()
+
+	if p.ended() {
+		return // the caller sees a broken connection
+	}
+
+	w.note(key, rec)
+}
+
+func (w *world) note(key string, rec *httptest.ResponseRecorder) {
+	ran := call.Ran(rec.Header().Get(caller.HeaderRan))
+	token := tokenOf(key)
+
+	if rec.Code == http.StatusOK && rec.Body.String() != token {
+		w.fault("%s: got the answer of %s", key, rec.Body)
+	}
+
+	if rec.Code != http.StatusOK {
+		var t caller.TurnedAway
+		if json.Unmarshal(rec.Body.Bytes(), &t) != nil || t.Ran != ran {
+			w.fault("%s: refusal %s", key, rec.Body)
+		}
+	}
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.told[token] == nil {
+		w.told[token] = map[call.Ran]int{}
+	}
+
+	w.told[token][ran]++
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// check looks for broken promises.
+func (w *world) check() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	out := append([]string(nil), w.faults...)
+
+	for token, n := range w.ran {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("%s ran %d times", token, n))
+		}
+	}
+
+	for token, told := range w.told {
+		if told[call.RanNo] > 0 && (w.ran[token] > 0 || told[call.RanYes] > 0) {
+			out = append(out, fmt.Sprintf("%s ran %d times, told %v", token, w.ran[token], maps.Clone(told)))
+		}
+	}
+
+	return out
+}
+
+// uploadSettings is a tree with one route that must not run twice.
+func uploadSettings(t *testing.T) *settings.Snapshot {
+	t.Helper()
+
+	data, err := os.ReadFile("../../examples/midlands/tree.jsonc")
+	assert.NilError(t, err)
+
+	tree, err := settings.Parse("tree.jsonc", data)
+	assert.NilError(t, err)
+
+	records, err := tree.Records()
+	assert.NilError(t, err)
+
+	s, err := settings.NewSnapshot(settings.Version{Number: 1, Digest: settings.TreeDigest(records.Digests())}, records)
+	assert.NilError(t, err)
+
+	return s
+}
