--- a/internal/spread/holder.go
+++ b/internal/spread/holder.go
@@ -11,7 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -23,6 +25,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	past    acceptance.History
 }
 
 // Held is a snapshot and when it came into force here.
@@ -63,6 +66,14 @@
 	return 0
 }
 
+// Known returns the version held and the ones held before it.
+func (h *Holder) Known() acceptance.Known {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return acceptance.Known{Snapshot: h.Load(), Versions: h.past}
+}
+
 // Offer takes the snapshot if it is newer than the one held, and reports so.
 //
 // Updates cross in flight and a source can come back from an older copy; a node
@@ -81,6 +92,8 @@
 		return false
 	}
 
+	h.check(s)
+	h.past = h.past.With(s.Version())
 	h.current.Store(&Held{Snapshot: s, Since: time.Now()})
 	h.recorder.Record(event.VersionInForce, timeline.Entry{Version: number})
 	close(h.changed)
@@ -89,6 +102,16 @@
 	return true
 }
 
+// check asserts what Offer and NewSnapshot promise of what comes into force.
+func (h *Holder) check(s *settings.Snapshot) {
+	v := s.Version()
+	entry := timeline.Entry{Version: v.Number}
+
+	invariant.Check(h.recorder, invariant.VersionsGoUp, v.Number > h.Number(), entry)
+	invariant.Check(h.recorder, invariant.VersionsAreWhole, settings.TreeDigest(v.Branches) == v.Digest, entry)
+	invariant.Check(h.recorder, invariant.ServicesAreKnown, s.UnknownService() == "", entry)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -29,6 +29,12 @@
 	// LoseAnswers is the number of writes to come that take effect and whose
 	// answers are lost.
 	LoseAnswers int `json:"LoseAnswers"`
+	// LoseWrites is the number of writes to come that are lost on the way.
+	LoseWrites int `json:"LoseWrites"`
+	// SpareWrites is the number of writes that go well before any is lost.
+	SpareWrites int `json:"SpareWrites"`
+	// DownAfterLoss takes the platform down with the last lost answer or write.
+	DownAfterLoss bool `json:"DownAfterLoss"`
 	// Cut lists the listen addresses that refuse every call.
 	Cut []string `json:"Cut"`
 }
@@ -60,6 +66,7 @@
 	leases   map[int64]lease
 	faults   Faults
 	counts   Counts
+	kept     map[string][]byte
 	changed  chan struct{}
 	broken   chan struct{}
 }
@@ -121,6 +128,26 @@
 	p.notify()
 }
 
+// keepCopy keeps the state as it is now, restoreCopy goes back to it.
+func (p *Platform) keepCopy() {
+	state := p.Snapshot()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.kept = state
+}
+
+func (p *Platform) restoreCopy() {
+	p.mu.Lock()
+	state := p.kept
+	p.mu.Unlock()
+
+	if state != nil {
+		p.Restore(state)
+	}
+}
+
 func (p *Platform) notify() {
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -148,6 +175,16 @@
 
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.POST("/standin/copy", func(c echo.Context) error {
+		p.keepCopy()
+
+		return c.NoContent(http.StatusNoContent)
+	})
+	e.POST("/standin/restore", func(c echo.Context) error {
+		p.restoreCopy()
+
+		return c.NoContent(http.StatusNoContent)
+	})
 	e.GET("/standin/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, p.Counts()) })
 
 	return e
@@ -217,24 +254,30 @@
 	p.counts.Reads++
 	p.expire()
 
+	return c.JSON(http.StatusOK, p.read(in))
+}
+
+func (p *Platform) read(in rangeIn) rangeOut {
 	out := rangeOut{Header: wireHeader{p.revision}}
 
-	for k, v := range p.values {
-		if inRange(k, string(in.Key), string(in.RangeEnd)) {
-			out.Kvs = append(out.Kvs, wireKV{[]byte(k), v.data, v.revision})
+	if len(in.RangeEnd) == 0 {
+		if v, ok := p.values[string(in.Key)]; ok {
+			out.Kvs = append(out.Kvs, wireKV{in.Key, v.data, v.revision})
+		}
+	} else {
+		for k, v := range p.values {
+			if inRange(k, string(in.Key), string(in.RangeEnd)) {
+				out.Kvs = append(out.Kvs, wireKV{[]byte(k), v.data, v.revision})
+			}
 		}
 	}
 
 	out.Count = int64(len(out.Kvs))
 
-	return c.JSON(http.StatusOK, out)
+	return out
 }
 
 func inRange(key, from, to string) bool {
-	if to == "" {
-		return key == from
-	}
-
 	return strings.Compare(key, from) >= 0 && strings.Compare(key, to) < 0
 }
 
