Membership whose traffic does not grow with the fleet

Cause: each node talked to a random one five times a second and sent its whole table whenever the two differed by one record; a single observer could have a healthy node taken for dead; a process that started again on a host whose clock was set back never won over its old record; two halves of a healed cut never looked for each other.

Ruled out: fixed observers on a ring (who observes must itself be agreed on, and a rack takes several neighbours with it); the whole digest of the table on each message (grows with the fleet); taking another's word for a death (a healed cut then makes each side drop its own healthy nodes).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,7 @@
 	NodeDraining = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
 	NodeStopped  = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
 	NodeFailed   = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
+	NodePaused   = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
 )
 
 // Settings.
@@ -42,6 +43,7 @@
 	MemberDead     = add(302, "MemberDead", slog.LevelWarn, "A suspected node did not refute in time and is taken for dead.")
 	MemberLeft     = add(303, "MemberLeft", slog.LevelInfo, "A node left by itself.")
 	MemberRefuted  = add(304, "MemberRefuted", slog.LevelInfo, "The node was suspected by others and refuted it with a higher incarnation.")
+	MemberCleared  = add(305, "MemberCleared", slog.LevelInfo, "A suspected node was heard of again and is no longer suspected.")
 	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The backend server on this host announced itself.")
 	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The backend server on this host changed its state.")
 	UpstreamLost   = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
--- /dev/null
+++ b/internal/membership/changes.go
@@ -0,0 +1,117 @@
+package membership
+
+import "math"
+
+// changes are the nodes whose records have news that others may not have.
+//
+// Each change goes out a bounded number of times: a few times the logarithm of
+// the fleet's size reaches everyone with near certainty, and what it misses the
+// comparison of digests repairs. Without the bound, traffic would grow with the
+// fleet and its churn.
+type changes struct {
+	pending map[string]*change
+	// fresh are changes that did not go out yet, again those that did, the one
+	// that waits longest first.
+	fresh []*change
+	again []*change
+}
+
+type change struct {
+	id   string
+	sent int
+	done bool
+}
+
+func newChanges() changes { return changes{pending: map[string]*change{}} }
+
+func (c *changes) add(id string) {
+	c.remove(id)
+
+	n := &change{id: id}
+	c.pending[id] = n
+	c.fresh = append(c.fresh, n)
+}
+
+func (c *changes) remove(id string) {
+	if old := c.pending[id]; old != nil {
+		old.done = true
+
+		delete(c.pending, id)
+	}
+}
+
+// transmitFactor times the decimal logarithm of the size is how often a change
+// is sent; with a fan-out of two and answers that carry news as well, twice that
+// many hear it from one node alone.
+const transmitFactor = 4
+
+func transmits(live int) int {
+	return transmitFactor * int(math.Ceil(math.Log10(float64(live+1))))
+}
+
+// take returns up to count nodes whose news went out least, counts them as sent
+// once more, and forgets those that went out limit times.
+func (c *changes) take(count, limit int) []string {
+	var (
+		ids   []string
+		taken []*change
+	)
+
+	for _, queue := range []*[]*change{&c.fresh, &c.again} {
+		for len(*queue) > 0 && len(ids) < count {
+			n := (*queue)[0]
+			*queue = (*queue)[1:]
+
+			if !n.done {
+				ids = append(ids, n.id)
+				taken = append(taken, n)
+			}
+		}
+	}
+
+	for _, n := range taken {
+		if n.sent++; n.sent < limit {
+			c.again = append(c.again, n)
+		} else {
+			c.remove(n.id)
+		}
+	}
+
+	return ids
+}
+
+// News takes up to count changes to be sent to a node. What is held of that node
+// itself always goes with them, so that it can refute.
+func (t *Table) News(count int, to string) ([]Record, []Belief) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var records []Record
+
+	beliefs := t.beliefsOf(to)
+
+	for _, id := range t.changes.take(count, transmits(len(t.live.ids))) {
+		m := t.members[id]
+		if m == nil || id == to {
+			continue
+		}
+
+		if b := t.beliefsOf(id); len(b) > 0 {
+			beliefs = append(beliefs, b...)
+
+			continue
+		}
+
+		records = append(records, m.record)
+	}
+
+	return records, beliefs
+}
+
+// Pending reports whether there are changes to be spread.
+func (t *Table) Pending() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	return len(t.changes.pending) > 0
+}
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -12,29 +12,53 @@
 // is live choose too many or too few for a moment; that costs calls to the
 // platform, never correctness.
 func (t *Table) Chosen(id, domain string, count int) bool {
-	var live []Record
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 
-	for _, r := range t.Live() {
-		if r.FailureDomain == domain {
-			live = append(live, r)
+	own := weight(domain, id)
+	before := 0
+	found := false
+
+	for _, other := range t.live.ids {
+		if t.members[other].record.FailureDomain != domain {
+			continue
 		}
-	}
 
-	slices.SortFunc(live, func(a, b Record) int {
-		return cmp.Compare(weight(domain, b.ID), weight(domain, a.ID))
-	})
+		if other == id {
+			found = true
+
+			continue
+		}
+
+		if weight(domain, other) > own {
+			before++
+		}
 
-	for i, r := range live {
-		if i == count {
+		if before >= count {
 			return false
 		}
+	}
+
+	return found
+}
 
-		if r.ID == id {
-			return true
+// FirstOf returns up to count live nodes of a failure domain in the order of
+// rendezvous hashing.
+func (t *Table) FirstOf(domain string, count int) []Record {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	var out []Record
+
+	for _, id := range t.live.ids {
+		if r := t.members[id].record; r.FailureDomain == domain {
+			out = append(out, r)
 		}
 	}
 
-	return false
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(weight(domain, b.ID), weight(domain, a.ID)) })
+
+	return out[:min(count, len(out))]
 }
 
 func weight(domain, id string) uint64 { return xxhash.Sum64String(domain + "\x00" + id) }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -3,33 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/peer"
 )
 
-// MethodExchange is the peer method of gossip.
-const MethodExchange = "Membership.Exchange"
-
-// Exchange is one gossip message, in both directions.
-type Exchange struct {
-	From    Record   `msgpack:"From"`
-	Hash    uint64   `msgpack:"Hash"`
-	Version uint64   `msgpack:"Version"`
-	Records []Record `msgpack:"Records"`
-}
-
-// Check reports whether a decoded message can be used.
-func (e *Exchange) Check() error {
-	for i := range e.Records {
-		if err := e.Records[i].Check(); err != nil {
-			return err
-		}
-	}
-
-	return e.From.Check()
-}
-
 // Caller sends a message to a peer.
 type Caller interface {
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
@@ -40,111 +20,189 @@
 	table   *Table
 	peers   Caller
 	options Options
+
+	// serving bounds how many comparisons are answered at the same time, so that
+	// a herd that starts together does not take the node's memory.
+	serving chan struct{}
+	differs atomic.Pointer[string] // address of a node whose digest differs
+	doubts  doubts
+	health  health
+	version versionNews
+	alone   int // tries to join so far; only join uses it
 }
 
+// maxServing is how many comparisons a node answers at the same time.
+const maxServing = 8
+
 // NewGossip returns a gossip over the table.
 func NewGossip(t *Table, c Caller, opts ...Option) *Gossip {
-	return &Gossip{table: t, peers: c, options: newOptions(opts...)}
+	return &Gossip{
+		table: t, peers: c, options: newOptions(opts...),
+		serving: make(chan struct{}, maxServing),
+		doubts:  newDoubts(),
+	}
 }
 
 // Run gossips until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+
+	wg.Go(func() { g.rounds(ctx) })
+
+	for _, loop := range []struct {
+		pause time.Duration
+		step  func(context.Context)
+	}{
+		{g.options.Probe, g.probeRandom},
+		{g.options.Reconnect, g.reconnect},
+		{idlePause, g.join},
+		{idlePause, g.compare},
+	} {
+		wg.Go(func() { every(ctx, loop.pause, loop.step) })
+	}
+
+	wg.Wait()
+}
+
+// every runs a step until ctx ends. Jitter keeps nodes that started together
+// from talking in step.
+func every(ctx context.Context, pause time.Duration, step func(context.Context)) {
 	for ctx.Err() == nil {
-		g.round(ctx)
-		g.table.Expire(g.options.Suspicion)
+		step(ctx)
 
-		// Jitter keeps nodes that started together from talking in step.
-		pause := g.options.Interval/2 + rand.N(g.options.Interval)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		wait(ctx, jitter(pause))
 	}
 }
 
-func (g *Gossip) round(ctx context.Context) {
-	if target, ok := g.target(); ok {
-		if err := g.talk(ctx, target.PeerAddress); err != nil {
-			g.table.Suspect(target.ID)
-		}
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-		return
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
+}
 
-	for _, address := range g.options.Seeds {
-		if address != g.table.Self().PeerAddress && g.talk(ctx, address) == nil {
-			return
+// idlePause is the pause between rounds without news.
+const idlePause = 500 * time.Millisecond
+
+// rounds does a round a few times a second while there is news, and seldom
+// otherwise, so that a quiet fleet costs its hosts next to nothing.
+func (g *Gossip) rounds(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.round(ctx)
+
+		if !g.table.Pending() {
+			select {
+			case <-ctx.Done():
+			case <-g.table.news:
+			case <-time.After(idlePause):
+			}
 		}
+
+		wait(ctx, jitter(g.options.Interval))
 	}
 }
 
-func (g *Gossip) target() (Record, bool) {
-	self := g.table.Self().ID
+// round spreads news, and does what time demands.
+func (g *Gossip) round(ctx context.Context) {
+	if gap := g.health.pulse(); gap > 0 {
+		g.table.Restart(gap)
+	}
 
-	var others []Record
+	g.table.Expire(g.options.Suspicion)
+	g.examine(ctx)
 
-	for _, r := range g.table.Records() {
-		if r.ID != self && r.State != StateLeft {
-			others = append(others, r)
-		}
+	if g.table.Pending() || g.version.pending(g.options.Version(), transmits(g.table.CountLive())) {
+		g.Tell(ctx)
 	}
+}
 
-	if len(others) == 0 {
-		return Record{}, false
+// Tell sends news to some live nodes at once.
+func (g *Gossip) Tell(ctx context.Context) {
+	for _, target := range g.table.Random(g.options.Fanout) {
+		go func() { _ = g.exchange(ctx, target) }()
 	}
-
-	return others[rand.IntN(len(others))], true
 }
 
-func (g *Gossip) talk(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, g.options.Timeout)
+// exchange probes a node and trades news with it.
+func (g *Gossip) exchange(ctx context.Context, target Record) error {
+	ctx, cancel := context.WithTimeout(ctx, g.health.stretch(g.options.Timeout))
 	defer cancel()
 
-	var reply Exchange
-	if err := g.peers.Do(ctx, address, peer.LaneControl, MethodExchange, g.message(nil), &reply); err != nil {
+	reply, err := g.talk(ctx, target.ID, target.PeerAddress)
+	if err != nil {
 		return err
 	}
 
-	g.hear(ctx, reply)
-
-	if reply.Hash != g.table.Hash() {
-		return g.peers.Do(ctx, address, peer.LaneControl, MethodExchange, g.message(g.table.Records()), &reply)
+	if reply.From != target.ID {
+		return ErrRecord.With("%s answers at the address of %s", reply.From, target.ID)
 	}
 
 	return nil
 }
 
-// Tell sends the own table to some live nodes at once, for news that can't wait
-// for the next rounds.
-func (g *Gossip) Tell(ctx context.Context) {
-	for range g.options.Fanout {
-		if target, ok := g.target(); ok {
-			var reply Exchange
-
-			_ = g.peers.Do(ctx, target.PeerAddress, peer.LaneControl, MethodExchange, g.message(g.table.Records()), &reply)
-		}
+func (g *Gossip) talk(ctx context.Context, id, address string) (Exchange, error) {
+	var reply Exchange
+	if err := g.peers.Do(ctx, address, peer.LaneControl, MethodExchange, g.message(id), &reply); err != nil {
+		return reply, err
 	}
+
+	g.hear(reply)
+	g.options.Hear(context.WithoutCancel(ctx), reply.Address, reply.Version)
+
+	return reply, nil
 }
 
-func (g *Gossip) message(records []Record) Exchange {
-	return Exchange{From: g.table.Self(), Hash: g.table.Hash(), Version: g.options.Version(), Records: records}
+func (g *Gossip) message(to string) Exchange {
+	self := g.table.Self()
+	records, beliefs := g.table.News(maxNews, to)
+
+	return Exchange{
+		From: self.ID, Address: self.PeerAddress, Hash: g.table.Hash(), Version: g.options.Version(),
+		Records: records, Beliefs: beliefs,
+	}
 }
 
-func (g *Gossip) hear(ctx context.Context, e Exchange) {
-	g.table.Merge(append(e.Records, e.From))
-	g.options.Hear(ctx, e.From.PeerAddress, e.Version)
+func (g *Gossip) hear(e Exchange) {
+	g.table.Merge(e.From, e.Records)
+	g.table.Believe(e.Beliefs)
+
+	if e.Hash != g.table.Hash() {
+		g.differs.Store(&e.Address)
+	}
 }
 
-// Serve answers a peer's message.
+// Serve answers a probe.
 func (g *Gossip) Serve(ctx context.Context, in Exchange) (Exchange, error) {
-	same := in.Hash == g.table.Hash()
-	g.table.Merge(append(in.Records, in.From))
+	g.hear(in)
+
+	go g.options.Hear(context.WithoutCancel(ctx), in.Address, in.Version)
+
+	return g.message(in.From), nil
+}
+
+// versionNews makes a new version go out as often as any other change.
+type versionNews struct {
+	mu     sync.Mutex
+	number uint64
+	left   int
+}
 
-	go g.options.Hear(context.WithoutCancel(ctx), in.From.PeerAddress, in.Version)
+func (v *versionNews) pending(number uint64, limit int) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 
-	if same || len(in.Records) > 0 {
-		return g.message(nil), nil
+	if number > v.number {
+		v.number = number
+		v.left = limit
 	}
 
-	return g.message(g.table.Records()), nil
+	if v.left == 0 {
+		return false
+	}
+
+	v.left--
+
+	return true
 }
--- /dev/null
+++ b/internal/membership/index.go
@@ -0,0 +1,230 @@
+package membership
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+)
+
+// index answers the questions of the path of a call without looking at all
+// records. Its snapshots are immutable: a call reads them without a lock and
+// without a copy.
+type index struct {
+	services atomic.Pointer[map[string]service]
+	ready    atomic.Int64
+
+	// What follows is used under the table's lock.
+	suspect map[string]bool
+	members map[string]map[string]Record // ready ones by service and ID
+	dirty   map[string]bool              // services whose snapshot is outdated
+}
+
+// service is the snapshot of one service.
+type service struct {
+	serving []Record // those that calls are sent to, in the order of IDs
+}
+
+func (x *index) init() {
+	x.suspect = map[string]bool{}
+	x.members = map[string]map[string]Record{}
+	x.dirty = map[string]bool{}
+	x.services.Store(&map[string]service{})
+}
+
+func (x *index) suspects() []string { return slices.Collect(maps.Keys(x.suspect)) }
+
+// replace takes a change of one record.
+func (x *index) replace(old, r Record) {
+	if r.State == StateSuspect {
+		x.suspect[r.ID] = true
+	} else {
+		delete(x.suspect, r.ID)
+	}
+
+	if old.Ready() {
+		x.ready.Add(-1)
+		x.dirty[old.Upstream.Service] = true
+		delete(x.members[old.Upstream.Service], r.ID)
+	}
+
+	if !r.Ready() {
+		return
+	}
+
+	x.ready.Add(1)
+	x.dirty[r.Upstream.Service] = true
+
+	if x.members[r.Upstream.Service] == nil {
+		x.members[r.Upstream.Service] = map[string]Record{}
+	}
+
+	x.members[r.Upstream.Service][r.ID] = r
+}
+
+// publish makes new snapshots of the services that changed; many changes that
+// arrived in one message cost one.
+func (x *index) publish() {
+	if len(x.dirty) == 0 {
+		return
+	}
+
+	next := maps.Clone(*x.services.Load())
+
+	for name := range x.dirty {
+		if len(x.members[name]) == 0 {
+			delete(x.members, name)
+			delete(next, name)
+		} else {
+			next[name] = newService(slices.SortedFunc(maps.Values(x.members[name]), byID))
+		}
+	}
+
+	clear(x.dirty)
+	x.services.Store(&next)
+}
+
+// unlock ends a change of the table.
+func (t *Table) unlock() {
+	t.index.publish()
+	t.mu.Unlock()
+}
+
+// newService chooses who is sent calls: those that nobody suspects. If that
+// would leave less than half, the suspicion is the likelier fault, such as a
+// broken link of this node itself, and the suspected ones are sent calls too: a
+// bad signal must never empty a service.
+func newService(ready []Record) service {
+	serving := slices.DeleteFunc(slices.Clone(ready), func(r Record) bool { return r.State == StateSuspect })
+	if 2*len(serving) < len(ready) {
+		serving = ready
+	}
+
+	return service{serving: serving}
+}
+
+func byID(a, b Record) int { return strings.Compare(a.ID, b.ID) }
+
+// Serving returns the live nodes whose backend server takes calls of a service,
+// in the order of IDs. The slice is shared and must not be changed.
+func (t *Table) Serving(name string) []Record {
+	return (*t.index.services.Load())[name].serving
+}
+
+// CountReady returns how many live nodes have a backend server that takes calls.
+func (t *Table) CountReady() int { return int(t.index.ready.Load()) }
+
+// Live returns the records of nodes that are thought to run, in the order of IDs.
+func (t *Table) Live() []Record {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	out := make([]Record, 0, len(t.live.ids))
+	for _, id := range t.live.ids {
+		out = append(out, t.members[id].record)
+	}
+
+	slices.SortFunc(out, byID)
+
+	return out
+}
+
+// CountLive returns how many nodes are thought to run.
+func (t *Table) CountLive() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	return len(t.live.ids)
+}
+
+// Random returns up to count different live nodes, without the own one and the
+// given ones.
+func (t *Table) Random(count int, without ...string) []Record {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	var out []Record
+
+	skip := append([]string{t.self.ID}, without...)
+
+	// More tries than wanted make up for repeats; a small fleet may give fewer than
+	// wanted, which costs a probe its breadth and nothing else.
+	const triesEach = 4
+
+	for tries := triesEach*count + len(skip); tries > 0 && len(out) < count; tries-- {
+		id := t.live.ids[rand.IntN(len(t.live.ids))]
+		if slices.Contains(skip, id) {
+			continue
+		}
+
+		skip = append(skip, id)
+		out = append(out, t.members[id].record)
+	}
+
+	return out
+}
+
+// Lost returns a random node that is held for dead.
+func (t *Table) Lost() (Record, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	// The order of a map's keys is random.
+	for _, m := range t.members {
+		if m.record.State == StateDead {
+			return m.record, true
+		}
+	}
+
+	return Record{}, false
+}
+
+// liveSet is a set with a random element in constant time.
+type liveSet struct {
+	ids []string
+	at  map[string]int
+}
+
+func newLiveSet() liveSet { return liveSet{at: map[string]int{}} }
+
+func (s *liveSet) set(id string, live bool) {
+	i, in := s.at[id]
+
+	switch {
+	case live && !in:
+		s.at[id] = len(s.ids)
+		s.ids = append(s.ids, id)
+	case !live && in:
+		last := s.ids[len(s.ids)-1]
+		s.ids[i] = last
+		s.at[last] = i
+		s.ids = s.ids[:len(s.ids)-1]
+		delete(s.at, id)
+	}
+}
+
+// At returns the records of the nodes with the peer addresses, also of dead ones.
+func (t *Table) At(addresses []string) []Record {
+	if len(addresses) == 0 {
+		return nil
+	}
+
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	var out []Record
+
+	for _, m := range t.members {
+		if slices.Contains(addresses, m.record.PeerAddress) && m.record.State != StateLeft {
+			out = append(out, m.record)
+		}
+	}
+
+	return out
+}
+
+// LiveAt reports whether a live node has the peer address.
+func (t *Table) LiveAt(address string) bool {
+	return slices.ContainsFunc(t.At([]string{address}), Record.Live)
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,14 +1,10 @@
 package membership
 
 import (
-	"encoding/binary"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -19,20 +15,36 @@
 
 	mu      sync.RWMutex
 	self    Record
-	members map[string]member
-	hash    uint64
+	members map[string]*member
+	live    liveSet
+	digest  digest
+	changes changes
+	index   index
+	// news wakes who spreads changes.
+	news chan struct{}
 }
 
 type member struct {
 	record Record
 	since  time.Time
+	// accusers are the observers that got no answer, the first of them first.
+	accusers []string
 }
 
 // NewTable returns a table that knows only its own node.
 func NewTable(self Record, recorder *timeline.Recorder) *Table {
 	self.State = StateAlive
-	t := &Table{recorder: recorder, self: self, members: map[string]member{}}
+	if self.Epoch == 0 {
+		self.Epoch = self.Incarnation
+	}
+
+	t := &Table{
+		recorder: recorder, self: self, members: map[string]*member{}, live: newLiveSet(), changes: newChanges(),
+		news: make(chan struct{}, 1),
+	}
+	t.index.init()
 	t.put(self)
+	t.index.publish()
 
 	return t
 }
@@ -48,7 +60,7 @@
 // Update changes the own record; nobody else does.
 func (t *Table) Update(change func(Record) Record) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 
 	next := change(t.self)
 	next.Seq = t.self.Seq + 1
@@ -56,15 +68,15 @@
 	t.put(next)
 }
 
-// Merge takes records that arrived and returns how many were news.
-func (t *Table) Merge(records []Record) int {
+// Merge takes records that arrived from a node and returns how many were news.
+func (t *Table) Merge(from string, records []Record) int {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 
 	news := 0
 
 	for _, r := range records {
-		if t.merge(r) {
+		if t.merge(from, r) {
 			news++
 		}
 	}
@@ -72,67 +84,159 @@
 	return news
 }
 
-func (t *Table) merge(r Record) bool {
+// Adopt takes records from a comparison. They are not passed on by gossip: others
+// have had them for long, and a node that joins would send the whole table round.
+func (t *Table) Adopt(from string, records []Record) int {
+	t.mu.Lock()
+	defer t.unlock()
+
+	news := 0
+
+	for _, r := range records {
+		if t.merge(from, r) {
+			news++
+		}
+
+		if m := t.members[r.ID]; m != nil && m.record.State == StateAlive && r.ID != t.self.ID {
+			t.changes.remove(r.ID)
+		}
+	}
+
+	return news
+}
+
+func (t *Table) merge(from string, r Record) bool {
 	if r.ID == t.self.ID {
 		return t.refute(r)
 	}
 
-	old, known := t.members[r.ID]
-	if known && r.Compare(old.record) <= 0 {
+	m := t.members[r.ID]
+	if m != nil && r.Compare(m.record) <= 0 {
+		return false
+	}
+
+	switch r.State {
+	case StateSuspect, StateDead:
+		return t.mergeDoubted(from, m, r)
+	case StateAlive, StateLeft:
+	}
+
+	if m == nil && r.State == StateLeft {
+		// Nobody needs the record of a node that left before it was known here,
+		// and passing it round would start its time to be forgotten anew.
 		return false
 	}
 
+	t.tell(m, r, "")
 	t.put(r)
-	t.tell(old.record, r, known)
 
 	return true
 }
 
-// refute answers a wrong belief about this node: a pause or a lost frame made
-// others suspect it, and without a higher number the belief would win.
+// mergeDoubted takes a record that its sender holds suspect or dead: the record
+// as alive, and the belief as an accusation that the node may still refute.
+func (t *Table) mergeDoubted(from string, m *member, r Record) bool {
+	if m == nil {
+		return false
+	}
+
+	news := false
+
+	if r.compareWritten(m.record) > 0 {
+		r.State = StateAlive
+		t.tell(m, r, "")
+		t.put(r)
+
+		news = true
+	}
+
+	return t.accuse(Belief{ID: r.ID, Epoch: r.Epoch, Seq: r.Seq, State: StateSuspect, By: from}, "") || news
+}
+
+// refute answers what others hold of this node. A pause or a lost frame made
+// them suspect it, or an earlier life on this host left a record with a higher
+// epoch since the clock was set back: without a higher number of its own the
+// node would stay dead, or answer for an address that is gone, for good.
 func (t *Table) refute(r Record) bool {
-	if r.Compare(t.self) <= 0 || r.State == StateAlive {
+	c := r.compareWritten(t.self)
+
+	if r.Incarnation == t.self.Incarnation && (c < 0 || r.State <= t.self.State) {
+		return false
+	}
+
+	if c < 0 {
 		return false
 	}
 
-	t.self.Seq = r.Seq + 1
+	if r.Epoch > t.self.Epoch || r.Incarnation != t.self.Incarnation {
+		t.self.Epoch = r.Epoch + 1
+	}
+
+	t.self.Seq = max(t.self.Seq, r.Seq) + 1
 	t.put(t.self)
 	t.recorder.Record(event.MemberRefuted, timeline.Entry{Detail: "believed " + r.State.String()})
 
+	t.retract()
+
 	return true
 }
 
+// retract stops the spread of what is held of others. A node that others could
+// not reach was cut off or frozen, so what it could not reach in that time may be
+// well; who meets it again would suspect its own healthy neighbours.
+func (t *Table) retract() {
+	for id, m := range t.members {
+		if m.record.State == StateDead || m.record.State == StateSuspect {
+			t.changes.remove(id)
+		}
+	}
+}
+
+// put stores a record and notes it as a change to be spread.
 func (t *Table) put(r Record) {
-	if old, ok := t.members[r.ID]; ok {
-		t.hash ^= hashOf(old.record)
+	now := time.Now()
+	old := t.members[r.ID]
+
+	if old == nil {
+		old = &member{}
+		t.members[r.ID] = old
 	}
 
-	t.members[r.ID] = member{record: r, since: time.Now()}
-	t.hash ^= hashOf(r)
-}
+	before := old.record
+	old.record = r
 
-func hashOf(r Record) uint64 {
-	var d xxhash.Digest
+	if before.State != r.State || r.State == StateAlive {
+		old.since = now
+	}
+
+	if r.State == StateAlive || r.State == StateLeft {
+		old.accusers = nil
+	}
 
-	d.Reset()
-	_, _ = d.WriteString(r.ID)
+	t.live.set(r.ID, r.Live())
+	t.digest.replace(before, r)
+	t.note(r.ID)
+	t.index.replace(before, r)
+}
 
-	var buf [17]byte
-	binary.BigEndian.PutUint64(buf[:], r.Incarnation)
-	binary.BigEndian.PutUint64(buf[8:], r.Seq)
-	buf[16] = byte(r.State)
-	_, _ = d.Write(buf[:])
+// note has a node's record or what is held of it spread anew.
+func (t *Table) note(id string) {
+	t.changes.add(id)
 
-	return d.Sum64()
+	select {
+	case t.news <- struct{}{}:
+	default:
+	}
 }
 
 // tell records a change of belief, not every renewal.
-func (t *Table) tell(old, r Record, known bool) {
-	if known && old.State == r.State {
-		return
+func (t *Table) tell(m *member, r Record, detail string) {
+	var old Record
+	if m != nil {
+		old = m.record
 	}
 
-	if r.State == StateAlive && known && old.Live() {
+	if old.State == r.State {
 		return
 	}
 
@@ -142,114 +246,60 @@
 		StateDead:    event.MemberDead,
 		StateLeft:    event.MemberLeft,
 	}
-	t.recorder.Record(events[r.State], timeline.Entry{Peer: r.ID, Detail: r.FailureDomain})
-}
+	e := events[r.State]
 
-// Suspect notes that a node did not answer.
-func (t *Table) Suspect(id string) {
-	t.believe(id, StateAlive, StateSuspect)
-}
-
-func (t *Table) believe(id string, from, to State) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	if r.State == StateAlive && old.State == StateSuspect {
+		e = event.MemberCleared
+	}
 
-	if m, ok := t.members[id]; ok && m.record.State == from && id != t.self.ID {
-		t.merge(m.record.WithState(to))
+	if detail == "" {
+		detail = r.FailureDomain
 	}
+
+	t.recorder.Record(e, timeline.Entry{Peer: r.ID, Detail: detail})
 }
 
-// Expire takes nodes for dead that were suspected for too long.
-func (t *Table) Expire(suspicion time.Duration) {
+// Forget drops records of nodes that are dead or left for longer than after.
+// They are kept that long so that late gossip can't bring a node back that is
+// gone, and so that a node on the other side of a cut is found again.
+func (t *Table) Forget(after time.Duration) {
+	t.mu.Lock()
+	defer t.unlock()
+
 	now := time.Now()
 
-	for _, m := range t.snapshot() {
-		if m.record.State == StateSuspect && now.Sub(m.since) >= suspicion {
-			t.believe(m.record.ID, StateSuspect, StateDead)
+	for id, m := range t.members {
+		if !m.record.Live() && id != t.self.ID && now.Sub(m.since) >= after {
+			delete(t.members, id)
+			t.changes.remove(id)
 		}
 	}
 }
 
-func (t *Table) snapshot() []member {
+// Records returns all records in the order of IDs.
+func (t *Table) Records() []Record {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	out := make([]member, 0, len(t.members))
+	out := make([]Record, 0, len(t.members))
 	for _, m := range t.members {
-		out = append(out, m)
+		out = append(out, m.record)
 	}
 
-	return out
-}
-
-// Hash is equal on two nodes that believe the same.
-func (t *Table) Hash() uint64 {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-
-	return t.hash
-}
-
-// Records returns all records in the order of IDs.
-func (t *Table) Records() []Record {
-	members := t.snapshot()
-	out := make([]Record, len(members))
-
-	for i, m := range members {
-		out[i] = m.record
-	}
-
-	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, byID)
 
 	return out
 }
 
-// Live returns the records of nodes that are thought to run.
-func (t *Table) Live() []Record {
-	return slices.DeleteFunc(t.Records(), func(r Record) bool { return !r.Live() })
-}
-
 // Find returns the record of a node.
 func (t *Table) Find(id string) (Record, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	m, ok := t.members[id]
-
-	return m.record, ok
-}
-
-// CountReady returns how many nodes have a backend server that takes calls.
-func (t *Table) CountReady() int {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-
-	n := 0
-
-	for _, m := range t.members {
-		if m.record.State == StateAlive && m.record.Upstream.State == UpstreamReady {
-			n++
-		}
-	}
-
-	return n
-}
-
-// Serving returns the live nodes whose backend server takes calls of a service.
-func (t *Table) Serving(service string) []Record {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-
-	var out []Record
-
-	for _, m := range t.members {
-		r := m.record
-		if r.State == StateAlive && r.Upstream.Service == service && r.Upstream.State == UpstreamReady {
-			out = append(out, r)
-		}
+	m := t.members[id]
+	if m == nil {
+		return Record{}, false
 	}
 
-	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-
-	return out
+	return m.record, true
 }
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,111 @@
+package membership_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+func tableOf(ids ...string) *membership.Table {
+	t := membership.NewTable(record("self", 1), timeline.New())
+
+	for _, id := range ids {
+		t.Merge(id, []membership.Record{record(id, 1)})
+	}
+
+	return t
+}
+
+func suspectA(by string) membership.Belief {
+	return membership.Belief{ID: "a", Epoch: 1, State: membership.StateSuspect, By: by}
+}
+
+var suspicion = membership.Suspicion{Shortest: 2 * time.Second, Longest: 6 * time.Second}
+
+// One node has a broken link and accuses all others. If its word alone counted as
+// much as that of several, the fleet would hold its healthy nodes for dead.
+func TestOneAccuserAloneMustWaitLongest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, three := tableOf("a", "b", "c", "d"), tableOf("a", "b", "c", "d")
+		one.Believe([]membership.Belief{suspectA("b"), suspectA("b"), suspectA("b")})
+		three.Believe([]membership.Belief{suspectA("b"), suspectA("c"), suspectA("d")})
+		time.Sleep(suspicion.Shortest)
+		one.Expire(suspicion)
+		three.Expire(suspicion)
+
+		assert.Equal(t, stateOf(one, "a"), membership.StateSuspect)
+		assert.Equal(t, stateOf(three, "a"), membership.StateDead)
+		time.Sleep(suspicion.Longest - suspicion.Shortest)
+		one.Expire(suspicion)
+		assert.Equal(t, stateOf(one, "a"), membership.StateDead)
+	})
+}
+
+func stateOf(t *membership.Table, id string) membership.State {
+	r, _ := t.Find(id)
+
+	return r.State
+}
+
+// After a cut has healed, the other side accuses all of this one. An entry that
+// took its word would stop sending calls to its own healthy backend servers.
+func TestTheWordOfWhoWasCutOffCountsForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := tableOf("a", "far", "near")
+		table.Suspect("far", "no answer", "self", "near", "other")
+		table.Believe([]membership.Belief{suspectA("far")})
+		assert.Equal(t, stateOf(table, "a"), membership.StateAlive)
+		table.Believe([]membership.Belief{suspectA("near")})
+		assert.Equal(t, stateOf(table, "a"), membership.StateSuspect)
+
+		healthy := tableOf("b")
+		healthy.Believe([]membership.Belief{{ID: "b", Epoch: 1, State: membership.StateDead, By: "c"}})
+		assert.Equal(t, stateOf(healthy, "b"), membership.StateSuspect)
+	})
+}
+
+// Reports are wrong about most of a service at once. Calls must still have
+// somewhere to go.
+func TestSuspicionNeverEmptiesAService(t *testing.T) {
+	table := tableOf("a", "b", "c", "d", "e")
+	for i, id := range []string{"a", "b", "c", "d", "e"} {
+		table.Suspect(id, "no answer", "self")
+
+		want := 5 - i
+		if 2*want < 6 {
+			want = 6
+		}
+
+		assert.Equal(t, len(table.Serving("browse")), want, "after %d", i+1)
+	}
+
+	assert.Equal(t, table.CountReady(), 6)
+}
+
+// Two nodes of a large fleet differ in one record. Sending the whole table to
+// repair it would cost half a megabyte each time.
+func TestRepairCostsWhatDiffers(t *testing.T) {
+	const size = 4300
+
+	a, b := newTable(size), newTable(size)
+	r, _ := a.Find(nodeID(77))
+	r.Seq++
+	r.Upstream.State = membership.UpstreamDraining
+	b.Merge("x", []membership.Record{r})
+
+	chosen, entries := b.Differing(a.Sums(), 1024)
+	d := a.Compare(chosen, entries)
+
+	assert.Equal(t, len(chosen), 1)
+	assert.Assert(t, len(entries) < 50, "%d entries", len(entries))
+	assert.Equal(t, len(d.Push), 0)
+	assert.Equal(t, len(d.Want), 1)
+
+	a.Adopt("x", b.Pick(d.Want))
+	assert.Equal(t, a.Hash(), b.Hash())
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -30,7 +30,7 @@
 func (n *Node) fleet() {
 	c := n.config
 	n.table = membership.NewTable(membership.Record{
-		ID: c.ID, Incarnation: uint64(time.Now().UnixMilli()), Region: c.Region, FailureDomain: c.FailureDomain,
+		ID: c.ID, Incarnation: uint64(time.Now().UnixMicro()), Region: c.Region, FailureDomain: c.FailureDomain,
 		PeerAddress: c.PeerAddress, CallerAddress: c.CallerAddress, ControlAddress: c.ControlAddress,
 	}, n.recorder)
 	n.gossip = membership.NewGossip(n.table, n.client,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,9 @@
 func (n *Node) methods() {
 	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
+	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
+	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
+	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
 	n.server.Handle(methodTimeline, peer.Typed(n.ownTimeline))
