--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -50,8 +50,9 @@
 		KindCutDomain: i.cutDomain, KindCutOneWay: i.cutDomain, KindCutPlatform: i.cutPlatform,
 		KindPlatformDown: i.platformDown, KindPlatformSlow: i.platformSlow, KindLoseAnswers: i.loseAnswers,
 		KindRestoreOlder: i.restoreOlder, KindKillBackend: i.killBackend, KindSlowBackend: i.faultyBackend,
-		KindHangBackend: i.faultyBackend, KindDrainBackend: i.drainBackend,
-		KindAccept: i.operate, KindRaceSame: i.operate, KindRaceDifferent: i.operate, KindPoison: i.poison,
+		KindHangBackend: i.faultyBackend, KindShedBackend: i.faultyBackend, KindServiceDown: i.killBackend,
+		KindDrainBackend: i.drainBackend,
+		KindAccept:       i.operate, KindRaceSame: i.operate, KindRaceDifferent: i.operate, KindPoison: i.poison,
 	}
 
 	done := play[s.Kind](ctx, s)
@@ -221,8 +222,12 @@
 	hosts := claim(i.backends, s.Hosts)
 
 	f := backend.Faults{WorkMs: slowBackendMs}
-	if s.Kind == KindHangBackend {
+
+	switch s.Kind { //nolint:exhaustive // the other kinds don't get here
+	case KindHangBackend:
 		f = backend.Faults{Hang: true}
+	case KindShedBackend:
+		f = backend.Faults{WorkMs: slowBackendMs, Shed: true}
 	}
 
 	for _, h := range hosts {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -28,6 +28,8 @@
 	KindKillBackend   Kind = "KillBackend"
 	KindSlowBackend   Kind = "SlowBackend"
 	KindHangBackend   Kind = "HangBackend"
+	KindShedBackend   Kind = "ShedBackend"
+	KindServiceDown   Kind = "ServiceDown"
 	KindDrainBackend  Kind = "DrainBackend"
 	KindAccept        Kind = "Accept"
 	KindRaceSame      Kind = "RaceSame"
@@ -47,7 +49,7 @@
 }{
 	{KindKillNodes, 3}, {KindFreezeNode, 3}, {KindDrainNode, 2}, {KindCutDomain, 2}, {KindCutOneWay, 1},
 	{KindCutPlatform, 2}, {KindPlatformDown, 2}, {KindPlatformSlow, 1}, {KindLoseAnswers, 2}, {KindRestoreOlder, 1},
-	{KindKillBackend, 3}, {KindSlowBackend, 2}, {KindHangBackend, 1}, {KindDrainBackend, 2},
+	{KindKillBackend, 3}, {KindSlowBackend, 2}, {KindHangBackend, 1}, {KindShedBackend, 1}, {KindServiceDown, 2}, {KindDrainBackend, 2},
 	{KindAccept, 8}, {KindRaceSame, 2}, {KindRaceDifferent, 2}, {KindPoison, 3},
 }
 
@@ -153,8 +155,10 @@
 	switch s.Kind {
 	case KindKillNodes:
 		s.Hosts = g.some(1 + g.rand.IntN(max(g.hosts/herdShare, 1)))
-	case KindFreezeNode, KindDrainNode, KindKillBackend, KindSlowBackend, KindHangBackend, KindDrainBackend:
+	case KindFreezeNode, KindDrainNode, KindKillBackend, KindSlowBackend, KindHangBackend, KindShedBackend, KindDrainBackend:
 		s.Hosts = g.some(1)
+	case KindServiceDown:
+		s.Hosts = g.service()
 	case KindCutDomain, KindCutOneWay, KindCutPlatform:
 		s.Domain = g.deployment.FailureDomains[g.rand.IntN(len(g.deployment.FailureDomains))]
 	case KindLoseAnswers, KindAccept, KindRaceSame, KindRaceDifferent, KindPoison:
@@ -165,6 +169,26 @@
 	return s
 }
 
+// service returns the hosts of one service; the list of hosts goes service by
+// service.
+func (g *generator) service() []int {
+	chosen, first := g.rand.IntN(len(g.deployment.Services)), 0
+
+	var out []int
+
+	for i, s := range g.deployment.Services {
+		for n := range s.Upstreams {
+			if i == chosen {
+				out = append(out, first+n)
+			}
+		}
+
+		first += len(s.Upstreams)
+	}
+
+	return out
+}
+
 func (g *generator) some(n int) []int {
 	out := g.rand.Perm(g.hosts)[:n]
 	slices.Sort(out)
