membership: a node that knows nobody chooses nobody; renewals leave the index

Cause: after the merge of the new membership, a node that left while it knew no other panicked in Table.Random (a choice out of none; seen in TestBadRequestsAreTurnedAwayAsNotRun), and merging one renewed record made 12 allocations against the bound of 4 (TestMergeOfOneNewsAllocatesTheSameInAnyFleet).

Change: Random returns nobody when nobody is live; the index skips records that only have a higher number.

--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -35,8 +35,16 @@
 
 func (x *index) suspects() []string { return slices.Collect(maps.Keys(x.suspect)) }
 
-// replace takes a change of one record.
+// replace takes a change of one record. A record that only has a higher number
+// leaves the snapshots as they are: nothing that a call looks at is different.
 func (x *index) replace(old, r Record) {
+	same := old
+	same.Seq = r.Seq
+
+	if same == r {
+		return
+	}
+
 	if r.State == StateSuspect {
 		x.suspect[r.ID] = true
 	} else {
@@ -144,6 +152,11 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
+	// A node that left on its own and knows no other has nobody to choose from.
+	if len(t.live.ids) == 0 {
+		return nil
+	}
+
 	var out []Record
 
 	skip := append([]string{t.self.ID}, without...)
