Edit, plan, compare and explain versions; find routes by index

Cause: operators had to send a whole file for one value, could not see what an acceptance would do, and status did not say who holds a version up. A script could not tell 'not accepted' from 'unknown'.

Ruled out: editing on the node's side (the base version would not be the one that the operator looked at); a tree of path segments for Match (prefixes need not end at a slash).

--- a/cmd/pollencart/main.go
+++ b/cmd/pollencart/main.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -17,21 +18,40 @@
 const (
 	exitFault = 1 // the command was understood and did not succeed
 	exitUsage = 2 // the command line was not understood
+	// exitUnknown means that a version may have been accepted; the command is
+	// repeated with the ID that it printed.
+	exitUnknown = 3
+	// exitConflict means that another version has changed the same branches.
+	exitConflict = 4
 )
 
-func newApp() *kingpin.Application {
+func newApp() *kingpin.Application { return newAppTo(os.Stdout) }
+
+// newAppTo returns the command line with its output elsewhere.
+func newAppTo(out io.Writer) *kingpin.Application {
 	app := kingpin.New("pollencart", "Configuration distribution for a service mesh.")
-	app.Version(version)
 	app.HelpFlag.Short('h')
 
+	// kingpin's own flag of this name would be in the way of "show --version 7".
+	app.Command("version", "Print the version of the program; --version alone does the same.").
+		Action(action(func() error {
+			_, err := fmt.Fprintln(out, version)
+
+			return err
+		}))
 	addNode(app)
-	addOperator(app)
+	addOperator(app, out)
 
 	return app
 }
 
 func main() {
-	_, err := newApp().Parse(os.Args[1:])
+	args := os.Args[1:]
+	if len(args) == 1 && args[0] == "--version" {
+		args = []string{"version"}
+	}
+
+	_, err := newApp().Parse(args)
 	if err == nil {
 		return
 	}
@@ -39,7 +59,7 @@
 	var failed *commandError
 	if errors.As(err, &failed) {
 		fmt.Fprintln(os.Stderr, "pollencart:", failed.cause)
-		os.Exit(exitFault)
+		os.Exit(exitStatus(failed.cause))
 	}
 
 	fmt.Fprintf(os.Stderr, "pollencart: usage: %v; try --help\n", err)
--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -35,8 +35,10 @@
 		"no answer from the platform; the version may have been accepted, ask again with the same ID")
 	ErrOutage = errs.New("acceptance.outage", http.StatusServiceUnavailable, "not accepted: the platform can't be reached")
 	ErrBase   = errs.New("acceptance.base", http.StatusConflict, "not accepted: the base version is not known")
-	ErrBusy   = errs.New("acceptance.busy", http.StatusServiceUnavailable, "not accepted: other acceptances went first too often")
-	ErrID     = errs.New("acceptance.id", http.StatusBadRequest,
+	// ErrVersion is returned for a version that left the history.
+	ErrVersion = errs.New("acceptance.version", http.StatusNotFound, "no such version in the history")
+	ErrBusy    = errs.New("acceptance.busy", http.StatusServiceUnavailable, "not accepted: other acceptances went first too often")
+	ErrID      = errs.New("acceptance.id", http.StatusBadRequest,
 		"an acceptance ID of 1 to 64 letters, digits, dots, dashes or underscores is needed")
 )
 
@@ -99,6 +101,65 @@
 	return a.accept(ctx, r, mine)
 }
 
+// Plan returns what accepting would change, and accepts nothing. It fails as
+// Accept would: for a tree that does not check and for a conflict.
+func (a *Acceptor) Plan(ctx context.Context, r Request) ([]settings.Change, error) {
+	if err := r.Tree.CheckErr(); err != nil {
+		return nil, err
+	}
+
+	mine, err := r.Tree.Records()
+	if err != nil {
+		return nil, err
+	}
+
+	s, err := a.state(ctx, r.ID)
+	if err != nil {
+		return nil, err
+	}
+
+	now := settings.Records{}
+
+	if s.head.Version.Number > 0 {
+		head, err := a.Snapshot(ctx, s.head.Version, r.Known.Snapshot)
+		if err != nil {
+			return nil, err
+		}
+
+		now = head.Records()
+	}
+
+	next, err := a.rebase(ctx, r, s, mine)
+	if err != nil {
+		return nil, err
+	}
+
+	return settings.DiffRecords(now, next), nil
+}
+
+// Version reads an accepted version by its number; 0 is the newest.
+func (a *Acceptor) Version(ctx context.Context, number uint64, k Known) (*settings.Snapshot, error) {
+	if number > 0 && number == k.number() {
+		return k.Snapshot, nil
+	}
+
+	s, err := a.state(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+
+	if number == 0 {
+		number = s.head.Version.Number
+	}
+
+	v, ok := s.history.Number(number)
+	if !ok {
+		return nil, ErrVersion.With("%d", number)
+	}
+
+	return a.Snapshot(ctx, v, k.Snapshot)
+}
+
 func (a *Acceptor) accept(ctx context.Context, r Request, mine settings.Records) (settings.Version, error) {
 	// Once a swap was sent whose answer is lost, only the platform's own record
 	// of the ID says whether it took effect.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -44,7 +44,8 @@
 
 	return operator.NodeStatus{
 		ID: n.config.ID, FailureDomain: n.config.FailureDomain, Belief: membership.StateAlive.String(),
-		Version: n.holder.Number(), InForceSince: held.Since,
+		Version: n.holder.Number(), AcceptedAt: n.acceptedAt(), InForceSince: held.Since, Source: held.Source,
+		Heard: n.spreader.Heard(), Trouble: n.spreader.Trouble(),
 		Upstream: n.table.Self().Upstream, InFlight: n.inFlight.Load() + n.gate.Running(), Known: n.table.CountReady(),
 	}, nil
 }
@@ -62,18 +63,7 @@
 		nodes[i] = n.statusOf(ctx, r)
 	})
 
-	out := operator.Status{Newest: n.Floor(), Nodes: nodes}
-	for _, s := range nodes {
-		out.Newest = max(out.Newest, s.Version)
-	}
-
-	for _, s := range nodes {
-		if s.Version == out.Newest && s.Error == "" {
-			out.InForce++
-		}
-	}
-
-	return out
+	return operator.NewStatus(n.Floor(), nodes)
 }
 
 func (n *Node) statusOf(ctx context.Context, r membership.Record) operator.NodeStatus {
@@ -136,4 +126,12 @@
 }
 
 // Floor returns the newest version known here.
-func (n *Node) Floor() uint64 { return n.holder.Number() }
+func (n *Node) Floor() uint64 { return n.spreader.Heard() }
+
+func (n *Node) acceptedAt() time.Time {
+	if s := n.holder.Load(); s != nil {
+		return s.Version().AcceptedAt
+	}
+
+	return time.Time{}
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 
@@ -47,6 +48,11 @@
 	Faults []settings.Fault `json:"Faults"`
 }
 
+// Planned is what accepting would change.
+type Planned struct {
+	Changes []settings.Change `json:"Changes"`
+}
+
 // TreeText is an accepted tree.
 type TreeText struct {
 	Version settings.Version `json:"Version"`
@@ -84,7 +90,7 @@
 		ID     string `json:"ID"`
 		Code   int    `json:"Code"`
 		Detail string `json:"Detail"`
-	}{e.ID, e.Code, e.Error()})
+	}{e.ID, e.Code, strings.TrimPrefix(e.Error(), e.ID+": ")})
 }
 
 func readTree(c echo.Context) (settings.Tree, error) {
@@ -116,10 +122,22 @@
 		return err
 	}
 
-	v, err := a.options.Acceptor.Accept(c.Request().Context(), acceptance.Request{
-		ID: c.QueryParam("id"), Again: c.QueryParam("again") != "", Base: base, Known: a.options.Snapshots.Known(), Tree: tree,
+	r := acceptance.Request{
+		ID: c.QueryParam("id"), Again: c.QueryParam("again") != "", Base: base,
+		Known: a.options.Snapshots.Known(), Tree: tree,
 		Operator: c.QueryParam("operator"), Message: c.QueryParam("message"),
-	})
+	}
+
+	if c.QueryParam("dry-run") != "" {
+		changes, err := a.options.Acceptor.Plan(c.Request().Context(), r)
+		if err != nil {
+			return err
+		}
+
+		return c.JSON(http.StatusOK, Planned{Changes: changes})
+	}
+
+	v, err := a.options.Acceptor.Accept(c.Request().Context(), r)
 	if err != nil {
 		return err
 	}
@@ -143,13 +161,30 @@
 	return n, nil
 }
 
+// tree returns the tree in force on this node, or with a version the accepted
+// one of that number; 0 is the newest.
 func (a *API) tree(c echo.Context) error {
 	s := a.options.Snapshots.Load()
+
+	if c.QueryParam("version") != "" {
+		n, err := number(c, "version")
+		if err != nil {
+			return err
+		}
+
+		if s, err = a.options.Acceptor.Version(c.Request().Context(), n, a.options.Snapshots.Known()); err != nil {
+			return err
+		}
+	}
+
 	if s == nil {
 		return ErrNone
 	}
 
-	return c.JSON(http.StatusOK, TreeText{Version: s.Version(), Tree: s.Tree()})
+	v := s.Version()
+	v.Branches = nil
+
+	return c.JSON(http.StatusOK, TreeText{Version: v, Tree: s.Tree()})
 }
 
 func (a *API) history(c echo.Context) error {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,8 +17,13 @@
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
-// ErrNode is returned if the node can't be asked.
-var ErrNode = errs.New("operator.node", http.StatusServiceUnavailable, "the node can't be asked")
+// Errors of asking a node.
+var (
+	// ErrNode means that the node was not asked.
+	ErrNode = errs.New("operator.node", http.StatusServiceUnavailable, "the node can't be asked")
+	// ErrNoAnswer means that the node may have done what was asked.
+	ErrNoAnswer = errs.New("operator.no_answer", http.StatusGatewayTimeout, "no answer from the node")
+)
 
 // Client asks one node.
 type Client struct {
@@ -42,24 +49,55 @@
 
 // AcceptRequest is what an operator sends.
 type AcceptRequest struct {
-	File     string
-	Tree     []byte
-	Base     uint64
-	ID       string
+	File string
+	Tree []byte
+	Base uint64
+	ID   string
+	// Again says that the ID was used before with an unknown outcome.
+	Again    bool
 	Operator string
 	Message  string
 }
 
 // Accept makes the tree the accepted version.
 func (c *Client) Accept(ctx context.Context, r AcceptRequest) (settings.Version, error) {
+	var out settings.Version
+
+	err := c.do(ctx, http.MethodPost, pathAccept, r.query(), r.Tree, &out)
+
+	return out, err
+}
+
+// Plan returns what accepting the tree would change, and accepts nothing.
+func (c *Client) Plan(ctx context.Context, r AcceptRequest) ([]settings.Change, error) {
+	q := r.query()
+	q.Set("dry-run", "1")
+
+	var out Planned
+
+	err := c.do(ctx, http.MethodPost, pathAccept, q, r.Tree, &out)
+
+	return out.Changes, err
+}
+
+func (r AcceptRequest) query() url.Values {
 	q := url.Values{
 		"file": {r.File}, "base": {strconv.FormatUint(r.Base, 10)}, "id": {r.ID},
 		"operator": {r.Operator}, "message": {r.Message},
 	}
 
-	var out settings.Version
+	if r.Again {
+		q.Set("again", "1")
+	}
 
-	err := c.do(ctx, http.MethodPost, pathAccept, q, r.Tree, &out)
+	return q
+}
+
+// Version returns an accepted tree by its number; 0 is the newest.
+func (c *Client) Version(ctx context.Context, number uint64) (TreeText, error) {
+	var out TreeText
+
+	err := c.do(ctx, http.MethodGet, pathTree, url.Values{"version": {strconv.FormatUint(number, 10)}}, nil, &out)
 
 	return out, err
 }
@@ -117,13 +155,13 @@
 
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return ErrNode.Wrap(err)
+		return notAsked(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return ErrNode.Wrap(err)
+		return ErrNoAnswer.Wrap(err)
 	}
 
 	if resp.StatusCode >= http.StatusBadRequest {
@@ -136,8 +174,19 @@
 	}
 
 	if err := json.Unmarshal(data, out); err != nil {
-		return ErrNode.Wrap(err)
+		return ErrNoAnswer.Wrap(err)
 	}
 
 	return nil
 }
+
+// notAsked tells a node that was not reached from one whose answer is lost: the
+// second may have accepted the version.
+func notAsked(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrNode.Wrap(err)
+	}
+
+	return ErrNoAnswer.Wrap(err)
+}
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -2,36 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pollencart/pollencart/internal/acceptance"
-	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/internal/upstream"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
-// NodeStatus is what one node tells of itself.
-type NodeStatus struct {
-	ID            string              `json:"ID" msgpack:"ID"`
-	FailureDomain string              `json:"FailureDomain" msgpack:"FailureDomain"`
-	Belief        string              `json:"Belief" msgpack:"Belief"`
-	Version       uint64              `json:"Version" msgpack:"Version"`
-	InForceSince  time.Time           `json:"InForceSince" msgpack:"InForceSince"`
-	Upstream      membership.Upstream `json:"Upstream" msgpack:"Upstream"`
-	InFlight      int64               `json:"InFlight" msgpack:"InFlight"`
-	// Known is how many ready backend servers the node could send a call to.
-	Known int    `json:"Known" msgpack:"Known"`
-	Error string `json:"Error,omitempty" msgpack:"Error,omitempty"`
-}
-
-// Status is what a node sees of the fleet.
-type Status struct {
-	Newest  uint64       `json:"Newest"`
-	InForce int          `json:"InForce"`
-	Nodes   []NodeStatus `json:"Nodes"`
-}
-
 // FleetView asks all nodes.
 type FleetView interface {
 	Status(ctx context.Context) Status
--- a/pkg/settings/snapshot.go
+++ b/pkg/settings/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -24,7 +23,7 @@
 	records Records
 	nodes   map[string]Branch
 	tree    Tree
-	routes  []Resolved
+	index   index
 }
 
 // NewSnapshot checks the records as a whole against the version and returns the
@@ -78,15 +77,9 @@
 		return nil, err
 	}
 
-	routes := tree.Resolve()
-	// Longest prefix first: the first match is the most specific one.
-	slices.SortStableFunc(routes, func(a, b Resolved) int {
-		return len(b.Match.PathPrefix) - len(a.Match.PathPrefix)
-	})
-
 	v.Branches = digests
 
-	return &Snapshot{version: v, records: records, nodes: nodes, tree: tree, routes: routes}, nil
+	return &Snapshot{version: v, records: records, nodes: nodes, tree: tree, index: newIndex(tree.Resolve())}, nil
 }
 
 // Version returns the version.
@@ -103,7 +96,7 @@
 func (s *Snapshot) UnknownService() string {
 	known := s.tree.Services()
 
-	for _, r := range s.routes {
+	for _, r := range s.tree.Resolve() {
 		if _, ok := known[r.Values.Service]; !ok {
 			return r.Path
 		}
@@ -114,13 +107,7 @@
 
 // Match returns the most specific route for a request.
 func (s *Snapshot) Match(method, path string) (Resolved, bool) {
-	for _, r := range s.routes {
-		if r.Match.Method == method && strings.HasPrefix(path, r.Match.PathPrefix) {
-			return r, true
-		}
-	}
-
-	return Resolved{}, false
+	return s.index.match(method, path)
 }
 
 // Paths returns the paths of all branches, in order.
--- a/pkg/settings/snapshot_test.go
+++ b/pkg/settings/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -137,3 +138,52 @@
 		}
 	})
 }
+
+// The index has to find what a walk over all routes, longest prefix first, finds.
+func TestMatchIsTheLongestPrefixOfTheMethod(t *testing.T) {
+	prefixes := []string{"/", "/a", "/a/", "/ab", "/a/b/", "/a/b/c", "/é/"}
+	two := tree(1)
+	b := two.Branches["s000"]
+	b.Routes = map[string]settings.Route{}
+
+	for i, p := range prefixes {
+		b.Routes[fmt.Sprint(i)] = settings.Route{Match: settings.Match{Method: "GET", PathPrefix: p}}
+	}
+
+	b.Routes["put"] = settings.Route{Match: settings.Match{Method: "PUT", PathPrefix: "/a/"}}
+	two.Branches["s000"] = b
+	s := snapshot(t, 1, two)
+
+	rapid.Check(t, func(rt *rapid.T) {
+		path := "/" + rapid.StringMatching(`[ab/éc]{0,8}`).Draw(rt, "path")
+		want := ""
+
+		for _, p := range prefixes {
+			if strings.HasPrefix(path, p) && len(p) > len(want) {
+				want = p
+			}
+		}
+
+		r, ok := s.Match("GET", path)
+		assert.Assert(rt, ok)
+		assert.Equal(rt, r.Match.PathPrefix, want)
+	})
+
+	_, ok := s.Match("PUT", "/ab")
+	assert.Assert(t, !ok)
+
+	_, ok = s.Match("DELETE", "/a/")
+	assert.Assert(t, !ok)
+}
+
+func BenchmarkMatch(b *testing.B) {
+	for _, services := range []int{10, 310} {
+		s := snapshot(b, 1, tree(services))
+
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			for b.Loop() {
+				s.Match("GET", "/s009/folders/1")
+			}
+		})
+	}
+}
