A switch that cuts links, and connections that close when idle

Cause: cuts could be made in one direction of new requests only, and from inside the process; each probe of a random node left a connection behind, at 4,300 nodes thousands of them; a call that found nobody told membership nothing.

Change: peer.Faults blocks peer addresses for requests and answers, also on open connections (the opener names itself in a first frame); with FaultInjection in the settings file POST /v1/faults {"Blocked": ["ip:port"]} sets it. Control connections close after ten idle seconds, and a request that meets the closing opens a new one. A request that reaches nobody has that node probed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,9 @@
 	Mode Mode `json:"Mode"`
 	// DrainTimeout bounds a graceful stop.
 	DrainTimeout settings.Duration `json:"DrainTimeout"`
+	// FaultInjection lets experiments cut this node's links over the control
+	// address. It stays off where callers are served.
+	FaultInjection bool `json:"FaultInjection"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"LogLevel"`
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -25,10 +25,12 @@
 	// a herd that starts together does not take the node's memory.
 	serving chan struct{}
 	differs atomic.Pointer[string] // address of a node whose digest differs
-	doubts  doubts
-	health  health
-	version versionNews
-	alone   int // tries to join so far; only join uses it
+	doubts  doubts                 // addresses that calls could not reach
+	// disputes are IDs of nodes that are dead here and live elsewhere.
+	disputes doubts
+	health   health
+	version  versionNews
+	alone    int // tries to join so far; only join uses it
 }
 
 // maxServing is how many comparisons a node answers at the same time.
@@ -39,7 +41,7 @@
 	return &Gossip{
 		table: t, peers: c, options: newOptions(opts...),
 		serving: make(chan struct{}, maxServing),
-		doubts:  newDoubts(),
+		doubts:  newDoubts(), disputes: newDoubts(),
 	}
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -89,12 +89,20 @@
 // Doubt has the node at an address probed soon: a call to it has just failed.
 func (g *Gossip) Doubt(address string) { g.doubts.add(address) }
 
-// examine probes nodes that there is reason to doubt: those that calls could not
-// reach, and those that are dead here and live elsewhere. A dead one that
-// answers refutes, since it is told what is held of it.
+// examine probes nodes that there is reason to doubt: live ones that calls could
+// not reach, and dead ones that live elsewhere. A dead one that answers refutes,
+// since it is told what is held of it.
 func (g *Gossip) examine(ctx context.Context) {
 	for _, target := range g.table.At(g.doubts.take(maxExamined)) {
-		go g.probe(ctx, target)
+		if target.State == StateAlive {
+			go g.probe(ctx, target)
+		}
+	}
+
+	for _, id := range g.disputes.take(maxExamined) {
+		if target, ok := g.table.Find(id); ok && target.State == StateDead {
+			go g.probe(ctx, target)
+		}
 	}
 }
 
@@ -103,14 +111,14 @@
 // with each node taking random ones all are asked within seconds.
 const maxExamined = 4
 
-// doubts are addresses to be probed.
+// doubts are addresses or IDs of nodes to be probed.
 type doubts struct {
 	mu      sync.Mutex
 	pending map[string]bool
 	asked   map[string]time.Time
 }
 
-// askAgain is how long an address that was probed is not probed for doubt again.
+// askAgain is how long a node that was probed is not probed for doubt again.
 const askAgain = time.Second
 
 func newDoubts() doubts { return doubts{pending: map[string]bool{}, asked: map[string]time.Time{}} }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -59,10 +59,8 @@
 	}
 
 	d := g.table.Compare(digest.Buckets, digest.Entries)
-	for _, target := range d.Doubt {
-		if r, ok := g.table.Find(target); ok {
-			g.doubts.add(r.PeerAddress)
-		}
+	for _, id := range d.Doubt {
+		g.disputes.add(id)
 	}
 
 	in := RecordsRequest{
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,10 @@
 		operator.Accepted(n.accepted),
 	).Register(e)
 
+	if n.config.FaultInjection {
+		e.POST("/v1/faults", n.setFaults)
+	}
+
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", n.readyz)
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(n.metrics(), promhttp.HandlerOpts{})))
@@ -34,6 +39,24 @@
 	return e
 }
 
+// Faults is what an experiment makes go wrong on this node.
+type Faults struct {
+	// Blocked are peer addresses that this node sends nothing to.
+	Blocked []string `json:"Blocked"`
+}
+
+func (n *Node) setFaults(c echo.Context) error {
+	var in Faults
+	if err := c.Bind(&in); err != nil {
+		return operator.ErrRequest.Wrap(err)
+	}
+
+	n.faults.Block(in.Blocked...)
+	n.recorder.Record(event.FaultsInjected, timeline.Entry{Detail: strings.Join(in.Blocked, " ")})
+
+	return c.NoContent(http.StatusNoContent)
+}
+
 func (n *Node) accepted(v settings.Version) {
 	n.recorder.Record(event.VersionAccepted, timeline.Entry{Version: v.Number, Detail: v.AcceptanceID})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 
 	server *peer.Server
 	client *peer.Client
+	faults *peer.Faults
 
 	store    *etcd.Store
 	acceptor *acceptance.Acceptor
@@ -65,8 +66,10 @@
 func New(c config.Config, logger *slog.Logger) *Node {
 	n := &Node{config: c}
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
-	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()))
-	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()))
+	n.faults = &peer.Faults{}
+	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults))
+	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults),
+		peer.Address(c.PeerAddress), peer.Lost(func(address string) { n.gossip.Doubt(address) }))
 	n.settings()
 	n.fleet()
 	n.calls()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -54,27 +55,42 @@
 		return ErrFrameTooLarge.With("message of %d bytes", len(body))
 	}
 
-	if c.options.Links.Blocked(address) {
-		return c.blocked(ctx, address)
+	f := &Frame{
+		Kind: KindRequest, Method: method, Body: body, Clock: c.options.Clock.Now(), RemainingMs: remaining(ctx),
 	}
 
-	conn, err := c.conn(ctx, connKey{address, lane})
+	answer, err := c.exchange(ctx, connKey{address, lane}, f)
 	if err != nil {
-		return err
-	}
+		c.options.Lost(address)
 
-	f, err := conn.exchange(ctx, &Frame{
-		Kind: KindRequest, Method: method, Body: body, Clock: c.options.Clock.Now(), RemainingMs: remaining(ctx),
-	})
-	if err != nil {
 		return err
 	}
 
-	if f.Fault != nil {
-		return f.Fault
+	if answer.Fault != nil {
+		return answer.Fault
 	}
 
-	return Decode(f.Body, out)
+	return Decode(answer.Body, out)
+}
+
+// exchange sends a request on the shared connection. A connection that was closed
+// for idleness just now is opened again: no byte of the request left on it.
+func (c *Client) exchange(ctx context.Context, key connKey, f *Frame) (*Frame, error) {
+	for {
+		if c.options.Links.Blocked(key.address) {
+			return nil, c.blocked(ctx, key.address)
+		}
+
+		conn, err := c.conn(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+
+		answer, err := conn.exchange(ctx, f)
+		if !errors.Is(err, errIdle) {
+			return answer, err
+		}
+	}
 }
 
 // blocked behaves as a cut network does: nothing comes back until the caller
@@ -150,8 +166,13 @@
 	pending map[uint64]chan *Frame
 	lastID  uint64
 	broken  bool
+	idle    bool
+	lastUse uint64 // the newest ID when idleness was looked at
 }
 
+// errIdle is returned for a connection that was closed since nobody used it.
+var errIdle = errors.New("connection was closed for idleness")
+
 func (cc *clientConn) dial() {
 	defer close(cc.ready)
 
@@ -172,8 +193,42 @@
 	cc.conn = conn
 	cc.client.mu.Unlock()
 	cc.out = newWriter(conn, &cc.client.Sent)
+	cc.hello()
 
 	go cc.read()
+
+	if cc.key.lane == LaneControl {
+		time.AfterFunc(cc.client.options.IdleTimeout, cc.closeIdle)
+	}
+}
+
+// hello tells the peer who opened the connection.
+func (cc *clientConn) hello() {
+	address := cc.client.options.Address
+	if address == "" {
+		return
+	}
+
+	if data, err := Encode(&Frame{Kind: KindHello, Method: address}); err == nil {
+		_ = cc.out.write(data)
+	}
+}
+
+func (cc *clientConn) closeIdle() {
+	cc.mu.Lock()
+	unused := cc.lastID == cc.lastUse && len(cc.pending) == 0
+	cc.lastUse = cc.lastID
+	cc.idle = unused
+	done := unused || cc.broken
+	cc.mu.Unlock()
+
+	if unused {
+		cc.fail()
+	}
+
+	if !done {
+		time.AfterFunc(cc.client.options.IdleTimeout, cc.closeIdle)
+	}
 }
 
 func (cc *clientConn) read() {
@@ -222,6 +277,12 @@
 	waiting := make(chan *Frame, 1)
 
 	cc.mu.Lock()
+	if cc.idle {
+		cc.mu.Unlock()
+
+		return nil, errIdle
+	}
+
 	if cc.broken {
 		cc.mu.Unlock()
 
@@ -267,7 +328,7 @@
 	cc.mu.Unlock()
 
 	data, err := Encode(&Frame{Kind: KindCancel, ID: id})
-	if err == nil {
+	if err == nil && !cc.client.options.Links.Blocked(cc.key.address) {
 		_ = cc.out.write(data)
 	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -55,6 +55,9 @@
 	KindRequest Kind = iota + 1
 	KindAnswer
 	KindCancel
+	// KindHello is the first frame of a connection; its Method is the peer address
+	// of the node that opened it.
+	KindHello
 )
 
 // Frame is what travels.
@@ -72,7 +75,7 @@
 
 // Check reports whether a decoded frame can be used.
 func (f *Frame) Check() error {
-	if f.Kind < KindRequest || f.Kind > KindCancel {
+	if f.Kind < KindRequest || f.Kind > KindHello {
 		return ErrFrameInvalid.With("kind %d", f.Kind)
 	}
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -16,6 +16,9 @@
 	DefaultMaxConns = 4096
 	// DefaultMaxInFlight bounds the requests of one connection.
 	DefaultMaxInFlight = 1024
+	// DefaultIdleTimeout closes connections that probes of random nodes opened. A
+	// node that kept them all would hold thousands for one probe an hour each.
+	DefaultIdleTimeout = 10 * time.Second
 )
 
 // Clock stamps messages.
@@ -31,11 +34,17 @@
 
 // Options of a client or server.
 type Options struct {
+	// Address is the peer address of this node, told to those it connects to.
+	Address     string
 	Clock       Clock
 	Links       Links
 	DialTimeout time.Duration
 	MaxConns    int
 	MaxInFlight int
+	// IdleTimeout is how long a connection for control is kept unused.
+	IdleTimeout time.Duration
+	// Lost is told of peer addresses that a request could not reach.
+	Lost func(address string)
 }
 
 // Option sets an option.
@@ -48,6 +57,8 @@
 		DialTimeout: DefaultDialTimeout,
 		MaxConns:    DefaultMaxConns,
 		MaxInFlight: DefaultMaxInFlight,
+		IdleTimeout: DefaultIdleTimeout,
+		Lost:        func(string) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -56,6 +67,15 @@
 	return o
 }
 
+// Address sets the peer address that others are told.
+func Address(a string) Option { return func(o *Options) { o.Address = a } }
+
+// Lost sets who is told of peer addresses that a request could not reach.
+func Lost(f func(address string)) Option { return func(o *Options) { o.Lost = f } }
+
+// WithIdleTimeout sets how long a connection for control is kept unused.
+func WithIdleTimeout(d time.Duration) Option { return func(o *Options) { o.IdleTimeout = d } }
+
 // WithClock sets the clock.
 func WithClock(c Clock) Option { return func(o *Options) { o.Clock = c } }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -129,6 +129,7 @@
 	server *Server
 	out    *writer
 	slots  chan struct{}
+	peer   atomic.Pointer[string] // address of the node at the other end
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
@@ -153,6 +154,8 @@
 
 			c.answer(ctx, f)
 		}()
+	case KindHello:
+		c.peer.Store(&f.Method)
 	case KindAnswer:
 	}
 }
@@ -191,11 +194,17 @@
 		data, err = Encode(&Frame{Kind: KindAnswer, ID: f.ID, Clock: out.Clock, Fault: errs.From(err)})
 	}
 
-	if err == nil {
+	if err == nil && !c.blocked() {
 		_ = c.out.write(data)
 	}
 }
 
+func (c *serverConn) blocked() bool {
+	address := c.peer.Load()
+
+	return address != nil && c.server.options.Links.Blocked(*address)
+}
+
 func (s *Server) handle(ctx context.Context, f *Frame) ([]byte, error) {
 	h, ok := s.handlers[f.Method]
 	if !ok {
