--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/jsonc"
@@ -57,6 +58,10 @@
 	ModeFast Mode = "Fast"
 	// ModeFrugal spends time to send fewer bytes.
 	ModeFrugal Mode = "Frugal"
+	// ModePoll and ModeFullPush are baselines for measurements: every node polls
+	// the platform; watchers push the whole tree to each node of their domain.
+	ModePoll     Mode = "Poll"
+	ModeFullPush Mode = "FullPush"
 )
 
 // defaultDrain is longer than the deadline of most routes.
@@ -122,7 +127,7 @@
 		}
 	}
 
-	if c.Mode != ModeFast && c.Mode != ModeFrugal {
+	if !slices.Contains([]Mode{ModeFast, ModeFrugal, ModePoll, ModeFullPush}, c.Mode) {
 		return "Mode", "want Fast or Frugal"
 	}
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,8 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/attempt"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -48,6 +50,7 @@
 	acceptor *acceptance.Acceptor
 	holder   *spread.Holder
 	spreader *spread.Spreader
+	started  time.Time
 
 	table  *membership.Table
 	gossip *membership.Gossip
@@ -57,6 +60,8 @@
 	gate     *gate.Gate
 	selector *selection.Selector
 	entry    *caller.Entry
+	home     *once.Home
+	register *attempt.Register
 
 	listeners []net.Listener
 	https     []*http.Server
@@ -72,6 +77,7 @@
 		peer.Address(c.PeerAddress), peer.Lost(func(address string) { n.gossip.Doubt(address) }))
 	n.settings()
 	n.fleet()
+	n.once()
 	n.calls()
 	n.methods()
 
@@ -80,12 +86,12 @@
 
 // methods adds what other nodes may ask of this one.
 func (n *Node) methods() {
-	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
 	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
 	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
 	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
+	n.onceMethods()
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
 	n.server.Handle(methodTimeline, peer.Typed(n.ownTimeline))
 }
@@ -105,7 +111,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady} {
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady, n.home.Rotate} {
 		running.Go(func() { f(work) })
 	}
 
@@ -174,7 +180,7 @@
 
 	const pause = 20 * time.Millisecond
 
-	for n.inFlight.Load()+n.gate.Running() > 0 && ctx.Err() == nil {
+	for n.inFlight.Load()+n.gate.Running()+n.home.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(pause)
 	}
 }
