soak: an attempt that was not handed on is not one that was cut off

Their keys named a home that had just left; the entry said that the attempt was not handed on (NotForwarded), so nothing in flight was cut.

Ruled out: a cut connection or a lost answer: both calls were turned away by the entry before anything left it.

Change: the check takes NotForwarded as what it says.

Conclusion: the promise is about requests in flight; a key told unknown because its home is gone is counted as such.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -108,6 +108,9 @@
 	ok     bool
 	ran    call.Ran
 	unsent bool
+	// stayed is set if the node says that it did not hand the attempt on: nothing
+	// was cut off.
+	stayed bool
 	reason string
 }
 
@@ -191,7 +194,7 @@
 	}
 
 	if a.planned && c.planned.Load() && !o.unsent {
-		c.recorder.check(PromisePlannedStop, o.ok || o.ran == call.RanNo, "%s through %s: %s", a.route.Path, host.ID, o.reason)
+		c.recorder.check(PromisePlannedStop, o.ok || o.stayed || o.ran == call.RanNo, "%s through %s: %s", a.route.Path, host.ID, o.reason)
 	}
 
 	c.count(a, o)
@@ -247,7 +250,7 @@
 
 		_ = json.Unmarshal(data, &t)
 
-		return outcome{ran: ran, reason: fmt.Sprintf("status %d %s %s (%s)", resp.StatusCode, t.ID, t.Detail, ran)}
+		return outcome{ran: ran, stayed: t.NotForwarded, reason: fmt.Sprintf("status %d %s %s (%s)", resp.StatusCode, t.ID, t.Detail, ran)}
 	}
 
 	c.verify(resp, data, a, req.URL.Path, echo, body)
