Opaque keys: one home each, by shards on the platform

Ruled out: rendezvous hashing over nodes believed alive (two nodes disagree; the search finds it, 'owners on the platform'), failure domains straight from the settings (entries hold different versions for a moment), a lease (clocks).

Change: a fixed number of shards in one value on the platform. A shard is claimed by compare-and-swap only when vacant or owned by an earlier life of the same node; an owner that leaves gives its shards up after it has stopped. A new owner answers unknown to keys it has not seen for the repeat time. A filter remembers dropped opaque keys. An entry that stood still does not forward opaque keys read just after; a call is meant for one life of its home.

The load stand-in makes keys that name their home, as callers should.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -48,6 +48,8 @@
 	Values     *settings.Values  `msgpack:"-"`
 	Remaining  settings.Duration `msgpack:"Remaining"`
 	Ticket     *Ticket           `msgpack:"Ticket,omitempty"`
+	// Life is the process that an entry took for the home of an opaque key.
+	Life string `msgpack:"Life,omitempty"`
 }
 
 // Check reports whether a decoded call can be used.
@@ -101,6 +103,13 @@
 	return c
 }
 
+// WithLife returns the call as it is meant for one process.
+func (c Call) WithLife(life string) Call {
+	c.Life = life
+
+	return c
+}
+
 // WithRemaining returns the call with the time that is left.
 func (c Call) WithRemaining(d time.Duration) Call {
 	c.Remaining = settings.Duration(d)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -59,6 +59,7 @@
 	pipe    call.Handler
 	home    call.Handler // the pipe of a call that another node forwarded here
 	gates   *gates
+	pulse   pulse
 }
 
 // New returns an entry.
@@ -73,6 +74,9 @@
 	return e
 }
 
+// Run notices when this process stands still, until ctx ends.
+func (e *Entry) Run(ctx context.Context) { e.pulse.run(ctx) }
+
 // Handler returns the HTTP interface.
 func (e *Entry) Handler() http.Handler {
 	s := echo.New()
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -15,11 +15,18 @@
 	"github.com/pollencart/pollencart/internal/once/key"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
 )
 
 // MethodOnce is the peer method by which a call gets to the home of its key.
 const MethodOnce = "Caller.Once"
 
+// Errors of a keyed call at its entry.
+var (
+	ErrNoHome = errs.New("once.no_home", http.StatusServiceUnavailable, "no node is the home of this key's shard now")
+	ErrThawed = errs.New("once.thawed", http.StatusServiceUnavailable, "this node stood still and can't tell how old the request is")
+)
+
 // once takes a call that must not run twice to the home of its key.
 func (e *Entry) once(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
@@ -45,22 +52,48 @@
 		return call.Answer{}, call.Refuse(err, call.RanUnknown, 0).WithNotForwarded()
 	}
 
-	k, named := key.Parse(c.Key)
-	if !named {
-		return next(ctx, c)
+	node, life, err := e.homeOf(c)
+	if err != nil {
+		return call.Answer{}, err
 	}
 
-	if k.Home.Node == e.options.Node {
+	c = c.WithLife(life)
+
+	if node == e.options.Node {
 		return next(ctx, c)
 	}
 
-	return e.forward(ctx, k.Home.Node, c)
+	return e.forward(ctx, node, c)
+}
+
+// homeOf returns the node of a key's home, and of an opaque key its life. The
+// owner is looked up before the pulse: a call that stood still after the lookup
+// goes to that life or to nobody.
+func (e *Entry) homeOf(c call.Call) (node, life string, err error) {
+	if k, named := key.Parse(c.Key); named {
+		return k.Home.Node, k.Home.Life, nil
+	}
+
+	node, life, ok := e.options.Shards.Owner(c.Key)
+	if !ok {
+		e.options.Shards.Nudge()
+
+		return "", "", call.Refuse(ErrNoHome, call.RanUnknown, time.Second).WithNotForwarded()
+	}
+
+	if e.pulse.thawed() {
+		e.options.Recorder.Record(event.EntryThawed, timeline.Entry{Call: c.ID, Key: c.Key})
+
+		return "", "", call.Refuse(ErrThawed, call.RanUnknown, thaw).WithNotForwarded()
+	}
+
+	return node, life, nil
 }
 
 // start runs the call as the home of its key.
 func (e *Entry) start(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
-		if _, named := key.Parse(c.Key); c.Idempotent || !named {
+		if c.Idempotent {
 			return next(ctx, c)
 		}
 
@@ -129,6 +162,10 @@
 	case err != nil:
 		return call.Answer{}, call.Refuse(once.ErrUnreachable.With("no answer from %s", node).Wrap(err), call.RanUnknown, time.Second)
 	case reply.Refusal != nil:
+		if errors.Is(reply.Refusal, once.ErrNotHome) {
+			e.options.Shards.Nudge()
+		}
+
 		return call.Answer{}, reply.Refusal
 	}
 
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/key"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/selection"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -26,6 +27,19 @@
 	Find(id string) (membership.Record, bool)
 }
 
+// Owners gives the process that is the home of an opaque key.
+type Owners interface {
+	Owner(text string) (node, life string, ok bool)
+	// Nudge tells that a call found no owner or an old one.
+	Nudge()
+}
+
+type noOwners struct{}
+
+func (noOwners) Nudge() {}
+
+func (noOwners) Owner(string) (node, life string, ok bool) { return "", "", false }
+
 // Peers sends messages to other nodes.
 type Peers interface {
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
@@ -42,6 +56,7 @@
 	Leaving  func() bool
 	Home     *once.Home
 	Nodes    Finder
+	Shards   Owners
 }
 
 // Option sets an option.
@@ -52,13 +67,14 @@
 		Selector: selection.New(),
 		Recorder: timeline.New(),
 		Leaving:  func() bool { return false },
+		Shards:   noOwners{},
 	}
 	for _, opt := range opts {
 		opt(&o)
 	}
 
 	if o.Home == nil {
-		o.Home = once.New(o.Node, 0)
+		o.Home = once.New(o.Node, key.NewLife(0))
 	}
 
 	return o
@@ -90,3 +106,6 @@
 
 // Nodes sets who finds the homes of other keys.
 func Nodes(f Finder) Option { return func(o *Options) { o.Nodes = f } }
+
+// Shards sets who knows the homes of opaque keys.
+func Shards(s Owners) Option { return func(o *Options) { o.Shards = s } }
--- /dev/null
+++ b/internal/caller/pulse.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// pulse notices that the process stood still: it was frozen, or its host was.
+//
+// A request that waited in a socket of a frozen process looks new when the
+// process wakes, perhaps long after its caller sent it again elsewhere. A key
+// that names its home tells its age by its generation; an opaque one does not,
+// so opaque keys that are read just after a standstill are not forwarded.
+type pulse struct {
+	beat atomic.Int64 // when the process was last seen to run
+	woke atomic.Int64 // when it was last seen to have stood still
+}
+
+const (
+	// beatEvery is how often the pulse beats, standstill the gap that is taken for
+	// a freeze: far over what a busy scheduler causes.
+	beatEvery  = 100 * time.Millisecond
+	standstill = time.Second
+	// thaw is how long after a standstill a request may still be an old one. All
+	// that waited in sockets is read within it.
+	thaw = 2 * time.Second
+)
+
+var began = time.Now()
+
+// run beats until ctx ends.
+func (p *pulse) run(ctx context.Context) {
+	for {
+		p.thawed()
+
+		select {
+		case <-ctx.Done():
+			p.beat.Store(0)
+
+			return
+		case <-time.After(beatEvery):
+		}
+	}
+}
+
+// thawed reports whether the process stood still a moment ago. Whoever asks
+// first after the standstill sees the gap, the beat or a request. A pulse that
+// does not run reports nothing.
+func (p *pulse) thawed() bool {
+	now := int64(time.Since(began))
+
+	last := p.beat.Load()
+	if last != 0 && now-last > int64(standstill) {
+		p.woke.Store(now)
+	}
+
+	p.beat.Store(max(now, 1))
+
+	woke := p.woke.Load()
+
+	return woke != 0 && now-woke < int64(thaw)
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -29,6 +29,7 @@
 		caller.Leaving(n.leaving.Load),
 		caller.Home(n.home),
 		caller.Nodes(n.table),
+		caller.Shards(n.shards),
 	)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
+	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -59,6 +60,7 @@
 	selector *selection.Selector
 	entry    *caller.Entry
 	home     *once.Home
+	shards   *shard.Keeper
 	register *attempt.Register
 
 	listeners []net.Listener
@@ -105,7 +107,9 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady, n.home.Rotate} {
+	for _, f := range []func(context.Context){
+		n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady, n.home.Rotate, n.shards.Run, n.entry.Run,
+	} {
 		running.Go(func() { f(work) })
 	}
 
@@ -171,6 +175,7 @@
 	n.host.Withdraw()
 	n.table.Update(func(r membership.Record) membership.Record { return r.WithState(membership.StateLeft) })
 	n.gossip.Tell(ctx)
+	n.releaseShards(ctx)
 
 	const pause = 20 * time.Millisecond
 
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -2,23 +2,50 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
+	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 )
 
 // once makes what keeps a call from running twice.
 func (n *Node) once() {
-	n.home = once.New(n.config.ID, n.table.Self().Incarnation, once.Recorder(n.recorder))
-	n.register = attempt.NewRegister(n.home.Life(), attempt.DefaultBound)
+	life := key.NewLife(n.table.Self().Incarnation)
+	self := shard.Self{Node: n.config.ID, Life: life, FailureDomain: n.config.FailureDomain}
+
+	n.shards = shard.New(self, n.store, n.table, n.client,
+		shard.Recorder(n.recorder), shard.Watching(n.watching), shard.Domains(n.domains))
+	n.home = once.New(n.config.ID, life, once.Recorder(n.recorder), once.WithShards(n.shards))
+	n.register = attempt.NewRegister(life, attempt.DefaultBound)
+}
+
+// domains returns all failure domains of the settings in force.
+func (n *Node) domains() []string {
+	snapshot := n.holder.Load()
+	if snapshot == nil {
+		return nil
+	}
+
+	var out []string
+
+	for _, b := range snapshot.Tree().Branches {
+		if b.Region != nil {
+			out = append(out, b.Region.FailureDomains...)
+		}
+	}
+
+	return out
 }
 
 // onceMethods adds what homes ask of gates and entries of homes.
 func (n *Node) onceMethods() {
 	n.server.Handle(caller.MethodOnce, peer.Typed(n.entry.ServeOnce))
+	n.server.Handle(shard.MethodPull, peer.Typed(n.shards.Serve))
 	n.server.Handle(once.MethodEpoch, peer.Typed(func(context.Context, nothing) (once.Epoch, error) {
 		return once.Epoch{Epoch: n.register.Epoch()}, nil
 	}))
@@ -26,3 +53,15 @@
 		return once.Closed{Closed: n.register.Close(t)}, nil
 	}))
 }
+
+// releaseShards hands the opaque keys of a node that leaves to others. It does
+// not hold up the drain when the platform is away; the next life of the node, or
+// an operator, then does it.
+func (n *Node) releaseShards(ctx context.Context) {
+	const limit = time.Second
+
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	n.shards.Release(ctx)
+}
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -1,14 +1,18 @@
 package node_test
 
 import (
+	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/standin/backend"
+	"github.com/pollencart/pollencart/internal/standin/platform"
 )
 
 // runs counts how often the backend servers ran a key.
@@ -138,3 +142,93 @@
 	assert.Equal(t, r.status, http.StatusUnprocessableEntity)
 	assert.Equal(t, f.runs(key), 1)
 }
+
+// sharded waits until all shards of the opaque keys have owners.
+func (f *fleet) sharded() shard.List {
+	f.t.Helper()
+
+	var l shard.List
+
+	f.wait("owners of all shards", func() bool {
+		data, ok := f.platform.Snapshot()[shard.Key]
+		if !ok || json.Unmarshal(data, &l) != nil {
+			return false
+		}
+
+		return !slices.ContainsFunc(l.Shards, func(s shard.Shard) bool { return s.Node == "" })
+	})
+
+	return l
+}
+
+// hostOf returns the index of the host that owns a key's shard, and a key that
+// it owns.
+func (f *fleet) hostOf(l shard.List, text string) int {
+	s, _, _ := l.Of(text)
+
+	return slices.IndexFunc(f.hosts, func(h *host) bool { return h.ID == s.Node })
+}
+
+// known waits until every node knows the owners.
+func (f *fleet) known(text string) {
+	f.t.Helper()
+
+	for i := range f.hosts {
+		f.wait("the owners to be known", func() bool {
+			return f.send(i, http.MethodPost, "/uploads/1", "gift aid", upload(text)).status == http.StatusOK
+		})
+	}
+}
+
+// A caller that knows nothing of homes makes its keys itself and repeats them
+// through every node, also while the platform is down.
+func TestAnOpaqueKeyRunsOnceThroughAnyNode(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+	f.sharded()
+	f.known("donation-1")
+	f.known("donation-2")
+	assert.Equal(t, f.runs("donation-1"), 1)
+
+	f.platform.SetFaults(platform.Faults{Down: true})
+
+	for i := range f.hosts {
+		r := f.send(i, http.MethodPost, "/uploads/1", "gift aid", upload("donation-2"))
+		assert.Equal(t, r.status, http.StatusOK)
+		assert.Equal(t, r.header.Get(caller.HeaderRepeat), "true")
+	}
+
+	assert.Equal(t, f.runs("donation-2"), 1)
+}
+
+// The home of an opaque key is replaced after it ran the key. The new process
+// has no record of it; if it ran what it has not seen, a repeat would book the
+// donation twice.
+func TestAnOpaqueKeyOfAReplacedHomeIsUnknown(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+	l := f.sharded()
+	f.known("donation-1")
+
+	owner := f.hostOf(l, "donation-1")
+	other := (owner + 1) % len(f.hosts)
+
+	h := f.hosts[owner]
+	h.stop()
+	assert.NilError(t, <-h.done)
+	f.start(h)
+
+	seen := map[string]bool{}
+
+	f.wait("a new owner", func() bool {
+		r := f.send(other, http.MethodPost, "/uploads/1", "gift aid", upload("donation-1"))
+		seen[r.away.ID] = true
+
+		assert.Equal(t, string(r.away.Ran), "unknown", "%v", r)
+
+		return r.away.ID == "once.taken_over"
+	})
+
+	t.Logf("refusals on the way: %v", seen)
+	assert.Equal(t, f.runs("donation-1"), 1)
+}
--- a/internal/once/book/book.go
+++ b/internal/once/book/book.go
@@ -8,9 +8,10 @@
 // Memory is bounded twice: by a number of records, at which new keys are
 // refused, and by generations, which are dropped whole. A record is never
 // dropped before its generation, and a key of a dropped generation is refused as
-// unknown, so that forgetting can't run a key again.
+// unknown, so that forgetting can't run a key again. An opaque key names no
+// generation; a filter remembers the dropped ones.
 //
-//	r, fresh, err := b.Open(text, book.Named(generation), digest)
+//	r, fresh, err := b.Open(book.Key{ID: text, Generation: 7}, digest)
 //	if fresh { ...run the call...; b.Settle(r, book.Outcome{Answer: &answer}) }
 //	outcome := <-b.Wait(r)
 package book
@@ -18,8 +19,10 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/once/filter"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -28,6 +31,8 @@
 	ErrFull    = errs.New("once.full", http.StatusServiceUnavailable, "the home of the key holds as many records as it may")
 	ErrDropped = errs.New("once.dropped", http.StatusConflict, "the key is older than the records that are held")
 	ErrFuture  = errs.New("once.future", http.StatusBadRequest, "the key names a generation that has not begun")
+	// ErrTakenOver means that an earlier owner of the shard may have run the key.
+	ErrTakenOver = errs.New("once.taken_over", http.StatusConflict, "the home of the key was replaced and may have run it before")
 	// ErrWaiting keeps a caller that hammers one key from taking the memory.
 	ErrWaiting  = errs.New("once.waiting", http.StatusTooManyRequests, "too many repeats wait for the same key")
 	ErrMismatch = errs.New("once.mismatch", http.StatusUnprocessableEntity, "the key was used for another request")
@@ -45,9 +50,22 @@
 	Dropped bool
 }
 
+// Key is what a record is found by.
+type Key struct {
+	ID string
+	// Generation is the one that a key names.
+	Generation uint64
+	// Opaque says that the key names none.
+	Opaque bool
+	// Wait is set for an opaque key whose shard another process owned before: it
+	// is not started for so long.
+	Wait time.Duration
+}
+
 // Record is what is known of one key.
 type Record struct {
 	id      string
+	opaque  bool
 	digest  Digest
 	settled bool
 	outcome Outcome
@@ -64,6 +82,7 @@
 	generation uint64
 	lowest     uint64
 	answers    int // bytes
+	dropped    filter.Filter
 }
 
 // New returns an empty book in its first generation.
@@ -90,13 +109,13 @@
 	return len(b.records), b.answers
 }
 
-// Open returns the record of a key of a generation and whether it was made now.
-// Only who made it may run the call.
-func (b *Book) Open(id string, generation uint64, d Digest) (r *Record, fresh bool, err error) {
+// Open returns the record of a key and whether it was made now. Only who made it
+// may run the call.
+func (b *Book) Open(k Key, d Digest) (r *Record, fresh bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	if r := b.records[id]; r != nil {
+	if r := b.records[k.ID]; r != nil {
 		if r.digest != d {
 			return nil, false, ErrMismatch
 		}
@@ -104,25 +123,58 @@
 		return r, false, nil
 	}
 
-	if generation < b.lowest {
-		return nil, false, ErrDropped.With("generation %d, held from %d", generation, b.lowest)
+	if k.Opaque {
+		k.Generation = b.generation
+		err = b.mayOpenOpaque(k)
+	} else {
+		err = b.mayOpen(k)
 	}
 
-	if generation > b.generation {
-		return nil, false, ErrFuture
+	if err != nil {
+		return nil, false, err
 	}
 
 	if len(b.records) >= b.options.Records {
 		return nil, false, ErrFull.With("%d", b.options.Records)
 	}
 
-	r = &Record{id: id, digest: d}
-	b.records[id] = r
-	b.lists[generation] = append(b.lists[generation], r)
+	r = &Record{id: k.ID, opaque: k.Opaque, digest: d}
+	b.records[k.ID] = r
+	b.lists[k.Generation] = append(b.lists[k.Generation], r)
 
 	return r, true, nil
 }
 
+func (b *Book) mayOpen(k Key) error {
+	if k.Generation < b.lowest {
+		return ErrDropped.With("generation %d, held from %d", k.Generation, b.lowest)
+	}
+
+	if k.Generation > b.generation {
+		return ErrFuture
+	}
+
+	return nil
+}
+
+// mayOpenOpaque refuses what may have been dropped here or run by an earlier
+// owner of the shard.
+func (b *Book) mayOpenOpaque(k Key) error {
+	if b.dropped.Has(k.ID) {
+		return ErrDropped
+	}
+
+	if k.Wait > 0 {
+		return ErrTakenOver.With("for %s", k.Wait.Round(time.Second))
+	}
+
+	if b.dropped.Full() {
+		return ErrFull.With("%d opaque keys dropped", filter.Capacity)
+	}
+
+	return nil
+}
+
 // MaxWaiting bounds the repeats that wait for one key.
 const MaxWaiting = 64
 
@@ -210,6 +262,10 @@
 
 	delete(b.records, r.id)
 
+	if r.opaque {
+		b.dropped.Add(r.id)
+	}
+
 	if r.outcome.Answer != nil {
 		b.answers -= len(r.outcome.Answer.Body)
 	}
--- /dev/null
+++ b/internal/once/filter/filter.go
@@ -0,0 +1,77 @@
+// Package filter remembers keys that were dropped, in fixed memory and without
+// ever forgetting one: a Bloom filter that is wrong in one direction only.
+//
+// A key that names no home tells nothing of its age. A request that waited in a
+// process that was frozen for an hour looks new, and would run again after its
+// record was dropped. With the filter it ends in unknown; so does, wrongly, one
+// new key in some four hundred of a full filter, which its caller can live with.
+//
+//	f := filter.New()
+//	f.Add("upload-17")
+//	f.Has("upload-17") // true for ever
+package filter
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// Bytes is the memory of a filter: 16 bits for each of Capacity keys.
+	Bytes = 1 << 20
+	// Capacity is how many keys fit before more than one in 400 of other keys is
+	// taken for a dropped one.
+	Capacity = 1 << 19
+
+	wordBits = 64
+	bits     = Bytes * 8
+	probes   = 4
+	half     = 32
+)
+
+// Filter is a set that never forgets. The zero filter is empty and takes no
+// memory.
+type Filter struct {
+	words []uint64
+	size  int
+}
+
+// Add puts a key in.
+func (f *Filter) Add(key string) {
+	if f.words == nil {
+		f.words = make([]uint64, bits/wordBits)
+	}
+
+	f.size++
+
+	for i := range uint64(probes) {
+		n := probe(key, i)
+		f.words[n/wordBits] |= 1 << (n % wordBits)
+	}
+}
+
+// Has reports whether the key may have been put in; false is certain.
+func (f *Filter) Has(key string) bool {
+	if f.words == nil {
+		return false
+	}
+
+	for i := range uint64(probes) {
+		n := probe(key, i)
+		if f.words[n/wordBits]&(1<<(n%wordBits)) == 0 {
+			return false
+		}
+	}
+
+	return true
+}
+
+// Full reports whether the filter holds as many keys as it may.
+func (f *Filter) Full() bool { return f.size >= Capacity }
+
+// Clear empties the filter.
+func (f *Filter) Clear() { *f = Filter{} }
+
+// probe derives all positions from one hash by double hashing.
+func probe(key string, i uint64) uint64 {
+	h := xxhash.Sum64String(key)
+
+	return ((h & (1<<half - 1)) + i*(h>>half|1)) % bits
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -8,7 +8,7 @@
 // depends on who is believed alive or on what time it is: a home that is gone
 // takes its keys with it, and they end in unknown.
 //
-//	h := once.New("nottm-a-browse-1", incarnation)
+//	h := once.New("nottm-a-browse-1", key.NewLife(incarnation), once.WithShards(keeper))
 //	answer, err := h.Run(ctx, c, run) // run sends attempts through h.Guard(peers)
 //
 // The record of a key ends in one of three ways, and the home is the only one
@@ -41,6 +41,7 @@
 // Errors of a keyed call.
 var (
 	ErrHomeGone    = errs.New("once.home_gone", http.StatusConflict, "the process that was the home of the key is gone")
+	ErrNotHome     = errs.New("once.not_home", http.StatusServiceUnavailable, "this process is not the home of the key now")
 	ErrRunning     = errs.New("once.running", http.StatusGatewayTimeout, "the first run of the key has not ended; repeat the key")
 	ErrAmbiguous   = errs.New("once.ambiguous", http.StatusGatewayTimeout, "an attempt of the key may have run; it is not sent again")
 	ErrNotKept     = errs.New("once.answer_not_kept", http.StatusConflict, "the key ran; its answer was too large to keep for repeats")
@@ -57,10 +58,9 @@
 	running  atomic.Int64
 }
 
-// New returns the home of a node's life.
-func New(node string, incarnation uint64, opts ...Option) *Home {
+// New returns the home of a node's life, which key.NewLife made.
+func New(node, life string, opts ...Option) *Home {
 	o := newOptions(opts...)
-	life := key.NewLife(incarnation)
 
 	return &Home{options: o, node: node, life: life, book: o.Book, sequence: attempt.NewSequence(node + "." + life)}
 }
@@ -99,14 +99,14 @@
 // Run runs the call under its key, or waits for the run that an earlier one
 // began. run makes attempts until it has an answer or a refusal.
 func (h *Home) Run(ctx context.Context, c call.Call, run call.Handler) (call.Answer, error) {
-	generation, err := h.generation(c.Key)
+	k, err := h.key(c)
 	if err != nil {
 		return call.Answer{}, refuse(c, err, call.RanUnknown, 0)
 	}
 
-	r, fresh, err := h.book.Open(c.Key, generation, digestOf(c))
+	r, fresh, err := h.book.Open(k, digestOf(c))
 	if err != nil {
-		return call.Answer{}, refuse(c, err, call.RanUnknown, time.Second)
+		return call.Answer{}, refuse(c, err, call.RanUnknown, max(k.Wait, time.Second))
 	}
 
 	wait, err := h.book.Wait(r)
@@ -128,20 +128,31 @@
 	}
 }
 
-// generation says which generation a key belongs to, or that this process is not
-// its home. A process that takes a key of the one before it for its own would
-// run it again.
-func (h *Home) generation(text string) (uint64, error) {
-	k, named := key.Parse(text)
+// key says how a key is recorded here, or that this process is not its home. A
+// process that takes a key of the one before it for its own would run it again.
+func (h *Home) key(c call.Call) (book.Key, error) {
+	k, named := key.Parse(c.Key)
 	if !named {
-		return 0, key.ErrKey.With("it names no home")
+		return h.opaque(c)
 	}
 
 	if k.Home.Node != h.node || k.Home.Life != h.life {
-		return 0, ErrHomeGone.With("%s.%s", k.Home.Node, k.Home.Life)
+		return book.Key{}, ErrHomeGone.With("%s.%s", k.Home.Node, k.Home.Life)
+	}
+
+	return book.Key{ID: c.Key, Generation: k.Home.Generation}, nil
+}
+
+// opaque takes a key only if its entry meant this process. An entry that was
+// frozen with a call for the owner before would otherwise bring it here, after
+// the time in which unseen keys are not started.
+func (h *Home) opaque(c call.Call) (book.Key, error) {
+	own := h.options.Shards.Own(c.Key)
+	if !own.Mine || c.Life != h.life {
+		return book.Key{}, ErrNotHome.With("%s", h.node)
 	}
 
-	return k.Home.Generation, nil
+	return book.Key{ID: c.Key, Opaque: true, Wait: own.Wait}, nil
 }
 
 // run goes on when its caller hangs up: the caller will ask again, and an
--- a/internal/once/options.go
+++ b/internal/once/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -16,8 +17,18 @@
 // calls press a button again within a minute or two.
 const DefaultRetention = 5 * time.Minute
 
+// Shards says whether this process is the home of an opaque key.
+type Shards interface {
+	Own(text string) shard.Own
+}
+
+type noShards struct{}
+
+func (noShards) Own(string) shard.Own { return shard.Own{} }
+
 // Options of a home.
 type Options struct {
+	Shards       Shards
 	Book         *book.Book
 	Recorder     *timeline.Recorder
 	CloseTimeout time.Duration
@@ -30,6 +41,7 @@
 
 func newOptions(opts ...Option) Options {
 	o := Options{
+		Shards:   noShards{},
 		Recorder: timeline.New(), CloseTimeout: DefaultCloseTimeout,
 		Retention: DefaultRetention, Generations: book.DefaultGenerations,
 	}
@@ -47,6 +59,9 @@
 // WithBook sets where the records are.
 func WithBook(b *book.Book) Option { return func(o *Options) { o.Book = b } }
 
+// WithShards sets who knows the home of opaque keys.
+func WithShards(s Shards) Option { return func(o *Options) { o.Shards = s } }
+
 // Recorder sets where events go.
 func Recorder(r *timeline.Recorder) Option { return func(o *Options) { o.Recorder = r } }
 
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -91,6 +91,7 @@
 	rows  []Row
 	total Row
 	keys  map[string]int
+	homes map[string]string // of keys, by node
 }
 
 // Bounds of the latency histogram, in microseconds.
@@ -112,7 +113,7 @@
 		p.Timeout = 10 * time.Second
 	}
 
-	r := &runner{plan: p, keys: map[string]int{}, total: newRow("total"), client: &http.Client{
+	r := &runner{plan: p, keys: map[string]int{}, homes: map[string]string{}, total: newRow("total"), client: &http.Client{
 		Timeout: p.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: idle},
 	}}
 	for _, q := range p.Requests {
@@ -225,8 +226,8 @@
 	o := outcome{}
 
 	if q.Keyed {
-		o.key = id
-		req.Header.Set(caller.HeaderKey, id)
+		o.key = r.key(node, id)
+		req.Header.Set(caller.HeaderKey, o.key)
 		req.GetBody = nil // the transport must not send an upload twice
 	}
 
@@ -242,6 +243,7 @@
 	}
 
 	o.status = resp.StatusCode
+	r.learn(node, resp.Header)
 
 	if o.status != http.StatusOK {
 		var t caller.TurnedAway
@@ -257,6 +259,28 @@
 	return o
 }
 
+// key makes a key that names its home, as callers should; before the first
+// answer of a node it leaves that to the node.
+func (r *runner) key(node, id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if home := r.homes[node]; home != "" {
+		return home + "." + id
+	}
+
+	return ""
+}
+
+func (r *runner) learn(node string, h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if home := h.Get(caller.HeaderHome); home != "" {
+		r.homes[node] = home
+	}
+}
+
 func matches(data []byte, id string, q Request) bool {
 	var a backend.Answer
 	if json.Unmarshal(data, &a) != nil {
