--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -18,21 +18,29 @@
 
 // Node life.
 var (
-	NodeStarted  = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
-	NodeReady    = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
-	NodeDraining = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
-	NodeStopped  = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
-	NodeFailed   = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
+	NodeStarted    = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
+	NodeReady      = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
+	NodeDraining   = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
+	NodeStopped    = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
+	NodeFailed     = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
+	NodePaused     = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
+	FaultsInjected = add(106, "FaultsInjected", slog.LevelWarn, "An experiment cut or mended links of this node.")
 )
 
 // Settings.
 var (
 	VersionAccepted = add(200, "VersionAccepted", slog.LevelInfo, "An operator's version was accepted on the platform.")
 	VersionInForce  = add(201, "VersionInForce", slog.LevelInfo, "The node answers with this version from now on.")
-	VersionRefused  = add(202, "VersionRefused", slog.LevelError, "The node was offered a version that does not check; it holds the old one whole.")
-	VersionOlder    = add(203, "VersionOlder", slog.LevelWarn, "The node was offered a version lower than its own and did not take it.")
-	PlatformLost    = add(210, "PlatformLost", slog.LevelWarn, "The platform can't be reached; the node goes on with what it holds.")
-	PlatformBack    = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
+	VersionRefused  = add(202, "VersionRefused", slog.LevelError,
+		"The node was offered a version that does not check; it holds the old one whole.")
+	VersionOlder = add(203, "VersionOlder", slog.LevelWarn, "The node was offered a version lower than its own and did not take it.")
+	VersionLost  = add(204, "VersionLost", slog.LevelError,
+		"Two versions were accepted on different copies of the platform and changed the same branches; "+
+			"this one could not be kept, accept it again.")
+	PlatformLost     = add(210, "PlatformLost", slog.LevelWarn, "The platform can't be reached; the node goes on with what it holds.")
+	PlatformBack     = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
+	PlatformRepaired = add(212, "PlatformRepaired", slog.LevelWarn,
+		"The platform came back from an older copy and was given back the version that this node holds.")
 )
 
 // Fleet.
@@ -42,6 +50,7 @@
 	MemberDead     = add(302, "MemberDead", slog.LevelWarn, "A suspected node did not refute in time and is taken for dead.")
 	MemberLeft     = add(303, "MemberLeft", slog.LevelInfo, "A node left by itself.")
 	MemberRefuted  = add(304, "MemberRefuted", slog.LevelInfo, "The node was suspected by others and refuted it with a higher incarnation.")
+	MemberCleared  = add(305, "MemberCleared", slog.LevelInfo, "A suspected node was heard of again and is no longer suspected.")
 	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The backend server on this host announced itself.")
 	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The backend server on this host changed its state.")
 	UpstreamLost   = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,11 +45,13 @@
 
 	server *peer.Server
 	client *peer.Client
+	faults *peer.Faults
 
 	store    *etcd.Store
 	acceptor *acceptance.Acceptor
 	holder   *spread.Holder
 	spreader *spread.Spreader
+	started  time.Time
 
 	table  *membership.Table
 	gossip *membership.Gossip
@@ -71,8 +73,10 @@
 func New(c config.Config, logger *slog.Logger) *Node {
 	n := &Node{config: c}
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
-	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()))
-	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()))
+	n.faults = &peer.Faults{}
+	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults))
+	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults),
+		peer.Address(c.PeerAddress), peer.Lost(func(address string) { n.gossip.Doubt(address) }))
 	n.settings()
 	n.fleet()
 	n.once()
@@ -84,8 +88,10 @@
 
 // methods adds what other nodes may ask of this one.
 func (n *Node) methods() {
-	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
+	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
+	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
+	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
 	n.onceMethods()
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
@@ -107,9 +113,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){
-		n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady, n.home.Rotate, n.shards.Run, n.entry.Run,
-	} {
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady, n.runOnce} {
 		running.Go(func() { f(work) })
 	}
 
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
@@ -54,6 +55,17 @@
 	}))
 }
 
+// runOnce does the background work until ctx ends.
+func (n *Node) runOnce(ctx context.Context) {
+	var running sync.WaitGroup
+
+	for _, f := range []func(context.Context){n.home.Rotate, n.shards.Run, n.entry.Run} {
+		running.Go(func() { f(ctx) })
+	}
+
+	running.Wait()
+}
+
 // releaseShards hands the opaque keys of a node that leaves to others. It does
 // not hold up the drain when the platform is away; the next life of the node, or
 // an operator, then does it.
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -186,6 +186,13 @@
 	entry platform.Entry
 }
 
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.down = down
+}
+
 // storeOf is the platform as one process reaches it.
 type storeOf struct{ *proc }
 
