--- a/internal/membership/changes.go
+++ b/internal/membership/changes.go
@@ -25,6 +25,10 @@
 func newChanges() changes { return changes{pending: map[string]*change{}} }
 
 func (c *changes) add(id string) {
+	if old := c.pending[id]; old != nil && old.sent == 0 {
+		return // it has not gone out yet, and goes out as it is then
+	}
+
 	c.remove(id)
 
 	n := &change{id: id}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -167,7 +167,7 @@
 }
 
 func (g *Gossip) hear(e Exchange) {
-	g.table.Merge(e.From, e.Records)
+	g.table.MergeFrom(e.From, e.Records)
 	g.table.Believe(e.Beliefs)
 
 	if e.Hash != g.table.Hash() {
--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -12,25 +12,24 @@
 // records. Its snapshots are immutable: a call reads them without a lock and
 // without a copy.
 type index struct {
-	services atomic.Pointer[map[string]service]
+	services atomic.Pointer[map[string]*service]
 	ready    atomic.Int64
 
 	// What follows is used under the table's lock.
 	suspect map[string]bool
-	members map[string]map[string]Record // ready ones by service and ID
-	dirty   map[string]bool              // services whose snapshot is outdated
+	dirty   map[*service]bool // those whose snapshot is outdated
 }
 
-// service is the snapshot of one service.
+// service is who has ready backend servers of one service.
 type service struct {
-	serving []Record // those that calls are sent to, in the order of IDs
+	serving atomic.Pointer[[]Record] // those that calls are sent to, in the order of IDs
+	members map[string]Record        // all live and ready ones; used under the table's lock
 }
 
 func (x *index) init() {
 	x.suspect = map[string]bool{}
-	x.members = map[string]map[string]Record{}
-	x.dirty = map[string]bool{}
-	x.services.Store(&map[string]service{})
+	x.dirty = map[*service]bool{}
+	x.services.Store(&map[string]*service{})
 }
 
 func (x *index) suspects() []string { return slices.Collect(maps.Keys(x.suspect)) }
@@ -44,45 +43,46 @@
 	}
 
 	if old.Ready() {
+		s := x.service(old.Upstream.Service)
+		delete(s.members, r.ID)
+
+		x.dirty[s] = true
 		x.ready.Add(-1)
-		x.dirty[old.Upstream.Service] = true
-		delete(x.members[old.Upstream.Service], r.ID)
 	}
 
-	if !r.Ready() {
-		return
+	if r.Ready() {
+		s := x.service(r.Upstream.Service)
+		s.members[r.ID] = r
+		x.dirty[s] = true
+		x.ready.Add(1)
 	}
+}
 
-	x.ready.Add(1)
-	x.dirty[r.Upstream.Service] = true
+func (x *index) service(name string) *service {
+	services := *x.services.Load()
 
-	if x.members[r.Upstream.Service] == nil {
-		x.members[r.Upstream.Service] = map[string]Record{}
+	s := services[name]
+	if s == nil {
+		s = &service{members: map[string]Record{}}
+		s.serving.Store(&[]Record{})
+
+		next := maps.Clone(services)
+		next[name] = s
+		x.services.Store(&next)
 	}
 
-	x.members[r.Upstream.Service][r.ID] = r
+	return s
 }
 
 // publish makes new snapshots of the services that changed; many changes that
 // arrived in one message cost one.
 func (x *index) publish() {
-	if len(x.dirty) == 0 {
-		return
-	}
-
-	next := maps.Clone(*x.services.Load())
-
-	for name := range x.dirty {
-		if len(x.members[name]) == 0 {
-			delete(x.members, name)
-			delete(next, name)
-		} else {
-			next[name] = newService(slices.SortedFunc(maps.Values(x.members[name]), byID))
-		}
+	for s := range x.dirty {
+		serving := s.choose()
+		s.serving.Store(&serving)
 	}
 
 	clear(x.dirty)
-	x.services.Store(&next)
 }
 
 // unlock ends a change of the table.
@@ -91,17 +91,29 @@
 	t.mu.Unlock()
 }
 
-// newService chooses who is sent calls: those that nobody suspects. If that
-// would leave less than half, the suspicion is the likelier fault, such as a
-// broken link of this node itself, and the suspected ones are sent calls too: a
-// bad signal must never empty a service.
-func newService(ready []Record) service {
-	serving := slices.DeleteFunc(slices.Clone(ready), func(r Record) bool { return r.State == StateSuspect })
-	if 2*len(serving) < len(ready) {
-		serving = ready
+// choose returns who is sent calls: those that nobody suspects. If that would
+// leave less than half, the suspicion is the likelier fault, such as a broken
+// link of this node itself, and the suspected ones are sent calls too: a bad
+// signal must never empty a service.
+func (s *service) choose() []Record {
+	all := make([]Record, 0, len(s.members))
+	suspected := 0
+
+	for _, r := range s.members {
+		all = append(all, r)
+
+		if r.State == StateSuspect {
+			suspected++
+		}
+	}
+
+	if suspected > 0 && 2*(len(all)-suspected) >= len(all) {
+		all = slices.DeleteFunc(all, func(r Record) bool { return r.State == StateSuspect })
 	}
 
-	return service{serving: serving}
+	slices.SortFunc(all, byID)
+
+	return all
 }
 
 func byID(a, b Record) int { return strings.Compare(a.ID, b.ID) }
@@ -109,7 +121,12 @@
 // Serving returns the live nodes whose backend server takes calls of a service,
 // in the order of IDs. The slice is shared and must not be changed.
 func (t *Table) Serving(name string) []Record {
-	return (*t.index.services.Load())[name].serving
+	s := (*t.index.services.Load())[name]
+	if s == nil {
+		return nil
+	}
+
+	return *s.serving.Load()
 }
 
 // CountReady returns how many live nodes have a backend server that takes calls.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -19,6 +19,7 @@
 	"net/http"
 
 	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/pkg/upstream"
 )
 
 // ErrRecord is returned for a record that does not check.
@@ -47,21 +48,16 @@
 }
 
 // UpstreamState is what the backend server on the node's host says of itself.
-type UpstreamState string
+type UpstreamState = upstream.State
 
 // The states of a backend server.
 const (
-	UpstreamWarming  UpstreamState = "Warming"
-	UpstreamReady    UpstreamState = "Ready"
-	UpstreamDraining UpstreamState = "Draining"
-	UpstreamGone     UpstreamState = "Gone"
+	UpstreamWarming  = upstream.Warming
+	UpstreamReady    = upstream.Ready
+	UpstreamDraining = upstream.Draining
+	UpstreamGone     = upstream.Gone
 )
 
-// Valid reports whether the state is known.
-func (s UpstreamState) Valid() bool {
-	return s == UpstreamWarming || s == UpstreamReady || s == UpstreamDraining || s == UpstreamGone
-}
-
 // Upstream is what a node tells about the backend server on its host.
 type Upstream struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -68,8 +68,11 @@
 	t.put(next)
 }
 
-// Merge takes records that arrived from a node and returns how many were news.
-func (t *Table) Merge(from string, records []Record) int {
+// Merge takes records and returns how many were news.
+func (t *Table) Merge(records []Record) int { return t.MergeFrom("", records) }
+
+// MergeFrom takes records that a node sent and returns how many were news.
+func (t *Table) MergeFrom(from string, records []Record) int {
 	t.mu.Lock()
 	defer t.unlock()
 
--- /dev/null
+++ b/internal/upstream/host_test.go
@@ -0,0 +1,150 @@
+package upstream_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/internal/upstream"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+type fixture struct {
+	table *membership.Table
+	host  *upstream.Host
+	told  []membership.UpstreamState
+}
+
+func newFixture() *fixture {
+	f := &fixture{}
+	r := timeline.New()
+	f.table = membership.NewTable(membership.Record{ID: "a", Incarnation: 1, PeerAddress: "127.0.0.1:1"}, r)
+	f.host = upstream.New(f.table, admission.New(), r, upstream.Changed(func() {
+		f.told = append(f.told, f.table.Self().Upstream.State)
+	}))
+
+	return f
+}
+
+func (f *fixture) announce(t *testing.T, s membership.UpstreamState) {
+	t.Helper()
+
+	assert.NilError(t, f.host.Announce(upstream.Announcement{
+		Service: "browse", Address: nowhere, Slots: 10, Connections: 100, State: s, TTL: settings.Duration(2 * time.Second),
+	}))
+}
+
+const nowhere = "127.0.0.1:9"
+
+// A backend server hangs or dies without a word. Calls would go on being sent to
+// it until somebody noticed.
+func TestWithoutRenewalABackendServerIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.announce(t, membership.UpstreamWarming)
+		assert.Equal(t, len(f.table.Serving("browse")), 0)
+		f.announce(t, membership.UpstreamReady)
+		assert.Equal(t, len(f.table.Serving("browse")), 1)
+
+		time.Sleep(1900 * time.Millisecond)
+		f.host.Expire()
+		assert.Equal(t, len(f.table.Serving("browse")), 1)
+
+		time.Sleep(200 * time.Millisecond)
+		f.host.Expire()
+		assert.Equal(t, len(f.table.Serving("browse")), 0)
+	})
+}
+
+// A node is frozen longer than the announcement holds, and wakes with calls in
+// its connections before its own timers have run. Its backend server may have
+// left long ago; it must refuse them as not run.
+func TestAnAnnouncementThatRanOutTakesNoCall(t *testing.T) {
+	ran := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
+
+	defer s.Close()
+
+	f := newFixture()
+	assert.NilError(t, f.host.Announce(upstream.Announcement{
+		Service: "browse", Address: s.Listener.Addr().String(), Slots: 10, Connections: 100,
+		State: membership.UpstreamReady, TTL: settings.Duration(50 * time.Millisecond),
+	}))
+
+	c := call.Call{ID: "1", Service: "browse", Method: http.MethodGet, URI: "/", Idempotent: true}
+	_, err := f.host.Run(t.Context(), c)
+	assert.NilError(t, err)
+
+	time.Sleep(60 * time.Millisecond)
+
+	_, err = f.host.Run(t.Context(), c)
+
+	var refusal *call.Refusal
+
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Ran, call.RanNo)
+	assert.Equal(t, ran, 1)
+}
+
+// A backend server crashes and starts again twice a second. Undamped, each time
+// it is ready callers' requests are sent to it and fail, and each change goes
+// round the whole fleet.
+func TestAFlappingBackendServerIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+
+		const seconds = 60
+
+		for range seconds {
+			f.announce(t, membership.UpstreamReady)
+			time.Sleep(500 * time.Millisecond)
+			f.announce(t, membership.UpstreamGone)
+			time.Sleep(500 * time.Millisecond)
+		}
+
+		ready := 0
+
+		for _, s := range f.told {
+			if s == membership.UpstreamReady {
+				ready++
+			}
+		}
+
+		t.Logf("told ready %d times in %d s of flapping, %d changes", ready, seconds, len(f.told))
+		assert.Assert(t, ready <= 7, "told ready %d times", ready)
+		// Held back it says Warming and Gone in turn; others need only hear that it
+		// takes no calls.
+		assert.Assert(t, len(f.told) <= 20, "%d changes", len(f.told))
+
+		f.announce(t, membership.UpstreamReady)
+
+		for range 2 * 31 {
+			time.Sleep(500 * time.Millisecond)
+			f.announce(t, membership.UpstreamReady)
+		}
+
+		assert.Equal(t, f.table.Self().Upstream.State, membership.UpstreamReady)
+	})
+}
+
+// The first restart of a backend server is an everyday matter, and must not cost
+// its service capacity.
+func TestOneRestartIsNotHeldBack(t *testing.T) {
+	f := newFixture()
+	for _, s := range []membership.UpstreamState{
+		membership.UpstreamWarming, membership.UpstreamReady, membership.UpstreamDraining, membership.UpstreamGone,
+		membership.UpstreamWarming, membership.UpstreamReady,
+	} {
+		f.announce(t, s)
+		assert.Equal(t, f.table.Self().Upstream.State, s)
+	}
+}
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -65,11 +65,11 @@
 // error is a Refusal that says whether the call may have run.
 func (h *Host) Run(ctx context.Context, c call.Call) (call.Answer, error) {
 	h.mu.Lock()
-	client, current := h.client, h.current
+	client, current, expired := h.client, h.current, h.expired()
 	h.mu.Unlock()
 
 	// The entry may believe what was true before this host got another service.
-	if client == nil || current.Service != c.Service {
+	if client == nil || current.Service != c.Service || expired {
 		return call.Answer{}, call.Refuse(ErrNone, call.RanNo, time.Second)
 	}
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,7 +7,6 @@
 package upstream
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -17,50 +16,14 @@
 	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/timeline"
-	"github.com/pollencart/pollencart/pkg/errs"
-	"github.com/pollencart/pollencart/pkg/settings"
+	"github.com/pollencart/pollencart/pkg/upstream"
 )
 
 // ErrAnnouncement is returned for an announcement that does not check.
-var ErrAnnouncement = errs.New("upstream.announcement", http.StatusBadRequest, "announcement not accepted")
-
-// MaxTTL bounds how long an announcement holds without renewal.
-const MaxTTL = time.Minute
+var ErrAnnouncement = upstream.ErrAnnouncement
 
 // Announcement is what a backend server says of itself, and renews.
-type Announcement struct {
-	Service     string                   `json:"Service"`
-	Address     string                   `json:"Address"`
-	Slots       int                      `json:"Slots"`
-	Connections int                      `json:"Connections"`
-	State       membership.UpstreamState `json:"State"`
-	TTL         settings.Duration        `json:"TTL"`
-}
-
-// Check reports whether the announcement can be used.
-func (a Announcement) Check() error {
-	if a.Service == "" {
-		return ErrAnnouncement.With("Service is missing")
-	}
-
-	if host, _, err := net.SplitHostPort(a.Address); err != nil || net.ParseIP(host) == nil {
-		return ErrAnnouncement.With("Address %q is not an IP number and port", a.Address)
-	}
-
-	if a.Slots < 1 || a.Connections < 1 {
-		return ErrAnnouncement.With("Slots and Connections want 1 or more")
-	}
-
-	if !a.State.Valid() {
-		return ErrAnnouncement.With("State %q", a.State)
-	}
-
-	if a.TTL <= 0 || a.TTL > settings.Duration(MaxTTL) {
-		return ErrAnnouncement.With("TTL %s is not between 0 and %s", a.TTL, MaxTTL)
-	}
-
-	return nil
-}
+type Announcement = upstream.Announcement
 
 // Host is the backend server on this host.
 type Host struct {
@@ -71,8 +34,10 @@
 	keys     *invariant.Keys
 
 	mu      sync.Mutex
-	current Announcement
+	current Announcement // what the backend server said last
+	told    Announcement // what the others were told last
 	expires time.Time
+	damping damping
 	client  *http.Client
 }
 
@@ -90,18 +55,15 @@
 	}
 
 	h.mu.Lock()
-	old := h.current
-	h.current = a
-	h.expires = time.Now().Add(time.Duration(a.TTL))
+	defer h.mu.Unlock()
 
-	if old.Address != a.Address || old.Connections != a.Connections {
+	if h.current.Address != a.Address || h.current.Connections != a.Connections {
 		h.client = newClient(a.Connections)
 	}
-	h.mu.Unlock()
 
-	if old != a {
-		h.publish(old, a)
-	}
+	h.current = a
+	h.expires = time.Now().Add(time.Duration(a.TTL))
+	h.tell()
 
 	return nil
 }
@@ -109,27 +71,55 @@
 // Withdraw notes that the backend server is gone.
 func (h *Host) Withdraw() {
 	h.mu.Lock()
-	old := h.current
-	h.current.State = membership.UpstreamGone
-	next := h.current
-	h.mu.Unlock()
+	defer h.mu.Unlock()
 
-	if old.Service != "" && old.State != membership.UpstreamGone {
-		h.publish(old, next)
+	h.withdraw()
+}
+
+func (h *Host) withdraw() {
+	if h.current.Service == "" {
+		return
 	}
+
+	h.current.State = upstream.Gone
+	h.tell()
 }
 
 // Expire withdraws a backend server that did not renew. It crashed or hangs;
 // without this, calls would go on being sent to it.
 func (h *Host) Expire() {
 	h.mu.Lock()
-	late := h.current.Service != "" && h.current.State != membership.UpstreamGone && time.Now().After(h.expires)
-	service := h.current.Service
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+
+	if h.current.Service == "" || h.current.State == upstream.Gone {
+		return
+	}
+
+	if h.expired() {
+		h.recorder.Record(event.UpstreamLost, timeline.Entry{Detail: h.current.Service})
+		h.withdraw()
+	}
+
+	h.tell()
+}
+
+// expired reports whether the announcement ran out. It is looked at for each
+// call too: a process that was frozen wakes before its own timers have run, and
+// would send calls to a backend server that left long ago.
+func (h *Host) expired() bool { return time.Now().After(h.expires) }
+
+// tell tells the others if there is news.
+func (h *Host) tell() {
+	now := time.Now()
+
+	if h.told.State == upstream.Ready && h.current.State != upstream.Ready {
+		h.damping.lose(now)
+	}
 
-	if late {
-		h.recorder.Record(event.UpstreamLost, timeline.Entry{Detail: service})
-		h.Withdraw()
+	next := h.current.WithState(h.damping.state(h.current.State, h.told.State, now))
+	if next != h.told {
+		h.publish(h.told, next)
+		h.told = next
 	}
 }
 
@@ -150,14 +140,14 @@
 
 	h.queue.Resize(min(a.Slots, a.Connections))
 
-	if a.State == membership.UpstreamReady {
+	if a.State == upstream.Ready {
 		h.queue.Open()
 	} else {
 		h.queue.Close()
 	}
 
 	h.table.Update(func(r membership.Record) membership.Record {
-		if a.State == membership.UpstreamReady && r.Upstream.State != membership.UpstreamReady {
+		if a.State == upstream.Ready && r.Upstream.State != upstream.Ready {
 			r.Upstream.ReadySince = time.Now().UnixMilli()
 		}
 
