membership: the last node of a fleet may leave

Cause: choosing a random live node panicked once the own node had left and no other was known; seen as a crash of the node tests under the race detector. Shown failing: the new test panics on the commit before.

--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -169,7 +169,7 @@
 	// wanted, which costs a probe its breadth and nothing else.
 	const triesEach = 4
 
-	for tries := triesEach*count + len(skip); tries > 0 && len(out) < count; tries-- {
+	for tries := triesEach*count + len(skip); tries > 0 && len(out) < count && len(t.live.ids) > 0; tries-- {
 		id := t.live.ids[rand.IntN(len(t.live.ids))]
 		if slices.Contains(skip, id) {
 			continue
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -109,3 +109,12 @@
 	a.Adopt("x", b.Pick(d.Want))
 	assert.Equal(t, a.Hash(), b.Hash())
 }
+
+// The last node of a fleet leaves by a planned stop, and tells so: there is nobody
+// to tell, not even itself among the live.
+func TestTheLastNodeLeaves(t *testing.T) {
+	table := tableOf()
+	table.Update(func(r membership.Record) membership.Record { return r.WithState(membership.StateLeft) })
+	assert.Equal(t, len(table.Random(3)), 0)
+	assert.Equal(t, table.CountLive(), 0)
+}
