--- a/bench/bounds_test.go
+++ b/bench/bounds_test.go
@@ -36,7 +36,7 @@
 // processor time of every node all day.
 func TestMergeOfKnownRecordsAllocatesNothing(t *testing.T) {
 	tab, members := table(t, 1000)
-	atMost(t, "allocations", testing.AllocsPerRun(10, func() { tab.Merge("", members) }), 0)
+	atMost(t, "allocations", testing.AllocsPerRun(10, func() { tab.Merge(members) }), 0)
 }
 
 func TestMergeOfOneNewsAllocatesTheSameInAnyFleet(t *testing.T) {
@@ -46,7 +46,7 @@
 
 		atMost(t, "allocations", testing.AllocsPerRun(50, func() {
 			one[0].Seq++
-			tab.Merge("", one)
+			tab.Merge(one)
 		}), 4)
 	}
 }
