--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,7 @@
 	addDemo(app)
 	addScale(app)
 	addSoak(app)
+	addHerd(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -28,6 +28,8 @@
 	BackendArgs []string
 	// LogLevel of the nodes.
 	LogLevel string
+	// FaultInjection gives the nodes the switch that cuts their links.
+	FaultInjection bool
 }
 
 // Fleet is a started deployment.
@@ -115,6 +117,7 @@
 	c.PeerAddress, c.CallerAddress, c.ControlAddress = h.Peer, h.Caller, h.Control
 	c.Platform = []string{"http://" + f.Platform[h.FailureDomain]}
 	c.Mode = f.Deployment.Mode
+	c.FaultInjection = f.options.FaultInjection
 
 	if f.options.LogLevel != "" {
 		c.LogLevel = f.options.LogLevel
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -99,7 +99,7 @@
 	}
 
 	s.fleet, err = harness.Start(ctx, d, harness.Options{
-		Binaries: s.options.Binaries, Dir: s.options.Dir,
+		Binaries: s.options.Binaries, Dir: s.options.Dir, FaultInjection: true,
 		BackendArgs: []string{"--ledger", s.ledger.url, "--drain-notice", drainNotice.String()},
 	})
 	if err != nil {
