make load, and reports of load by class

Change: a gate reports what a call of each class has in front of it; the entry counts own calls, waits and service times by class.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo check test lint tools soak
+.PHONY: build demo check test lint tools soak load
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,7 @@
 
 soak: build
 	bin/bench soak --seed $(SEED) --minutes $(MINUTES) --deployment examples/$(DEPLOYMENT)
+
+# Patterns of load on real processes; the last line is one JSON object.
+load: build
+	bin/bench load
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,6 +15,7 @@
 	app := kingpin.New("bench", "Demonstration and experiments on real processes.")
 	addDemo(app)
 	addSoak(app)
+	addLoad(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -91,7 +91,6 @@
 	closed   bool
 	observed time.Duration // when the smoothed figures were last brought up to date
 	classes  [classCount]class
-	usual    float64 // smoothed count of calls inside
 	served   rate
 	refused  rate
 }
@@ -181,7 +180,7 @@
 	}
 
 	now := q.now()
-	w := &waiter{class: indexOf(t.Class), arrived: now}
+	w := &waiter{class: t.Class.Rank(), arrived: now}
 	c := &q.classes[w.class]
 	w.line = c.line(t.Caller)
 	q.observe(now)
@@ -328,9 +327,11 @@
 
 	q.observe(q.now())
 
-	l := call.Load{Slots: q.slots, InFlight: q.inFlight, Leaving: q.closed, Usual: q.usual}
+	l := call.Load{Slots: q.slots, InFlight: q.inFlight, Leaving: q.closed}
 	for i := range q.classes {
 		l.Queued += q.classes[i].waiting
+		l.Work[i] = q.inFlight + l.Queued
+		l.Usual[i] = q.classes[i].usual
 	}
 
 	if q.inFlight >= q.slots {
--- a/internal/admission/class.go
+++ b/internal/admission/class.go
@@ -6,20 +6,7 @@
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
-const classCount = 3
-
-// indexOf returns the rank of a class, 0 for the most urgent.
-func indexOf(c settings.Class) int {
-	switch c {
-	case settings.ClassWrite:
-		return 1
-	case settings.ClassBackground:
-		return 2
-	case settings.ClassInteractive:
-	}
-
-	return 0
-}
+const classCount = settings.ClassCount
 
 // waiter is one call in the queue or in a slot.
 type waiter struct {
@@ -58,6 +45,7 @@
 	share    float64       // smoothed share of the slots
 	peak     float64       // slots wanted by this class and those above, decaying
 	standing time.Duration // since when calls have been waiting
+	usual    float64       // smoothed count of calls in front of a new one
 }
 
 func newClass(typical time.Duration) class {
--- a/internal/admission/expect.go
+++ b/internal/admission/expect.go
@@ -10,6 +10,11 @@
 // of short calls, and a caller notices no shift that takes a second.
 const memory = time.Second
 
+// peakMemory is how long slots stay free that the classes above wanted: several
+// times as long as a sweep's call runs, or each gap in the folder opens is filled
+// with work that is still there when they come back.
+const peakMemory = 2 * time.Second
+
 // observe brings the smoothed figures up to now. It is called before and after
 // each change, so that each state counts for as long as it lasted.
 func (q *Queue) observe(now time.Duration) {
@@ -28,18 +33,20 @@
 
 	q.observed = now
 	keep := math.Exp(-float64(since) / float64(memory))
+	work := q.inFlight
+	keepPeak := math.Exp(-float64(since) / float64(peakMemory))
 	wanted = 0
 
 	for i := range q.classes {
 		c := &q.classes[i]
 		wanted += c.inFlight + c.waiting
 		current := float64(min(wanted, q.slots))
-		c.peak = current + (c.peak-current)*keep
+		c.peak = current + (c.peak-current)*keepPeak
 		used := float64(c.inFlight) / float64(max(q.slots, 1))
 		c.share = used + (c.share-used)*keep
+		work += c.waiting
+		c.usual = float64(work) + (c.usual-float64(work))*keep
 	}
-
-	q.usual = float64(wanted) + (q.usual-float64(wanted))*keep
 }
 
 // owed reports whether a class has work and less than its guaranteed share.
@@ -55,7 +62,7 @@
 }
 
 // limit is how many slots a class may hold: all but those that the classes
-// above it wanted in the last second, yet never less than its guaranteed share.
+// above it wanted in the last seconds, yet never less than its guaranteed share.
 //
 // Without it the slots that short calls leave free for a moment fill up with
 // long calls, and the next folder open waits for a sweep to end.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -150,8 +150,11 @@
 	Queued   int               `msgpack:"Queued"`
 	Wait     settings.Duration `msgpack:"Wait"`
 	Leaving  bool              `msgpack:"Leaving"`
-	// Usual is InFlight and Queued together, averaged over the last second.
-	Usual float64 `msgpack:"Usual"`
+	// Work is what a call of each class has in front of it now: the calls in
+	// slots and those that wait in its class and in more urgent ones. Usual is
+	// the same, averaged over the last second.
+	Work  [settings.ClassCount]int     `msgpack:"Work"`
+	Usual [settings.ClassCount]float64 `msgpack:"Usual"`
 	// Waited and Held are the times that this call spent in the queue and in a
 	// slot.
 	Waited settings.Duration `msgpack:"Waited"`
@@ -178,6 +181,8 @@
 	Load     Load    `msgpack:"Load"`
 	Repeat   bool    `msgpack:"Repeat,omitempty"`
 	Key      string  `msgpack:"Key,omitempty"`
+	// Attempts is how many times the call was sent to a gate.
+	Attempts int `msgpack:"Attempts"`
 }
 
 // WithKey returns the answer with the idempotency key that it belongs to.
@@ -187,6 +192,13 @@
 	return a
 }
 
+// WithAttempts returns the answer with the number of attempts made.
+func (a Answer) WithAttempts(n int) Answer {
+	a.Attempts = n
+
+	return a
+}
+
 // WithRepeat marks the answer as one that an earlier run gave.
 func (a Answer) WithRepeat() Answer {
 	a.Repeat = true
@@ -206,6 +218,8 @@
 	// NotForwarded says that this attempt did not get to the key's home; an
 	// earlier one may have run.
 	NotForwarded bool `msgpack:"NotForwarded,omitempty"`
+	// Attempts is how many times the call was sent to a gate.
+	Attempts int `msgpack:"Attempts"`
 }
 
 // Refuse returns a refusal.
@@ -220,6 +234,13 @@
 	return &r
 }
 
+// WithAttempts returns the refusal with the number of attempts made.
+func (r Refusal) WithAttempts(n int) *Refusal {
+	r.Attempts = n
+
+	return &r
+}
+
 // WithKey returns the refusal as the home's word on a key.
 func (r Refusal) WithKey(key string) *Refusal {
 	r.Key = key
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -29,25 +29,28 @@
 func (g *gates) attempt(ctx context.Context, c call.Call) (call.Answer, error) {
 	var last error
 
+	made := 0
 	upper := max(c.Attempt, 1)
 	need := selection.Need{Class: c.Class, Idempotent: c.Idempotent}
 
-	for n := 1; ; n++ {
+	for {
 		candidate, ok := g.options.Selector.Pick(c.Service, g.candidates(c.Service), need)
 		if !ok {
 			break
 		}
 
-		a, err := g.send(ctx, candidate, c.WithAttempt(upper+n-1))
+		made++
+
+		a, err := g.send(ctx, candidate, c.WithAttempt(upper+made-1))
 		if err == nil {
 			g.budget.Answered(c.Route, c.Values.RetryBudget)
 
-			return a, nil
+			return a.WithAttempts(made), nil
 		}
 
 		last = err
 
-		if !g.budget.Again(ctx, c, n, err) {
+		if !g.budget.Again(ctx, c, made, err) {
 			break
 		}
 
@@ -55,11 +58,17 @@
 		g.options.Recorder.Record(event.CallRetried, timeline.Entry{Call: c.ID, Peer: candidate.ID, Detail: err.Error()})
 	}
 
-	if last == nil {
-		last = call.Refuse(ErrNoUpstream.With("%s", c.Service), call.RanNo, time.Second)
+	return call.Answer{}, g.givenUp(c, last, made)
+}
+
+// givenUp is the final refusal of a call.
+func (g *gates) givenUp(c call.Call, last error, made int) error {
+	var r *call.Refusal
+	if !errors.As(last, &r) {
+		r = call.Refuse(ErrNoUpstream.With("%s", c.Service), call.RanNo, time.Second)
 	}
 
-	return call.Answer{}, last
+	return r.WithAttempts(made)
 }
 
 func (g *gates) candidates(service string) []selection.Candidate {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -53,6 +53,7 @@
 	HeaderDeadline = "Pollencart-Deadline-Ms"
 	HeaderAttempt  = "Pollencart-Attempt"
 	HeaderDepth    = "Pollencart-Depth"
+	HeaderAttempts = "Pollencart-Attempts"
 	HeaderKey      = "Idempotency-Key"
 	HeaderHome     = "Pollencart-Home"
 )
@@ -246,6 +247,7 @@
 
 	h.Set(HeaderRan, string(a.Ran))
 	h.Set(HeaderUpstream, a.Upstream)
+	h.Set(HeaderAttempts, strconv.Itoa(a.Attempts))
 
 	if a.Key != "" {
 		h.Set(HeaderKey, a.Key)
@@ -271,6 +273,7 @@
 	Node         string   `json:"Node"`
 	Ran          call.Ran `json:"Ran"`
 	RetryAfterMs int64    `json:"RetryAfterMs"`
+	Attempts     int      `json:"Attempts"`
 	Key          string   `json:"Key,omitempty"`
 	NotForwarded bool     `json:"NotForwarded,omitempty"`
 }
@@ -291,6 +294,7 @@
 
 	h := c.Response().Header()
 	h.Set(HeaderRan, string(r.Ran))
+	h.Set(HeaderAttempts, strconv.Itoa(r.Attempts))
 
 	if r.Key != "" {
 		h.Set(HeaderKey, r.Key)
@@ -303,7 +307,7 @@
 
 	return c.JSON(r.Fault.Code, TurnedAway{
 		ID: r.Fault.ID, Code: r.Fault.Code, Detail: r.Fault.Detail, Call: id, Node: e.options.Node,
-		Ran: r.Ran, RetryAfterMs: wait.Milliseconds(),
+		Ran: r.Ran, RetryAfterMs: wait.Milliseconds(), Attempts: r.Attempts,
 		Key: r.Key, NotForwarded: r.NotForwarded,
 	})
 }
--- a/internal/selection/group.go
+++ b/internal/selection/group.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
-	"github.com/pollencart/pollencart/pkg/settings"
 )
 
 const (
@@ -65,18 +64,25 @@
 	return m
 }
 
+// forgetTimes starts to learn service times anew.
+func (m *member) forgetTimes() {
+	for i := range m.classes {
+		m.classes[i].samples = 0
+	}
+}
+
 // restarted forgets what was known of the backend server before it came back.
 func (m *member) restarted(c *Candidate, now time.Time) {
 	m.readySince = c.ReadySince
 	m.warmSince = now
 	m.ejected, m.failing, m.failures, m.good = false, false, 0, 0
-	m.samples = [classCount]int{}
+	m.forgetTimes()
 	m.report = call.Load{}
 }
 
 func (g *group) forget(now time.Time) {
 	for id, m := range g.members {
-		if m.inFlight == 0 && now.Sub(m.pickedAt) > forgetAfter {
+		if m.inFlight(classCount-1) == 0 && now.Sub(m.pickedAt) > forgetAfter {
 			delete(g.members, id)
 		}
 	}
@@ -108,7 +114,7 @@
 }
 
 // judge ejects or readmits gates after an outcome.
-func (g *group) judge(m *member, class settings.Class, o Outcome, now time.Time) {
+func (g *group) judge(m *member, class int, o Outcome, now time.Time) {
 	switch o.Result {
 	case Failed:
 		m.failures++
@@ -185,13 +191,13 @@
 	)
 
 	for _, m := range g.members {
-		if m.ejected || m.samples[i] < samplesToJudge || now.Sub(m.lastEnd) > recent {
+		if m.ejected || m.classes[i].samples < samplesToJudge || now.Sub(m.lastEnd) > recent {
 			continue
 		}
 
-		times = append(times, m.service[i])
+		times = append(times, m.classes[i].service)
 
-		if worst == nil || m.service[i] > worst.service[i] {
+		if worst == nil || m.classes[i].service > worst.classes[i].service {
 			worst = m
 		}
 	}
@@ -203,7 +209,7 @@
 	slices.Sort(times)
 	g.median[i] = times[(len(times)-1)/2]
 
-	if g.slow(i, worst.service[i]) && now.Sub(g.lastEjected) >= EjectEvery && g.mayEjectSlow(now) {
+	if g.slow(i, worst.classes[i].service) && now.Sub(g.lastEjected) >= EjectEvery && g.mayEjectSlow(now) {
 		g.eject(worst, now)
 	}
 }
@@ -213,8 +219,8 @@
 }
 
 // readmit takes a gate back after good probes, on a ramp as a cold one.
-func (g *group) readmit(m *member, class settings.Class, o Outcome, now time.Time) {
-	if g.slow(indexOf(class), time.Duration(o.Load.Held)) {
+func (g *group) readmit(m *member, class int, o Outcome, now time.Time) {
+	if g.slow(class, time.Duration(o.Load.Held)) {
 		m.good = 0
 
 		return
@@ -224,7 +230,7 @@
 
 	if m.good >= GoodProbes {
 		m.ejected, m.failing, m.good = false, false, 0
-		m.samples = [classCount]int{}
+		m.forgetTimes()
 		m.warmSince = now
 	}
 }
--- a/internal/selection/member.go
+++ b/internal/selection/member.go
@@ -22,7 +22,9 @@
 	// then its new state has come by gossip.
 	LeavingLife = 5 * time.Second
 	// bearOut bounds a report by own waits: it may be this many times worse.
-	bearOut = 4
+	bearOut = 16
+	// freePart of the slots were free if own calls did not wait.
+	freePart = 4
 	// smoothing of service times; about as many calls have a say.
 	smoothing = 8
 	// clip bounds what one call can say about service time, so that a single
@@ -30,36 +32,18 @@
 	clip = 4
 )
 
-const classCount = 3
-
-func indexOf(c settings.Class) int {
-	switch c {
-	case settings.ClassWrite:
-		return 1
-	case settings.ClassBackground:
-		return 2
-	case settings.ClassInteractive:
-	}
-
-	return 0
-}
+const classCount = settings.ClassCount
 
 // member is what is known of one gate.
 type member struct {
 	readySince time.Time
 	warmSince  time.Time // begin of the ramp
 
-	inFlight int
-	starts   time.Duration // sum of start times since epoch
-	epoch    time.Time
-
+	epoch      time.Time
 	report     call.Load
 	reported   time.Time
-	started    int           // own calls since the report
-	waited     time.Duration // smoothed own waits in its queue
 	way        time.Duration // smoothed time that is neither wait nor service
-	service    [classCount]time.Duration
-	samples    [classCount]int
+	classes    [classCount]outcomes
 	lastEnd    time.Time
 	lastAnswer time.Time
 
@@ -71,6 +55,16 @@
 	pickedNo uint64
 }
 
+// outcomes is what own calls of one class showed of a gate.
+type outcomes struct {
+	inFlight int
+	starts   time.Duration // sum of start times since epoch
+	started  int           // since the last report
+	waited   time.Duration // smoothed waits in its queue
+	service  time.Duration // smoothed times in a slot
+	samples  int
+}
+
 func newMember(c *Candidate, now time.Time) *member {
 	m := &member{readySince: c.ReadySince, epoch: now, pickedAt: now, warmSince: now}
 	// The clocks of two hosts differ; a start that lies ahead is a start now.
@@ -81,50 +75,66 @@
 	return m
 }
 
-func (m *member) begin(now time.Time) {
-	m.inFlight++
-	m.started++
-	m.starts += now.Sub(m.epoch)
+func (m *member) begin(class int, now time.Time) {
+	c := &m.classes[class]
+	c.inFlight++
+	c.started++
+	c.starts += now.Sub(m.epoch)
 }
 
-func (m *member) end(start, now time.Time) {
-	m.inFlight--
-	m.starts -= start.Sub(m.epoch)
+func (m *member) end(class int, start, now time.Time) {
+	c := &m.classes[class]
+	c.inFlight--
+	c.starts -= start.Sub(m.epoch)
 	m.lastEnd = now
 }
 
-// age is how long the calls that are in flight have run on average.
-func (m *member) age(now time.Time) time.Duration {
-	if m.inFlight == 0 {
+// inFlight counts own calls that go before a new one of the class, or beside it.
+func (m *member) inFlight(class int) int {
+	n := 0
+	for i := range class + 1 {
+		n += m.classes[i].inFlight
+	}
+
+	return n
+}
+
+// age is how long the calls of a class that are in flight have run on average.
+func (m *member) age(class int, now time.Time) time.Duration {
+	c := &m.classes[class]
+	if c.inFlight == 0 {
 		return 0
 	}
 
-	return now.Sub(m.epoch) - m.starts/time.Duration(m.inFlight)
+	return now.Sub(m.epoch) - c.starts/time.Duration(c.inFlight)
 }
 
-func (m *member) learn(class settings.Class, o Outcome, took time.Duration, now time.Time) {
+func (m *member) learn(class int, o Outcome, took time.Duration, now time.Time) {
 	if o.Result != Failed || o.Load.Slots > 0 {
-		m.report, m.reported, m.started = o.Load, now, 0
+		m.report, m.reported = o.Load, now
+		for i := range m.classes {
+			m.classes[i].started = 0
+		}
 	}
 
 	if o.Result != Answered {
 		return
 	}
 
+	c := &m.classes[class]
 	waited, held := time.Duration(o.Load.Waited), time.Duration(o.Load.Held)
-	smooth(&m.waited, waited)
+	smooth(&c.waited, waited)
 	smooth(&m.way, max(0, took-waited-held))
 
-	i := indexOf(class)
-	m.samples[i]++
+	c.samples++
 
-	if m.samples[i] == 1 {
-		m.service[i] = held
+	if c.samples == 1 {
+		c.service = held
 
 		return
 	}
 
-	smooth(&m.service[i], min(held, clip*m.service[i]+time.Millisecond))
+	smooth(&c.service, min(held, clip*c.service+time.Millisecond))
 }
 
 func smooth(value *time.Duration, next time.Duration) { *value += (next - *value) / smoothing }
@@ -148,17 +158,19 @@
 }
 
 // cost is how long an answer is expected to take.
-func (m *member) cost(g *group, c *Candidate, class settings.Class, now time.Time) time.Duration {
-	service := m.service[indexOf(class)]
-	if m.samples[indexOf(class)] == 0 {
-		service = g.median[indexOf(class)]
+func (m *member) cost(g *group, c *Candidate, class int, now time.Time) time.Duration {
+	seen := &m.classes[class]
+
+	service := seen.service
+	if seen.samples == 0 {
+		service = g.median[class]
 	}
 
 	// Calls in flight that are older than calls usually get say more than what
 	// was learned before the backend server hung.
-	service = max(service, m.age(now)-m.waited, time.Microsecond)
+	service = max(service, m.age(class, now)-seen.waited, time.Microsecond)
 	slots := max(c.Slots, 1)
-	work := max(m.inFlight, m.reportedWork(slots, service, now)) + 1
+	work := max(m.inFlight(class), m.reportedWork(class, slots, service, now)) + 1
 	wait := service * time.Duration(max(0, work-slots)) / time.Duration(slots)
 
 	return m.way + service + chance(service, work, slots) + wait
@@ -179,16 +191,23 @@
 // others have long filled.
 //
 // It counts as far as own waits bear it out: a gate that reports a long queue in
-// which own calls did not wait counts as busy, no worse.
-func (m *member) reportedWork(slots int, service time.Duration, now time.Time) int {
+// which own calls did not wait has had a free slot for each of them, so it counts
+// as three quarters in use, no worse.
+func (m *member) reportedWork(class, slots int, service time.Duration, now time.Time) int {
 	age := now.Sub(m.reported)
 	if age > ReportLife {
 		return 0
 	}
 
-	excess := float64(m.report.InFlight+m.report.Queued) - m.report.Usual
-	work := m.report.Usual + excess*math.Exp(-float64(age)/float64(service))
-	borne := slots + int(bearOut*m.waited*time.Duration(slots)/service)
+	started := 0
+	for i := range class + 1 {
+		started += m.classes[i].started
+	}
+
+	usual := m.report.Usual[class]
+	excess := float64(m.report.Work[class]) - usual
+	work := usual + excess*math.Exp(-float64(age)/float64(service))
+	borne := slots - slots/freePart + int(bearOut*m.classes[class].waited*time.Duration(slots)/service)
 
-	return min(int(math.Round(work))+m.started, borne)
+	return min(int(math.Round(work))+started, borne)
 }
--- a/internal/selection/model_test.go
+++ b/internal/selection/model_test.go
@@ -49,12 +49,12 @@
 	return selection.Candidate{ID: s.id, Region: "midlands", FailureDomain: s.domain, Slots: slots, ReadySince: s.ready}
 }
 
-func (s *server) run(ctx context.Context) selection.Outcome {
+func (s *server) run(ctx context.Context, class settings.Class, held time.Duration) selection.Outcome {
 	time.Sleep(way / 2)
 
 	start := time.Now()
 
-	release, err := s.queue.Admit(ctx, admission.Ticket{Class: settings.ClassInteractive, Caller: "desk", Queue: 256})
+	release, err := s.queue.Admit(ctx, admission.Ticket{Class: class, Caller: "desk", Queue: 256})
 	if err != nil {
 		return selection.Outcome{Result: selection.Refused, Load: s.report(s.queue.Load())}
 	}
@@ -64,7 +64,11 @@
 	s.mu.Lock()
 	s.ran++
 	s.most = max(s.most, s.queue.Load().InFlight)
-	held, fails := s.hold, s.fails
+	fails := s.fails
+
+	if held == 0 {
+		held = s.hold
+	}
 
 	if s.odd != nil && s.odd.IntN(50) == 0 {
 		held *= 10
@@ -104,10 +108,13 @@
 	entries []picker
 	// hedge is after how long a second attempt is made beside the first.
 	hedge time.Duration
+	// class and held of the calls; the zero values are folder opens.
+	class settings.Class
+	held  time.Duration
 }
 
 func newMesh(entries int, servers ...*server) *mesh {
-	m := &mesh{servers: servers}
+	m := &mesh{servers: servers, class: settings.ClassInteractive}
 	for i := range entries {
 		m.entries = append(m.entries, selection.New(
 			selection.Region("midlands"), selection.FailureDomain(fmt.Sprint("domain-", i%4)),
@@ -219,7 +226,12 @@
 }
 
 func (m *mesh) one(ctx context.Context, entry picker) selection.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	limit := time.Second
+	if m.class == settings.ClassBackground {
+		limit = 30 * time.Second
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	candidates := make([]selection.Candidate, len(m.servers))
@@ -227,14 +239,14 @@
 		candidates[i] = s.candidate()
 	}
 
-	c, ok := entry.Pick(service, candidates, selection.Need{Class: settings.ClassInteractive, Idempotent: true})
+	c, ok := entry.Pick(service, candidates, selection.Need{Class: m.class, Idempotent: true})
 	if !ok {
 		return selection.Outcome{Result: selection.Refused}
 	}
 
-	attempt := entry.Start(service, c.ID, settings.ClassInteractive)
+	attempt := entry.Start(service, c.ID, m.class)
 	i := slices.IndexFunc(m.servers, func(s *server) bool { return s.id == c.ID })
-	o := m.servers[i].run(ctx)
+	o := m.servers[i].run(ctx, m.class, m.held)
 	attempt.End(o)
 
 	return o
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -163,7 +163,7 @@
 				continue
 			}
 
-			c := d.member.cost(g, d.candidate, n.Class, now) + s.options.Distances[tier]
+			c := d.member.cost(g, d.candidate, n.Class.Rank(), now) + s.options.Distances[tier]
 			if best.candidate == nil || c < cost {
 				best, cost = d, c
 			}
@@ -222,7 +222,7 @@
 	selector *Selector
 	group    *group
 	member   *member
-	class    settings.Class
+	class    int
 	start    time.Time
 }
 
@@ -234,9 +234,9 @@
 	now := time.Now()
 	g := s.group(service)
 	m := g.member(&Candidate{ID: id}, now)
-	m.begin(now)
+	m.begin(class.Rank(), now)
 
-	return Attempt{selector: s, group: g, member: m, class: class, start: now}
+	return Attempt{selector: s, group: g, member: m, class: class.Rank(), start: now}
 }
 
 // End notes what came of it.
@@ -246,10 +246,10 @@
 
 	now := time.Now()
 	took := now.Sub(a.start)
-	a.member.end(a.start, now)
+	a.member.end(a.class, a.start, now)
 
 	// Callers that leave no time would have every gate ejected.
-	if o.Result == TimedOut && a.group.slow(indexOf(a.class), took) {
+	if o.Result == TimedOut && a.group.slow(a.class, took) {
 		o.Result = Failed
 	}
 
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -39,6 +39,30 @@
 	assert.Assert(t, four <= 2*three, "%s and %s", three, four)
 }
 
+// An archive sweep fills the queues of its own class. An entry that took these
+// for work in front of a folder open would send all folder opens to whichever
+// gate has the shortest sweep, and they would queue there.
+func TestASweepDoesNotSteerFolderOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(4, fourServers()...)
+		sweep := &mesh{servers: m.servers, entries: m.entries, class: settings.ClassBackground, held: 5 * hold}
+		m.play(t, full/2, 2*time.Second)
+
+		var (
+			wg    sync.WaitGroup
+			opens *got
+			swept *got
+		)
+
+		wg.Go(func() { swept = sweep.play(t, full/5, 10*time.Second) })
+		wg.Go(func() { opens = m.play(t, full/2, 10*time.Second) })
+		wg.Wait()
+		t.Logf("p99 of folder opens %s, sweep ran %d", opens.p99(), swept.ok)
+		assert.Assert(t, opens.p99() <= 3*hold/2, "%s", opens.p99())
+		assert.Assert(t, swept.ok > 100)
+	})
+}
+
 // The slow one gets well again. If nobody tried it, it would idle for good.
 func TestAServerThatIsWellAgainGetsItsShareBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -76,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		servers := fourServers()
 		servers[0].report = func(l call.Load) call.Load {
-			l.Queued, l.InFlight = 500, slots
+			l.Work, l.Usual = [3]int{500, 500, 500}, [3]float64{500, 500, 500}
 
 			return l
 		}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -72,8 +73,13 @@
 	Reasons    map[string]int `json:"Reasons,omitempty"`
 	P50Ms      float64        `json:"P50Ms"`
 	P99Ms      float64        `json:"P99Ms"`
+	// AwayP99Ms is how long it took until callers heard that they were turned away.
+	AwayP99Ms float64 `json:"AwayP99Ms"`
+	// Attempts is how many times nodes sent these calls to gates.
+	Attempts int `json:"Attempts"`
 
 	histogram *hdrhistogram.Histogram
+	away      *hdrhistogram.Histogram
 }
 
 // Report is what came of a run.
@@ -101,7 +107,8 @@
 )
 
 func newRow(name string) Row {
-	return Row{Name: name, Reasons: map[string]int{}, histogram: hdrhistogram.New(lowest, highest, digits)}
+	return Row{Name: name, Reasons: map[string]int{}, histogram: hdrhistogram.New(lowest, highest, digits),
+		away: hdrhistogram.New(lowest, highest, digits)}
 }
 
 // Run sends the plan's requests and waits for their answers.
@@ -167,6 +174,7 @@
 	reason  string
 	key     string
 	wrong   bool
+	tries   int
 	elapsed time.Duration
 }
 
@@ -189,6 +197,7 @@
 
 func (w *Row) add(o outcome) {
 	w.Sent++
+	w.Attempts += o.tries
 
 	switch {
 	case o.wrong:
@@ -199,6 +208,7 @@
 	case o.reason != "":
 		w.TurnedAway++
 		w.Reasons[o.reason]++
+		_ = w.away.RecordValue(o.elapsed.Microseconds())
 	default:
 		w.Failed++
 	}
@@ -242,6 +252,7 @@
 	}
 
 	o.status = resp.StatusCode
+	o.tries, _ = strconv.Atoi(resp.Header.Get(caller.HeaderAttempts))
 
 	if o.status != http.StatusOK {
 		var t caller.TurnedAway
@@ -278,6 +289,7 @@
 	finish := func(w Row) Row {
 		w.P50Ms = float64(w.histogram.ValueAtQuantile(median)) / us
 		w.P99Ms = float64(w.histogram.ValueAtQuantile(tail)) / us
+		w.AwayP99Ms = float64(w.away.ValueAtQuantile(tail)) / us
 
 		return w
 	}
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -63,6 +63,23 @@
 // Classes lists the classes, most urgent first.
 func Classes() []Class { return []Class{ClassInteractive, ClassWrite, ClassBackground} }
 
+// ClassCount is how many classes there are.
+const ClassCount = 3
+
+// Rank returns the place of the class in Classes; an unknown one counts as the
+// most urgent.
+func (c Class) Rank() int {
+	switch c {
+	case ClassWrite:
+		return 1
+	case ClassBackground:
+		return ClassCount - 1
+	case ClassInteractive:
+	}
+
+	return 0
+}
+
 // Valid reports whether the class is known.
 func (c Class) Valid() bool {
 	return c == ClassInteractive || c == ClassWrite || c == ClassBackground
