--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -2,6 +2,7 @@
 // processes on loopback addresses.
 //
 //	bench demo --deployment examples/midlands
+//	bench scale --nodes 100
 package main
 
 import (
@@ -14,8 +15,10 @@
 func main() {
 	app := kingpin.New("bench", "Demonstration and experiments on real processes.")
 	addDemo(app)
+	addScale(app)
 	addSoak(app)
 	addLoad(app)
+	addHerd(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
+	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -39,16 +40,19 @@
 type Node struct {
 	config   config.Config
 	recorder *timeline.Recorder
-	leaving  atomic.Bool
+	leaving  atomic.Bool // a planned stop began
+	closed   atomic.Bool // nothing new is let in
 	inFlight atomic.Int64
 
 	server *peer.Server
 	client *peer.Client
+	faults *peer.Faults
 
 	store    *etcd.Store
 	acceptor *acceptance.Acceptor
 	holder   *spread.Holder
 	spreader *spread.Spreader
+	started  time.Time
 
 	table  *membership.Table
 	gossip *membership.Gossip
@@ -59,18 +63,22 @@
 	selector *selection.Selector
 	entry    *caller.Entry
 	home     *once.Home
+	shards   *shard.Keeper
 	register *attempt.Register
 
 	listeners []net.Listener
 	https     []*http.Server
+	callers   *http.Server
 }
 
 // New returns a node that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Node {
 	n := &Node{config: c}
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
-	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()))
-	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()))
+	n.faults = &peer.Faults{}
+	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults))
+	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults),
+		peer.Address(c.PeerAddress), peer.Lost(func(address string) { n.gossip.Doubt(address) }))
 	n.settings()
 	n.fleet()
 	n.once()
@@ -82,8 +90,10 @@
 
 // methods adds what other nodes may ask of this one.
 func (n *Node) methods() {
-	n.server.Handle(spread.MethodPull, peer.Typed(n.spreader.Serve))
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
+	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
+	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
+	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
 	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
 	n.onceMethods()
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
@@ -105,7 +115,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Watch, n.expire, n.announceReady, n.home.Rotate} {
+	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady, n.runOnce} {
 		running.Go(func() { f(work) })
 	}
 
@@ -120,13 +130,14 @@
 }
 
 func (n *Node) listen() error {
+	n.callers = newHTTP(n.entryHandler())
 	handlers := []struct {
 		address string
 		serve   func(net.Listener)
 	}{
 		{n.config.PeerAddress, func(l net.Listener) { _ = n.server.Serve(l) }},
-		{n.config.CallerAddress, n.serveHTTP(n.entryHandler())},
-		{n.config.ControlAddress, n.serveHTTP(n.controlHandler())},
+		{n.config.CallerAddress, n.serveHTTP(n.callers)},
+		{n.config.ControlAddress, n.serveHTTP(newHTTP(n.controlHandler()))},
 	}
 
 	for _, h := range handlers {
@@ -149,8 +160,11 @@
 // without it idle connections of slow callers use up the process.
 const headerTime = 5 * time.Second
 
-func (n *Node) serveHTTP(h http.Handler) func(net.Listener) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+func newHTTP(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+}
+
+func (n *Node) serveHTTP(s *http.Server) func(net.Listener) {
 	n.https = append(n.https, s)
 
 	return func(l net.Listener) {
@@ -160,25 +174,6 @@
 	}
 }
 
-// drain is the planned stop: nothing new is let in, what is inside is finished.
-func (n *Node) drain() {
-	n.recorder.Record(event.NodeDraining, timeline.Entry{})
-
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.DrainTimeout))
-	defer cancel()
-
-	n.leaving.Store(true)
-	n.host.Withdraw()
-	n.table.Update(func(r membership.Record) membership.Record { return r.WithState(membership.StateLeft) })
-	n.gossip.Tell(ctx)
-
-	const pause = 20 * time.Millisecond
-
-	for n.inFlight.Load()+n.gate.Running()+n.home.Running() > 0 && ctx.Err() == nil {
-		time.Sleep(pause)
-	}
-}
-
 func (n *Node) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -191,6 +186,7 @@
 		_ = l.Close()
 	}
 
+	n.flush(ctx)
 	n.server.Close()
 	n.client.Close()
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,6 +40,8 @@
 
 	Received atomic.Int64
 	Sent     atomic.Int64
+
+	running atomic.Int64
 }
 
 // NewServer returns a server without methods.
@@ -83,6 +85,10 @@
 	return true
 }
 
+// Running returns how many requests have no answer yet that was handed to the
+// connection. A server that is closed before they are none cuts answers off.
+func (s *Server) Running() int64 { return s.running.Load() }
+
 // Close ends all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -129,6 +135,7 @@
 	server *Server
 	out    *writer
 	slots  chan struct{}
+	peer   atomic.Pointer[string] // address of the node at the other end
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
@@ -147,12 +154,17 @@
 		c.running[f.ID] = cancel
 		c.mu.Unlock()
 
+		c.server.running.Add(1)
+
 		go func() {
+			defer c.server.running.Add(-1)
 			defer func() { <-c.slots }()
 			defer c.cancel(f.ID)
 
 			c.answer(ctx, f)
 		}()
+	case KindHello:
+		c.peer.Store(&f.Method)
 	case KindAnswer:
 	}
 }
@@ -191,11 +203,17 @@
 		data, err = Encode(&Frame{Kind: KindAnswer, ID: f.ID, Clock: out.Clock, Fault: errs.From(err)})
 	}
 
-	if err == nil {
+	if err == nil && !c.blocked() {
 		_ = c.out.write(data)
 	}
 }
 
+func (c *serverConn) blocked() bool {
+	address := c.peer.Load()
+
+	return address != nil && c.server.options.Links.Blocked(*address)
+}
+
 func (s *Server) handle(ctx context.Context, f *Frame) ([]byte, error) {
 	h, ok := s.handlers[f.Method]
 	if !ok {
--- a/pkg/settings/snapshot.go
+++ b/pkg/settings/snapshot.go
@@ -1,8 +1,8 @@
 package settings
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -21,8 +21,9 @@
 type Snapshot struct {
 	version Version
 	records Records
+	nodes   map[string]Branch
 	tree    Tree
-	routes  []Resolved
+	index   index
 }
 
 // NewSnapshot checks the records as a whole against the version and returns the
@@ -31,12 +32,43 @@
 // A half fetched or mixed set of records would send calls by rules that no
 // operator accepted; the digests show it before anything is swapped.
 func NewSnapshot(v Version, records Records) (*Snapshot, error) {
-	digests := records.Digests()
+	nodes, err := records.nodes()
+	if err != nil {
+		return nil, err
+	}
+
+	return newSnapshot(v, records, nodes, records.Digests())
+}
+
+// Apply returns the snapshot after some branches changed, checked as a whole. It
+// decodes and digests only those, so that a change of one leaf in a large tree
+// costs little on each node.
+func (s *Snapshot) Apply(v Version, changed Records, removed []string) (*Snapshot, error) {
+	decoded, err := changed.nodes()
+	if err != nil {
+		return nil, err
+	}
+
+	records, nodes, digests := maps.Clone(s.records), maps.Clone(s.nodes), maps.Clone(s.version.Branches)
+	maps.Copy(records, changed)
+	maps.Copy(nodes, decoded)
+	maps.Copy(digests, changed.Digests())
+
+	for _, path := range removed {
+		delete(records, path)
+		delete(nodes, path)
+		delete(digests, path)
+	}
+
+	return newSnapshot(v, records, nodes, digests)
+}
+
+func newSnapshot(v Version, records Records, nodes map[string]Branch, digests map[string]Digest) (*Snapshot, error) {
 	if got := TreeDigest(digests); got != v.Digest {
 		return nil, ErrRecord.With("version %d has digest %s, records have %s", v.Number, v.Digest, got)
 	}
 
-	tree, err := records.Tree()
+	tree, err := assemble(nodes)
 	if err != nil {
 		return nil, err
 	}
@@ -45,15 +77,9 @@
 		return nil, err
 	}
 
-	routes := tree.Resolve()
-	// Longest prefix first: the first match is the most specific one.
-	slices.SortStableFunc(routes, func(a, b Resolved) int {
-		return len(b.Match.PathPrefix) - len(a.Match.PathPrefix)
-	})
-
 	v.Branches = digests
 
-	return &Snapshot{version: v, records: records, tree: tree, routes: routes}, nil
+	return &Snapshot{version: v, records: records, nodes: nodes, tree: tree, index: newIndex(tree.Resolve())}, nil
 }
 
 // Version returns the version.
@@ -70,7 +96,7 @@
 func (s *Snapshot) UnknownService() string {
 	known := s.tree.Services()
 
-	for _, r := range s.routes {
+	for _, r := range s.tree.Resolve() {
 		if _, ok := known[r.Values.Service]; !ok {
 			return r.Path
 		}
@@ -81,11 +107,8 @@
 
 // Match returns the most specific route for a request.
 func (s *Snapshot) Match(method, path string) (Resolved, bool) {
-	for _, r := range s.routes {
-		if r.Match.Method == method && strings.HasPrefix(path, r.Match.PathPrefix) {
-			return r, true
-		}
-	}
-
-	return Resolved{}, false
+	return s.index.match(method, path)
 }
+
+// Paths returns the paths of all branches, in order.
+func (s *Snapshot) Paths() []string { return slices.Sorted(maps.Keys(s.records)) }
