--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -15,7 +15,7 @@
 	t := membership.NewTable(record("self", 1), timeline.New())
 
 	for _, id := range ids {
-		t.Merge(id, []membership.Record{record(id, 1)})
+		t.Merge([]membership.Record{record(id, 1)})
 	}
 
 	return t
@@ -96,7 +96,7 @@
 	r, _ := a.Find(nodeID(77))
 	r.Seq++
 	r.Upstream.State = membership.UpstreamDraining
-	b.Merge("x", []membership.Record{r})
+	b.Merge([]membership.Record{r})
 
 	chosen, entries := b.Differing(a.Sums(), 1024)
 	d := a.Compare(chosen, entries)
@@ -109,3 +109,12 @@
 	a.Adopt("x", b.Pick(d.Want))
 	assert.Equal(t, a.Hash(), b.Hash())
 }
+
+// The last node of a fleet leaves by a planned stop, and tells so: there is nobody
+// to tell, not even itself among the live.
+func TestTheLastNodeLeaves(t *testing.T) {
+	table := tableOf()
+	table.Update(func(r membership.Record) membership.Record { return r.WithState(membership.StateLeft) })
+	assert.Equal(t, len(table.Random(3)), 0)
+	assert.Equal(t, table.CountLive(), 0)
+}
