--- a/internal/upstream/crash.go
+++ b/internal/upstream/crash.go
@@ -7,6 +7,10 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
 const (
@@ -77,14 +81,16 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// withdraw takes the backend server that ended out at once, before its
-// announcement runs out, unless another one has announced itself since.
-func (h *Host) withdraw(ended Announcement) {
+// lose withdraws a backend server that ended at once, before its announcement
+// runs out, unless another one has announced itself since.
+func (h *Host) lose(c call.Call, ended Announcement) {
 	h.mu.Lock()
-	same := h.current == ended
-	h.mu.Unlock()
+	defer h.mu.Unlock()
 
-	if same {
-		h.Withdraw()
+	if h.current != ended {
+		return
 	}
+
+	h.recorder.Record(event.UpstreamLost, timeline.Entry{Call: c.ID, Detail: ended.Service + " ended while it ran a call"})
+	h.withdraw()
 }
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
-	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -92,9 +91,7 @@
 
 	if errors.Is(err, ErrNoAnswer) && crashed(ctx, current.Address, err) {
 		err = call.Refuse(ErrCrashed.Wrap(err), call.RanUnknown, time.Second)
-
-		h.recorder.Record(event.UpstreamLost, timeline.Entry{Call: c.ID, Detail: current.Service + " ended while it ran a call"})
-		h.withdraw(current)
+		h.lose(c, current)
 	}
 
 	var r *call.Refusal
--- a/internal/upstream/run_test.go
+++ b/internal/upstream/run_test.go
@@ -20,6 +20,7 @@
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/internal/upstream"
 	"github.com/pollencart/pollencart/pkg/settings"
+	announce "github.com/pollencart/pollencart/pkg/upstream"
 )
 
 // server is a backend server made of plain connections. It answers the first
@@ -84,7 +85,7 @@
 	h := upstream.New(membership.NewTable(membership.Record{ID: "a", PeerAddress: "127.0.0.1:1"}, r), admission.New(), r)
 	assert.NilError(t, h.Announce(upstream.Announcement{
 		Service: "ledger", Address: s.listener.Addr().String(), Slots: 2, Connections: 2,
-		State: membership.UpstreamReady, TTL: settings.Duration(time.Minute),
+		State: announce.Ready, TTL: settings.Duration(time.Minute),
 	}))
 
 	return h
@@ -197,7 +198,7 @@
 
 	_, err = h.Run(t.Context(), open)
 	assert.ErrorIs(t, err, upstream.ErrCrashed)
-	assert.Equal(t, h.Current().State, membership.UpstreamGone)
+	assert.Equal(t, h.Current().State, announce.Gone)
 
 	_, err = h.Run(t.Context(), open)
 
