Bootstrap by the platform; cuts, silent hosts and one-way cuts in the real fleet

Cause: a node without peers in its settings file found nobody; the failures of whole domains were tested on the gossip alone.

Change: internal/bootstrap keeps one record per failure domain on the platform, written by compare-and-swap by the domain's two watchers and only when less than half of it is live; a process that knows nobody reads it, jittered and backing off, and asks the recorded nodes before it would overwrite them. Tests of the real nodes in one process: together by the platform alone, without the platform, a domain cut from all others and the platform, a one-way cut, a host that accepts and never answers.

Shown failing: without asking first, a fresh process overwrites the record. While a cut is not yet noticed (up to some six seconds) a call sent across it waits for its deadline; that is left to ejection at the entry.

--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -14,6 +14,7 @@
 type index struct {
 	services atomic.Pointer[map[string]*service]
 	ready    atomic.Int64
+	live     atomic.Pointer[[]Record] // nil after a change, until somebody asks
 
 	// What follows is used under the table's lock.
 	suspect map[string]bool
@@ -37,6 +38,8 @@
 // replace takes a change of one record. A record that only has a higher number
 // leaves the snapshots as they are: nothing that a call looks at is different.
 func (x *index) replace(old, r Record) {
+	x.live.Store(nil)
+
 	same := old
 	same.Seq = r.Seq
 
@@ -141,7 +144,12 @@
 func (t *Table) CountReady() int { return int(t.index.ready.Load()) }
 
 // Live returns the records of nodes that are thought to run, in the order of IDs.
+// The slice is shared and must not be changed.
 func (t *Table) Live() []Record {
+	if live := t.index.live.Load(); live != nil {
+		return *live
+	}
+
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
@@ -151,6 +159,7 @@
 	}
 
 	slices.SortFunc(out, byID)
+	t.index.live.Store(&out)
 
 	return out
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -151,6 +151,9 @@
 	return g.repair(ctx, address) == nil
 }
 
+// Meet gets to know the node at an address, and reports whether it answered.
+func (g *Gossip) Meet(ctx context.Context, address string) bool { return g.tryAddress(ctx, address) }
+
 // reconnect tries a node that is held for dead, or a seed that is not among the
 // live. After a cut has healed nobody else would: each side has taken the other
 // for dead and probes it no more.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pollencart/pollencart/internal/bootstrap"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/operator"
 	"github.com/pollencart/pollencart/internal/peer"
@@ -33,8 +34,9 @@
 		ID: c.ID, Incarnation: uint64(time.Now().UnixMicro()), Region: c.Region, FailureDomain: c.FailureDomain,
 		PeerAddress: c.PeerAddress, CallerAddress: c.CallerAddress, ControlAddress: c.ControlAddress,
 	}, n.recorder)
+	n.bootstrap = bootstrap.New(n.store, n.table, c.FailureDomain)
 	n.gossip = membership.NewGossip(n.table, n.client,
-		membership.Seeds(c.Peers...), membership.Version(n.holder.Number), membership.Hear(n.spreader.Hear))
+		membership.Seeds(c.Peers...), membership.Seek(n.bootstrap.Seek), membership.Version(n.holder.Number), membership.Hear(n.spreader.Hear))
 }
 
 type nothing struct{}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -47,8 +47,9 @@
 	done    chan error
 }
 
-// startFleet starts the Midlands of the examples.
-func startFleet(t *testing.T) *fleet {
+// startFleet starts the Midlands of the examples; change may change the settings
+// files of the nodes.
+func startFleet(t *testing.T, change ...func(*config.Config)) *fleet {
 	t.Helper()
 
 	d, err := harness.LoadDeployment("../../examples/midlands/deployment.jsonc")
@@ -67,6 +68,11 @@
 		c.ID, c.Region, c.FailureDomain = h.ID, d.Region, h.FailureDomain
 		c.PeerAddress, c.CallerAddress, c.ControlAddress = h.Peer, h.Caller, h.Control
 		c.Peers, c.Platform = []string{hosts[0].Peer, hosts[len(hosts)/2].Peer}, []string{f.url}
+
+		for _, apply := range change {
+			apply(&c)
+		}
+
 		f.hosts = append(f.hosts, &host{Host: h, config: c})
 	}
 
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -54,6 +54,8 @@
 // call that is lost or turned away then is a folder that does not open, for no
 // reason that a caller could understand.
 func TestRollingRestartLosesNoCall(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
@@ -74,6 +76,8 @@
 // A planned stop begins while callers of the stopping node wait for answers, and
 // while calls of others run beside it.
 func TestPlannedStopCutsNothingOff(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
@@ -101,6 +105,8 @@
 // The backend server beside a stopping node does not know of the stop, and goes
 // on announcing that it is ready. No entry may be led to send it new calls.
 func TestAStoppingNodeStaysClosedWhileItsBackendServerRenews(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/bootstrap"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/config"
 	"github.com/pollencart/pollencart/internal/event"
@@ -56,6 +57,8 @@
 	table  *membership.Table
 	gossip *membership.Gossip
 
+	bootstrap *bootstrap.Bootstrap
+
 	queue    *admission.Queue
 	host     *upstream.Host
 	gate     *gate.Gate
@@ -113,6 +116,8 @@
 
 	var running sync.WaitGroup
 
+	running.Go(func() { n.bootstrap.Run(work, n.gossip.Meet) })
+
 	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady, n.home.Rotate} {
 		running.Go(func() { f(work) })
 	}
