--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/bootstrap"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/config"
 	"github.com/pollencart/pollencart/internal/event"
@@ -58,6 +59,8 @@
 	table  *membership.Table
 	gossip *membership.Gossip
 
+	bootstrap *bootstrap.Bootstrap
+
 	queue    *admission.Queue
 	host     *upstream.Host
 	gate     *gate.Gate
@@ -117,6 +120,8 @@
 
 	var running sync.WaitGroup
 
+	running.Go(func() { n.bootstrap.Run(work, n.gossip.Meet) })
+
 	for _, f := range []func(context.Context){n.gossip.Run, n.spreader.Run, n.expire, n.announceReady, n.runOnce} {
 		running.Go(func() { f(work) })
 	}
