Count pushes, offers and pulls; measure bursts; a tree with a region

Change: counters of pushes, offers and pulls in the metrics and in the report of 'make scale'; a burst form, in which only the last change is waited for; the tree of the experiment names its region and failure domains, as trees do.

--- a/cmd/bench/scale.go
+++ b/cmd/bench/scale.go
@@ -28,6 +28,7 @@
 type scale struct {
 	nodes, services, changes int
 	gap, idle                time.Duration
+	burst                    bool
 	mode                     string
 	binaries                 string
 
@@ -51,6 +52,8 @@
 	RssMbPerNode              float64 `json:"RssMbPerNode"`
 	PlatformCallsPerSecond    float64 `json:"PlatformCallsPerSecond"`
 	PlatformCallsPerChange    float64 `json:"PlatformCallsPerChange"`
+	// MovesPerChange are pushes, offers and pulls for each node and change.
+	MovesPerChange float64 `json:"MovesPerChange"`
 }
 
 func addScale(app *kingpin.Application) {
@@ -61,6 +64,7 @@
 	c.Flag("services", "Services in the tree.").Default("310").IntVar(&s.services)
 	c.Flag("changes", "Changes of one leaf.").Default("20").IntVar(&s.changes)
 	c.Flag("gap", "Pause after each change.").Default("400ms").DurationVar(&s.gap)
+	c.Flag("burst", "Wait for the last change only, and measure only its convergence.").BoolVar(&s.burst)
 	c.Flag("idle", "How long the fleet is watched idle.").Default("20s").DurationVar(&s.idle)
 	c.Flag("mode", "Mode of the nodes.").Default("Fast").EnumVar(&s.mode, "Fast", "Frugal", "Poll", "FullPush")
 	c.Flag("binaries", "Folder of the programs.").Default("bin").StringVar(&s.binaries)
@@ -90,14 +94,13 @@
 	const maxMs, digits = 600_000, 3
 
 	s.took = hdrhistogram.New(1, maxMs*1000, digits)
-	domains := []string{"nottm-a", "nottm-b", "derby", "leic"}
 	d := harness.Deployment{
-		Region: "midlands", Mode: config.Mode(s.mode), FailureDomains: domains,
+		Region: scaleRegion, Mode: config.Mode(s.mode), FailureDomains: scaleDomains,
 		Services: []harness.Service{{Name: "node"}},
 	}
 
 	for i := range s.nodes {
-		d.Services[0].Upstreams = append(d.Services[0].Upstreams, domains[i%len(domains)])
+		d.Services[0].Upstreams = append(d.Services[0].Upstreams, scaleDomains[i%len(scaleDomains)])
 	}
 
 	dir, err := os.MkdirTemp("", "pollencart-scale-")
@@ -137,14 +140,16 @@
 }
 
 func scaleTree(services int) settings.Tree {
-	t := settings.Tree{}
-	t.Branches = map[string]settings.Branch{}
+	region := settings.Branch{
+		Region:   &settings.Region{FailureDomains: scaleDomains},
+		Branches: map[string]settings.Branch{},
+	}
 
 	for i := range services {
 		name := fmt.Sprintf("service-%03d", i)
 		deadline := settings.Duration(time.Second + time.Duration(i)*time.Millisecond)
 
-		t.Branches[name] = settings.Branch{
+		region.Branches[name] = settings.Branch{
 			Service:   &settings.Service{Slots: 10, Connections: 100},
 			Overrides: settings.Overrides{Deadline: &deadline},
 			Routes: map[string]settings.Route{
@@ -154,13 +159,20 @@
 		}
 	}
 
+	t := settings.Tree{}
+	t.Branches = map[string]settings.Branch{scaleRegion: region}
+
 	return t
 }
 
+const scaleRegion = "midlands"
+
+var scaleDomains = []string{"nottm-a", "nottm-b", "derby", "leic"}
+
 // change edits one leaf.
 func (s *scale) change(i int) {
 	deadline := settings.Duration(2*time.Second + time.Duration(i)*time.Millisecond)
-	b := s.tree.Branches["service-000"]
+	b := s.tree.Branches[scaleRegion].Branches["service-000"]
 	b.Routes["open"] = settings.Route{
 		Match: b.Routes["open"].Match, Overrides: settings.Overrides{Deadline: &deadline},
 	}
@@ -265,6 +277,10 @@
 
 		time.Sleep(s.gap)
 
+		if s.burst && i < s.changes-1 {
+			continue
+		}
+
 		all, err := s.converged(ctx)
 		if err != nil {
 			return err
@@ -287,6 +303,7 @@
 
 	r.ChangeBytesPerNode = round((after.bytes-before.bytes)/total - idle)
 	r.PlatformCallsPerChange = round((float64(after.calls-before.calls) - r.PlatformCallsPerSecond*seconds) / float64(s.changes))
+	r.MovesPerChange = round((after.moves - before.moves) / total)
 	r.ConvergenceP50Ms = round(float64(s.took.ValueAtQuantile(p50)) / perMs)
 	r.ConvergenceP99Ms = round(float64(s.took.ValueAtQuantile(p99)) / perMs)
 	r.ConvergenceMaxMs = round(float64(s.took.Max()) / perMs)
--- a/cmd/bench/usage.go
+++ b/cmd/bench/usage.go
@@ -25,6 +25,8 @@
 	cpu   time.Duration
 	rssMb float64
 	calls int64
+	// moves are pushes, offers and pulls of settings.
+	moves float64
 }
 
 // nodeMetrics is what one node's metrics tell.
@@ -32,6 +34,7 @@
 	version float64
 	since   time.Time
 	sent    float64
+	moves   float64
 }
 
 // usage reads bytes from the nodes' metrics, processor time and memory from
@@ -67,6 +70,7 @@
 
 	for _, m := range all {
 		u.bytes += m.sent
+		u.moves += m.moves
 	}
 
 	return u, err
@@ -144,6 +148,8 @@
 			m.since = time.Unix(int64(whole), int64(part*float64(time.Second)))
 		case "pollencart_peer_sent_bytes":
 			m.sent = value
+		case "pollencart_settings_pushes", "pollencart_settings_offers", "pollencart_settings_pulls":
+			m.moves += value
 		}
 	}
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -98,6 +98,9 @@
 		{"pollencart_peer_received_bytes", "Bytes received from other nodes.", func() float64 {
 			return float64(n.client.Received.Load() + n.server.Received.Load())
 		}},
+		{"pollencart_settings_pushes", "Deltas pushed to other nodes.", func() float64 { return float64(n.spreader.Pushes.Load()) }},
+		{"pollencart_settings_offers", "Version numbers offered to other nodes.", func() float64 { return float64(n.spreader.Offers.Load()) }},
+		{"pollencart_settings_pulls", "Deltas and trees asked of other nodes.", func() float64 { return float64(n.spreader.Pulls.Load()) }},
 		{"pollencart_platform_calls", "Calls made to the platform.", func() float64 { return float64(n.store.Calls.Load()) }},
 	} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: m.name, Help: m.help}, m.value))
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -189,6 +189,8 @@
 	for tries := range maxTries {
 		var d Delta
 
+		s.Pulls.Add(1)
+
 		err := s.do(ctx, address, MethodPull, in, &d)
 		if err != nil || d.RetryMs == 0 {
 			return d, err
--- a/internal/spread/push.go
+++ b/internal/spread/push.go
@@ -174,6 +174,9 @@
 
 	if d, err := s.delta(base); err == nil && !offer {
 		p.Delta, p.Number = &d, d.Version.Number
+		s.Pushes.Add(1)
+	} else {
+		s.Offers.Add(1)
 	}
 
 	var ack PushAck
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -17,6 +17,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/acceptance"
@@ -49,6 +50,9 @@
 	options  Options
 	serving  chan struct{}
 
+	// Pushes, Offers and Pulls count the messages that this node sent.
+	Pushes, Offers, Pulls atomic.Int64
+
 	mu      sync.Mutex
 	links   map[string]*link
 	wanted  source
