A call between nodes is encoded once and read without a copy

Cause: a message was encoded, encoded again as a field of its frame, copied to put a length in front, and copied out of the frame when read; field names travelled with every call; candidates were made anew for each call.

Ruled out: a hand-written codec (generated code to keep; most of the rest is the strings and headers of the call themselves).

Change: the message follows the fields of its frame as bytes of its own, encoders and decoders are used again, the messages of a call are arrays, candidates are kept until membership hands out another slice.

Conclusion: allocations are asserted at 135; time is to be measured again on a quiet machine.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -30,6 +30,8 @@
 
 // Call is one request of a caller.
 type Call struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	ID         string            `msgpack:"ID"`
 	Caller     string            `msgpack:"Caller"`
 	Service    string            `msgpack:"Service"`
@@ -119,6 +121,8 @@
 
 // Ticket names one attempt of a call that must run at most once.
 type Ticket struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	// Home is the life of the process that sends the attempt, Number the
 	// attempt; Home sends no number twice.
 	Home   string `msgpack:"Home"`
@@ -154,6 +158,8 @@
 
 // Load is what a gate tells about its backend server with every answer.
 type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Slots    int               `msgpack:"Slots"`
 	InFlight int               `msgpack:"InFlight"`
 	Queued   int               `msgpack:"Queued"`
@@ -180,6 +186,8 @@
 
 // Answer is what the caller gets.
 type Answer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	// Call is the ID of the call that this answers.
 	Call     string  `msgpack:"Call"`
 	Status   int     `msgpack:"Status"`
@@ -217,6 +225,8 @@
 
 // Refusal is the final answer to a call that was given up.
 type Refusal struct { //nolint:errname // a wire type, named as callers see it
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Fault      *errs.Error       `msgpack:"Fault"`
 	Ran        Ran               `msgpack:"Ran"`
 	RetryAfter settings.Duration `msgpack:"RetryAfter"`
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
@@ -22,6 +23,7 @@
 type gates struct {
 	options Options
 	budget  *retry.Budget
+	kept    sync.Map // candidates by service
 }
 
 // attempt sends the call until it has an answer, a refusal that must not be
@@ -71,15 +73,35 @@
 	return r.WithAttempts(made)
 }
 
+// candidates are the gates of a service. Members hands out the same slice until
+// something changed, so the candidates made of it are kept.
 func (g *gates) candidates(service string) []selection.Candidate {
 	records := g.options.Members.Serving(service)
-	out := make([]selection.Candidate, len(records))
+	if len(records) == 0 {
+		return nil
+	}
+
+	if kept, ok := g.kept.Load(service); ok {
+		k := kept.(*candidates)
+		if &k.records[0] == &records[0] && len(k.records) == len(records) {
+			return k.list
+		}
+	}
 
+	list := make([]selection.Candidate, len(records))
 	for i := range records {
-		out[i] = candidateOf(&records[i])
+		list[i] = candidateOf(&records[i])
 	}
 
-	return out
+	g.kept.Store(service, &candidates{records, list})
+
+	return list
+}
+
+// candidates of one service and the records that they were made of.
+type candidates struct {
+	records []membership.Record
+	list    []selection.Candidate
 }
 
 func candidateOf(r *membership.Record) selection.Candidate {
--- /dev/null
+++ b/internal/caller/path_test.go
@@ -0,0 +1,139 @@
+package caller_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/pkg/settings"
+)
+
+const tree = `{
+  "Overrides": {"Deadline": "1s", "Idempotent": true},
+  "Branches": {"midlands": {
+    "Region": {"FailureDomains": ["derby"]},
+    "Branches": {"browse": {
+      "Service": {"Slots": 10, "Connections": 100},
+      "Routes": {"open-folder": {"Match": {"Method": "GET", "PathPrefix": "/folders/"}}}
+    }}
+  }}
+}`
+
+// held is settings that do not change.
+type held struct{ snapshot *settings.Snapshot }
+
+func (h held) Load() *settings.Snapshot { return h.snapshot }
+
+// fixed is members that do not change.
+type fixed []membership.Record
+
+func (f fixed) Serving(string) []membership.Record { return f }
+
+// answers is a backend server that takes no time.
+type answers struct{}
+
+func (answers) Run(_ context.Context, c call.Call) (call.Answer, error) {
+	return call.Answer{
+		Status: http.StatusOK, Header: []call.Field{{Name: "Content-Type", Value: "application/json"}},
+		Body: []byte(`{"Name":"` + c.URI + `"}`), Ran: call.RanYes,
+	}, nil
+}
+
+// newPath is an entry and a gate, joined by real connections on loopback.
+func newPath(tb testing.TB) http.Handler {
+	tb.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+
+	server, client := peer.NewServer(), peer.NewClient()
+	g := gate.New("derby-browse-1", answers{}, admission.New(admission.Slots(100)))
+	server.Handle(gate.MethodRun, peer.Typed(g.Serve))
+
+	go func() { _ = server.Serve(l) }()
+
+	tb.Cleanup(func() {
+		client.Close()
+		server.Close()
+		_ = l.Close()
+	})
+
+	return caller.New(
+		caller.Node("derby-browse-2"), caller.Settings(held{newSnapshot(tb)}), caller.WithPeers(client),
+		caller.Members(fixed{{
+			ID: "derby-browse-1", PeerAddress: l.Addr().String(), State: membership.StateAlive,
+			Upstream: membership.Upstream{Service: "browse", State: membership.UpstreamReady, Slots: 100},
+		}}),
+	).Handler()
+}
+
+func newSnapshot(tb testing.TB) *settings.Snapshot {
+	tb.Helper()
+
+	parsed, err := settings.Parse("tree.jsonc", []byte(tree))
+	assert.NilError(tb, err)
+
+	records, err := parsed.Records()
+	assert.NilError(tb, err)
+
+	s, err := settings.NewSnapshot(settings.Version{Number: 1, Digest: settings.TreeDigest(records.Digests())}, records)
+	assert.NilError(tb, err)
+
+	return s
+}
+
+func open(tb testing.TB, h http.Handler) {
+	tb.Helper()
+
+	req := httptest.NewRequestWithContext(tb.Context(), http.MethodGet, "/folders/1", nil)
+	req.Header.Set("Accept", "application/json")
+	req.Header.Set("User-Agent", "desk")
+
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	assert.Equal(tb, w.Code, http.StatusOK)
+}
+
+// The bound is on both ends of the path together, with the request and the
+// recorder of the test. What a call leaves to collect is paid by all calls.
+func TestACallAllocatesWithinItsBound(t *testing.T) {
+	h := newPath(t)
+	open(t, h)
+
+	n := testing.AllocsPerRun(500, func() { open(t, h) })
+	t.Logf("%.0f allocations", n)
+	assert.Assert(t, n <= mostAllocations, "%.0f allocations", n)
+}
+
+const mostAllocations = 135
+
+func BenchmarkCall(b *testing.B) {
+	h := newPath(b)
+
+	b.Run("one at a time", func(b *testing.B) {
+		b.ReportAllocs()
+
+		for b.Loop() {
+			open(b, h)
+		}
+	})
+	b.Run("many at once", func(b *testing.B) {
+		b.ReportAllocs()
+		b.SetParallelism(4)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				open(b, h)
+			}
+		})
+	})
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,8 @@
 
 // Reply is the answer or the refusal of a call.
 type Reply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Answer  *call.Answer  `msgpack:"Answer,omitempty"`
 	Refusal *call.Refusal `msgpack:"Refusal,omitempty"`
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Lane keeps kinds of traffic on connections of their own, so that a large
@@ -46,9 +44,12 @@
 // Do sends a request and decodes its answer. The error is ErrUnreachable only
 // if no byte left this process.
 func (c *Client) Do(ctx context.Context, address string, lane Lane, method string, in, out any) error {
-	body, err := msgpack.Marshal(in)
+	e := newEncoder()
+	defer e.free()
+
+	body, err := e.message(in)
 	if err != nil {
-		return ErrFrameInvalid.Wrap(err)
+		return err
 	}
 
 	if len(body) > MaxFrame/2 {
@@ -294,14 +295,16 @@
 	cc.pending[f.ID] = waiting
 	cc.mu.Unlock()
 
-	data, err := Encode(f)
-	if err != nil {
+	e := newEncoder()
+	defer e.free()
+
+	if err := e.frame(f, nil); err != nil {
 		cc.deliver(&Frame{ID: f.ID})
 
 		return nil, err
 	}
 
-	if err := cc.out.write(data); err != nil {
+	if err := cc.out.write(e.buf.Bytes()); err != nil {
 		cc.fail()
 
 		return nil, ErrBroken.With("%s", cc.key.address).Wrap(err)
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxPooled bounds the buffers that are kept, so that one large answer does not
+// hold its memory for good.
+const maxPooled = 64 << 10
+
+// encoder makes the bytes of one frame in a buffer that is used again.
+type encoder struct {
+	buf     bytes.Buffer
+	msgpack *msgpack.Encoder
+}
+
+var encoders = sync.Pool{New: func() any {
+	e := &encoder{}
+	e.msgpack = msgpack.NewEncoder(&e.buf)
+
+	return e
+}}
+
+func newEncoder() *encoder { return encoders.Get().(*encoder) }
+
+func (e *encoder) free() {
+	if e.buf.Cap() <= maxPooled {
+		encoders.Put(e)
+	}
+}
+
+// message encodes a message alone; the bytes hold until free.
+func (e *encoder) message(v any) ([]byte, error) {
+	e.buf.Reset()
+
+	if err := e.msgpack.Encode(v); err != nil {
+		return nil, ErrFrameInvalid.Wrap(err)
+	}
+
+	return e.buf.Bytes(), nil
+}
+
+// noLength holds the place of the length until it is known.
+var noLength [lengthBytes]byte
+
+// frame encodes the frame with its length in front: its fields, then the message
+// if there is one, else f.Body.
+func (e *encoder) frame(f *Frame, message any) error {
+	e.buf.Reset()
+	e.buf.Write(noLength[:])
+
+	if err := e.msgpack.Encode(f); err != nil {
+		return ErrFrameInvalid.Wrap(err)
+	}
+
+	if message == nil {
+		e.buf.Write(f.Body)
+	} else if err := e.msgpack.Encode(message); err != nil {
+		return ErrFrameInvalid.Wrap(err)
+	}
+
+	size := e.buf.Len() - lengthBytes
+	if size > MaxFrame {
+		return ErrFrameTooLarge.With("%d bytes, limit %d", size, MaxFrame)
+	}
+
+	binary.BigEndian.PutUint32(e.buf.Bytes(), uint32(size))
+
+	return nil
+}
+
+// decoder reads messages out of bytes in memory.
+type decoder struct {
+	data    bytes.Reader
+	msgpack *msgpack.Decoder
+}
+
+var decoders = sync.Pool{New: func() any {
+	d := &decoder{}
+	d.msgpack = msgpack.NewDecoder(&d.data)
+	d.msgpack.UsePreallocateValues(true)
+
+	return d
+}}
+
+func (d *decoder) free() {
+	d.data.Reset(nil)
+	decoders.Put(d)
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -18,12 +18,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net/http"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -70,7 +69,10 @@
 	Clock       timeline.Stamp
 	RemainingMs int64
 	Fault       *errs.Error
-	Body        msgpack.RawMessage
+
+	// Body is the message. It follows the other fields as bytes of its own, so
+	// that it is neither encoded twice nor copied when it is read.
+	Body []byte `msgpack:"-"`
 }
 
 // Check reports whether a decoded frame can be used.
@@ -88,19 +90,14 @@
 
 // Encode returns the bytes of a frame with its length in front.
 func Encode(f *Frame) ([]byte, error) {
-	body, err := msgpack.Marshal(f)
-	if err != nil {
-		return nil, ErrFrameInvalid.Wrap(err)
-	}
+	e := newEncoder()
+	defer e.free()
 
-	if len(body) > MaxFrame {
-		return nil, ErrFrameTooLarge.With("%d bytes, limit %d", len(body), MaxFrame)
+	if err := e.frame(f, nil); err != nil {
+		return nil, err
 	}
 
-	out := make([]byte, lengthBytes, lengthBytes+len(body))
-	binary.BigEndian.PutUint32(out, uint32(len(body)))
-
-	return append(out, body...), nil
+	return bytes.Clone(e.buf.Bytes()), nil
 }
 
 // Read reads one frame and returns it with its size. A connection that ends
@@ -126,22 +123,41 @@
 	}
 
 	var f Frame
-	if err := Decode(body, &f); err != nil {
+
+	rest, err := decode(body, &f)
+	if err != nil {
 		return nil, 0, err
 	}
 
+	f.Body = rest
+
 	return &f, lengthBytes + len(body), nil
 }
 
 // Decode decodes a message and lets it check itself.
 func Decode(data []byte, out any) error {
-	if err := msgpack.Unmarshal(data, out); err != nil {
-		return ErrFrameInvalid.Wrap(err)
+	_, err := decode(data, out)
+
+	return err
+}
+
+// decode returns the bytes that follow the message too.
+func decode(data []byte, out any) ([]byte, error) {
+	d := decoders.Get().(*decoder)
+	defer d.free()
+
+	d.data.Reset(data)
+	d.msgpack.Reset(&d.data)
+
+	if err := d.msgpack.Decode(out); err != nil {
+		return nil, ErrFrameInvalid.Wrap(err)
 	}
 
+	rest := data[len(data)-d.data.Len():]
+
 	if c, ok := out.(interface{ Check() error }); ok {
-		return c.Check()
+		return rest, c.Check()
 	}
 
-	return nil
+	return rest, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -191,20 +189,24 @@
 func (c *serverConn) answer(ctx context.Context, f *Frame) {
 	out := &Frame{Kind: KindAnswer, ID: f.ID, Clock: c.server.options.Clock.Now()}
 
-	body, err := c.server.handle(ctx, f)
+	message, err := c.server.handle(ctx, f)
 	if err != nil {
-		out.Fault = errs.From(err)
-	} else {
-		out.Body = body
+		out.Fault, message = errs.From(err), nil
 	}
 
-	data, err := Encode(out)
-	if err != nil {
-		data, err = Encode(&Frame{Kind: KindAnswer, ID: f.ID, Clock: out.Clock, Fault: errs.From(err)})
+	e := newEncoder()
+	defer e.free()
+
+	if err := e.frame(out, message); err != nil {
+		out.Fault = errs.From(err)
+
+		if e.frame(out, nil) != nil {
+			return
+		}
 	}
 
-	if err == nil && !c.blocked() {
-		_ = c.out.write(data)
+	if !c.blocked() {
+		_ = c.out.write(e.buf.Bytes())
 	}
 }
 
@@ -214,18 +216,13 @@
 	return address != nil && c.server.options.Links.Blocked(*address)
 }
 
-func (s *Server) handle(ctx context.Context, f *Frame) ([]byte, error) {
+func (s *Server) handle(ctx context.Context, f *Frame) (any, error) {
 	h, ok := s.handlers[f.Method]
 	if !ok {
 		return nil, ErrNoMethod.With("%s", f.Method)
 	}
 
-	v, err := h(ctx, f.Body)
-	if err != nil {
-		return nil, err
-	}
-
-	return msgpack.Marshal(v)
+	return h(ctx, f.Body)
 }
 
 var _ Clock = (*timeline.Clock)(nil)
