One documented form of the answer to a call that was given up

Cause: callers had a JSON body, but no page that says which status means what, and Retry-After in whole seconds only.

Conclusion: tests of the entry cover the form, another gate for a call that did not run, one layer only, and a silent gate at the deadline.

--- /dev/null
+++ b/internal/caller/answer_test.go
@@ -0,0 +1,127 @@
+package caller_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+)
+
+// scripted is gates that answer as a test says; it keeps what they were sent.
+type scripted struct {
+	answer func(ctx context.Context, to string) (gate.Reply, error)
+	sent   []call.Call
+	to     []string
+}
+
+func (s *scripted) Do(ctx context.Context, address string, _ peer.Lane, _ string, in, out any) error {
+	s.sent = append(s.sent, in.(call.Call))
+	s.to = append(s.to, address)
+
+	reply, err := s.answer(ctx, address)
+	*out.(*gate.Reply) = reply
+
+	return err
+}
+
+func twoGates() fixed {
+	var out fixed
+	for _, id := range []string{"a", "b"} {
+		out = append(out, membership.Record{
+			ID: id, PeerAddress: id, State: membership.StateAlive,
+			Upstream: membership.Upstream{Service: "browse", State: membership.UpstreamReady, Slots: 10},
+		})
+	}
+
+	return out
+}
+
+func send(t *testing.T, s *scripted, header map[string]string) *httptest.ResponseRecorder {
+	t.Helper()
+
+	h := caller.New(
+		caller.Node("derby-browse-1"), caller.Settings(held{newSnapshot(t)}), caller.Members(twoGates()), caller.WithPeers(s),
+	).Handler()
+	req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/folders/1", nil)
+	req.Header.Set(caller.HeaderCall, "01JDXK3N9YVQ6V2W4T8QF5J0RZ")
+
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+
+	return w
+}
+
+func refuses(err error, ran call.Ran) func(context.Context, string) (gate.Reply, error) {
+	return func(context.Context, string) (gate.Reply, error) {
+		return gate.Reply{Refusal: call.Refuse(err, ran, 420*time.Millisecond).WithLoad(call.Load{Slots: 10})}, nil
+	}
+}
+
+func TestTheFormOfACallThatWasGivenUp(t *testing.T) {
+	s := &scripted{answer: refuses(admission.ErrShare, call.RanNo)}
+	w := send(t, s, nil)
+	assert.Equal(t, w.Code, http.StatusTooManyRequests)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	assert.Equal(t, w.Header().Get(caller.HeaderRetryMs), "420")
+	assert.Equal(t, w.Header().Get(caller.HeaderRan), "not-run")
+	assert.Equal(t, w.Header().Get(caller.HeaderReason), "admission.share")
+	assert.Equal(t, len(s.sent), 1)
+	golden.Assert(t, w.Body.String(), "turned_away.golden")
+}
+
+// A gate turns the call away as not run; the other one could have answered.
+func TestACallThatDidNotRunGoesToAnotherGate(t *testing.T) {
+	s := &scripted{answer: refuses(admission.ErrWait, call.RanNo)}
+	w := send(t, s, nil)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, len(s.sent), 2)
+	assert.Assert(t, s.to[0] != s.to[1])
+	assert.Equal(t, s.sent[1].Attempt, 2)
+	assert.Equal(t, w.Header().Get(caller.HeaderAttempts), "2")
+}
+
+// A layer above is already trying again. If each layer did, a chain of calls
+// would multiply the load.
+func TestACallThatALayerAboveRepeatsIsSentOnce(t *testing.T) {
+	s := &scripted{answer: refuses(admission.ErrWait, call.RanNo)}
+	send(t, s, map[string]string{caller.HeaderAttempt: "2", caller.HeaderDepth: "3"})
+	assert.Equal(t, len(s.sent), 1)
+	assert.Equal(t, s.sent[0].Attempt, 2)
+	assert.Equal(t, s.sent[0].Depth, 4)
+}
+
+// A gate says nothing at all. The caller must hear at its deadline, not later,
+// and must not be told that the call did not run.
+func TestASilentGateEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{answer: func(ctx context.Context, _ string) (gate.Reply, error) {
+			<-ctx.Done()
+
+			return gate.Reply{}, peer.ErrBroken.Wrap(ctx.Err())
+		}}
+		start := time.Now()
+		w := send(t, s, map[string]string{caller.HeaderDeadline: strconv.Itoa(300)})
+		assert.Equal(t, w.Code, http.StatusGatewayTimeout)
+		assert.Equal(t, w.Header().Get(caller.HeaderReason), "entry.deadline")
+		assert.Equal(t, w.Header().Get(caller.HeaderRan), "unknown")
+		assert.Equal(t, time.Since(start), 300*time.Millisecond)
+		assert.Assert(t, time.Duration(s.sent[0].Remaining) < 300*time.Millisecond, "the gate gives up first")
+	})
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -54,6 +54,8 @@
 	HeaderAttempt  = "Pollencart-Attempt"
 	HeaderDepth    = "Pollencart-Depth"
 	HeaderAttempts = "Pollencart-Attempts"
+	HeaderReason   = "Pollencart-Reason"
+	HeaderRetryMs  = "Pollencart-Retry-After-Ms"
 	HeaderKey      = "Idempotency-Key"
 	HeaderHome     = "Pollencart-Home"
 )
@@ -299,6 +301,7 @@
 	h := c.Response().Header()
 	h.Set(HeaderRan, string(r.Ran))
 	h.Set(HeaderAttempts, strconv.Itoa(r.Attempts))
+	h.Set(HeaderReason, r.Fault.ID)
 
 	if r.Key != "" {
 		h.Set(HeaderKey, r.Key)
@@ -306,6 +309,7 @@
 
 	wait := time.Duration(r.RetryAfter)
 	if wait > 0 {
+		h.Set(HeaderRetryMs, strconv.FormatInt(wait.Milliseconds(), 10))
 		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
 	}
 
--- /dev/null
+++ b/internal/caller/reasons_test.go
@@ -0,0 +1,33 @@
+package caller_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/upstream"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// Callers act on the ID and the status; the page must name both as they are.
+func TestReasonsAreOnThePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CALLERS.md")
+	assert.NilError(t, err)
+
+	for _, e := range []*errs.Error{
+		caller.ErrNoSettings, caller.ErrLeaving, caller.ErrNoRoute, caller.ErrHeader, caller.ErrBody, caller.ErrNoUpstream,
+		caller.ErrDeadline, caller.ErrCanceled, caller.ErrCrossed,
+		admission.ErrWait, admission.ErrFull, admission.ErrShare, admission.ErrDeadline, admission.ErrCanceled, admission.ErrClosed,
+		upstream.ErrNone, upstream.ErrUnreached, upstream.ErrShed, upstream.ErrNoAnswer, upstream.ErrTooLarge,
+		peer.ErrUnreachable, peer.ErrBroken,
+	} {
+		line := fmt.Sprintf("| `%s` | %d |", e.ID, e.Code)
+		assert.Assert(t, strings.Contains(string(page), line), "%s is not on the page", line)
+	}
+}
