--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"strings"
@@ -102,3 +103,46 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(history), 1)
 }
+
+// Somebody closes a folder that takes long to open. Work that goes on for nobody
+// holds a slot that others wait for.
+func TestACallerThatHangsUpStopsTheWork(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+
+	ctx, hangUp := context.WithCancel(t.Context())
+
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.hosts[0].Caller+"/folders/1", nil)
+	assert.NilError(t, err)
+	req.Header.Set(backend.HeaderWorkMs, "900")
+
+	gone := make(chan error, 1)
+
+	go func() {
+		_, err := http.DefaultClient.Do(req)
+		gone <- err
+	}()
+
+	running := func(n int) func() bool {
+		return func() bool {
+			inFlight := 0
+			for _, h := range f.hosts {
+				inFlight += h.backend.InFlight()
+			}
+
+			return inFlight == n
+		}
+	}
+
+	f.wait("the call runs", running(1))
+	hangUp()
+	assert.ErrorIs(t, <-gone, context.Canceled)
+	f.wait("nothing runs", running(0))
+
+	cut := 0
+	for _, h := range f.hosts {
+		cut += h.backend.Counts().Cut
+	}
+
+	assert.Equal(t, cut, 1, "the backend server saw the cancellation")
+}
