A home that leaves hands its opaque keys over with their records

Ruled out: making the shards vacant (the next owner must wait, since it has no records); moving them back after a restart (records still lost).

Change: the home stops starting opaque keys, waits up to a second for those that run, sends records and filter of each shard to its heir, and then gives the shard to the heir's life by compare-and-swap. Entries follow to the next home.

Shown failing: TestAnOpaqueKeySurvivesAPlannedStop without the list pushed to the heirs (home_unreachable). The test that expected unknown after a planned stop is replaced by two: planned stop (answer) and lost records (unknown).

--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -47,11 +47,56 @@
 	}
 }
 
+// handovers bounds how often a call follows an opaque key to its next home, and
+// handoverPause how long a home takes to hand its keys over.
+const (
+	handovers     = 20
+	handoverPause = 50 * time.Millisecond
+)
+
+// atHome takes the call to the home of its key. A home that has just handed its
+// opaque keys over says so; the call then goes on to the next one. Nothing was
+// started before.
 func (e *Entry) atHome(ctx context.Context, c call.Call, next call.Handler) (call.Answer, error) {
 	if err := key.Check(c.Key); err != nil {
 		return call.Answer{}, call.Refuse(err, call.RanUnknown, 0).WithNotForwarded()
 	}
 
+	for n := 1; ; n++ {
+		a, err := e.tryHome(ctx, c, next)
+		if n == handovers || !e.moved(ctx, c, err) {
+			return a, err
+		}
+	}
+}
+
+// moved reports whether the call may go to another home than the one that did
+// not take it.
+func (e *Entry) moved(ctx context.Context, c call.Call, err error) bool {
+	switch {
+	case errors.Is(err, once.ErrNotHome):
+		select {
+		case <-ctx.Done():
+		case <-time.After(handoverPause):
+		}
+
+		return ctx.Err() == nil
+	case errors.Is(err, once.ErrUnreachable) && notForwarded(err):
+		_, named := key.Parse(c.Key)
+
+		return !named && e.options.Shards.Renew(ctx, c.Key)
+	}
+
+	return false
+}
+
+func notForwarded(err error) bool {
+	var r *call.Refusal
+
+	return errors.As(err, &r) && r.NotForwarded
+}
+
+func (e *Entry) tryHome(ctx context.Context, c call.Call, next call.Handler) (call.Answer, error) {
 	node, life, err := e.homeOf(c)
 	if err != nil {
 		return call.Answer{}, err
@@ -163,7 +208,7 @@
 		return call.Answer{}, call.Refuse(once.ErrUnreachable.With("no answer from %s", node).Wrap(err), call.RanUnknown, time.Second)
 	case reply.Refusal != nil:
 		if errors.Is(reply.Refusal, once.ErrNotHome) {
-			e.options.Shards.Nudge()
+			e.options.Shards.Refresh(ctx, home.PeerAddress)
 		}
 
 		return call.Answer{}, reply.Refusal
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -30,14 +30,23 @@
 // Owners gives the process that is the home of an opaque key.
 type Owners interface {
 	Owner(text string) (node, life string, ok bool)
-	// Nudge tells that a call found no owner or an old one.
+	// Nudge tells that a call found no owner.
 	Nudge()
+	// Refresh asks the node that was taken for the owner for a newer list.
+	Refresh(ctx context.Context, address string)
+	// Renew asks whoever would follow the owner of a key, and reports whether there
+	// is a newer list.
+	Renew(ctx context.Context, text string) bool
 }
 
 type noOwners struct{}
 
 func (noOwners) Nudge() {}
 
+func (noOwners) Refresh(context.Context, string) {}
+
+func (noOwners) Renew(context.Context, string) bool { return false }
+
 func (noOwners) Owner(string) (node, life string, ok bool) { return "", "", false }
 
 // Peers sends messages to other nodes.
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -37,7 +37,7 @@
 		sleep(ctx, pause)
 	}
 
-	n.releaseShards(ctx)
+	n.handOver(ctx)
 	n.gossip.Leave(ctx)
 }
 
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -53,7 +53,9 @@
 	n.server.Handle(poison.MethodPull, peer.Typed(n.suspects.ServePull))
 	n.server.Handle(poison.MethodTake, peer.Typed(n.suspects.ServeTake))
 	n.server.Handle(poison.MethodGive, peer.Typed(n.suspects.ServeGive))
+	n.server.Handle(once.MethodAdopt, peer.Typed(n.home.ServeAdopt(n.shards)))
 	n.server.Handle(shard.MethodPull, peer.Typed(n.shards.Serve))
+	n.server.Handle(shard.MethodPush, peer.Typed(n.shards.ServePush))
 	n.server.Handle(once.MethodEpoch, peer.Typed(func(context.Context, nothing) (once.Epoch, error) {
 		return once.Epoch{Epoch: n.register.Epoch()}, nil
 	}))
@@ -73,14 +75,14 @@
 	running.Wait()
 }
 
-// releaseShards hands the opaque keys of a node that leaves to others. It does
-// not hold up the drain when the platform is away; the next life of the node, or
-// an operator, then does it.
-func (n *Node) releaseShards(ctx context.Context) {
-	const limit = time.Second
+// handOver gives the opaque keys of a node that leaves to others. It does not
+// hold up the drain when the platform is away; the next life of the node, or an
+// operator, then frees them.
+func (n *Node) handOver(ctx context.Context) {
+	const limit = 3 * time.Second
 
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
-	n.shards.Release(ctx)
+	n.home.HandOver(ctx, n.shards, n.client)
 }
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -201,10 +202,10 @@
 	assert.Equal(t, f.runs("donation-2"), 1)
 }
 
-// The home of an opaque key is replaced after it ran the key. The new process
-// has no record of it; if it ran what it has not seen, a repeat would book the
-// donation twice.
-func TestAnOpaqueKeyOfAReplacedHomeIsUnknown(t *testing.T) {
+// The home of an opaque key is stopped as planned after it ran the key. A caller
+// that repeats the key must get the first answer from whoever has it now; to be
+// told unknown would make a planned stop cost callers their answers.
+func TestAnOpaqueKeySurvivesAPlannedStop(t *testing.T) {
 	f := startFleet(t)
 	f.accept()
 	l := f.sharded()
@@ -216,19 +217,55 @@
 	h := f.hosts[owner]
 	h.stop()
 	assert.NilError(t, <-h.done)
-	f.start(h)
 
-	seen := map[string]bool{}
+	r := f.send(other, http.MethodPost, "/uploads/1", "gift aid", upload("donation-1"))
+	assert.Equal(t, r.status, http.StatusOK, "%v", r.away)
+	assert.Equal(t, r.header.Get(caller.HeaderRepeat), "true")
+
+	// A new key of the same shard is started at once.
+	r = f.send(other, http.MethodPost, "/uploads/1", "gift aid", upload(sibling(l, "donation-1")))
+	assert.Equal(t, r.status, http.StatusOK, "%v", r.away)
+	assert.Equal(t, f.runs("donation-1"), 1)
+}
+
+// sibling returns another key of the same shard.
+func sibling(l shard.List, text string) string {
+	_, want, _ := l.Of(text)
+
+	for i := 0; ; i++ {
+		other := fmt.Sprintf("%s-%d", text, i)
+		if _, n, _ := l.Of(other); n == want {
+			return other
+		}
+	}
+}
+
+// The home of an opaque key ends after it ran the key, and nobody has its
+// records: here because the platform is down while it leaves. The process that
+// comes after it has no record of the key; if it ran what it has not seen, a
+// repeat would book the donation twice.
+func TestAnOpaqueKeyOfALostHomeIsUnknown(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+	l := f.sharded()
+	f.known("donation-1")
+
+	owner := f.hostOf(l, "donation-1")
+	other := (owner + 1) % len(f.hosts)
+	h := f.hosts[owner]
+
+	f.platform.SetFaults(platform.Faults{Down: true})
+	h.stop()
+	assert.NilError(t, <-h.done)
+	f.platform.SetFaults(platform.Faults{})
+	f.start(h)
 
 	f.wait("a new owner", func() bool {
 		r := f.send(other, http.MethodPost, "/uploads/1", "gift aid", upload("donation-1"))
-		seen[r.away.ID] = true
-
 		assert.Equal(t, string(r.away.Ran), "unknown", "%v", r)
 
 		return r.away.ID == "once.taken_over"
 	})
 
-	t.Logf("refusals on the way: %v", seen)
 	assert.Equal(t, f.runs("donation-1"), 1)
 }
--- a/internal/once/filter/filter.go
+++ b/internal/once/filter/filter.go
@@ -11,7 +11,18 @@
 //	f.Has("upload-17") // true for ever
 package filter
 
-import "github.com/cespare/xxhash/v2"
+import (
+	mathbits "math/bits"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// ErrFilter is returned for a filter that does not check.
+var ErrFilter = errs.New("once.filter", http.StatusBadRequest, "filter not accepted")
 
 const (
 	// Bytes is the memory of a filter: 16 bits for each of Capacity keys.
@@ -29,33 +40,66 @@
 // Filter is a set that never forgets. The zero filter is empty and takes no
 // memory.
 type Filter struct {
-	words []uint64
-	size  int
+	Words []uint64 `msgpack:"Words,omitempty"`
+	Size  int      `msgpack:"Size"`
+}
+
+// Check reports whether a decoded filter can be used.
+func (f *Filter) Check() error {
+	if len(f.Words) != 0 && len(f.Words) != bits/wordBits {
+		return ErrFilter.With("%d words", len(f.Words))
+	}
+
+	return nil
+}
+
+// Clone returns a copy.
+func (f *Filter) Clone() Filter { return Filter{Words: slices.Clone(f.Words), Size: f.Size} }
+
+// Union puts in all keys of another filter.
+func (f *Filter) Union(o Filter) {
+	if o.Words == nil {
+		return
+	}
+
+	if f.Words == nil {
+		f.Words = make([]uint64, bits/wordBits)
+	}
+
+	set := 0
+
+	for i, w := range o.Words {
+		f.Words[i] |= w
+		set += mathbits.OnesCount64(f.Words[i])
+	}
+
+	// The two may have had keys in common, so that the sum would count too many.
+	f.Size = max(f.Size, o.Size, set/probes)
 }
 
 // Add puts a key in.
 func (f *Filter) Add(key string) {
-	if f.words == nil {
-		f.words = make([]uint64, bits/wordBits)
+	if f.Words == nil {
+		f.Words = make([]uint64, bits/wordBits)
 	}
 
-	f.size++
+	f.Size++
 
 	for i := range uint64(probes) {
 		n := probe(key, i)
-		f.words[n/wordBits] |= 1 << (n % wordBits)
+		f.Words[n/wordBits] |= 1 << (n % wordBits)
 	}
 }
 
 // Has reports whether the key may have been put in; false is certain.
 func (f *Filter) Has(key string) bool {
-	if f.words == nil {
+	if f.Words == nil {
 		return false
 	}
 
 	for i := range uint64(probes) {
 		n := probe(key, i)
-		if f.words[n/wordBits]&(1<<(n%wordBits)) == 0 {
+		if f.Words[n/wordBits]&(1<<(n%wordBits)) == 0 {
 			return false
 		}
 	}
@@ -64,10 +108,7 @@
 }
 
 // Full reports whether the filter holds as many keys as it may.
-func (f *Filter) Full() bool { return f.size >= Capacity }
-
-// Clear empties the filter.
-func (f *Filter) Clear() { *f = Filter{} }
+func (f *Filter) Full() bool { return f.Size >= Capacity }
 
 // probe derives all positions from one hash by double hashing.
 func probe(key string, i uint64) uint64 {
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -41,6 +41,7 @@
 	cut
 	heal
 	rotate
+	leave
 	platformDown
 	platformUp
 	pass
@@ -154,6 +155,7 @@
 	cut:          func(w *world, s step) { w.setCut(s.A, s.B, true) },
 	heal:         func(w *world, _ step) { w.heal() },
 	rotate:       func(w *world, s step) { w.proc(s.A).book.Rotate() },
+	leave:        func(w *world, s step) { go w.leave(s.A) },
 	platformDown: func(w *world, _ step) { w.store.setDown(true) },
 	platformUp:   func(w *world, _ step) { w.store.setDown(false) },
 }
--- a/internal/once/shard/keeper.go
+++ b/internal/once/shard/keeper.go
@@ -22,6 +22,9 @@
 // MethodPull is the peer method by which a node gets a newer list.
 const MethodPull = "Once.Shards"
 
+// MethodPush is the peer method by which a node that leaves sends the list.
+const MethodPush = "Once.ShardsPush"
+
 // Pull asks for a list newer than the number.
 type Pull struct {
 	Number uint64 `msgpack:"Number"`
@@ -59,12 +62,13 @@
 	asked    bool      // a peer answered in this life
 	began    time.Time
 	nudged   chan struct{}
+	adopted  map[int]adoption
 }
 
 // New returns a keeper without a list.
 func New(self Self, store Store, nodes Nodes, peers Peers, opts ...Option) *Keeper {
 	return &Keeper{
-		options: newOptions(opts...), self: self, store: store, nodes: nodes, peers: peers, owned: map[int]time.Time{},
+		options: newOptions(opts...), self: self, store: store, nodes: nodes, peers: peers, owned: map[int]time.Time{}, adopted: map[int]adoption{},
 		nudged: make(chan struct{}, 1),
 	}
 }
@@ -92,18 +96,14 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	s, i, ok := k.list.Of(text)
-	since, owned := k.owned[i]
+	_, i, ok := k.list.Of(text)
+	_, owned := k.owned[i]
 
 	if !ok || !owned || k.released {
 		return Own{}
 	}
 
-	if !s.Before {
-		return Own{Mine: true}
-	}
-
-	return Own{Mine: true, Wait: max(0, k.options.Repeat-time.Since(since))}
+	return Own{Mine: true, Wait: k.waitOf(i)}
 }
 
 // List returns the list that is held.
@@ -184,25 +184,28 @@
 		}
 	}
 
-	if len(others) == 0 {
-		return
+	if len(others) > 0 {
+		k.Refresh(ctx, others[rand.IntN(len(others))].PeerAddress)
 	}
+}
 
+// Refresh asks one node for a newer list.
+func (k *Keeper) Refresh(ctx context.Context, address string) {
 	const limit = 500 * time.Millisecond
 
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	var l List
+	if k.peers.Do(ctx, address, peer.LaneControl, MethodPull, Pull{Number: k.List().Number}, &l) != nil {
+		return
+	}
 
-	address := others[rand.IntN(len(others))].PeerAddress
-	if k.peers.Do(ctx, address, peer.LaneControl, MethodPull, Pull{Number: k.List().Number}, &l) == nil {
-		k.mu.Lock()
-		k.asked = true
-		k.mu.Unlock()
+	k.mu.Lock()
+	k.asked = true
+	k.mu.Unlock()
 
-		k.take(l)
-	}
+	k.take(l)
 }
 
 // mustRead keeps the load on the platform to the watchers of each failure domain
@@ -349,39 +352,3 @@
 
 	k.owned = owned
 }
-
-// Release stops this process from starting opaque keys and then makes its
-// shards vacant. The order is the consent: nobody else owns them before it has
-// stopped.
-func (k *Keeper) Release(ctx context.Context) {
-	k.mu.Lock()
-	k.released = true
-	owner := len(k.owned) > 0
-	k.mu.Unlock()
-
-	if owner {
-		k.Vacate(ctx, k.self.Node)
-	}
-}
-
-// Vacate makes the shards of a node vacant: its own, or on an operator's word
-// those of a host that is gone for good.
-func (k *Keeper) Vacate(ctx context.Context, node string) {
-	const tries = 5
-
-	for range tries {
-		l, revision, err := k.get(ctx)
-		if err != nil || revision == 0 {
-			return
-		}
-
-		next, changed := l.Vacate(node)
-		if !changed {
-			k.take(l)
-
-			return
-		}
-
-		k.swap(ctx, revision, next)
-	}
-}
--- a/internal/once/shard/list.go
+++ b/internal/once/shard/list.go
@@ -9,7 +9,8 @@
 //   - a vacant shard is claimed by a node of its failure domain;
 //   - a shard of an earlier life of the same node is claimed by the next one,
 //     which could not listen on the node's addresses if the earlier still ran;
-//   - an owner that leaves makes its shards vacant;
+//   - an owner that leaves hands its shards with their records to another node
+//     of the failure domain, or makes them vacant;
 //   - an operator's word makes the shards of a host that is gone vacant.
 //
 // So no two processes both own a shard, and an outage of the platform changes
@@ -52,8 +53,11 @@
 	// Node and Life name the owner; a vacant shard has none.
 	Node string `json:"Node,omitempty" msgpack:"Node,omitempty"`
 	Life string `json:"Life,omitempty" msgpack:"Life,omitempty"`
-	// Before says that another life owned the shard before.
+	// Before says that another life owned the shard before, whose records are
+	// lost.
 	Before bool `json:"Before,omitempty" msgpack:"Before,omitempty"`
+	// From is the life that left and handed its records over.
+	From string `json:"From,omitempty" msgpack:"From,omitempty"`
 }
 
 // List is all shards. Number goes up with every change.
@@ -142,6 +146,19 @@
 	})
 }
 
+// Transfer returns the list with the shards of one life given to their heirs, by
+// the number of the shard.
+func (l List) Transfer(from Self, heirs map[int]Self) (List, bool) {
+	return l.change(func(i int, s Shard) Shard {
+		heir, ok := heirs[i]
+		if !ok || s.Node != from.Node || s.Life != from.Life {
+			return s
+		}
+
+		return Shard{FailureDomain: s.FailureDomain, Node: heir.Node, Life: heir.Life, From: from.Life}
+	})
+}
+
 func (l List) vacant() bool {
 	return slices.ContainsFunc(l.Shards, func(s Shard) bool { return s.Node == "" })
 }
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -85,6 +85,7 @@
 
 	froze  atomic.Int64  // how often
 	thawed chan struct{} // closed while the process runs
+	ending atomic.Bool
 	dead   chan struct{} // closed when it has ended
 }
 
@@ -150,6 +151,10 @@
 
 func (b beliefs) Nudge() { b.keeper.Nudge() }
 
+func (b beliefs) Renew(ctx context.Context, text string) bool { return b.keeper.Renew(ctx, text) }
+
+func (b beliefs) Refresh(ctx context.Context, address string) { b.keeper.Refresh(ctx, address) }
+
 func (b beliefs) Owner(text string) (node, life string, ok bool) {
 	if !b.w.mutant.byBelief {
 		return b.keeper.Owner(text)
@@ -355,6 +360,10 @@
 // replace ends a process at once and starts the next one in its place.
 func (w *world) replace(i int) {
 	old := w.proc(i)
+	if !old.ending.CompareAndSwap(false, true) {
+		return
+	}
+
 	w.wake(i)
 	close(old.dead)
 	old.stop()
@@ -368,6 +377,20 @@
 	next.start()
 }
 
+// leave hands a process's keys over and then replaces it.
+func (w *world) leave(i int) {
+	p := w.proc(i)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+
+	p.home.HandOver(ctx, p.keeper, p)
+
+	if w.proc(i) == p {
+		w.replace(i)
+	}
+}
+
 func (w *world) freeze(i int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -506,6 +529,10 @@
 
 			return p.entry.ServeOnce(ctx, c)
 		})
+	case once.MethodAdopt:
+		return typed(ctx, body, p.home.ServeAdopt(p.keeper))
+	case shard.MethodPush:
+		return typed(ctx, body, p.keeper.ServePush)
 	case shard.MethodPull:
 		return typed(ctx, body, p.keeper.Serve)
 	case once.MethodEpoch:
