--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -29,7 +29,6 @@
 	// disputes are IDs of nodes that are dead here and live elsewhere.
 	disputes doubts
 	health   health
-	version  versionNews
 	alone    int // tries to join so far; only join uses it
 }
 
@@ -115,7 +114,7 @@
 	g.table.Expire(g.options.Suspicion)
 	g.examine(ctx)
 
-	if g.table.Pending() || g.version.pending(g.options.Version(), transmits(g.table.CountLive())) {
+	if g.table.Pending() {
 		g.Tell(ctx)
 	}
 }
@@ -197,28 +196,3 @@
 
 	return g.message(in.From), nil
 }
-
-// versionNews makes a new version go out as often as any other change.
-type versionNews struct {
-	mu     sync.Mutex
-	number uint64
-	left   int
-}
-
-func (v *versionNews) pending(number uint64, limit int) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-
-	if number > v.number {
-		v.number = number
-		v.left = limit
-	}
-
-	if v.left == 0 {
-		return false
-	}
-
-	v.left--
-
-	return true
-}
