--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -74,14 +74,14 @@
 // not take it.
 func (e *Entry) moved(ctx context.Context, c call.Call, err error) bool {
 	switch {
-	case errors.Is(err, once.ErrNotHome):
+	case errors.Is(err, once.ErrLeaving):
 		select {
 		case <-ctx.Done():
 		case <-time.After(handoverPause):
 		}
 
 		return ctx.Err() == nil
-	case errors.Is(err, once.ErrUnreachable) && notForwarded(err):
+	case errors.Is(err, once.ErrNotHome), errors.Is(err, once.ErrUnreachable) && notForwarded(err):
 		_, named := key.Parse(c.Key)
 
 		return !named && e.options.Shards.Renew(ctx, c.Key)
@@ -207,7 +207,7 @@
 	case err != nil:
 		return call.Answer{}, call.Refuse(once.ErrUnreachable.With("no answer from %s", node).Wrap(err), call.RanUnknown, time.Second)
 	case reply.Refusal != nil:
-		if errors.Is(reply.Refusal, once.ErrNotHome) {
+		if errors.Is(reply.Refusal, once.ErrLeaving) {
 			e.options.Shards.Refresh(ctx, home.PeerAddress)
 		}
 
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/standin/backend"
 	"github.com/pollencart/pollencart/internal/standin/platform"
+	client "github.com/pollencart/pollencart/pkg/caller"
 )
 
 // runs counts how often the backend servers ran a key.
@@ -269,3 +271,28 @@
 
 	assert.Equal(t, f.runs("donation-1"), 1)
 }
+
+// The client library against real nodes: an upload through nodes of which the
+// first leaves in between is booked once for each request.
+func TestTheClientLibraryUploadsOnce(t *testing.T) {
+	f := startFleet(t)
+	f.accept()
+
+	c := client.New(client.Nodes(f.hosts[0].Caller, f.hosts[1].Caller, f.hosts[2].Caller))
+
+	for i := range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+
+		a, err := c.Do(ctx, client.Request{
+			Method: http.MethodPost, Path: fmt.Sprintf("/uploads/%d", i), Body: []byte("gift aid"), Once: true,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, f.runs(a.Key), 1)
+
+		if i == 0 {
+			f.hosts[0].stop()
+			assert.NilError(t, <-f.hosts[0].done)
+		}
+	}
+}
--- a/internal/once/book/options.go
+++ b/internal/once/book/options.go
@@ -2,9 +2,10 @@
 
 // Defaults of the options.
 const (
-	// DefaultRecords lets a node start about 200 new keys a second for the
-	// retention of five minutes; a full book takes about 25 MB.
-	DefaultRecords = 1 << 16
+	// DefaultRecords lets a node start about 100 new keys a second for the
+	// retention of five minutes. At the size of two years it starts 42 calls a
+	// second. A full book with answers of 100 bytes takes 19 MB.
+	DefaultRecords = 1 << 15
 	// DefaultGenerations is how many generations are held; one more than 15
 	// periods makes sure that a key lives through 15 whole ones.
 	DefaultGenerations = 16
--- /dev/null
+++ b/internal/once/cost_test.go
@@ -0,0 +1,127 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/once/key"
+)
+
+func receipt(context.Context, call.Call) (call.Answer, error) {
+	return call.Answer{Status: http.StatusOK, Body: []byte("receipt"), Ran: call.RanYes}, nil
+}
+
+func keyedCall(h *once.Home, n int) call.Call {
+	return call.Call{Method: http.MethodPost, URI: "/uploads/1", Body: []byte("gift aid"), Key: h.Name().Key(fmt.Sprint(n))}
+}
+
+// The home's share of a keyed call is bounded in allocations: the record, its
+// goroutine with a context of its own, the digest and the waiting channel.
+func TestAllocationsPerKeyedCallAreBounded(t *testing.T) {
+	h := once.New("a", key.NewLife(1), once.WithBook(book.New(book.Records(1<<20))))
+	n := 0
+
+	allocations := testing.AllocsPerRun(1000, func() {
+		n++
+
+		_, err := h.Run(t.Context(), keyedCall(h, n), receipt)
+		assert.NilError(t, err)
+	})
+
+	t.Logf("%v allocations for each keyed call", allocations)
+	assert.Assert(t, allocations <= 24, "%v", allocations)
+}
+
+func BenchmarkKeyedCall(b *testing.B) {
+	h := once.New("a", key.NewLife(1), once.WithBook(book.New(book.Records(1<<30))))
+
+	b.ReportAllocs()
+
+	for n := 0; b.Loop(); n++ {
+		if _, err := h.Run(b.Context(), keyedCall(h, n), receipt); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// What keyed calls cost in a cut and after a crash: callers that make keys which
+// name their home lose none, since they take a home that they can reach; opaque
+// keys whose home is on the other side or dead are turned away at once.
+func TestHowManyKeyedCallsAreTurnedAway(t *testing.T) {
+	s := uploadSettings(t)
+
+	for name, c := range map[string]struct {
+		fault         func(w *world)
+		named, opaque int // at most, in a hundred
+	}{
+		"nothing": {func(*world) {}, 0, 0},
+		// Nodes here never learn of the cut; the few named ones ran out of attempts
+		// on gates behind it, and are told not-run.
+		"domains cut":          {cutDomains, 10, 60},
+		"one of four crashed":  {func(w *world) { w.replace(3) }, 0, 40},
+		"platform down":        {func(w *world) { w.store.setDown(true) }, 0, 0},
+		"platform down, crash": {func(w *world) { w.store.setDown(true); w.replace(3) }, 0, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(s, 1, mutant{}, book.DefaultRecords)
+				w.calm = true
+
+				time.Sleep(20 * time.Second)
+				c.fault(w)
+				time.Sleep(20 * time.Second)
+
+				named, opaque, longest := w.count(100)
+
+				for i := range nodes {
+					w.proc(i).stop()
+				}
+
+				time.Sleep(time.Minute)
+				t.Logf("of 100 turned away: named %d, opaque %d; longest wait %s", named, opaque, longest)
+				assert.Assert(t, named <= c.named && opaque <= c.opaque)
+				assert.Assert(t, longest < 100*time.Millisecond)
+			})
+		})
+	}
+}
+
+func cutDomains(w *world) {
+	for a := range nodes {
+		for b := range nodes {
+			w.setCut(a, b, domain(a) != domain(b))
+		}
+	}
+}
+
+// count sends new keys of both kinds through node 0 and counts what is turned
+// away.
+func (w *world) count(n int) (named, opaque int, longest time.Duration) {
+	send := func(text string) int {
+		began := time.Now()
+		w.send(0, text)
+		longest = max(longest, time.Since(began))
+
+		if w.told[tokenOf(text)][call.RanYes] > 0 {
+			return 0
+		}
+
+		return 1
+	}
+
+	for i := range n {
+		named += send(w.proc(0).home.Name().Key(fmt.Sprintf("n%d", i)))
+		opaque += send(fmt.Sprintf("p%d", i))
+	}
+
+	return named, opaque, longest
+}
--- /dev/null
+++ b/internal/once/key/key_test.go
@@ -0,0 +1,34 @@
+package key_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/once/key"
+)
+
+func TestKeysNameTheirHome(t *testing.T) {
+	h := key.Home{Node: "nottm.a-1", Life: key.NewLife(7), Generation: 12}
+
+	k, named := key.Parse(h.Key("t0"))
+	assert.Assert(t, named)
+	assert.DeepEqual(t, k, key.Key{Home: h, Token: "t0"})
+
+	for _, opaque := range []string{"", "donation-1", "pc1.", "pc1.a.b.1", "pc1.a.b.x.t", "pc1.a.b.1.", "pc2.a.b.1.t", "pc1..b.1.t"} {
+		_, named := key.Parse(opaque)
+		assert.Assert(t, !named, opaque)
+	}
+
+	assert.ErrorIs(t, key.Check(""), key.ErrKey)
+	assert.ErrorIs(t, key.Check(strings.Repeat("x", key.MaxLength+1)), key.ErrKey)
+	assert.NilError(t, key.Check(h.Key("t0")))
+}
+
+// A host's clock was set back, and the process after a crash has the incarnation
+// of the one before. With equal names it would take the other's keys for its own.
+func TestLivesDifferWithoutAClock(t *testing.T) {
+	first, second := key.NewLife(7), key.NewLife(7)
+	assert.Assert(t, first != second)
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -41,7 +41,8 @@
 // Errors of a keyed call.
 var (
 	ErrHomeGone    = errs.New("once.home_gone", http.StatusConflict, "the process that was the home of the key is gone")
-	ErrNotHome     = errs.New("once.not_home", http.StatusServiceUnavailable, "this process is not the home of the key now")
+	ErrNotHome     = errs.New("once.not_home", http.StatusServiceUnavailable, "this process is not the home of the key")
+	ErrLeaving     = errs.New("once.leaving", http.StatusServiceUnavailable, "the home of the key hands it over to another process")
 	ErrRunning     = errs.New("once.running", http.StatusGatewayTimeout, "the first run of the key has not ended; repeat the key")
 	ErrAmbiguous   = errs.New("once.ambiguous", http.StatusGatewayTimeout, "an attempt of the key may have run; it is not sent again")
 	ErrNotKept     = errs.New("once.answer_not_kept", http.StatusConflict, "the key ran; its answer was too large to keep for repeats")
@@ -148,6 +149,10 @@
 // the time in which unseen keys are not started.
 func (h *Home) opaque(c call.Call) (book.Key, error) {
 	own := h.options.Shards.Own(c.Key)
+	if own.Leaving {
+		return book.Key{}, ErrLeaving.With("%s", h.node)
+	}
+
 	if !own.Mine || c.Life != h.life {
 		return book.Key{}, ErrNotHome.With("%s", h.node)
 	}
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -74,13 +74,16 @@
 	})
 }
 
+// few records let some scripts fill a book.
+const few = 32
+
 // play runs a script to its end, heals everything, repeats every key through
 // every node and returns the broken promises.
 func play(t *testing.T, s *settings.Snapshot, c script, m mutant) (found []string, w *world) {
 	t.Helper()
 
 	synctest.Test(t, func(*testing.T) {
-		w = newWorld(s, c.Seed, m)
+		w = newWorld(s, c.Seed, m, few)
 
 		time.Sleep(10 * time.Second) // shards find owners
 
--- a/internal/once/shard/keeper.go
+++ b/internal/once/shard/keeper.go
@@ -89,6 +89,8 @@
 	Mine bool
 	// Wait is how long keys that it has not seen are still unknown.
 	Wait time.Duration
+	// Leaving is set while this process hands its shards over.
+	Leaving bool
 }
 
 // Own returns what this process may do with a key.
@@ -100,7 +102,7 @@
 	_, owned := k.owned[i]
 
 	if !ok || !owned || k.released {
-		return Own{}
+		return Own{Leaving: k.released}
 	}
 
 	return Own{Mine: true, Wait: k.waitOf(i)}
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -41,6 +41,7 @@
 type world struct {
 	snapshot *settings.Snapshot
 	mutant   mutant
+	records  int // that a home holds
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -91,10 +92,10 @@
 
 const nodes = 4
 
-func newWorld(s *settings.Snapshot, seed uint64, m mutant) *world {
+func newWorld(s *settings.Snapshot, seed uint64, m mutant, records int) *world {
 	w := &world{
 		snapshot: s, mutant: m, random: rand.New(rand.NewPCG(seed, seed)), cuts: map[[2]int]bool{},
-		ran: map[string]int{}, told: map[string]map[call.Ran]int{}, store: &store{}, procs: make([]*proc, nodes),
+		ran: map[string]int{}, told: map[string]map[call.Ran]int{}, store: &store{}, records: records, procs: make([]*proc, nodes),
 	}
 	for i := range w.procs {
 		w.procs[i] = w.newProc(i, 1)
@@ -114,7 +115,7 @@
 	p := &proc{w: w, index: i, life: life, thawed: make(chan struct{}), dead: make(chan struct{})}
 	close(p.thawed)
 
-	p.book = book.New(book.Generations(3), book.Records(32))
+	p.book = book.New(book.Generations(3), book.Records(w.records))
 	name := key.NewLife(7) // one incarnation, as after a clock was set back
 	p.keeper = shard.New(shard.Self{Node: nodeID(i), Life: name, FailureDomain: domain(i)}, storeOf{p}, w, p,
 		shard.Domains(func() []string { return []string{domain(0), domain(1)} }), shard.Repeat(time.Hour))
