--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -60,11 +60,11 @@
 
 // Entry takes calls of callers.
 type Entry struct {
-	options Options
-	pipe    call.Handler
-	home    call.Handler // the pipe of a call that another node forwarded here
-	gates   *gates
-	pulse   pulse
+	options  Options
+	pipe     call.Handler
+	home     call.Handler // the pipe of a call that another node forwarded here
+	gates    *gates
+	watchdog watchdog
 }
 
 // New returns an entry.
@@ -80,7 +80,7 @@
 }
 
 // Run notices when this process stands still, until ctx ends.
-func (e *Entry) Run(ctx context.Context) { e.pulse.run(ctx) }
+func (e *Entry) Run(ctx context.Context) { e.watchdog.run(ctx) }
 
 // Handler returns the HTTP interface.
 func (e *Entry) Handler() http.Handler {
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -23,8 +23,8 @@
 
 // Errors of a keyed call at its entry.
 var (
-	ErrNoHome = errs.New("once.no_home", http.StatusServiceUnavailable, "no node is the home of this key's shard now")
-	ErrThawed = errs.New("once.thawed", http.StatusServiceUnavailable, "this node stood still and can't tell how old the request is")
+	ErrNoHome     = errs.New("once.no_home", http.StatusServiceUnavailable, "no node is the home of this key's shard now")
+	ErrStoodStill = errs.New("once.stood_still", http.StatusServiceUnavailable, "this node stood still and can't tell how old the request is")
 )
 
 // once takes a call that must not run twice to the home of its key.
@@ -112,7 +112,7 @@
 }
 
 // homeOf returns the node of a key's home, and of an opaque key its life. The
-// owner is looked up before the pulse: a call that stood still after the lookup
+// owner is looked up before the watchdog: a call that stood still after the lookup
 // goes to that life or to nobody.
 func (e *Entry) homeOf(c call.Call) (node, life string, err error) {
 	if k, named := key.Parse(c.Key); named {
@@ -126,10 +126,10 @@
 		return "", "", call.Refuse(ErrNoHome, call.RanUnknown, time.Second).WithNotForwarded()
 	}
 
-	if e.pulse.thawed() {
-		e.options.Recorder.Record(event.EntryThawed, timeline.Entry{Call: c.ID, Key: c.Key})
+	if e.watchdog.resumed() {
+		e.options.Recorder.Record(event.EntryStoodStill, timeline.Entry{Call: c.ID, Key: c.Key})
 
-		return "", "", call.Refuse(ErrThawed, call.RanUnknown, thaw).WithNotForwarded()
+		return "", "", call.Refuse(ErrStoodStill, call.RanUnknown, settle).WithNotForwarded()
 	}
 
 	return node, life, nil
--- a/internal/caller/pulse.go
+++ b/internal/caller/watchdog.go
@@ -6,33 +6,33 @@
 	"time"
 )
 
-// pulse notices that the process stood still: it was frozen, or its host was.
+// watchdog notices that the process stood still: it was frozen, or its host was.
 //
 // A request that waited in a socket of a frozen process looks new when the
 // process wakes, perhaps long after its caller sent it again elsewhere. A key
 // that names its home tells its age by its generation; an opaque one does not,
 // so opaque keys that are read just after a standstill are not forwarded.
-type pulse struct {
+type watchdog struct {
 	beat atomic.Int64 // when the process was last seen to run
 	woke atomic.Int64 // when it was last seen to have stood still
 }
 
 const (
-	// beatEvery is how often the pulse beats, standstill the gap that is taken for
+	// beatEvery is how often the watchdog beats, standstill the gap that is taken for
 	// a freeze: far over what a busy scheduler causes.
 	beatEvery  = 100 * time.Millisecond
 	standstill = time.Second
-	// thaw is how long after a standstill a request may still be an old one. All
+	// settle is how long after a standstill a request may still be an old one. All
 	// that waited in sockets is read within it.
-	thaw = 2 * time.Second
+	settle = 2 * time.Second
 )
 
 var began = time.Now()
 
 // run beats until ctx ends.
-func (p *pulse) run(ctx context.Context) {
+func (p *watchdog) run(ctx context.Context) {
 	for {
-		p.thawed()
+		p.resumed()
 
 		select {
 		case <-ctx.Done():
@@ -45,9 +45,9 @@
 }
 
 // thawed reports whether the process stood still a moment ago. Whoever asks
-// first after the standstill sees the gap, the beat or a request. A pulse that
+// first after the standstill sees the gap, the beat or a request. A watchdog that
 // does not run reports nothing.
-func (p *pulse) thawed() bool {
+func (p *watchdog) resumed() bool {
 	now := int64(time.Since(began))
 
 	last := p.beat.Load()
@@ -59,5 +59,5 @@
 
 	woke := p.woke.Load()
 
-	return woke != 0 && now-woke < int64(thaw)
+	return woke != 0 && now-woke < int64(settle)
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,11 +66,11 @@
 
 // At most once.
 var (
-	KeySettled     = add(500, "KeySettled", slog.LevelDebug, "The home of a key ended its record without an answer.")
-	KeyHomeLost    = add(501, "KeyHomeLost", slog.LevelWarn, "The home of a key can't be reached; the call was not forwarded.")
-	KeyAttemptLost = add(502, "KeyAttemptLost", slog.LevelWarn, "An attempt got no answer and its gate would not close it; it is not sent again.")
-	ShardOwned     = add(510, "ShardOwned", slog.LevelInfo, "The node became the home of a shard of the opaque keys.")
-	EntryThawed    = add(511, "EntryThawed", slog.LevelWarn, "The process stood still; opaque keys that it read just after are not forwarded.")
+	KeySettled      = add(500, "KeySettled", slog.LevelDebug, "The home of a key ended its record without an answer.")
+	KeyHomeLost     = add(501, "KeyHomeLost", slog.LevelWarn, "The home of a key can't be reached; the call was not forwarded.")
+	KeyAttemptLost  = add(502, "KeyAttemptLost", slog.LevelWarn, "An attempt got no answer and its gate would not close it; it is not sent again.")
+	ShardOwned      = add(510, "ShardOwned", slog.LevelInfo, "The node became the home of a shard of the opaque keys.")
+	EntryStoodStill = add(511, "EntryStoodStill", slog.LevelWarn, "The process stood still; opaque keys that it read just after are not forwarded.")
 )
 
 // Poison requests.
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -39,7 +39,7 @@
 
 // A caller sends an upload without a key, gets an answer, loses it, and sends it
 // again with the key that came with the answer, through every other node. A
-// second run would book the donation twice.
+// second run would table the donation twice.
 func TestARepeatThroughAnyNodeGetsTheFirstAnswer(t *testing.T) {
 	f := startFleet(t)
 	f.accept()
@@ -117,7 +117,7 @@
 }
 
 // A refusal outside the home of a key can't know whether an earlier attempt ran.
-// A caller that is told not-run takes a new key and books twice.
+// A caller that is told not-run takes a new key and table twice.
 func TestOnlyTheHomeSaysNotRunOfAKey(t *testing.T) {
 	f := startFleet(t)
 	r := f.send(0, http.MethodPost, "/uploads/1", "gift aid", upload("pc1.nottm-a-browse-1.x.1.y"))
@@ -245,7 +245,7 @@
 // The home of an opaque key ends after it ran the key, and nobody has its
 // records: here because the platform is down while it leaves. The process that
 // comes after it has no record of the key; if it ran what it has not seen, a
-// repeat would book the donation twice.
+// repeat would table the donation twice.
 func TestAnOpaqueKeyOfALostHomeIsUnknown(t *testing.T) {
 	f := startFleet(t)
 	f.accept()
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -49,7 +49,7 @@
 }
 
 // The first press ended one backend server; then the caller opens ten windows at
-// the same time. Without one leave at a time each would reach another backend
+// the same time. Without one permit at a time each would reach another backend
 // server before the first had crashed.
 func TestCopiesOfASuspectRunOneAfterTheOther(t *testing.T) {
 	f := startFleet(t)
--- a/internal/once/cost_test.go
+++ b/internal/once/cost_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/once"
-	"github.com/pollencart/pollencart/internal/once/book"
 	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/once/record"
 )
 
 func receipt(context.Context, call.Call) (call.Answer, error) {
@@ -27,7 +27,7 @@
 // The home's share of a keyed call is bounded in allocations: the record, its
 // goroutine with a context of its own, the digest and the waiting channel.
 func TestAllocationsPerKeyedCallAreBounded(t *testing.T) {
-	h := once.New("a", key.NewLife(1), once.WithBook(book.New(book.Records(1<<20))))
+	h := once.New("a", key.NewLife(1), once.WithTable(record.New(record.Records(1<<20))))
 	n := 0
 
 	allocations := testing.AllocsPerRun(1000, func() {
@@ -42,7 +42,7 @@
 }
 
 func BenchmarkKeyedCall(b *testing.B) {
-	h := once.New("a", key.NewLife(1), once.WithBook(book.New(book.Records(1<<30))))
+	h := once.New("a", key.NewLife(1), once.WithTable(record.New(record.Records(1<<30))))
 
 	b.ReportAllocs()
 
@@ -73,7 +73,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(s, 1, mutant{}, book.DefaultRecords)
+				w := newWorld(s, 1, mutant{}, record.DefaultRecords)
 				w.calm = true
 
 				time.Sleep(20 * time.Second)
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/once/attempt"
 	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
 // Methods that a gate serves to homes.
@@ -104,9 +106,13 @@
 		return call.RanYes
 	}
 
-	ran := call.RanUnknown
-	if g.surelyNot(err) || g.close(ctx, address, t) {
-		ran = call.RanNo
+	ran := call.RanNo
+	if !g.surelyNot(err) && !g.close(ctx, address, t) {
+		ran = call.RanUnknown
+
+		g.home.options.Recorder.Record(event.KeyAttemptLost, timeline.Entry{
+			Call: c.ID, Key: c.Key, Peer: address, Detail: err.Error(),
+		})
 	}
 
 	*reply = gate.Reply{Refusal: call.Refuse(err, ran, time.Second)}
--- a/internal/once/handover.go
+++ b/internal/once/handover.go
@@ -6,8 +6,8 @@
 
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/membership"
-	"github.com/pollencart/pollencart/internal/once/book"
 	"github.com/pollencart/pollencart/internal/once/filter"
+	"github.com/pollencart/pollencart/internal/once/record"
 	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 )
@@ -20,7 +20,7 @@
 type Adopt struct {
 	Shard  int           `msgpack:"Shard"`
 	From   string        `msgpack:"From"`
-	Pages  []book.Page   `msgpack:"Pages"`
+	Rows   []record.Row  `msgpack:"Rows"`
 	Filter filter.Filter `msgpack:"Filter"`
 	// Last says that all parts were sent, and Wait how long unseen keys are still
 	// unknown.
@@ -28,7 +28,7 @@
 	Wait time.Duration `msgpack:"Wait"`
 }
 
-// Adopted is the answer of the heir.
+// Adopted is the answer of the successor.
 type Adopted struct {
 	Node string `msgpack:"Node"`
 	Life string `msgpack:"Life"`
@@ -37,24 +37,24 @@
 // Shares is the part of the keeper that leaving needs.
 type Shares interface {
 	Stop() map[int]time.Duration
-	Heir(i int) (membership.Record, bool)
+	Successor(i int) (membership.Record, bool)
 	List() shard.List
-	Transfer(ctx context.Context, heirs map[int]shard.Self)
+	Transfer(ctx context.Context, successors map[int]shard.Self)
 	Adopt(i int, from string, wait time.Duration)
 }
 
 const (
 	// settleTime bounds how long a home that leaves waits for opaque keys that have
-	// not ended; the heir answers unknown to the rest.
+	// not ended; the successor answers unknown to the rest.
 	settleTime = time.Second
 	// partBytes bounds one message of a handover.
 	partBytes = 512 << 10
-	pageBytes = 256 // of a record without the body of its answer
+	rowBytes  = 256 // of a record without the body of its answer
 )
 
 // HandOver gives the opaque keys of this home to other nodes of its failure
 // domain, with their records, so that a planned stop costs no caller its answer.
-// The order makes it safe: this home stops first, then the heir has the records,
+// The order makes it safe: this home stops first, then the successor has the records,
 // then the platform says who owns the shard.
 func (h *Home) HandOver(ctx context.Context, k Shares, peers Peers) {
 	owned := k.Stop()
@@ -64,21 +64,21 @@
 
 	h.waitOpaque(ctx)
 
-	heirs := map[int]shard.Self{}
+	successors := map[int]shard.Self{}
 
 	for i, wait := range owned {
-		if heir, ok := h.handOver(ctx, k, peers, i, wait); ok {
-			heirs[i] = heir
+		if successor, ok := h.handOver(ctx, k, peers, i, wait); ok {
+			successors[i] = successor
 		}
 	}
 
-	k.Transfer(ctx, heirs)
+	k.Transfer(ctx, successors)
 }
 
 func (h *Home) waitOpaque(ctx context.Context) {
 	const pause = 5 * time.Millisecond
 
-	for began := time.Now(); h.book.OpenOpaque() > 0 && time.Since(began) < settleTime; {
+	for began := time.Now(); h.table.OpenOpaque() > 0 && time.Since(began) < settleTime; {
 		select {
 		case <-ctx.Done():
 			return
@@ -88,31 +88,31 @@
 }
 
 func (h *Home) handOver(ctx context.Context, k Shares, peers Peers, i int, wait time.Duration) (shard.Self, bool) {
-	heir, ok := k.Heir(i)
+	successor, ok := k.Successor(i)
 	if !ok {
 		return shard.Self{}, false
 	}
 
 	list := k.List()
-	pages := h.book.Pages(func(id string) bool {
+	rows := h.table.Rows(func(id string) bool {
 		_, n, _ := list.Of(id)
 
 		return n == i
 	}, call.Refuse(ErrAmbiguous, call.RanUnknown, time.Second))
 
-	part := Adopt{Shard: i, From: h.life, Filter: h.book.Filter(), Wait: wait}
+	part := Adopt{Shard: i, From: h.life, Filter: h.table.Filter(), Wait: wait}
 
 	for {
-		part.Pages, pages = split(pages)
-		part.Last = len(pages) == 0
+		part.Rows, rows = split(rows)
+		part.Last = len(rows) == 0
 
 		var out Adopted
-		if peers.Do(ctx, heir.PeerAddress, peer.LaneControl, MethodAdopt, part, &out) != nil {
+		if peers.Do(ctx, successor.PeerAddress, peer.LaneControl, MethodAdopt, part, &out) != nil {
 			return shard.Self{}, false
 		}
 
 		if part.Last {
-			return shard.Self{Node: out.Node, Life: out.Life, FailureDomain: heir.FailureDomain}, true
+			return shard.Self{Node: out.Node, Life: out.Life, FailureDomain: successor.FailureDomain}, true
 		}
 
 		part.Filter = filter.Filter{}
@@ -120,21 +120,21 @@
 }
 
 // split cuts off as many records as fit a message.
-func split(pages []book.Page) (part, rest []book.Page) {
+func split(rows []record.Row) (part, rest []record.Row) {
 	size := 0
 
-	for i, p := range pages {
-		size += pageBytes + len(p.ID)
+	for i, p := range rows {
+		size += rowBytes + len(p.ID)
 		if p.Answer != nil {
 			size += len(p.Answer.Body)
 		}
 
 		if size > partBytes && i > 0 {
-			return pages[:i], pages[i:]
+			return rows[:i], rows[i:]
 		}
 	}
 
-	return pages, nil
+	return rows, nil
 }
 
 // ServeAdopt takes records from a home that leaves. They are of use only once the
@@ -146,10 +146,10 @@
 			return Adopted{}, err
 		}
 
-		h.book.AdoptFilter(in.Filter)
+		h.table.AdoptFilter(in.Filter)
 
-		if !h.book.Adopt(in.Pages) {
-			return Adopted{}, book.ErrFull
+		if !h.table.Adopt(in.Rows) {
+			return Adopted{}, record.ErrFull
 		}
 
 		if in.Last {
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -32,8 +32,8 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/once/attempt"
-	"github.com/pollencart/pollencart/internal/once/book"
 	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/once/record"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -54,7 +54,7 @@
 	options  Options
 	node     string
 	life     string
-	book     *book.Book
+	table    *record.Table
 	sequence *attempt.Sequence
 	running  atomic.Int64
 }
@@ -63,12 +63,12 @@
 func New(node, life string, opts ...Option) *Home {
 	o := newOptions(opts...)
 
-	return &Home{options: o, node: node, life: life, book: o.Book, sequence: attempt.NewSequence(node + "." + life)}
+	return &Home{options: o, node: node, life: life, table: o.Table, sequence: attempt.NewSequence(node + "." + life)}
 }
 
 // Name returns what callers put before their tokens.
 func (h *Home) Name() key.Home {
-	return key.Home{Node: h.node, Life: h.life, Generation: h.book.Generation()}
+	return key.Home{Node: h.node, Life: h.life, Generation: h.table.Generation()}
 }
 
 // Life names the process.
@@ -81,7 +81,7 @@
 func (h *Home) Running() int64 { return h.running.Load() }
 
 // Size returns the number of records and the bytes of their answers.
-func (h *Home) Size() (records, bytes int) { return h.book.Size() }
+func (h *Home) Size() (records, bytes int) { return h.table.Size() }
 
 // Rotate drops the oldest records as time goes by, until ctx ends.
 func (h *Home) Rotate(ctx context.Context) {
@@ -92,7 +92,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(period):
-			h.book.Rotate()
+			h.table.Rotate()
 		}
 	}
 }
@@ -105,12 +105,12 @@
 		return call.Answer{}, refuse(c, err, call.RanUnknown, 0)
 	}
 
-	r, fresh, err := h.book.Open(k, digestOf(c))
+	r, fresh, err := h.table.Open(k, digestOf(c))
 	if err != nil {
 		return call.Answer{}, refuse(c, err, call.RanUnknown, max(k.Wait, time.Second))
 	}
 
-	wait, err := h.book.Wait(r)
+	wait, err := h.table.Wait(r)
 	if err != nil {
 		return call.Answer{}, refuse(c, err, call.RanUnknown, time.Second)
 	}
@@ -131,38 +131,38 @@
 
 // key says how a key is recorded here, or that this process is not its home. A
 // process that takes a key of the one before it for its own would run it again.
-func (h *Home) key(c call.Call) (book.Key, error) {
+func (h *Home) key(c call.Call) (record.Key, error) {
 	k, named := key.Parse(c.Key)
 	if !named {
 		return h.opaque(c)
 	}
 
 	if k.Home.Node != h.node || k.Home.Life != h.life {
-		return book.Key{}, ErrHomeGone.With("%s.%s", k.Home.Node, k.Home.Life)
+		return record.Key{}, ErrHomeGone.With("%s.%s", k.Home.Node, k.Home.Life)
 	}
 
-	return book.Key{ID: c.Key, Generation: k.Home.Generation}, nil
+	return record.Key{ID: c.Key, Generation: k.Home.Generation}, nil
 }
 
 // opaque takes a key only if its entry meant this process. An entry that was
 // frozen with a call for the owner before would otherwise bring it here, after
 // the time in which unseen keys are not started.
-func (h *Home) opaque(c call.Call) (book.Key, error) {
+func (h *Home) opaque(c call.Call) (record.Key, error) {
 	own := h.options.Shards.Own(c.Key)
 	if own.Leaving {
-		return book.Key{}, ErrLeaving.With("%s", h.node)
+		return record.Key{}, ErrLeaving.With("%s", h.node)
 	}
 
 	if !own.Mine || c.Life != h.life {
-		return book.Key{}, ErrNotHome.With("%s", h.node)
+		return record.Key{}, ErrNotHome.With("%s", h.node)
 	}
 
-	return book.Key{ID: c.Key, Opaque: true, Wait: own.Wait}, nil
+	return record.Key{ID: c.Key, Opaque: true, Wait: own.Wait}, nil
 }
 
 // run goes on when its caller hangs up: the caller will ask again, and an
 // upload that was cut off half way could only be answered with unknown.
-func (h *Home) run(ctx context.Context, c call.Call, r *book.Record, run call.Handler) {
+func (h *Home) run(ctx context.Context, c call.Call, r *record.Record, run call.Handler) {
 	defer h.running.Add(-1)
 
 	deadline, ok := ctx.Deadline()
@@ -183,11 +183,11 @@
 
 // settle ends the record by what the attempts themselves say: a refusal made
 // anywhere in the pipe can't turn an ambiguous attempt into not-run.
-func (h *Home) settle(c call.Call, r *book.Record, attempts *attempt.Run, a call.Answer, err error) {
+func (h *Home) settle(c call.Call, r *record.Record, attempts *attempt.Run, a call.Answer, err error) {
 	mayHaveRun := attempts.Finish()
 
 	if err == nil {
-		h.book.Settle(r, book.Outcome{Answer: &a})
+		h.table.Settle(r, record.Outcome{Answer: &a})
 
 		return
 	}
@@ -207,10 +207,10 @@
 	}
 
 	h.options.Recorder.Record(event.KeySettled, timeline.Entry{Call: c.ID, Key: c.Key, Detail: out.Error()})
-	h.book.Settle(r, book.Outcome{Refusal: &out})
+	h.table.Settle(r, record.Outcome{Refusal: &out})
 }
 
-func answerOf(c call.Call, o book.Outcome, repeat bool) (call.Answer, error) {
+func answerOf(c call.Call, o record.Outcome, repeat bool) (call.Answer, error) {
 	if o.Refusal != nil {
 		return call.Answer{}, o.Refusal.WithKey(c.Key)
 	}
@@ -233,7 +233,7 @@
 
 // digestOf tells the requests of one key apart. Headers are left out: traces and
 // dates differ between repeats of the same upload.
-func digestOf(c call.Call) book.Digest {
+func digestOf(c call.Call) record.Digest {
 	s := sha256.New()
 	s.Write([]byte(c.Method))
 	s.Write([]byte{0})
@@ -241,5 +241,5 @@
 	s.Write([]byte{0})
 	s.Write(c.Body)
 
-	return book.Digest(s.Sum(nil)[:len(book.Digest{})])
+	return record.Digest(s.Sum(nil)[:len(record.Digest{})])
 }
--- a/internal/once/options.go
+++ b/internal/once/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/once/record"
 	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -29,7 +29,7 @@
 // Options of a home.
 type Options struct {
 	Shards       Shards
-	Book         *book.Book
+	Table        *record.Table
 	Recorder     *timeline.Recorder
 	CloseTimeout time.Duration
 	Retention    time.Duration
@@ -43,21 +43,21 @@
 	o := Options{
 		Shards:   noShards{},
 		Recorder: timeline.New(), CloseTimeout: DefaultCloseTimeout,
-		Retention: DefaultRetention, Generations: book.DefaultGenerations,
+		Retention: DefaultRetention, Generations: record.DefaultGenerations,
 	}
 	for _, opt := range opts {
 		opt(&o)
 	}
 
-	if o.Book == nil {
-		o.Book = book.New(book.Generations(o.Generations))
+	if o.Table == nil {
+		o.Table = record.New(record.Generations(o.Generations))
 	}
 
 	return o
 }
 
-// WithBook sets where the records are.
-func WithBook(b *book.Book) Option { return func(o *Options) { o.Book = b } }
+// WithTable sets where the records are.
+func WithTable(b *record.Table) Option { return func(o *Options) { o.Table = b } }
 
 // WithShards sets who knows the home of opaque keys.
 func WithShards(s Shards) Option { return func(o *Options) { o.Shards = s } }
--- a/internal/once/book/options.go
+++ b/internal/once/record/options.go
@@ -1,10 +1,10 @@
-package book
+package record
 
 // Defaults of the options.
 const (
 	// DefaultRecords lets a node start about 100 new keys a second for the
 	// retention of five minutes. At the size of two years it starts 42 calls a
-	// second. A full book with answers of 100 bytes takes 19 MB.
+	// second. A full table with answers of 100 bytes takes 19 MB.
 	DefaultRecords = 1 << 15
 	// DefaultGenerations is how many generations are held; one more than 15
 	// periods makes sure that a key lives through 15 whole ones.
@@ -16,7 +16,7 @@
 	DefaultAnswers = 16 << 20
 )
 
-// Options of a book.
+// Options of a table.
 type Options struct {
 	Records     int
 	Generations uint64
--- a/internal/once/book/book.go
+++ b/internal/once/record/table.go
@@ -1,4 +1,4 @@
-// Package book holds the records of the keys that one process is the home of.
+// Package record holds the records of the keys that one process is the home of.
 //
 // It answers repeats: a caller that got no answer sends its upload again, and a
 // donation is booked twice unless somebody knows that the first one was started.
@@ -11,10 +11,10 @@
 // unknown, so that forgetting can't run a key again. An opaque key names no
 // generation; a filter remembers the dropped ones.
 //
-//	r, fresh, err := b.Open(book.Key{ID: text, Generation: 7}, digest)
-//	if fresh { ...run the call...; b.Settle(r, book.Outcome{Answer: &answer}) }
-//	outcome := <-b.Wait(r)
-package book
+//	r, fresh, err := t.Open(record.Key{ID: text, Generation: 7}, digest)
+//	if fresh { ...run the call...; t.Settle(r, record.Outcome{Answer: &answer}) }
+//	outcome := <-t.Wait(r)
+package record
 
 import (
 	"net/http"
@@ -72,8 +72,8 @@
 	waiting []chan Outcome
 }
 
-// Book holds records.
-type Book struct {
+// Table holds records.
+type Table struct {
 	options Options
 
 	mu         sync.Mutex
@@ -85,37 +85,37 @@
 	dropped    filter.Filter
 }
 
-// New returns an empty book in its first generation.
-func New(opts ...Option) *Book {
-	return &Book{
+// New returns an empty table in its first generation.
+func New(opts ...Option) *Table {
+	return &Table{
 		options: newOptions(opts...), records: map[string]*Record{}, lists: map[uint64][]*Record{},
 		generation: 1, lowest: 1,
 	}
 }
 
 // Generation returns the newest generation, which new keys name.
-func (b *Book) Generation() uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *Table) Generation() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	return b.generation
+	return t.generation
 }
 
 // Size returns the number of records and the bytes of their answers.
-func (b *Book) Size() (records, bytes int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *Table) Size() (records, bytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	return len(b.records), b.answers
+	return len(t.records), t.answers
 }
 
 // Open returns the record of a key and whether it was made now. Only who made it
 // may run the call.
-func (b *Book) Open(k Key, d Digest) (r *Record, fresh bool, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *Table) Open(k Key, d Digest) (r *Record, fresh bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	if r := b.records[k.ID]; r != nil {
+	if r := t.records[k.ID]; r != nil {
 		if r.digest != d {
 			return nil, false, ErrMismatch
 		}
@@ -124,33 +124,33 @@
 	}
 
 	if k.Opaque {
-		k.Generation = b.generation
-		err = b.mayOpenOpaque(k)
+		k.Generation = t.generation
+		err = t.mayOpenOpaque(k)
 	} else {
-		err = b.mayOpen(k)
+		err = t.mayOpen(k)
 	}
 
 	if err != nil {
 		return nil, false, err
 	}
 
-	if len(b.records) >= b.options.Records {
-		return nil, false, ErrFull.With("%d", b.options.Records)
+	if len(t.records) >= t.options.Records {
+		return nil, false, ErrFull.With("%d", t.options.Records)
 	}
 
 	r = &Record{id: k.ID, opaque: k.Opaque, digest: d}
-	b.records[k.ID] = r
-	b.lists[k.Generation] = append(b.lists[k.Generation], r)
+	t.records[k.ID] = r
+	t.lists[k.Generation] = append(t.lists[k.Generation], r)
 
 	return r, true, nil
 }
 
-func (b *Book) mayOpen(k Key) error {
-	if k.Generation < b.lowest {
-		return ErrDropped.With("generation %d, held from %d", k.Generation, b.lowest)
+func (t *Table) mayOpen(k Key) error {
+	if k.Generation < t.lowest {
+		return ErrDropped.With("generation %d, held from %d", k.Generation, t.lowest)
 	}
 
-	if k.Generation > b.generation {
+	if k.Generation > t.generation {
 		return ErrFuture
 	}
 
@@ -159,8 +159,8 @@
 
 // mayOpenOpaque refuses what may have been dropped here or run by an earlier
 // owner of the shard.
-func (b *Book) mayOpenOpaque(k Key) error {
-	if b.dropped.Has(k.ID) {
+func (t *Table) mayOpenOpaque(k Key) error {
+	if t.dropped.Has(k.ID) {
 		return ErrDropped
 	}
 
@@ -168,7 +168,7 @@
 		return ErrTakenOver.With("for %s", k.Wait.Round(time.Second))
 	}
 
-	if b.dropped.Full() {
+	if t.dropped.Full() {
 		return ErrFull.With("%d opaque keys dropped", filter.Capacity)
 	}
 
@@ -179,9 +179,9 @@
 const MaxWaiting = 64
 
 // Wait returns a channel that gets the outcome.
-func (b *Book) Wait(r *Record) (<-chan Outcome, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *Table) Wait(r *Record) (<-chan Outcome, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
 	out := make(chan Outcome, 1)
 
@@ -202,9 +202,9 @@
 
 // Settle ends a record. Who waits gets the whole outcome; what is kept for later
 // repeats may be without the body.
-func (b *Book) Settle(r *Record, o Outcome) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *Table) Settle(r *Record, o Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
 	for _, w := range r.waiting {
 		w <- o
@@ -212,25 +212,25 @@
 
 	r.waiting = nil
 	r.settled = true
-	r.outcome = b.fit(o)
+	r.outcome = t.fit(o)
 }
 
 // fit drops a body that is over the bounds, so that a few large answers can't
 // take the memory of the node.
-func (b *Book) fit(o Outcome) Outcome {
+func (t *Table) fit(o Outcome) Outcome {
 	if o.Answer == nil {
 		return o
 	}
 
 	size := len(o.Answer.Body)
-	if size > b.options.Answer || b.answers+size > b.options.Answers {
+	if size > t.options.Answer || t.answers+size > t.options.Answers {
 		short := *o.Answer
 		short.Body = nil
 
 		return Outcome{Answer: &short, Dropped: true}
 	}
 
-	b.answers += size
+	t.answers += size
 
 	return o
 }
@@ -238,35 +238,35 @@
 // Rotate begins a generation and drops the ones that are over the number held.
 // What has not ended yet is moved to the new one: dropping it would let its key
 // end in nothing.
-func (b *Book) Rotate() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	b.generation++
-	for b.generation-b.lowest >= b.options.Generations {
-		for _, r := range b.lists[b.lowest] {
-			b.drop(r)
+func (t *Table) Rotate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.generation++
+	for t.generation-t.lowest >= t.options.Generations {
+		for _, r := range t.lists[t.lowest] {
+			t.drop(r)
 		}
 
-		delete(b.lists, b.lowest)
-		b.lowest++
+		delete(t.lists, t.lowest)
+		t.lowest++
 	}
 }
 
-func (b *Book) drop(r *Record) {
+func (t *Table) drop(r *Record) {
 	if !r.settled {
-		b.lists[b.generation] = append(b.lists[b.generation], r)
+		t.lists[t.generation] = append(t.lists[t.generation], r)
 
 		return
 	}
 
-	delete(b.records, r.id)
+	delete(t.records, r.id)
 
 	if r.opaque {
-		b.dropped.Add(r.id)
+		t.dropped.Add(r.id)
 	}
 
 	if r.outcome.Answer != nil {
-		b.answers -= len(r.outcome.Answer.Body)
+		t.answers -= len(r.outcome.Answer.Body)
 	}
 }
--- a/internal/once/book/book_test.go
+++ b/internal/once/record/table_test.go
@@ -1,4 +1,4 @@
-package book_test
+package record_test
 
 import (
 	"fmt"
@@ -9,63 +9,65 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pollencart/pollencart/internal/call"
-	"github.com/pollencart/pollencart/internal/once/book"
+	"github.com/pollencart/pollencart/internal/once/record"
 )
 
-func named(id string, generation uint64) book.Key { return book.Key{ID: id, Generation: generation} }
+func named(id string, generation uint64) record.Key {
+	return record.Key{ID: id, Generation: generation}
+}
 
-func answer(body int) book.Outcome {
-	return book.Outcome{Answer: &call.Answer{Status: http.StatusOK, Body: make([]byte, body), Ran: call.RanYes}}
+func answer(body int) record.Outcome {
+	return record.Outcome{Answer: &call.Answer{Status: http.StatusOK, Body: make([]byte, body), Ran: call.RanYes}}
 }
 
-func open(t *testing.T, b *book.Book, k book.Key) *book.Record {
+func open(t *testing.T, b *record.Table, k record.Key) *record.Record {
 	t.Helper()
 
-	r, fresh, err := b.Open(k, book.Digest{})
+	r, fresh, err := b.Open(k, record.Digest{})
 	assert.NilError(t, err)
 	assert.Assert(t, fresh)
 
 	return r
 }
 
-// A burst of new keys fills the book. Forgetting an old record to make room would
+// A burst of new keys fills the table. Forgetting an old record to make room would
 // run its key again; new keys are refused instead.
 func TestAFullBookRefusesNewKeysAndForgetsNone(t *testing.T) {
-	b := book.New(book.Records(2))
+	b := record.New(record.Records(2))
 	first := open(t, b, named("a", 1))
 	b.Settle(first, answer(1))
 	open(t, b, named("b", 1))
 
-	_, _, err := b.Open(named("c", 1), book.Digest{})
-	assert.ErrorIs(t, err, book.ErrFull)
+	_, _, err := b.Open(named("c", 1), record.Digest{})
+	assert.ErrorIs(t, err, record.ErrFull)
 
-	r, fresh, err := b.Open(named("a", 1), book.Digest{})
+	r, fresh, err := b.Open(named("a", 1), record.Digest{})
 	assert.NilError(t, err)
 	assert.Assert(t, !fresh && r == first)
 }
 
 // A key comes back after its record was dropped. It must not look new.
 func TestADroppedKeyIsNeverNewAgain(t *testing.T) {
-	b := book.New(book.Generations(2))
+	b := record.New(record.Generations(2))
 	b.Settle(open(t, b, named("a", 1)), answer(1))
-	b.Settle(open(t, b, book.Key{ID: "donation-1", Opaque: true}), answer(1))
+	b.Settle(open(t, b, record.Key{ID: "donation-1", Opaque: true}), answer(1))
 	running := open(t, b, named("slow", 1))
 
 	for range 3 {
 		b.Rotate()
 	}
 
-	_, _, err := b.Open(named("a", 1), book.Digest{})
-	assert.ErrorIs(t, err, book.ErrDropped)
+	_, _, err := b.Open(named("a", 1), record.Digest{})
+	assert.ErrorIs(t, err, record.ErrDropped)
 
-	_, _, err = b.Open(book.Key{ID: "donation-1", Opaque: true}, book.Digest{})
-	assert.ErrorIs(t, err, book.ErrDropped)
+	_, _, err = b.Open(record.Key{ID: "donation-1", Opaque: true}, record.Digest{})
+	assert.ErrorIs(t, err, record.ErrDropped)
 
-	_, _, err = b.Open(named("b", b.Generation()+1), book.Digest{})
-	assert.ErrorIs(t, err, book.ErrFuture)
+	_, _, err = b.Open(named("b", b.Generation()+1), record.Digest{})
+	assert.ErrorIs(t, err, record.ErrFuture)
 
 	// What has not ended is kept however old it is.
-	r, fresh, err := b.Open(named("slow", 1), book.Digest{})
+	r, fresh, err := b.Open(named("slow", 1), record.Digest{})
 	assert.NilError(t, err)
 	assert.Assert(t, !fresh && r == running)
 
@@ -77,7 +79,7 @@
 // A few large answers must not take the memory of the node. Who waits for the run
 // gets the whole answer; a later repeat learns that the key ran.
 func TestLargeAnswersAreNotKept(t *testing.T) {
-	b := book.New(book.Answer(10), book.Answers(15))
+	b := record.New(record.Answer(10), record.Answers(15))
 	r := open(t, b, named("a", 1))
 	wait, err := b.Wait(r)
 	assert.NilError(t, err)
@@ -101,26 +103,26 @@
 
 // One caller hammers a key whose run is slow.
 func TestWaitingRepeatsAreBounded(t *testing.T) {
-	b := book.New()
+	b := record.New()
 	r := open(t, b, named("a", 1))
 
-	for range book.MaxWaiting {
+	for range record.MaxWaiting {
 		_, err := b.Wait(r)
 		assert.NilError(t, err)
 	}
 
 	_, err := b.Wait(r)
-	assert.ErrorIs(t, err, book.ErrWaiting)
+	assert.ErrorIs(t, err, record.ErrWaiting)
 }
 
 const longKey = "pc1.nottm-a-browse-1.mjf2k0x1-9f8e7d6c5b4a3021.7.01JE2Z9T4S0W5Q8R6M%08d"
 
-// The memory of a full book is a promise to operators: at most 1 KB for each key
+// The memory of a full table is a promise to operators: at most 1 KB for each key
 // whose answer is a small receipt.
 func TestMemoryPerKeyIsBounded(t *testing.T) {
 	const keys = 10_000
 
-	b := book.New()
+	b := record.New()
 	before := heap()
 
 	for i := range keys {
@@ -145,19 +147,19 @@
 // A record costs no more than these allocations per call: the record, its
 // waiting channel and list, and shares of the maps.
 func TestAllocationsPerRecordAreBounded(t *testing.T) {
-	b := book.New(book.Records(1 << 20))
+	b := record.New(record.Records(1 << 20))
 	o := answer(100)
 	n := 0
 
 	allocations := testing.AllocsPerRun(2000, func() {
 		n++
-		record(b, fmt.Sprintf(longKey, n), o)
+		runRecord(b, fmt.Sprintf(longKey, n), o)
 	})
 	assert.Assert(t, allocations <= 8, "%v", allocations)
 }
 
-func record(b *book.Book, id string, o book.Outcome) {
-	r, _, err := b.Open(book.Key{ID: id, Generation: b.Generation()}, book.Digest{})
+func runRecord(b *record.Table, id string, o record.Outcome) {
+	r, _, err := b.Open(record.Key{ID: id, Generation: b.Generation()}, record.Digest{})
 	if err != nil {
 		panic(err)
 	}
@@ -172,12 +174,12 @@
 }
 
 func BenchmarkRecord(b *testing.B) {
-	book := book.New(book.Records(1 << 30))
+	table := record.New(record.Records(1 << 30))
 	o := answer(100)
 
 	b.ReportAllocs()
 
 	for n := 0; b.Loop(); n++ {
-		record(book, fmt.Sprintf(longKey, n), o)
+		runRecord(table, fmt.Sprintf(longKey, n), o)
 	}
 }
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -74,7 +74,7 @@
 	})
 }
 
-// few records let some scripts fill a book.
+// few records let some scripts fill a table.
 const few = 32
 
 // play runs a script to its end, heals everything, repeats every key through
@@ -157,7 +157,7 @@
 	wake:         func(w *world, s step) { w.wake(s.A) },
 	cut:          func(w *world, s step) { w.setCut(s.A, s.B, true) },
 	heal:         func(w *world, _ step) { w.heal() },
-	rotate:       func(w *world, s step) { w.proc(s.A).book.Rotate() },
+	rotate:       func(w *world, s step) { w.proc(s.A).table.Rotate() },
 	leave:        func(w *world, s step) { go w.leave(s.A) },
 	platformDown: func(w *world, _ step) { w.store.setDown(true) },
 	platformUp:   func(w *world, _ step) { w.store.setDown(false) },
@@ -184,7 +184,7 @@
 	s := uploadSettings(t)
 	seen := map[call.Ran]int{}
 
-	for seed := range 25 {
+	for seed := range 50 {
 		_, w := play(t, s, scripts().Example(seed), mutant{})
 		for _, told := range w.told {
 			for ran, n := range told {
--- a/internal/once/shard/leave.go
+++ b/internal/once/shard/leave.go
@@ -48,12 +48,12 @@
 	return max(0, k.options.Repeat-time.Since(k.owned[i]))
 }
 
-// Heir returns the node that gets a shard when this one leaves.
-func (k *Keeper) Heir(i int) (membership.Record, bool) {
-	return k.heir(i, k.self.FailureDomain, k.self.Node)
+// Successor returns the node that gets a shard when this one leaves.
+func (k *Keeper) Successor(i int) (membership.Record, bool) {
+	return k.successor(i, k.self.FailureDomain, k.self.Node)
 }
 
-func (k *Keeper) heir(i int, domain, without string) (membership.Record, bool) {
+func (k *Keeper) successor(i int, domain, without string) (membership.Record, bool) {
 	var (
 		ids  []string
 		byID = map[string]membership.Record{}
@@ -81,7 +81,7 @@
 		return false
 	}
 
-	if r, ok := k.heir(i, s.FailureDomain, s.Node); ok {
+	if r, ok := k.successor(i, s.FailureDomain, s.Node); ok {
 		k.Refresh(ctx, r.PeerAddress)
 	}
 
@@ -97,15 +97,15 @@
 	k.adopted[i] = adoption{from: from, until: time.Now().Add(wait)}
 }
 
-// Transfer gives the shards to their heirs and makes the rest vacant. If the
+// Transfer gives the shards to their successors and makes the rest vacant. If the
 // platform does not answer, the next life of this node claims them.
-func (k *Keeper) Transfer(ctx context.Context, heirs map[int]Self) {
-	k.change(ctx, func(l List) (List, bool) { return l.Transfer(k.self, heirs) })
+func (k *Keeper) Transfer(ctx context.Context, successors map[int]Self) {
+	k.change(ctx, func(l List) (List, bool) { return l.Transfer(k.self, successors) })
 	k.Vacate(ctx, k.self.Node)
 	k.push(ctx)
 }
 
-// push brings the list to the other owners in this failure domain: the heirs,
+// push brings the list to the other owners in this failure domain: the successors,
 // whom everybody asks who finds this node gone.
 func (k *Keeper) push(ctx context.Context) {
 	l := k.List()
--- a/internal/once/shard/list.go
+++ b/internal/once/shard/list.go
@@ -146,16 +146,16 @@
 	})
 }
 
-// Transfer returns the list with the shards of one life given to their heirs, by
+// Transfer returns the list with the shards of one life given to their successors, by
 // the number of the shard.
-func (l List) Transfer(from Self, heirs map[int]Self) (List, bool) {
+func (l List) Transfer(from Self, successors map[int]Self) (List, bool) {
 	return l.change(func(i int, s Shard) Shard {
-		heir, ok := heirs[i]
+		successor, ok := successors[i]
 		if !ok || s.Node != from.Node || s.Life != from.Life {
 			return s
 		}
 
-		return Shard{FailureDomain: s.FailureDomain, Node: heir.Node, Life: heir.Life, From: from.Life}
+		return Shard{FailureDomain: s.FailureDomain, Node: successor.Node, Life: successor.Life, From: from.Life}
 	})
 }
 
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -27,8 +27,8 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
-	"github.com/pollencart/pollencart/internal/once/book"
 	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/once/record"
 	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
@@ -75,7 +75,7 @@
 	w        *world
 	index    int
 	life     int
-	book     *book.Book
+	table    *record.Table
 	home     *once.Home
 	register *attempt.Register
 	gate     *gate.Gate
@@ -115,11 +115,11 @@
 	p := &proc{w: w, index: i, life: life, thawed: make(chan struct{}), dead: make(chan struct{})}
 	close(p.thawed)
 
-	p.book = book.New(book.Generations(3), book.Records(w.records))
+	p.table = record.New(record.Generations(3), record.Records(w.records))
 	name := key.NewLife(7) // one incarnation, as after a clock was set back
 	p.keeper = shard.New(shard.Self{Node: nodeID(i), Life: name, FailureDomain: domain(i)}, storeOf{p}, w, p,
 		shard.Domains(func() []string { return []string{domain(0), domain(1)} }), shard.Repeat(time.Hour))
-	p.home = once.New(nodeID(i), name, once.WithBook(p.book), once.WithShards(beliefs{p}))
+	p.home = once.New(nodeID(i), name, once.WithTable(p.table), once.WithShards(beliefs{p}))
 	p.register = attempt.NewRegister(name, 64)
 
 	queue := admission.New(admission.Slots(2))
--- a/internal/poison/serve.go
+++ b/internal/poison/serve.go
@@ -2,8 +2,8 @@
 
 import "context"
 
-// Leave names the run that leave is asked for.
-type Leave struct {
+// Permit names the run that a permit is asked for.
+type Permit struct {
 	// Gate is the life that saw the crash; another one on its host knows nothing.
 	Gate   string `msgpack:"Gate"`
 	Digest Digest `msgpack:"Digest"`
@@ -11,7 +11,7 @@
 
 // Done is an answer.
 type Done struct {
-	// Granted says that leave was given, or that a suspect finished.
+	// Granted says that a permit was given, or that a suspect finished.
 	Granted bool `msgpack:"Granted"`
 }
 
@@ -26,19 +26,19 @@
 // ServePull tells another gate all that is known here.
 func (w *Watch) ServePull(context.Context, Done) ([]Report, error) { return w.table.Reports(), nil }
 
-// ServeTake gives leave when nobody else has it.
-func (w *Watch) ServeTake(ctx context.Context, l Leave) (Done, error) {
+// ServeTake permits it when nobody else has it.
+func (w *Watch) ServeTake(ctx context.Context, l Permit) (Done, error) {
 	if l.Gate != w.self.Life {
 		return Done{Granted: true}, nil
 	}
 
-	return Done{Granted: w.leaves.Take(ctx, l.Digest)}, nil
+	return Done{Granted: w.permits.Take(ctx, l.Digest)}, nil
 }
 
-// ServeGive takes leave back.
-func (w *Watch) ServeGive(_ context.Context, l Leave) (Done, error) {
+// ServeGive takes a permit back.
+func (w *Watch) ServeGive(_ context.Context, l Permit) (Done, error) {
 	if l.Gate == w.self.Life {
-		w.leaves.Give(l.Digest)
+		w.permits.Give(l.Digest)
 	}
 
 	return Done{Granted: true}, nil
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -13,7 +13,7 @@
 //
 // Most suspects are innocent: calls that ran beside the bad one. A suspect that
 // finished anywhere since the crashed call began is cleared, everywhere. Until then it runs in one place at a
-// time, by leave of the gate that saw the crash, so that copies sent through
+// time, by permission of the gate that saw the crash, so that copies sent through
 // many nodes at once can't each take down a backend server.
 //
 // Thresholds: two crashes, since after one nobody can tell the guilty from the
@@ -98,7 +98,7 @@
 	// Gate is the node that saw it, by its life, and Number counts there.
 	Gate   string `msgpack:"Gate"`
 	Number uint64 `msgpack:"Number"`
-	// Address is where the gate is asked for leave.
+	// Address is where the gate is asked for permission.
 	Address string `msgpack:"Address"`
 }
 
@@ -109,7 +109,7 @@
 	Refused   bool
 	// Left is how long the verdict holds.
 	Left time.Duration
-	// Crash is the first one; its gate gives leave to run the request.
+	// Crash is the first one; its gate permits to run the request.
 	Crash Crash
 }
 
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -86,21 +86,21 @@
 	assert.Assert(t, table.Judge(guilty.Digest).Refused)
 }
 
-// The gate that has leave to run a suspect dies. Its leave must come back, or
+// The gate that has the permit to run a suspect dies. It must come back, or
 // the request waits for ever.
-func TestALeaveComesBack(t *testing.T) {
+func TestAPermitComesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		leaves := poison.NewLeaves()
+		permits := poison.NewPermits()
 		d := request("/folders/1", "phone").Digest
 
-		assert.Assert(t, leaves.Take(t.Context(), d))
+		assert.Assert(t, permits.Take(t.Context(), d))
 
 		began := time.Now()
 
-		assert.Assert(t, leaves.Take(t.Context(), d))
+		assert.Assert(t, permits.Take(t.Context(), d))
 		assert.Equal(t, time.Since(began), 30*time.Second)
 
-		leaves.Give(d)
-		assert.Assert(t, leaves.Take(t.Context(), d))
+		permits.Give(d)
+		assert.Assert(t, permits.Take(t.Context(), d))
 	})
 }
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -63,7 +63,7 @@
 	peers    Peers
 	recorder *timeline.Recorder
 	table    *Table
-	leaves   *Leaves
+	permits  *Permits
 	recent   recent
 	pulled   sync.Once
 
@@ -74,7 +74,7 @@
 
 // NewWatch returns a watch that has seen nothing.
 func NewWatch(self Self, m Members, p Peers, r *timeline.Recorder) *Watch {
-	return &Watch{self: self, members: m, peers: p, recorder: r, table: NewTable(), leaves: NewLeaves()}
+	return &Watch{self: self, members: m, peers: p, recorder: r, table: NewTable(), permits: NewPermits()}
 }
 
 // Table returns what is known of suspects.
@@ -110,7 +110,7 @@
 		return nil, w.refuse(r.call, ErrWaiting, time.Second)
 	}
 
-	// Another one may have crashed while this one waited for its leave.
+	// Another one may have crashed while this one waited for its permit.
 	if v := w.table.Judge(d); v.Refused {
 		w.give(ctx, first, d)
 
@@ -283,24 +283,24 @@
 	}
 }
 
-// take asks the gate that saw the first crash for leave. Without an answer the
+// take asks the gate that saw the first crash for permission. Without an answer the
 // call runs: that gate's host may be gone for good, and one caller's repeats,
 // one after the other, are bounded without it.
 func (w *Watch) take(ctx context.Context, c Crash, d Digest) bool {
 	if c.Gate == w.self.Life {
-		return w.leaves.Take(ctx, d)
+		return w.permits.Take(ctx, d)
 	}
 
 	var out Done
 
-	err := w.peers.Do(ctx, c.Address, peer.LaneControl, MethodTake, Leave{Gate: c.Gate, Digest: d}, &out)
+	err := w.peers.Do(ctx, c.Address, peer.LaneControl, MethodTake, Permit{Gate: c.Gate, Digest: d}, &out)
 
 	return (err != nil && ctx.Err() == nil) || out.Granted
 }
 
 func (w *Watch) give(ctx context.Context, c Crash, d Digest) {
 	if c.Gate == w.self.Life {
-		w.leaves.Give(d)
+		w.permits.Give(d)
 
 		return
 	}
@@ -310,5 +310,5 @@
 
 	var out Done
 
-	_ = w.peers.Do(ctx, c.Address, peer.LaneControl, MethodGive, Leave{Gate: c.Gate, Digest: d}, &out)
+	_ = w.peers.Do(ctx, c.Address, peer.LaneControl, MethodGive, Permit{Gate: c.Gate, Digest: d}, &out)
 }
