Poison: a gate whose backend server was away asks the others first

Change: all nodes of the service are told that are thought to run, also those whose backend server is away, and a gate whose backend server changed its state asks three others before its next call.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -15,6 +15,8 @@
 func (n *Node) calls() {
 	n.queue = admission.New()
 	n.host = upstream.New(n.table, n.queue, n.recorder, upstream.Changed(func() {
+		n.suspects.Stale()
+
 		go n.gossip.Tell(context.Background())
 	}))
 	n.gate = gate.New(n.config.ID, n.host, n.queue, gate.Recorder(n.recorder)).WithStarts(n.register).WithSuspects(n.suspects)
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -41,6 +41,8 @@
 // again with the key that came with the answer, through every other node. A
 // second run would table the donation twice.
 func TestARepeatThroughAnyNodeGetsTheFirstAnswer(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
@@ -65,6 +67,8 @@
 // still runs, and each press goes to another node. Every press must show the one
 // seat, not one more.
 func TestRepeatsAtTheSameTimeShareOneRun(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
@@ -91,6 +95,8 @@
 // asks again. The new process has no record; if it took the key for a new one,
 // the upload would be there twice.
 func TestAKeyOfAReplacedHomeIsUnknown(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
@@ -119,6 +125,8 @@
 // A refusal outside the home of a key can't know whether an earlier attempt ran.
 // A caller that is told not-run takes a new key and table twice.
 func TestOnlyTheHomeSaysNotRunOfAKey(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	r := f.send(0, http.MethodPost, "/uploads/1", "gift aid", upload("pc1.nottm-a-browse-1.x.1.y"))
 	assert.Equal(t, r.away.ID, "entry.no_settings")
@@ -134,6 +142,8 @@
 // The same key with another body is a mistake of the caller. Answering it from
 // the first record would lose the second upload without anybody noticing.
 func TestAKeyBelongsToOneRequest(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
@@ -186,6 +196,8 @@
 // A caller that knows nothing of homes makes its keys itself and repeats them
 // through every node, also while the platform is down.
 func TestAnOpaqueKeyRunsOnceThroughAnyNode(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 	f.sharded()
@@ -208,6 +220,8 @@
 // that repeats the key must get the first answer from whoever has it now; to be
 // told unknown would make a planned stop cost callers their answers.
 func TestAnOpaqueKeySurvivesAPlannedStop(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 	l := f.sharded()
@@ -247,6 +261,8 @@
 // comes after it has no record of the key; if it ran what it has not seen, a
 // repeat would table the donation twice.
 func TestAnOpaqueKeyOfALostHomeIsUnknown(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 	l := f.sharded()
@@ -275,6 +291,8 @@
 // The client library against real nodes: an upload through nodes of which the
 // first leaves in between is booked once for each request.
 func TestTheClientLibraryUploadsOnce(t *testing.T) {
+	t.Parallel()
+
 	f := startFleet(t)
 	f.accept()
 
--- a/internal/once/cost_test.go
+++ b/internal/once/cost_test.go
@@ -74,7 +74,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(s, 1, mutant{}, record.DefaultRecords)
-				w.calm = true
+				w.setCalm()
 
 				time.Sleep(20 * time.Second)
 				c.fault(w)
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -102,9 +102,7 @@
 		w.store.setDown(false)
 		time.Sleep(time.Minute)
 
-		w.mu.Lock()
-		w.calm = true
-		w.mu.Unlock()
+		w.setCalm()
 
 		for _, key := range keys {
 			for i := range nodes {
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -315,6 +315,14 @@
 	return !w.calm && w.random.IntN(100) < percent
 }
 
+// setCalm ends all random faults.
+func (w *world) setCalm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.calm = true
+}
+
 func (w *world) delay() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -39,9 +39,9 @@
 	tellAtOnce = 64
 )
 
-// Members gives the gates of a service.
+// Members gives the nodes that are thought to run.
 type Members interface {
-	Serving(service string) []membership.Record
+	Live() []membership.Record
 }
 
 // Peers sends messages to other nodes.
@@ -65,25 +65,36 @@
 	table    *Table
 	permits  *Permits
 	recent   recent
-	pulled   sync.Once
+	stale    atomic.Bool
 
 	mu     sync.Mutex
 	number uint64 // of the crashes seen here
 	down   bool
+	asked  time.Time // when the other gates were last asked
 }
 
 // NewWatch returns a watch that has seen nothing.
 func NewWatch(self Self, m Members, p Peers, r *timeline.Recorder) *Watch {
-	return &Watch{self: self, members: m, peers: p, recorder: r, table: NewTable(), permits: NewPermits()}
+	w := &Watch{self: self, members: m, peers: p, recorder: r, table: NewTable(), permits: NewPermits()}
+	w.stale.Store(true)
+
+	return w
 }
 
+// Stale tells that the backend server of this gate changed its state. A gate
+// whose backend server was away may have missed a warning, and asks the others
+// before it lets the next call through.
+func (w *Watch) Stale() { w.stale.Store(true) }
+
 // Table returns what is known of suspects.
 func (w *Watch) Table() *Table { return w.table }
 
 // Begin reports whether the call may run now. The returned function must be
 // called at its end with what came of it.
 func (w *Watch) Begin(ctx context.Context, c call.Call) (func(Result), error) {
-	w.pulled.Do(func() { w.pull(ctx, c.Service) })
+	if w.stale.Load() {
+		w.pull(ctx, c.Service)
+	}
 
 	r := &run{watch: w, call: c, began: time.Now(), epoch: w.epoch()}
 
@@ -241,11 +252,7 @@
 
 	g.SetLimit(tellAtOnce)
 
-	for _, m := range w.members.Serving(service) {
-		if m.ID == w.self.Node {
-			continue
-		}
-
+	for _, m := range w.gates(service) {
 		g.Go(func() error {
 			var out Done
 
@@ -263,24 +270,68 @@
 	return found.Load()
 }
 
-// pull asks a gate of the service for what it knows, before the first call runs
-// here: a gate that starts afresh would let a refused request through.
+// gates returns the other gates of a service, also those whose backend server is
+// away or that are only suspected: they may be back before the repeat comes.
+func (w *Watch) gates(service string) []membership.Record {
+	var out []membership.Record
+
+	for _, m := range w.members.Live() {
+		if m.Upstream.Service == service && m.ID != w.self.Node {
+			out = append(out, m)
+		}
+	}
+
+	return out
+}
+
+const (
+	// pullFrom is how many gates are asked; one alone may have missed a warning too.
+	pullFrom = 3
+	// pullAgain bounds how often they are asked when none answers.
+	pullAgain = time.Second
+)
+
+// pull asks gates of the service for what they know. A gate that starts afresh
+// would let a refused request through.
 func (w *Watch) pull(ctx context.Context, service string) {
+	if !w.mayPull() {
+		return
+	}
+
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTime)
 	defer cancel()
 
-	for _, m := range w.members.Serving(service) {
-		if m.ID == w.self.Node {
-			continue
-		}
+	var g errgroup.Group
+
+	gates := w.gates(service)
+	for _, m := range gates[:min(pullFrom, len(gates))] {
+		g.Go(func() error {
+			var reports []Report
+			if err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, Done{}, &reports); err != nil {
+				return err
+			}
 
-		var reports []Report
-		if w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, Done{}, &reports) == nil {
 			w.table.Merge(reports)
+			w.stale.Store(false)
 
-			return
-		}
+			return nil
+		})
+	}
+
+	_ = g.Wait()
+}
+
+func (w *Watch) mayPull() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if time.Since(w.asked) < pullAgain {
+		return false
 	}
+
+	w.asked = time.Now()
+
+	return true
 }
 
 // take asks the gate that saw the first crash for permission. Without an answer the
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -101,7 +101,7 @@
 			break
 		}
 
-		c.leave()
+		c.Leave()
 	}
 
 	return Answer{}, t.fault()
@@ -135,6 +135,13 @@
 func (t *try) note(r *Refusal) {
 	t.last = r
 
+	// A key that never left can be given up: its home is likely gone.
+	if r.unsent && !t.unsure {
+		t.key = ""
+
+		return
+	}
+
 	if r.Ran != NotRun {
 		t.unsure = true
 
@@ -206,8 +213,8 @@
 	return c.options.Nodes[c.next%len(c.options.Nodes)]
 }
 
-// leave goes on to the next node.
-func (c *Caller) leave() {
+// Leave goes on to the next node, for callers that want to spread their requests.
+func (c *Caller) Leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -138,6 +138,34 @@
 	}
 }
 
+// The node whose name is in the key was stopped before the request got to it. The
+// key never left, so that a new one of another node is safe; the old one would
+// be unknown for ever, since its home is gone.
+func TestAKeyThatNeverLeftIsGivenUp(t *testing.T) {
+	a := startNode(t, "pc1.a.life.1", answer)
+	b := startNode(t, "pc1.b.life.1", answer)
+	c := caller.New(caller.Nodes(a.address(), b.address()))
+	upload := caller.Request{Method: http.MethodPost, Path: "/uploads/1", Once: true}
+
+	for range 2 { // both homes are known
+		_, err := c.Do(t.Context(), upload)
+		assert.NilError(t, err)
+		c.Leave()
+	}
+
+	a.Close()
+
+	for range 2 {
+		_, err := c.Do(t.Context(), upload)
+		assert.NilError(t, err)
+		c.Leave()
+	}
+
+	for _, key := range b.sent() {
+		assert.Assert(t, strings.HasPrefix(key, "pc1.b.life.1."), key)
+	}
+}
+
 func TestTheErrorSaysWhatIsKnown(t *testing.T) {
 	for name, c := range map[string]struct {
 		reply func(http.ResponseWriter)
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -91,7 +93,11 @@
 // lost is the refusal of a node that did not answer. The request may have run:
 // only the home of its key can say that it did not.
 func lost(node string, err error) *Refusal {
-	return &Refusal{ID: "caller.no_answer", Detail: err.Error(), Node: node, Ran: Unknown, noAnswer: true}
+	var op *net.OpError
+
+	unsent := errors.As(err, &op) && op.Op == "dial"
+
+	return &Refusal{ID: "caller.no_answer", Detail: err.Error(), Node: node, Ran: Unknown, noAnswer: true, unsent: unsent}
 }
 
 var errNotANode = &Refusal{ID: "caller.not_a_node", Detail: "the answer is not one of a node", Ran: Unknown}
--- a/pkg/caller/refusal.go
+++ b/pkg/caller/refusal.go
@@ -29,6 +29,8 @@
 	NotForwarded bool    `json:"NotForwarded"`
 
 	noAnswer bool
+	// unsent is set if there was no connection to the node.
+	unsent bool
 }
 
 // Error implements error.
