--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -27,8 +27,8 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
-	"github.com/pollencart/pollencart/internal/once/book"
 	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/once/record"
 	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
@@ -41,6 +41,7 @@
 type world struct {
 	snapshot *settings.Snapshot
 	mutant   mutant
+	records  int // that a home holds
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -74,7 +75,7 @@
 	w        *world
 	index    int
 	life     int
-	book     *book.Book
+	table    *record.Table
 	home     *once.Home
 	register *attempt.Register
 	gate     *gate.Gate
@@ -85,15 +86,16 @@
 
 	froze  atomic.Int64  // how often
 	thawed chan struct{} // closed while the process runs
+	ending atomic.Bool
 	dead   chan struct{} // closed when it has ended
 }
 
 const nodes = 4
 
-func newWorld(s *settings.Snapshot, seed uint64, m mutant) *world {
+func newWorld(s *settings.Snapshot, seed uint64, m mutant, records int) *world {
 	w := &world{
 		snapshot: s, mutant: m, random: rand.New(rand.NewPCG(seed, seed)), cuts: map[[2]int]bool{},
-		ran: map[string]int{}, told: map[string]map[call.Ran]int{}, store: &store{}, procs: make([]*proc, nodes),
+		ran: map[string]int{}, told: map[string]map[call.Ran]int{}, store: &store{}, records: records, procs: make([]*proc, nodes),
 	}
 	for i := range w.procs {
 		w.procs[i] = w.newProc(i, 1)
@@ -113,11 +115,11 @@
 	p := &proc{w: w, index: i, life: life, thawed: make(chan struct{}), dead: make(chan struct{})}
 	close(p.thawed)
 
-	p.book = book.New(book.Generations(3), book.Records(32))
+	p.table = record.New(record.Generations(3), record.Records(w.records))
 	name := key.NewLife(7) // one incarnation, as after a clock was set back
 	p.keeper = shard.New(shard.Self{Node: nodeID(i), Life: name, FailureDomain: domain(i)}, storeOf{p}, w, p,
 		shard.Domains(func() []string { return []string{domain(0), domain(1)} }), shard.Repeat(time.Hour))
-	p.home = once.New(nodeID(i), name, once.WithBook(p.book), once.WithShards(beliefs{p}))
+	p.home = once.New(nodeID(i), name, once.WithTable(p.table), once.WithShards(beliefs{p}))
 	p.register = attempt.NewRegister(name, 64)
 
 	queue := admission.New(admission.Slots(2))
@@ -150,6 +152,10 @@
 
 func (b beliefs) Nudge() { b.keeper.Nudge() }
 
+func (b beliefs) Renew(ctx context.Context, text string) bool { return b.keeper.Renew(ctx, text) }
+
+func (b beliefs) Refresh(ctx context.Context, address string) { b.keeper.Refresh(ctx, address) }
+
 func (b beliefs) Owner(text string) (node, life string, ok bool) {
 	if !b.w.mutant.byBelief {
 		return b.keeper.Owner(text)
@@ -309,6 +315,14 @@
 	return !w.calm && w.random.IntN(100) < percent
 }
 
+// setCalm ends all random faults.
+func (w *world) setCalm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.calm = true
+}
+
 func (w *world) delay() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -355,6 +369,10 @@
 // replace ends a process at once and starts the next one in its place.
 func (w *world) replace(i int) {
 	old := w.proc(i)
+	if !old.ending.CompareAndSwap(false, true) {
+		return
+	}
+
 	w.wake(i)
 	close(old.dead)
 	old.stop()
@@ -368,6 +386,20 @@
 	next.start()
 }
 
+// leave hands a process's keys over and then replaces it.
+func (w *world) leave(i int) {
+	p := w.proc(i)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+
+	p.home.HandOver(ctx, p.keeper, p)
+
+	if w.proc(i) == p {
+		w.replace(i)
+	}
+}
+
 func (w *world) freeze(i int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -506,6 +538,10 @@
 
 			return p.entry.ServeOnce(ctx, c)
 		})
+	case once.MethodAdopt:
+		return typed(ctx, body, p.home.ServeAdopt(p.keeper))
+	case shard.MethodPush:
+		return typed(ctx, body, p.keeper.ServePush)
 	case shard.MethodPull:
 		return typed(ctx, body, p.keeper.Serve)
 	case once.MethodEpoch:
