A time line that shows an outage at a glance

Cause: events of calls pushed rare ones out of the one ring within seconds; a death was told once by every node; there was no page, no filter for an event, and an answer without a bound.

Ruled out: sampling of calls (the one call that a caller complains about would be missing).

Shown failing: with one ring the rare event is gone (16 entries, 17 wanted).

--- a/cmd/pollencart/operator.go
+++ b/cmd/pollencart/operator.go
@@ -12,7 +12,6 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/pollencart/pollencart/internal/operator"
-	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
@@ -104,54 +103,3 @@
 		})
 	}))
 }
-
-func addTimeline(app *kingpin.Application, f *common) {
-	c := app.Command("timeline", "Print the merged events of all nodes.")
-
-	var (
-		filter timeline.Filter
-		since  time.Duration
-	)
-
-	c.Flag("call", "Only this call.").StringVar(&filter.Call)
-	c.Flag("key", "Only this idempotency key.").StringVar(&filter.Key)
-	c.Flag("of", "Only this version.").Uint64Var(&filter.Version)
-	c.Flag("on", "Only this node.").StringVar(&filter.Node)
-	c.Flag("since", "Only the last while.").DurationVar(&since)
-	f.add(c)
-	c.Action(action(func() error {
-		if since > 0 {
-			filter.SinceMs = time.Now().Add(-since).UnixMilli()
-		}
-
-		entries, err := f.client().Timeline(context.Background(), filter)
-		if err != nil {
-			return err
-		}
-
-		return f.print(entries, func(w io.Writer) {
-			for _, e := range entries {
-				fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", time.UnixMilli(e.Stamp.WallMs).UTC().Format("15:04:05.000"),
-					e.Node, e.Number, e.Name, details(e))
-			}
-		})
-	}))
-}
-
-func details(e timeline.Entry) string {
-	var out string
-
-	if e.Version > 0 {
-		out += fmt.Sprintf("version=%d ", e.Version)
-	}
-
-	for _, f := range []struct{ name, value string }{
-		{"call", e.Call}, {"key", e.Key}, {"peer", e.Peer}, {"detail", e.Detail},
-	} {
-		if f.value != "" {
-			out += f.name + "=" + f.value + " "
-		}
-	}
-
-	return out
-}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -32,6 +32,9 @@
 // maxTree bounds the text of a tree.
 const maxTree = 64 << 20
 
+// maxEntries bounds the events that one node gives.
+const maxEntries = 1 << 16
+
 // Paths of the interface.
 const (
 	pathCheck    = "/v1/check"
@@ -211,7 +214,13 @@
 		return err
 	}
 
+	limit, err := number(c, "limit")
+	if err != nil {
+		return err
+	}
+
 	f := timeline.Filter{
+		Event: c.QueryParam("event"), Limit: int(min(limit, maxEntries)),
 		Call: c.QueryParam("call"), Key: c.QueryParam("key"), Node: c.QueryParam("node"),
 		Version: version, SinceMs: int64(since),
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -131,7 +131,11 @@
 
 // Timeline returns the merged events of all nodes.
 func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Entry, error) {
-	q := url.Values{"call": {f.Call}, "key": {f.Key}, "node": {f.Node}}
+	q := url.Values{"call": {f.Call}, "key": {f.Key}, "node": {f.Node}, "event": {f.Event}}
+	if f.Limit > 0 {
+		q.Set("limit", strconv.Itoa(f.Limit))
+	}
+
 	if f.Version > 0 {
 		q.Set("version", strconv.FormatUint(f.Version, 10))
 	}
--- a/internal/timeline/options.go
+++ b/internal/timeline/options.go
@@ -2,7 +2,8 @@
 
 import "log/slog"
 
-// DefaultSize bounds the kept entries: at some 200 bytes each about 800 KB.
+// DefaultSize bounds the kept entries of each of the two rings: at some 200 bytes
+// each about 800 KB.
 const DefaultSize = 4096
 
 // Options of a recorder.
@@ -27,7 +28,7 @@
 // Node names the node whose events are recorded.
 func Node(id string) Option { return func(o *Options) { o.Node = id } }
 
-// Size bounds the number of kept entries.
+// Size bounds the number of kept entries in each of the two rings.
 func Size(n int) Option { return func(o *Options) { o.Size = n } }
 
 // Logger sets where events are logged.
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -10,6 +10,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -30,20 +31,61 @@
 }
 
 // Recorder holds the newest entries of one node and logs each.
+//
+// Events of single calls have a ring of their own: at hundreds of calls a second
+// they would push out within seconds what explains an outage, such as who was
+// taken for dead and when a version came in force.
 type Recorder struct {
 	options Options
 	clock   Clock
 
-	mu   sync.Mutex
-	ring []Entry
-	next int
+	mu    sync.Mutex
+	rare  ring
+	calls ring
+}
+
+// The numbers of events of single calls and their keys.
+const (
+	firstCall = 400
+	afterKeys = 600
+)
+
+// ring keeps the newest entries.
+type ring struct {
+	size    int
+	entries []Entry
+	next    int
+}
+
+func (r *ring) keep(e Entry) {
+	if len(r.entries) < r.size {
+		r.entries = append(r.entries, e)
+
+		return
+	}
+
+	r.entries[r.next] = e
+	r.next = (r.next + 1) % r.size
+}
+
+// take returns the entries that the filter takes, oldest first.
+func (r *ring) take(f Filter) []Entry {
+	var out []Entry
+
+	for i := range r.entries {
+		if e := r.entries[(r.next+i)%len(r.entries)]; f.Takes(e) {
+			out = append(out, e)
+		}
+	}
+
+	return out
 }
 
 // New returns a recorder.
 func New(opts ...Option) *Recorder {
 	o := newOptions(opts...)
 
-	return &Recorder{options: o, ring: make([]Entry, 0, o.Size)}
+	return &Recorder{options: o, rare: ring{size: o.Size}, calls: ring{size: o.Size}}
 }
 
 // Clock returns the node's clock.
@@ -55,22 +97,19 @@
 	entry.Node = r.options.Node
 	entry.Number = e.Number
 	entry.Name = e.Name
-	r.keep(entry)
+	r.keep(e, entry)
 	r.log(e, entry)
 }
 
-func (r *Recorder) keep(entry Entry) {
+func (r *Recorder) keep(e event.Event, entry Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if len(r.ring) < r.options.Size {
-		r.ring = append(r.ring, entry)
-
-		return
+	if e.Number >= firstCall && e.Number < afterKeys {
+		r.calls.keep(entry)
+	} else {
+		r.rare.keep(entry)
 	}
-
-	r.ring[r.next] = entry
-	r.next = (r.next + 1) % r.options.Size
 }
 
 func (r *Recorder) log(e event.Event, entry Entry) {
@@ -94,21 +133,23 @@
 	r.options.Logger.LogAttrs(context.Background(), e.Level, e.Name, attrs...)
 }
 
-// Entries returns the kept entries that the filter takes, oldest first.
+// Entries returns the kept entries that the filter takes, oldest first; with a
+// limit the newest of them, those of single calls first to go.
 func (r *Recorder) Entries(f Filter) []Entry {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	var out []Entry
+	rare, calls := r.rare.take(f), r.calls.take(f)
+	r.mu.Unlock()
 
-	for i := range r.ring {
-		entry := r.ring[(r.next+i)%len(r.ring)]
-		if f.Takes(entry) {
-			out = append(out, entry)
-		}
+	if f.Limit > 0 {
+		rare = newest(rare, f.Limit)
+		calls = newest(calls, f.Limit-len(rare))
 	}
 
-	return out
+	return Merge(rare, calls)
+}
+
+func newest(entries []Entry, count int) []Entry {
+	return entries[max(len(entries)-count, 0):]
 }
 
 // Filter says which entries are wanted; a zero field takes all.
@@ -116,19 +157,28 @@
 	Call    string `json:"Call" msgpack:"Call"`
 	Key     string `json:"Key" msgpack:"Key"`
 	Version uint64 `json:"Version" msgpack:"Version"`
-	Node    string `json:"Node" msgpack:"Node"`
+	// Node takes what the node tells and what others tell of it.
+	Node string `json:"Node" msgpack:"Node"`
+	// Event is the name or the number of an event.
+	Event   string `json:"Event" msgpack:"Event"`
 	SinceMs int64  `json:"SinceMs" msgpack:"SinceMs"`
+	// Limit bounds the entries of each node, the newest ones.
+	Limit int `json:"Limit" msgpack:"Limit"`
 }
 
 // Takes reports whether the entry passes.
 func (f Filter) Takes(e Entry) bool {
-	return (f.Call == "" || f.Call == e.Call) &&
-		(f.Key == "" || f.Key == e.Key) &&
+	return wants(f.Call, e.Call) && wants(f.Key, e.Key) &&
+		wants(f.Node, e.Node, e.Peer) && wants(f.Event, e.Name, strconv.Itoa(e.Number)) &&
 		(f.Version == 0 || f.Version == e.Version) &&
-		(f.Node == "" || f.Node == e.Node) &&
 		f.SinceMs <= e.Stamp.WallMs
 }
 
+// wants reports whether a field of a filter takes one of the values.
+func wants(field string, values ...string) bool {
+	return field == "" || slices.Contains(values, field)
+}
+
 // Merge orders entries of many nodes by their stamps.
 func Merge(lists ...[]Entry) []Entry {
 	out := slices.Concat(lists...)
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,98 @@
+package timeline_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// Hundreds of calls a second are recorded, and once an hour a node is taken for
+// dead. With one ring the operator who comes after the outage finds calls only.
+func TestCallsDoNotPushOutWhatIsRare(t *testing.T) {
+	const size = 16
+
+	r := timeline.New(timeline.Node("a"), timeline.Size(size))
+	r.Record(event.MemberDead, timeline.Entry{Peer: "b"})
+
+	for range 100 * size {
+		r.Record(event.CallAnswered, timeline.Entry{Call: "1"})
+		r.Record(event.CallUnknown, timeline.Entry{Call: "2"})
+	}
+
+	entries := r.Entries(timeline.Filter{})
+	assert.Equal(t, len(entries), size+1, "bounded")
+	assert.Equal(t, entries[0].Name, event.MemberDead.Name)
+	assert.Equal(t, len(r.Entries(timeline.Filter{Limit: 3})), 3)
+	assert.Equal(t, r.Entries(timeline.Filter{Limit: 3})[0].Name, event.MemberDead.Name)
+}
+
+func TestFilters(t *testing.T) {
+	r := timeline.New(timeline.Node("a"))
+	r.Record(event.MemberDead, timeline.Entry{Peer: "b"})
+	r.Record(event.VersionInForce, timeline.Entry{Version: 7})
+	r.Record(event.CallAnswered, timeline.Entry{Call: "1", Key: "k"})
+
+	for _, c := range []struct {
+		filter timeline.Filter
+		want   string
+	}{
+		{timeline.Filter{}, "MemberDead VersionInForce CallAnswered"},
+		{timeline.Filter{Node: "b"}, "MemberDead"},
+		{timeline.Filter{Node: "a"}, "MemberDead VersionInForce CallAnswered"},
+		{timeline.Filter{Node: "c"}, ""},
+		{timeline.Filter{Event: "302"}, "MemberDead"},
+		{timeline.Filter{Event: "VersionInForce"}, "VersionInForce"},
+		{timeline.Filter{Version: 7}, "VersionInForce"},
+		{timeline.Filter{Call: "1"}, "CallAnswered"},
+		{timeline.Filter{Key: "k", Call: "2"}, ""},
+		{timeline.Filter{SinceMs: 1 << 60}, ""},
+	} {
+		var names []string
+		for _, e := range r.Entries(c.filter) {
+			names = append(names, e.Name)
+		}
+
+		assert.Equal(t, strings.Join(names, " "), c.want, "%+v", c.filter)
+	}
+}
+
+// The clocks of two hosts differ by an hour. What a node does after it heard of
+// another's event must come after it on the merged time line, or it shows effects
+// before their causes.
+func TestCausesComeBeforeEffects(t *testing.T) {
+	fast, slow := timeline.New(timeline.Node("fast")), timeline.New(timeline.Node("slow"))
+	fast.Clock().Observe(timeline.Stamp{WallMs: 1 << 50})
+	fast.Record(event.VersionAccepted, timeline.Entry{Version: 7})
+	slow.Clock().Observe(fast.Clock().Now())
+	slow.Record(event.VersionInForce, timeline.Entry{Version: 7})
+
+	merged := timeline.Merge(slow.Entries(timeline.Filter{}), fast.Entries(timeline.Filter{}))
+	assert.Equal(t, merged[0].Name, event.VersionAccepted.Name)
+}
+
+func at(ms int64, node string, e event.Event, entry timeline.Entry) timeline.Entry {
+	entry.Stamp, entry.Node, entry.Number, entry.Name = timeline.Stamp{WallMs: ms}, node, e.Number, e.Name
+
+	return entry
+}
+
+// One node dies in a fleet of thousands and each other one tells so.
+func TestOneHappeningIsOneLine(t *testing.T) {
+	out := timeline.Collapse([]timeline.Entry{
+		at(1000, "a", event.MemberDead, timeline.Entry{Peer: "x", Detail: "by a"}),
+		at(1100, "b", event.MemberDead, timeline.Entry{Peer: "x"}),
+		at(1150, "b", event.MemberDead, timeline.Entry{Peer: "y"}),
+		at(1200, "c", event.MemberDead, timeline.Entry{Peer: "x"}),
+		at(1300, "c", event.CallAnswered, timeline.Entry{Call: "1", Peer: "x"}),
+		at(1301, "a", event.CallAnswered, timeline.Entry{Call: "1", Peer: "x"}),
+		at(90_000, "c", event.MemberDead, timeline.Entry{Peer: "x"}),
+	})
+
+	assert.Equal(t, len(out), 5)
+	assert.Equal(t, out[0].Detail, "by a [and on 2 more nodes within 200 ms]")
+	assert.Equal(t, out[4].Stamp.WallMs, int64(90_000))
+}
