--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo scale check test lint tools soak bench
+.PHONY: build demo scale check test lint tools soak bench load
 
 build:
 	go build -o bin/ ./cmd/...
@@ -44,3 +44,7 @@
 
 scale: build
 	bin/bench scale --nodes $(N) --mode $(MODE)
+
+# Patterns of load on real processes; the last line is one JSON object.
+load: build
+	bin/bench load
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/pollencart/pollencart/internal/once/shard"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
+	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/selection"
 	"github.com/pollencart/pollencart/internal/spread"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -68,6 +69,7 @@
 	home     *once.Home
 	shards   *shard.Keeper
 	register *attempt.Register
+	suspects *poison.Watch
 
 	listeners []net.Listener
 	https     []*http.Server
