--- a/cmd/pollencart/operator.go
+++ b/cmd/pollencart/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +13,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/pollencart/pollencart/internal/credentials"
 	"github.com/pollencart/pollencart/internal/operator"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -19,15 +22,41 @@
 type common struct {
 	node   string
 	output string
-	out    io.Writer
+
+	token     string
+	authority string
+
+	out io.Writer
 }
 
 func (f *common) add(c *kingpin.CmdClause) {
 	c.Flag("node", "Control address of any node.").Envar("POLLENCART_NODE").Default("127.0.0.1:8001").StringVar(&f.node)
+	c.Flag("token", "Operators' token.").Envar("POLLENCART_TOKEN").StringVar(&f.token)
+	c.Flag("authority", "Connect with TLS to a node whose certificate comes from this file.").
+		Envar("POLLENCART_AUTHORITY").StringVar(&f.authority)
 	c.Flag("output", "Form of the output.").Short('o').Default("text").EnumVar(&f.output, "text", "json")
 }
 
-func (f *common) client() *operator.Client { return operator.NewClient(f.node) }
+func (f *common) client() *operator.Client {
+	var opts []operator.ClientOption
+
+	if f.token != "" {
+		opts = append(opts, operator.WithToken(f.token))
+	}
+
+	if f.authority != "" {
+		pool := x509.NewCertPool()
+		if data, err := os.ReadFile(f.authority); err == nil {
+			pool.AppendCertsFromPEM(data) // without a certificate no node is trusted
+		}
+
+		opts = append(opts, operator.WithTLS(&tls.Config{
+			MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: credentials.Name,
+		}))
+	}
+
+	return operator.NewClient(f.node, opts...)
+}
 
 // print writes v as JSON, or by the function as text.
 func (f *common) print(v any, text func(w io.Writer)) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,10 +45,27 @@
 	// FaultInjection lets experiments cut this node's links over the control
 	// address. It stays off where callers are served.
 	FaultInjection bool `json:"FaultInjection"`
+	// TLS are the keys of this node. Without them links are in the clear.
+	TLS *TLS `json:"TLS"`
+	// OperatorTokenFile holds the token that operators must send; without it
+	// whoever reaches the control address is an operator.
+	OperatorTokenFile string `json:"OperatorTokenFile"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"LogLevel"`
 }
 
+// TLS are the files of a node's keys, in PEM. They are read again when they change.
+type TLS struct {
+	// Certificate and Key prove this node to others; the certificate names
+	// node.pollencart.
+	Certificate string `json:"Certificate"`
+	Key         string `json:"Key"`
+	// Authority is what other nodes' certificates must come from.
+	Authority string `json:"Authority"`
+	// Operators turns TLS on for the control address too.
+	Operators bool `json:"Operators"`
+}
+
 // Mode says what the spread of settings saves.
 type Mode string
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -10,10 +11,12 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/pollencart/pollencart/internal/credentials"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/operator"
 	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
@@ -21,6 +24,7 @@
 func (n *Node) controlHandler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
+	e.Use(n.authorize)
 
 	operator.New(
 		operator.Acceptor(n.acceptor),
@@ -41,6 +45,37 @@
 	return e
 }
 
+// errToken is returned to who does not send the operators' token.
+var errToken = errs.New("operator.token", http.StatusUnauthorized, "the operators' token is missing or wrong")
+
+// authorize lets operators in by their token. What says only whether the node
+// works is open to all, and announcements to who stands on this host.
+func (n *Node) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		open := !strings.HasPrefix(c.Request().URL.Path, "/v1/")
+		own := c.Request().URL.Path == "/v1/upstream" && n.onThisHost(c.Request().RemoteAddr)
+
+		if n.config.OperatorTokenFile == "" || open || own ||
+			credentials.NewToken(n.config.OperatorTokenFile).Allows(c.Request().Header.Get("Authorization")) {
+			return next(c)
+		}
+
+		return errToken
+	}
+}
+
+// onThisHost reports whether a connection comes from this host.
+func (n *Node) onThisHost(remote string) bool {
+	from, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+
+	own, _, _ := net.SplitHostPort(n.config.ControlAddress)
+
+	return from == own || net.ParseIP(from).IsLoopback()
+}
+
 // Faults is what an experiment makes go wrong on this node.
 type Faults struct {
 	// Blocked are peer addresses that this node sends nothing to.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -86,8 +86,8 @@
 	return f
 }
 
-// start starts the node of a host and waits until it listens.
-func (f *fleet) start(h *host) {
+// startOnly starts the node of a host.
+func (f *fleet) startOnly(h *host) {
 	f.t.Helper()
 
 	ctx, stop := context.WithCancel(f.t.Context())
@@ -96,6 +96,12 @@
 	go func() { h.done <- node.New(h.config, slog.New(slog.DiscardHandler)).Run(ctx) }()
 
 	f.t.Cleanup(stop)
+}
+
+// start starts the node of a host and waits until it listens.
+func (f *fleet) start(h *host) {
+	f.t.Helper()
+	f.startOnly(h)
 	f.wait("health of "+h.ID, func() bool { return statusOf("http://"+h.Control+"/healthz") == http.StatusOK })
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/pollencart/pollencart/internal/bootstrap"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/config"
+	"github.com/pollencart/pollencart/internal/credentials"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/membership"
@@ -49,6 +51,7 @@
 	server *peer.Server
 	client *peer.Client
 	faults *peer.Faults
+	keys   *credentials.Source // nil without TLS
 
 	store    *etcd.Store
 	acceptor *acceptance.Acceptor
@@ -81,9 +84,21 @@
 	n := &Node{config: c}
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
 	n.faults = &peer.Faults{}
-	n.server = peer.NewServer(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults))
-	n.client = peer.NewClient(peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults),
-		peer.Address(c.PeerAddress), peer.Lost(func(address string) { n.gossip.Doubt(address) }))
+
+	links := []peer.Option{
+		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
+		peer.Lost(func(address string) { n.gossip.Doubt(address) }),
+	}
+
+	if c.TLS != nil {
+		n.keys = credentials.New(credentials.Files{
+			Certificate: c.TLS.Certificate, Key: c.TLS.Key, Authority: c.TLS.Authority,
+		})
+		links = append(links, peer.WithTLS(n.keys))
+	}
+
+	n.server = peer.NewServer(links...)
+	n.client = peer.NewClient(links...)
 	n.settings()
 	n.fleet()
 	n.once()
@@ -137,6 +152,12 @@
 }
 
 func (n *Node) listen() error {
+	if n.keys != nil {
+		if err := n.keys.Check(); err != nil {
+			return err
+		}
+	}
+
 	n.callers = newHTTP(n.entryHandler())
 	handlers := []struct {
 		address string
@@ -157,6 +178,10 @@
 
 		n.listeners = append(n.listeners, l)
 
+		if h.address == n.config.ControlAddress && n.keys != nil && n.config.TLS.Operators {
+			l = tls.NewListener(l, n.keys.Server(false))
+		}
+
 		go h.serve(l)
 	}
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -27,15 +28,36 @@
 
 // Client asks one node.
 type Client struct {
-	base string
-	http *http.Client
+	address string
+	base    string
+	token   string
+	http    *http.Client
+}
+
+// ClientOption sets an option of a client.
+type ClientOption func(*Client)
+
+// WithToken sends the operators' token.
+func WithToken(token string) ClientOption { return func(c *Client) { c.token = token } }
+
+// WithTLS connects with TLS.
+func WithTLS(config *tls.Config) ClientOption {
+	return func(c *Client) {
+		c.base = "https://" + c.address
+		c.http.Transport = &http.Transport{TLSClientConfig: config}
+	}
 }
 
 // NewClient returns a client of the node with the control address.
-func NewClient(address string) *Client {
+func NewClient(address string, opts ...ClientOption) *Client {
 	const timeout = 30 * time.Second
 
-	return &Client{base: "http://" + address, http: &http.Client{Timeout: timeout}}
+	c := &Client{address: address, base: "http://" + address, http: &http.Client{Timeout: timeout}}
+	for _, opt := range opts {
+		opt(c)
+	}
+
+	return c
 }
 
 // Check returns the faults of a tree.
@@ -157,6 +179,10 @@
 		return ErrNode.Wrap(err)
 	}
 
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return notAsked(err)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -173,15 +174,40 @@
 // errIdle is returned for a connection that was closed since nobody used it.
 var errIdle = errors.New("connection was closed for idleness")
 
+// open connects and, with keys, has both ends prove themselves. No request was
+// sent if it fails.
+func (c *Client) open(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil || c.options.TLS == nil {
+		return conn, err
+	}
+
+	config, err := c.options.TLS.Client()
+	if err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	secure := tls.Client(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	return secure, nil
+}
+
 func (cc *clientConn) dial() {
 	defer close(cc.ready)
 
 	ctx, cancel := context.WithTimeout(context.Background(), cc.client.options.DialTimeout)
 	defer cancel()
 
-	var d net.Dialer
-
-	conn, err := d.DialContext(ctx, "tcp", cc.key.address)
+	conn, err := cc.client.open(ctx, cc.key.address)
 	if err != nil {
 		cc.dialErr = ErrUnreachable.With("%s", cc.key.address).Wrap(err)
 		cc.client.forget(cc)
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -16,11 +17,19 @@
 	DefaultMaxConns = 4096
 	// DefaultMaxInFlight bounds the requests of one connection.
 	DefaultMaxInFlight = 1024
+	// DefaultHelloTimeout bounds a connection that says nothing.
+	DefaultHelloTimeout = 5 * time.Second
 	// DefaultIdleTimeout closes connections that probes of random nodes opened. A
 	// node that kept them all would hold thousands for one probe an hour each.
 	DefaultIdleTimeout = 10 * time.Second
 )
 
+// Keys gives the keys in use.
+type Keys interface {
+	Server(prove bool) *tls.Config
+	Client() (*tls.Config, error)
+}
+
 // Clock stamps messages.
 type Clock interface {
 	Now() timeline.Stamp
@@ -41,6 +50,10 @@
 	DialTimeout time.Duration
 	MaxConns    int
 	MaxInFlight int
+	// TLS has both ends of a connection prove themselves; nil is in the clear.
+	TLS Keys
+	// HelloTimeout bounds the time until the first whole frame of a connection.
+	HelloTimeout time.Duration
 	// IdleTimeout is how long a connection for control is kept unused.
 	IdleTimeout time.Duration
 	// Lost is told of peer addresses that a request could not reach.
@@ -58,7 +71,9 @@
 		MaxConns:    DefaultMaxConns,
 		MaxInFlight: DefaultMaxInFlight,
 		IdleTimeout: DefaultIdleTimeout,
-		Lost:        func(string) {},
+
+		HelloTimeout: DefaultHelloTimeout,
+		Lost:         func(string) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -76,6 +91,12 @@
 // WithIdleTimeout sets how long a connection for control is kept unused.
 func WithIdleTimeout(d time.Duration) Option { return func(o *Options) { o.IdleTimeout = d } }
 
+// WithTLS sets the keys of both ends.
+func WithTLS(k Keys) Option { return func(o *Options) { o.TLS = k } }
+
+// WithHelloTimeout bounds the time until the first whole frame.
+func WithHelloTimeout(d time.Duration) Option { return func(o *Options) { o.HelloTimeout = d } }
+
 // WithClock sets the clock.
 func WithClock(c Clock) Option { return func(o *Options) { o.Clock = c } }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -111,6 +112,11 @@
 		_ = conn.Close()
 	}()
 
+	conn, err := s.prove(conn)
+	if err != nil {
+		return
+	}
+
 	sc := &serverConn{
 		server:  s,
 		out:     newWriter(conn, &s.Sent),
@@ -119,18 +125,39 @@
 	}
 	in := bufio.NewReaderSize(conn, readBuffer)
 
-	for {
+	for n := 0; ; n++ {
 		f, size, err := Read(in)
 		if err != nil {
 			return
 		}
 
+		if n == 0 {
+			_ = conn.SetReadDeadline(time.Time{})
+		}
+
 		s.Received.Add(int64(size))
 		s.options.Clock.Observe(f.Clock)
 		sc.take(ctx, f)
 	}
 }
 
+// prove bounds the time until the first whole frame, and with keys reads nothing
+// from who can't prove itself. Connections that never say anything would use up
+// the limit of connections.
+func (s *Server) prove(conn net.Conn) (net.Conn, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(s.options.HelloTimeout)); err != nil {
+		return nil, err
+	}
+
+	if s.options.TLS == nil {
+		return conn, nil
+	}
+
+	secure := tls.Server(conn, s.options.TLS.Server(true))
+
+	return secure, secure.HandshakeContext(context.Background())
+}
+
 type serverConn struct {
 	server *Server
 	out    *writer
