membership: a woken node gives way to its replacement

Cause: two processes with one ID at two addresses each raised the epoch over the other, for good; entries took now the one and now the other. Change: the earlier process (by incarnation) at another address does not insist while the later one is thought to run; event 306 tells the operator. Shown failing: with the rule off the woken one is taken back.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 	MemberLeft     = add(303, "MemberLeft", slog.LevelInfo, "A node left by itself.")
 	MemberRefuted  = add(304, "MemberRefuted", slog.LevelInfo, "The node was suspected by others and refuted it with a higher incarnation.")
 	MemberCleared  = add(305, "MemberCleared", slog.LevelInfo, "A suspected node was heard of again and is no longer suspected.")
+	MemberReplaced = add(306, "MemberReplaced", slog.LevelWarn, "A later process has this node's ID at another address; this one gives way.")
 	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The backend server on this host announced itself.")
 	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The backend server on this host changed its state.")
 	UpstreamLost   = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
--- a/internal/membership/gossip_test.go
+++ b/internal/membership/gossip_test.go
@@ -88,6 +88,8 @@
 		until(t, time.Minute, "join", func() bool { return n.agree(size) })
 		time.Sleep(10 * time.Second)
 
+		n.resetTraffic()
+
 		for i := range dead {
 			n.kill(nodeID(i))
 		}
@@ -100,7 +102,12 @@
 		}
 
 		took = until(t, 30*time.Second, "all are back", func() bool { return n.agree(size) })
-		t.Logf("back: known everywhere after %s", took)
+		time.Sleep(10 * time.Second)
+
+		m := n.most()
+		t.Logf("back: known everywhere after %s; busiest node from the death to 10 s after: %d messages, %d bytes",
+			took, m.messages, m.bytes)
+		assert.Assert(t, m.bytes < 250_000, "%d bytes", m.bytes)
 	})
 }
 
@@ -223,6 +230,38 @@
 	})
 }
 
+// A host is frozen, its node is replaced on another host under the same ID, and the
+// first one wakes. Entries must not send calls now to the one and now to the other.
+func TestAWokenNodeGivesWayToItsReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 10
+
+		n := newNetwork()
+		nodes := n.fleet(t, size)
+		first := n.start(t, "twin", 5000, membership.Seeds(address(nodeID(0))))
+		until(t, time.Minute, "join", func() bool { return n.agree(size + 1) })
+		n.set(func() { n.frozen[address("twin")] = true })
+		until(t, 20*time.Second, "dead", func() bool { return stateOf(nodes[0].table, "twin") == membership.StateDead })
+
+		r := record("twin", 6000)
+		r.PeerAddress = "other-host:7000"
+		n.startAs(t, r, membership.Seeds(address(nodeID(0))))
+		until(t, 20*time.Second, "replaced", func() bool { return stateOf(nodes[9].table, "twin") == membership.StateAlive })
+		n.set(func() { n.frozen[address("twin")] = false })
+
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+
+			for _, s := range nodes {
+				r, _ := s.table.Find("twin")
+				assert.Assert(t, r.Incarnation == 6000, "taken back")
+			}
+		}
+
+		assert.Assert(t, len(first.recorder.Entries(timeline.Filter{Event: "MemberReplaced"})) == 1)
+	})
+}
+
 // A process that flaps must not be held for live by an old record, nor for dead
 // by an old belief, whatever order they arrive in.
 func TestFlappingNodeEndsInItsLastState(t *testing.T) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -13,13 +13,15 @@
 type Table struct {
 	recorder *timeline.Recorder
 
-	mu      sync.RWMutex
-	self    Record
-	members map[string]*member
-	live    liveSet
-	digest  digest
-	changes changes
-	index   index
+	mu   sync.RWMutex
+	self Record
+	// replaced is set once a later process with the same ID was heard of.
+	replaced bool
+	members  map[string]*member
+	live     liveSet
+	digest   digest
+	changes  changes
+	index    index
 	// news wakes who spreads changes.
 	news chan struct{}
 }
@@ -171,6 +173,10 @@
 		return false
 	}
 
+	if t.replacedBy(r) {
+		return false
+	}
+
 	if r.Epoch > t.self.Epoch || r.Incarnation != t.self.Incarnation {
 		t.self.Epoch = r.Epoch + 1
 	}
@@ -184,6 +190,23 @@
 	return true
 }
 
+// replacedBy reports whether a later process has this ID at another address. A
+// host that was frozen is replaced and wakes: if both insisted, entries would send
+// calls now to the one and now to the other. The earlier one gives way for as long
+// as the later one is thought to run.
+func (t *Table) replacedBy(r Record) bool {
+	if r.Incarnation <= t.self.Incarnation || r.PeerAddress == t.self.PeerAddress || r.State != StateAlive {
+		return false
+	}
+
+	if !t.replaced {
+		t.replaced = true
+		t.recorder.Record(event.MemberReplaced, timeline.Entry{Peer: r.ID, Detail: "at " + r.PeerAddress})
+	}
+
+	return true
+}
+
 // retract stops the spread of what is held of others. A node that others could
 // not reach was cut off or frozen, so what it could not reach in that time may be
 // well; who meets it again would suspect its own healthy neighbours.
