--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -3,6 +3,7 @@
 //
 //	bench demo --deployment examples/midlands
 //	bench scale --nodes 100
+//	bench rolling
 package main
 
 import (
@@ -19,6 +20,7 @@
 	addSoak(app)
 	addLoad(app)
 	addHerd(app)
+	addRolling(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
