membership: wake for work instead of looking for it

Cause: idle, a node woke some 25 times a second to find nothing to do (0.42% of a core at 50 nodes on a busy machine). A try that compared at once, with whichever node differed first, was worse: news under way used the comparison up, and a cut of ten minutes took 7.2 s to heal; it waits a moment and takes the newest again. Change: comparisons wait for a difference, joining looks each 5 s once joined, the expiry of announcements each 250 ms (calls check it themselves).

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -23,9 +23,10 @@
 
 	// serving bounds how many comparisons are answered at the same time, so that
 	// a herd that starts together does not take the node's memory.
-	serving chan struct{}
-	differs atomic.Pointer[string] // address of a node whose digest differs
-	doubts  doubts                 // addresses that calls could not reach
+	serving    chan struct{}
+	differs    atomic.Pointer[string] // address of the last node whose digest differed
+	compareNow chan struct{}
+	doubts     doubts // addresses that calls could not reach
 	// disputes are IDs of nodes that are dead here and live elsewhere.
 	disputes doubts
 	health   health
@@ -39,8 +40,9 @@
 func NewGossip(t *Table, c Caller, opts ...Option) *Gossip {
 	return &Gossip{
 		table: t, peers: c, options: newOptions(opts...),
-		serving: make(chan struct{}, maxServing),
-		doubts:  newDoubts(), disputes: newDoubts(),
+		serving:    make(chan struct{}, maxServing),
+		compareNow: make(chan struct{}, 1),
+		doubts:     newDoubts(), disputes: newDoubts(),
 	}
 }
 
@@ -49,6 +51,11 @@
 	var wg sync.WaitGroup
 
 	wg.Go(func() { g.rounds(ctx) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			g.compare(ctx)
+		}
+	})
 
 	for _, loop := range []struct {
 		pause time.Duration
@@ -57,7 +64,6 @@
 		{g.options.Probe, g.probeRandom},
 		{g.options.Reconnect, g.reconnect},
 		{idlePause, g.join},
-		{idlePause, g.compare},
 	} {
 		wg.Go(func() { every(ctx, loop.pause, loop.step) })
 	}
@@ -185,6 +191,11 @@
 
 	if e.Hash != g.table.Hash() {
 		g.differs.Store(&e.Address)
+
+		select {
+		case g.compareNow <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -15,14 +15,18 @@
 // digest differed, if the difference outlasts the news under way; a full table is
 // never sent when little differs.
 func (g *Gossip) compare(ctx context.Context) {
-	address := g.differs.Swap(nil)
-	if address == nil {
+	select {
+	case <-ctx.Done():
 		return
+	case <-g.compareNow:
 	}
 
-	if g.table.Pending() && g.table.CountLive() > 1 {
-		// News is under way and may settle it; a moment later is soon enough.
-		wait(ctx, g.options.Interval)
+	// News may be under way that settles it.
+	wait(ctx, jitter(idlePause))
+
+	address := g.differs.Swap(nil)
+	if address == nil {
+		return
 	}
 
 	err := g.repair(ctx, *address)
@@ -107,6 +111,9 @@
 	if g.table.CountLive() > 1 {
 		g.alone = 0
 
+		// Alone again is a matter of minutes, such as after all others died.
+		wait(ctx, g.options.Reconnect)
+
 		return
 	}
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -109,7 +109,8 @@
 }
 
 func (n *Node) expire(ctx context.Context) {
-	const pause = 100 * time.Millisecond
+	// An announcement that ran out takes no call whenever this looks at it.
+	const pause = 250 * time.Millisecond
 
 	for ctx.Err() == nil {
 		n.host.Expire()
