bench: cost of a call, of a delta; its bytes bounded

Change: bench cost measures the nodes' processor time and peer bytes for each call, idle cost taken off; BenchmarkDeltaApply; a delta of one leaf may have 600 bytes whatever the tree.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
@@ -14,6 +15,7 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/spread"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -195,3 +197,52 @@
 		r.Record(event.CallAnswered, timeline.Entry{Call: "01JBENCH0000000000000000AB", Peer: "b"})
 	}
 }
+
+// delta returns a held version and what leads to the next one, which changes one
+// leaf.
+func delta(tb testing.TB, services int) (*settings.Snapshot, spread.Delta) {
+	tb.Helper()
+
+	h := spread.NewHolder(timeline.New(timeline.Size(1)))
+	tree := bench.Tree(services)
+
+	first, err := bench.Snapshot(tree, 1)
+	assert.NilError(tb, err)
+	h.Offer(first)
+
+	deadline := settings.Duration(time.Second)
+	tree.Branches["region-0"].Branches["service-000"].Routes["route-0"] = settings.Route{
+		Match:     settings.Match{Method: "GET", PathPrefix: "/service-000/route-0/"},
+		Overrides: settings.Overrides{Deadline: &deadline},
+	}
+
+	second, err := bench.Snapshot(tree, 2)
+	assert.NilError(tb, err)
+	h.Offer(second)
+
+	d, err := h.Delta(1, "")
+	assert.NilError(tb, err)
+
+	return first, d
+}
+
+// One leaf changes: what each of the day's 5,600 changes costs each node.
+func BenchmarkDeltaApply(b *testing.B) {
+	for _, n := range []int{10, 100, bench.Services} {
+		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
+			base, d := delta(b, n)
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				if _, err := spread.Apply(base, d); err != nil {
+					b.Fatal(err)
+				}
+			}
+
+			data, err := msgpack.Marshal(d)
+			assert.NilError(b, err)
+			b.ReportMetric(float64(len(data)), "delta-bytes")
+		})
+	}
+}
--- a/bench/bounds_test.go
+++ b/bench/bounds_test.go
@@ -39,8 +39,7 @@
 	atMost(t, "allocations", testing.AllocsPerRun(10, func() { tab.Merge(members) }), 0)
 }
 
-// A change makes a new snapshot of its service, so that calls read it without a
-// lock and without a copy; there are some changes a minute and calls all day.
+// Renewals and beliefs arrive all day; they touch no index.
 func TestMergeOfOneNewsAllocatesTheSameInAnyFleet(t *testing.T) {
 	for _, n := range bench.Sizes() {
 		tab, members := table(t, n)
@@ -89,3 +88,14 @@
 		r.Record(event.CallAnswered, timeline.Entry{Call: "01JBENCH0000000000000000AB", Peer: "b"})
 	}), 0)
 }
+
+// A change of one leaf goes to every node; it must not carry the tree with it.
+func TestBytesOfADeltaDontGrowWithTheTree(t *testing.T) {
+	for _, n := range []int{10, 100, bench.Services} {
+		_, d := delta(t, n)
+
+		data, err := msgpack.Marshal(d)
+		assert.NilError(t, err)
+		atMost(t, "bytes of a delta", float64(len(data)), 600)
+	}
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -18,6 +18,7 @@
 	addScale(app)
 	addSoak(app)
 	addHerd(app)
+	addCost(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
