--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,7 @@
 	addDemo(app)
 	addScale(app)
 	addSoak(app)
+	addLoad(app)
 	addHerd(app)
 	addCost(app)
 
