--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -258,15 +258,21 @@
 
 // serves checks that each route is answered through each node.
 func (s *soak) serves(ctx context.Context) {
-	const calls = 40
+	const calls = 20
+
+	var wg sync.WaitGroup
 
 	for _, h := range s.fleet.Hosts {
-		report := load.Run(ctx, load.Plan{
-			Nodes: []string{h.Caller}, Requests: load.OfTree(s.tree), Rate: calls, Duration: time.Second,
+		wg.Go(func() {
+			report := load.Run(ctx, load.Plan{
+				Nodes: []string{h.Caller}, Requests: load.OfTree(s.tree), Rate: calls, Duration: time.Second,
+			})
+			s.recorder.check(PromiseServesAfterHeal, report.Total.Answered == report.Total.Sent,
+				"%s: %d of %d answered, %v", h.ID, report.Total.Answered, report.Total.Sent, report.Total.Reasons)
 		})
-		s.recorder.check(PromiseServesAfterHeal, report.Total.Answered == report.Total.Sent,
-			"%s: %d of %d answered, %v", h.ID, report.Total.Answered, report.Total.Sent, report.Total.Reasons)
 	}
+
+	wg.Wait()
 }
 
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
