soak: an interrupt ends it

Cause: an interrupted soak went on through all its rounds with a dead context.

Change: rounds stop when the context ends, and the run is reported as not finished.

Conclusion: nothing half done counts as a result.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,11 @@
 	rounds := Schedule(o.Seed, o.Rounds, o.Lengths, s.fleet.Deployment, s.fleet.Hosts)
 	fmt.Fprint(o.Log, Print(rounds))
 	s.play(ctx, rounds)
+
+	if ctx.Err() != nil {
+		return s.recorder.get(), ctx.Err()
+	}
+
 	s.settle(ctx)
 
 	s.recorder.add(func(r *Report) {
@@ -159,6 +164,10 @@
 	wg.Go(func() { s.injector.restartCrashed(ctx) })
 
 	for i, r := range rounds {
+		if ctx.Err() != nil {
+			break
+		}
+
 		s.random(ctx, r.Random)
 		s.heal(ctx, i+1)
 		s.planned(ctx, r.Planned)
