bench: pictures of the runs of scale

Cause: the trend of convergence and bytes was only in a table.

Ruled out: a golden test of the pictures: fonts of another release would break it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo scale check test lint tools soak bench load
+.PHONY: build demo scale check test lint tools soak bench load plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -48,3 +48,7 @@
 # Patterns of load on real processes; the last line is one JSON object.
 load: build
 	bin/bench load
+
+# Pictures of the committed runs.
+plots: build
+	bin/bench plot
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -20,6 +20,7 @@
 	addLoad(app)
 	addHerd(app)
 	addCost(app)
+	addPlot(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
