soak: counts fresh processes that begin with an older version

Cause: a process never goes back, but a fresh one on the same host could begin with an older version than the one before it held; nothing told how often.

Change: OlderAfterRestart in the report, apart from the promise about processes.

Conclusion: a figure first; whether to refuse calls until healed is for the owners of settings.

--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -74,11 +74,14 @@
 	NotAccepted int          `json:"NotAccepted"`
 	Unsettled   int          `json:"Unsettled"`
 	// InvariantChecks is how often nodes checked themselves.
-	InvariantChecks int64              `json:"InvariantChecks"`
-	RepairMs        []int64            `json:"RepairMs"`
-	Poisons         map[string]int     `json:"Poisons"`
-	Results         map[Promise]Result `json:"Results"`
-	Broken          int                `json:"Broken"`
+	InvariantChecks int64 `json:"InvariantChecks"`
+	// OlderAfterRestart is how often a fresh process began with an older version
+	// than the one before it on its host had held.
+	OlderAfterRestart int                `json:"OlderAfterRestart"`
+	RepairMs          []int64            `json:"RepairMs"`
+	Poisons           map[string]int     `json:"Poisons"`
+	Results           map[Promise]Result `json:"Results"`
+	Broken            int                `json:"Broken"`
 }
 
 // recorder collects the report; all parts of a soak write to it.
@@ -154,7 +157,8 @@
 	fmt.Fprintf(w, "\ncalls %d: answered %d, not-run %d, unknown %d, ran without answer %d, no reply %d\n",
 		c.Sent, c.Answered, c.NotRun, c.Unknown, c.Ran, c.NoAnswer)
 	fmt.Fprintf(w, "keys %d, repeats %d, ran %d, answered %d\n", c.Keys, c.Repeats, c.KeysRun, c.KeysAnswer)
-	fmt.Fprintf(w, "nodes checked invariants %d times\n", r.InvariantChecks)
+	fmt.Fprintf(w, "nodes checked invariants %d times; began older after a restart %d times\n",
+		r.InvariantChecks, r.OlderAfterRestart)
 	fmt.Fprintf(w, "versions accepted %d, refused %d, unsettled %d; repair ms %v\n",
 		r.Accepted, r.NotAccepted, r.Unsettled, r.RepairMs)
 
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -34,6 +34,8 @@
 	version float64
 	checked float64
 	broken  float64
+	// newest is the newest version seen on this host, in any life.
+	newest float64
 }
 
 func newWatch(r *recorder, f *harness.Fleet, o *operators) *watch {
@@ -83,19 +85,36 @@
 
 	w.mu.Lock()
 	old := w.seen[h]
-	w.seen[h] = now
 	w.mu.Unlock()
 
 	if old.pid != pid {
-		old = life{}
+		old = life{newest: old.newest}
+	}
+
+	if old.version == 0 {
+		w.began(now, old)
 	}
 
+	w.mu.Lock()
+	now.newest = max(old.newest, now.version)
+	w.seen[h] = now
+	w.mu.Unlock()
+
 	id := w.fleet.Hosts[h].ID
 	w.recorder.check(PromiseVersionsGoUp, now.version >= old.version, "%s held %v after %v", id, now.version, old.version)
 	w.recorder.check(PromiseInvariants, now.broken <= old.broken, "%s: %s", id, brokenNames(families[invariant.MetricBroken]))
 	w.recorder.add(func(r *Report) { r.InvariantChecks += int64(max(now.checked-old.checked, 0)) })
 }
 
+// began counts a fresh process that holds an older version than the one
+// before it did: it asks whom it can reach, and may be cut off from all who know
+// better. It is told apart from a process that goes back, which never may.
+func (w *watch) began(now, old life) {
+	if now.version > 0 && now.version < old.newest {
+		w.recorder.add(func(r *Report) { r.OlderAfterRestart++ })
+	}
+}
+
 func (w *watch) scrape(h int) (map[string]*dto.MetricFamily, error) {
 	resp, err := w.client.Get("http://" + w.fleet.Hosts[h].Control + "/metrics") //nolint:noctx // the client has a timeout
 	if err != nil {
