peer: a connection that is gone before it is read ends alone

Cause: serveConn kept its connection in a variable that prove's result overwrote; when prove failed the deferred clean-up closed a nil connection and the node went down (seen once in 24 runs of TestFleetComesTogetherByThePlatformAlone with twelve at a time). With keys the clean-up also never found the connection in its set, so each one was counted for good against the limit.

Ruled out: a fault of the test fleet; the stack is the server's own.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -99,18 +99,18 @@
 	}
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(raw net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 
 	defer func() {
 		cancel()
 		s.mu.Lock()
-		delete(s.conns, conn)
+		delete(s.conns, raw)
 		s.mu.Unlock()
-		_ = conn.Close()
+		_ = raw.Close()
 	}()
 
-	conn, err := s.prove(conn)
+	conn, err := s.prove(raw)
 	if err != nil {
 		return
 	}
