Poison: what finished shortly before the crash clears a suspect too

Ruled out: clearing after a number of others to the same path (the crash may hang on a header); no permits (ten copies at once take down all).

Change: a finish up to 250 ms before the crashed call began counts.

--- a/internal/poison/recent.go
+++ b/internal/poison/recent.go
@@ -34,5 +34,11 @@
 
 	f := r.slots[whole%recentSlots]
 
-	return f.whole == whole && !f.at.IsZero() && time.Since(f.at) <= within
+	return f.whole == whole && !f.at.IsZero() && time.Since(f.at) <= within+slack
 }
+
+// slack is how long before the crashed call began a finish still counts. Calls of
+// a popular request wait for each other once it is suspected, so that none may
+// finish in between; without it such a request is refused after two crashes that
+// follow closely. A request that turned bad within this time takes down more.
+const slack = 250 * time.Millisecond
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -12,7 +12,7 @@
 // request is refused for a while, finally and at once.
 //
 // Most suspects are innocent: calls that ran beside the bad one. A suspect that
-// finished anywhere since the crashed call began is cleared, everywhere. Until then it runs in one place at a
+// finished anywhere since shortly before the crashed call began is cleared, everywhere. Until then it runs in one place at a
 // time, by permission of the gate that saw the crash, so that copies sent through
 // many nodes at once can't each take down a backend server.
 //
