--- /dev/null
+++ b/internal/once/shard/list_test.go
@@ -0,0 +1,87 @@
+package shard_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/once/shard"
+)
+
+var (
+	a1 = shard.Self{Node: "a", Life: "1", FailureDomain: "derby"}
+	a2 = shard.Self{Node: "a", Life: "2", FailureDomain: "derby"}
+	b1 = shard.Self{Node: "b", Life: "1", FailureDomain: "derby"}
+)
+
+func claimed(t *testing.T) shard.List {
+	t.Helper()
+
+	l, ok := shard.NewList([]string{"derby"}).Claim(a1, []string{"a"})
+	assert.Assert(t, ok)
+
+	return l
+}
+
+// A node that only believes that the owner is gone must not get its keys: both
+// would run an upload that its caller repeats.
+func TestAnOwnedShardIsNotClaimedByAnother(t *testing.T) {
+	l := claimed(t)
+
+	_, ok := l.Claim(b1, []string{"b"})
+	assert.Assert(t, !ok)
+
+	_, ok = l.Claim(a1, []string{"a"})
+	assert.Assert(t, !ok, "it has them")
+
+	next, ok := l.Claim(a2, []string{"a"})
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, next.Shards[0], shard.Shard{FailureDomain: "derby", Node: "a", Life: "2", Before: true})
+}
+
+// What another life may have run is remembered, however often a shard changes
+// hands; only a handover with records ends it.
+func TestAShardRemembersThatItWasOwned(t *testing.T) {
+	l := claimed(t)
+	assert.Assert(t, !l.Shards[0].Before)
+
+	l, ok := l.Vacate("a")
+	assert.Assert(t, ok && l.Shards[0].Node == "" && l.Shards[0].Before)
+
+	l, ok = l.Claim(b1, []string{"b"})
+	assert.Assert(t, ok && l.Shards[0].Before)
+
+	given, ok := l.Transfer(b1, map[int]shard.Self{0: a2})
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, given.Shards[0], shard.Shard{FailureDomain: "derby", Node: "a", Life: "2", From: "1"})
+	assert.Equal(t, given.Shards[1], l.Shards[1])
+
+	_, ok = given.Transfer(b1, map[int]shard.Self{0: b1})
+	assert.Assert(t, !ok, "only the owner gives")
+}
+
+// Keys must not move when the settings gain a failure domain: the list stays as
+// it was first written, and its size at 14 failure domains fits one value.
+func TestTheListIsSmallAndFixed(t *testing.T) {
+	domains := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "n"}
+	l := shard.NewList(domains)
+	assert.Equal(t, len(l.Shards), 14*shard.PerDomain)
+
+	for i := range l.Shards {
+		l.Shards[i].Node, l.Shards[i].Life = "nottm-a-browse-1234", "mjf2k0x1-9f8e7d6c5b4a3021"
+	}
+
+	l.Number = 1
+
+	data, err := json.Marshal(l)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 32<<10, "%d", len(data))
+
+	back, err := shard.Parse(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, l)
+
+	_, err = shard.Parse([]byte(`{"Number":3}`))
+	assert.ErrorIs(t, err, shard.ErrList)
+}
