--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -21,6 +21,8 @@
 	addLoad(app)
 	addHerd(app)
 	addRolling(app)
+	addCost(app)
+	addPlot(app)
 
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
