node: a test of the planned stop that sees the whole stop

Cause: its calls ended within the notice, so a stop that closed the listener at once, or did not wait for the gate, passed (found by mutation). Change: calls through the stopping node of 1.5 s, beside it of 3 s.

--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,25 +82,37 @@
 	f := startFleet(t)
 	f.accept()
 
-	h := f.hosts[0]
+	const ledger = 4 // a host of the service that takes uploads
 
-	var wg sync.WaitGroup
+	h := f.hosts[ledger]
 
-	for range 12 {
-		wg.Go(func() {
-			r := f.send(0, http.MethodGet, "/folders/1", "", map[string]string{backend.HeaderWorkMs: "400"})
-			assert.Check(t, r.status == http.StatusOK, "%d %v", r.status, r.away)
-		})
-		wg.Go(func() {
-			r := f.send(1, http.MethodGet, "/folders/1", "", map[string]string{backend.HeaderWorkMs: "400"})
-			assert.Check(t, r.status == http.StatusOK, "%d %v", r.status, r.away)
-		})
+	// Longer than the notice, and those of other entries longer than the own ones, so
+	// that the gate is the last to have calls inside.
+	work := map[int]string{ledger: "1500", 1: "3000"}
+
+	var (
+		wg     sync.WaitGroup
+		byGate atomic.Int32
+	)
+
+	for range 8 {
+		for entry, ms := range work {
+			wg.Go(func() {
+				r := f.send(entry, http.MethodPost, "/uploads/1", "a", map[string]string{backend.HeaderWorkMs: ms})
+				assert.Check(t, r.status == http.StatusOK, "through %d: %d %v", entry, r.status, r.away)
+
+				if r.answer.Name == h.ID {
+					byGate.Add(1)
+				}
+			})
+		}
 	}
 
 	time.Sleep(200 * time.Millisecond)
 	h.stop()
 	wg.Wait()
 	assert.NilError(t, <-h.done)
+	assert.Assert(t, byGate.Load() > 0, "some calls ran beside the stopping node")
 }
 
 // The backend server beside a stopping node does not know of the stop, and goes
