--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -23,8 +23,8 @@
 
 // Errors of a keyed call at its entry.
 var (
-	ErrNoHome = errs.New("once.no_home", http.StatusServiceUnavailable, "no node is the home of this key's shard now")
-	ErrThawed = errs.New("once.thawed", http.StatusServiceUnavailable, "this node stood still and can't tell how old the request is")
+	ErrNoHome     = errs.New("once.no_home", http.StatusServiceUnavailable, "no node is the home of this key's shard now")
+	ErrStoodStill = errs.New("once.stood_still", http.StatusServiceUnavailable, "this node stood still and can't tell how old the request is")
 )
 
 // once takes a call that must not run twice to the home of its key.
@@ -47,11 +47,56 @@
 	}
 }
 
+// handovers bounds how often a call follows an opaque key to its next home, and
+// handoverPause how long a home takes to hand its keys over.
+const (
+	handovers     = 20
+	handoverPause = 50 * time.Millisecond
+)
+
+// atHome takes the call to the home of its key. A home that has just handed its
+// opaque keys over says so; the call then goes on to the next one. Nothing was
+// started before.
 func (e *Entry) atHome(ctx context.Context, c call.Call, next call.Handler) (call.Answer, error) {
 	if err := key.Check(c.Key); err != nil {
 		return call.Answer{}, call.Refuse(err, call.RanUnknown, 0).WithNotForwarded()
 	}
 
+	for n := 1; ; n++ {
+		a, err := e.tryHome(ctx, c, next)
+		if n == handovers || !e.moved(ctx, c, err) {
+			return a, err
+		}
+	}
+}
+
+// moved reports whether the call may go to another home than the one that did
+// not take it.
+func (e *Entry) moved(ctx context.Context, c call.Call, err error) bool {
+	switch {
+	case errors.Is(err, once.ErrLeaving):
+		select {
+		case <-ctx.Done():
+		case <-time.After(handoverPause):
+		}
+
+		return ctx.Err() == nil
+	case errors.Is(err, once.ErrNotHome), errors.Is(err, once.ErrUnreachable) && notForwarded(err):
+		_, named := key.Parse(c.Key)
+
+		return !named && e.options.Shards.Renew(ctx, c.Key)
+	}
+
+	return false
+}
+
+func notForwarded(err error) bool {
+	var r *call.Refusal
+
+	return errors.As(err, &r) && r.NotForwarded
+}
+
+func (e *Entry) tryHome(ctx context.Context, c call.Call, next call.Handler) (call.Answer, error) {
 	node, life, err := e.homeOf(c)
 	if err != nil {
 		return call.Answer{}, err
@@ -67,7 +112,7 @@
 }
 
 // homeOf returns the node of a key's home, and of an opaque key its life. The
-// owner is looked up before the pulse: a call that stood still after the lookup
+// owner is looked up before the watchdog: a call that stood still after the lookup
 // goes to that life or to nobody.
 func (e *Entry) homeOf(c call.Call) (node, life string, err error) {
 	if k, named := key.Parse(c.Key); named {
@@ -81,10 +126,10 @@
 		return "", "", call.Refuse(ErrNoHome, call.RanUnknown, time.Second).WithNotForwarded()
 	}
 
-	if e.pulse.thawed() {
-		e.options.Recorder.Record(event.EntryThawed, timeline.Entry{Call: c.ID, Key: c.Key})
+	if e.watchdog.resumed() {
+		e.options.Recorder.Record(event.EntryStoodStill, timeline.Entry{Call: c.ID, Key: c.Key})
 
-		return "", "", call.Refuse(ErrThawed, call.RanUnknown, thaw).WithNotForwarded()
+		return "", "", call.Refuse(ErrStoodStill, call.RanUnknown, settle).WithNotForwarded()
 	}
 
 	return node, life, nil
@@ -162,8 +207,8 @@
 	case err != nil:
 		return call.Answer{}, call.Refuse(once.ErrUnreachable.With("no answer from %s", node).Wrap(err), call.RanUnknown, time.Second)
 	case reply.Refusal != nil:
-		if errors.Is(reply.Refusal, once.ErrNotHome) {
-			e.options.Shards.Nudge()
+		if errors.Is(reply.Refusal, once.ErrLeaving) {
+			e.options.Shards.Refresh(ctx, home.PeerAddress)
 		}
 
 		return call.Answer{}, reply.Refusal
