--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -36,7 +36,7 @@
 	longShare   = 0.15
 	longWork    = 300 * time.Millisecond
 	opaqueShare = 0.3
-	crashShare  = 5 // a poison request is sent so often
+	poisonSends = 5
 )
 
 // callers make the mixed load and check every answer against its request.
@@ -303,7 +303,7 @@
 			continue
 		}
 
-		for range crashShare {
+		for range poisonSends {
 			c.send(attempt{route: route, crash: name})
 
 			const pause = 400 * time.Millisecond
