--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,12 +31,13 @@
 	// impatientShare of the keyed calls is sent again while the first attempt is
 	// still under way.
 	impatientShare = 0.1
-	// longShare of the calls takes longWork, so that there is always something in
-	// flight that a stop could cut off.
-	longShare   = 0.15
-	longWork    = 300 * time.Millisecond
-	opaqueShare = 0.3
-	poisonSends = 5
+	// longShare of the calls takes longWork, and most of them while only planned
+	// stops happen, so that there is always something in flight to cut off.
+	longShare        = 0.15
+	longSharePlanned = 0.6
+	longWork         = 300 * time.Millisecond
+	opaqueShare      = 0.3
+	poisonSends      = 5
 )
 
 // callers make the mixed load and check every answer against its request.
@@ -240,7 +241,12 @@
 		req.Header.Set(backend.HeaderCrash, a.crash)
 	}
 
-	if rand.Float64() < longShare && time.Duration(a.route.Values.Deadline) > 2*longWork {
+	share := longShare
+	if a.planned {
+		share = longSharePlanned
+	}
+
+	if rand.Float64() < share && time.Duration(a.route.Values.Deadline) > 2*longWork {
 		req.Header.Set(backend.HeaderWorkMs, strconv.FormatInt(longWork.Milliseconds(), 10))
 	}
 
