--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -3,6 +3,7 @@
 //
 //	bench demo --deployment examples/midlands
 //	bench scale --nodes 100
+//	bench rolling
 package main
 
 import (
@@ -19,6 +20,7 @@
 	addSoak(app)
 	addLoad(app)
 	addHerd(app)
+	addRolling(app)
 	addCost(app)
 	addPlot(app)
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -54,17 +54,19 @@
 	HeaderAttempt  = "Pollencart-Attempt"
 	HeaderDepth    = "Pollencart-Depth"
 	HeaderAttempts = "Pollencart-Attempts"
+	HeaderReason   = "Pollencart-Reason"
+	HeaderRetryMs  = "Pollencart-Retry-After-Ms"
 	HeaderKey      = "Idempotency-Key"
 	HeaderHome     = "Pollencart-Home"
 )
 
 // Entry takes calls of callers.
 type Entry struct {
-	options Options
-	pipe    call.Handler
-	home    call.Handler // the pipe of a call that another node forwarded here
-	gates   *gates
-	pulse   pulse
+	options  Options
+	pipe     call.Handler
+	home     call.Handler // the pipe of a call that another node forwarded here
+	gates    *gates
+	watchdog watchdog
 }
 
 // New returns an entry.
@@ -80,7 +82,7 @@
 }
 
 // Run notices when this process stands still, until ctx ends.
-func (e *Entry) Run(ctx context.Context) { e.pulse.run(ctx) }
+func (e *Entry) Run(ctx context.Context) { e.watchdog.run(ctx) }
 
 // Handler returns the HTTP interface.
 func (e *Entry) Handler() http.Handler {
@@ -299,6 +301,7 @@
 	h := c.Response().Header()
 	h.Set(HeaderRan, string(r.Ran))
 	h.Set(HeaderAttempts, strconv.Itoa(r.Attempts))
+	h.Set(HeaderReason, r.Fault.ID)
 
 	if r.Key != "" {
 		h.Set(HeaderKey, r.Key)
@@ -306,6 +309,7 @@
 
 	wait := time.Duration(r.RetryAfter)
 	if wait > 0 {
+		h.Set(HeaderRetryMs, strconv.FormatInt(wait.Milliseconds(), 10))
 		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
 	}
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 	MemberLeft     = add(303, "MemberLeft", slog.LevelInfo, "A node left by itself.")
 	MemberRefuted  = add(304, "MemberRefuted", slog.LevelInfo, "The node was suspected by others and refuted it with a higher incarnation.")
 	MemberCleared  = add(305, "MemberCleared", slog.LevelInfo, "A suspected node was heard of again and is no longer suspected.")
+	MemberReplaced = add(306, "MemberReplaced", slog.LevelWarn, "A later process has this node's ID at another address; this one gives way.")
 	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The backend server on this host announced itself.")
 	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The backend server on this host changed its state.")
 	UpstreamLost   = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
@@ -66,11 +67,11 @@
 
 // At most once.
 var (
-	KeySettled     = add(500, "KeySettled", slog.LevelDebug, "The home of a key ended its record without an answer.")
-	KeyHomeLost    = add(501, "KeyHomeLost", slog.LevelWarn, "The home of a key can't be reached; the call was not forwarded.")
-	KeyAttemptLost = add(502, "KeyAttemptLost", slog.LevelWarn, "An attempt got no answer and its gate would not close it; it is not sent again.")
-	ShardOwned     = add(510, "ShardOwned", slog.LevelInfo, "The node became the home of a shard of the opaque keys.")
-	EntryThawed    = add(511, "EntryThawed", slog.LevelWarn, "The process stood still; opaque keys that it read just after are not forwarded.")
+	KeySettled      = add(500, "KeySettled", slog.LevelDebug, "The home of a key ended its record without an answer.")
+	KeyHomeLost     = add(501, "KeyHomeLost", slog.LevelWarn, "The home of a key can't be reached; the call was not forwarded.")
+	KeyAttemptLost  = add(502, "KeyAttemptLost", slog.LevelWarn, "An attempt got no answer and its gate would not close it; it is not sent again.")
+	ShardOwned      = add(510, "ShardOwned", slog.LevelInfo, "The node became the home of a shard of the opaque keys.")
+	EntryStoodStill = add(511, "EntryStoodStill", slog.LevelWarn, "The process stood still; opaque keys that it read just after are not forwarded.")
 )
 
 // Poison requests.
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -41,6 +41,7 @@
 	cut
 	heal
 	rotate
+	leave
 	platformDown
 	platformUp
 	pass
@@ -73,13 +74,16 @@
 	})
 }
 
+// few records let some scripts fill a table.
+const few = 32
+
 // play runs a script to its end, heals everything, repeats every key through
 // every node and returns the broken promises.
 func play(t *testing.T, s *settings.Snapshot, c script, m mutant) (found []string, w *world) {
 	t.Helper()
 
 	synctest.Test(t, func(*testing.T) {
-		w = newWorld(s, c.Seed, m)
+		w = newWorld(s, c.Seed, m, few)
 
 		time.Sleep(10 * time.Second) // shards find owners
 
@@ -98,9 +102,7 @@
 		w.store.setDown(false)
 		time.Sleep(time.Minute)
 
-		w.mu.Lock()
-		w.calm = true
-		w.mu.Unlock()
+		w.setCalm()
 
 		for _, key := range keys {
 			for i := range nodes {
@@ -153,7 +155,8 @@
 	wake:         func(w *world, s step) { w.wake(s.A) },
 	cut:          func(w *world, s step) { w.setCut(s.A, s.B, true) },
 	heal:         func(w *world, _ step) { w.heal() },
-	rotate:       func(w *world, s step) { w.proc(s.A).book.Rotate() },
+	rotate:       func(w *world, s step) { w.proc(s.A).table.Rotate() },
+	leave:        func(w *world, s step) { go w.leave(s.A) },
 	platformDown: func(w *world, _ step) { w.store.setDown(true) },
 	platformUp:   func(w *world, _ step) { w.store.setDown(false) },
 }
@@ -179,7 +182,7 @@
 	s := uploadSettings(t)
 	seen := map[call.Ran]int{}
 
-	for seed := range 25 {
+	for seed := range 50 {
 		_, w := play(t, s, scripts().Example(seed), mutant{})
 		for _, told := range w.told {
 			for ran, n := range told {
