membership: a woken node refutes only what is held of its own life

Change: a belief about another epoch is left to that process's record, which alone tells whether it replaced this one; a suspected replacement still counts as running.

--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -63,6 +63,13 @@
 
 	for _, b := range beliefs {
 		if b.ID == t.self.ID {
+			// A belief about another epoch is about another process with this ID.
+			// Only its record tells whether that one replaced this one; refuting
+			// the belief would take the ID back from a healthy replacement.
+			if b.Epoch != t.self.Epoch {
+				continue
+			}
+
 			t.refute(Record{ID: b.ID, Incarnation: t.self.Incarnation, Epoch: b.Epoch, Seq: b.Seq, State: b.State})
 
 			continue
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -195,7 +195,7 @@
 // calls now to the one and now to the other. The earlier one gives way for as long
 // as the later one is thought to run.
 func (t *Table) replacedBy(r Record) bool {
-	if r.Incarnation <= t.self.Incarnation || r.PeerAddress == t.self.PeerAddress || r.State != StateAlive {
+	if r.Incarnation <= t.self.Incarnation || r.PeerAddress == t.self.PeerAddress || !r.Live() {
 		return false
 	}
 
