--- a/internal/spread/cluster_test.go
+++ b/internal/spread/cluster_test.go
@@ -96,7 +96,7 @@
 func (c *cluster) start(id, domain string) *node {
 	n := &node{id: id, domain: domain, recorder: timeline.New(timeline.Node(id))}
 	n.holder = spread.NewHolder(n.recorder)
-	store := c.platform.Direct(domain)
+	store := stream{c.platform.Direct(domain)}
 
 	opts := append([]spread.Option{
 		spread.Self(id, id, domain),
@@ -414,3 +414,37 @@
 		))
 	assert.NilError(c, err)
 }
+
+// stream keeps each change of a watch until it is read, as a connection does.
+type stream struct{ platform.Direct }
+
+func (s stream) Watch(ctx context.Context, key string, from int64) (<-chan keyvalue.Entry, error) {
+	in, err := s.Direct.Watch(ctx, key, from)
+	if err != nil {
+		return nil, err
+	}
+
+	queue, out := make(chan keyvalue.Entry, 1000), make(chan keyvalue.Entry)
+
+	go func() {
+		defer close(queue)
+
+		for e := range in {
+			queue <- e
+		}
+	}()
+
+	go func() {
+		defer close(out)
+
+		for e := range queue {
+			select {
+			case out <- e:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+
+	return out, nil
+}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -304,4 +304,5 @@
 	t.Logf("fast %d bytes, last change after %v; frugal %d bytes, %v", fast, fastTime, frugal, frugalTime)
 	assert.Assert(t, 3*frugal < fast)
 	assert.Assert(t, fastTime < frugalTime)
+	assert.Assert(t, frugalTime < 5*time.Second, "the changes came one at a time")
 }
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -87,7 +87,9 @@
 				return err
 			}
 
-			sleep(ctx, s.options.Pace)
+			if err := s.pace(ctx, changes); err != nil {
+				return err
+			}
 		case <-check.C:
 			if !s.options.Watching() {
 				return nil
@@ -106,6 +108,51 @@
 
 func (s *Spreader) recheckIn() time.Duration { return s.options.Recheck/2 + jitter(s.options.Recheck) }
 
+// pace reads heads for a while and takes only the last one, until there is a
+// while without any. Heads that were left in the stream meanwhile would come one
+// at a time, each a while later than the one before.
+func (s *Spreader) pace(ctx context.Context, changes <-chan platform.Entry) error {
+	if s.options.Pace == 0 {
+		return nil
+	}
+
+	for {
+		last, open := collect(ctx, changes, s.options.Pace)
+		if last != nil {
+			if err := s.takeHead(ctx, last.Value); err != nil {
+				return err
+			}
+		}
+
+		if last == nil || !open {
+			return ctx.Err()
+		}
+	}
+}
+
+// collect returns the last entry that came within a time, and whether the stream
+// is still open.
+func collect(ctx context.Context, changes <-chan platform.Entry, within time.Duration) (*platform.Entry, bool) {
+	var last *platform.Entry
+
+	end := time.After(within)
+
+	for {
+		select {
+		case e, open := <-changes:
+			if !open {
+				return last, false
+			}
+
+			last = &e
+		case <-end:
+			return last, true
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
 // newest skips heads that were followed by another while this node was busy or
 // frozen.
 func newest(e platform.Entry, changes <-chan platform.Entry) platform.Entry {
