--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,13 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -100,17 +99,22 @@
 	}
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(raw net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 
 	defer func() {
 		cancel()
 		s.mu.Lock()
-		delete(s.conns, conn)
+		delete(s.conns, raw)
 		s.mu.Unlock()
-		_ = conn.Close()
+		_ = raw.Close()
 	}()
 
+	conn, err := s.prove(raw)
+	if err != nil {
+		return
+	}
+
 	sc := &serverConn{
 		server:  s,
 		out:     newWriter(conn, &s.Sent),
@@ -119,18 +123,39 @@
 	}
 	in := bufio.NewReaderSize(conn, readBuffer)
 
-	for {
+	for n := 0; ; n++ {
 		f, size, err := Read(in)
 		if err != nil {
 			return
 		}
 
+		if n == 0 {
+			_ = conn.SetReadDeadline(time.Time{})
+		}
+
 		s.Received.Add(int64(size))
 		s.options.Clock.Observe(f.Clock)
 		sc.take(ctx, f)
 	}
 }
 
+// prove bounds the time until the first whole frame, and with keys reads nothing
+// from who can't prove itself. Connections that never say anything would use up
+// the limit of connections.
+func (s *Server) prove(conn net.Conn) (net.Conn, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(s.options.HelloTimeout)); err != nil {
+		return nil, err
+	}
+
+	if s.options.TLS == nil {
+		return conn, nil
+	}
+
+	secure := tls.Server(conn, s.options.TLS.Server(true))
+
+	return secure, secure.HandshakeContext(context.Background())
+}
+
 type serverConn struct {
 	server *Server
 	out    *writer
@@ -191,20 +216,24 @@
 func (c *serverConn) answer(ctx context.Context, f *Frame) {
 	out := &Frame{Kind: KindAnswer, ID: f.ID, Clock: c.server.options.Clock.Now()}
 
-	body, err := c.server.handle(ctx, f)
+	message, err := c.server.handle(ctx, f)
 	if err != nil {
-		out.Fault = errs.From(err)
-	} else {
-		out.Body = body
+		out.Fault, message = errs.From(err), nil
 	}
 
-	data, err := Encode(out)
-	if err != nil {
-		data, err = Encode(&Frame{Kind: KindAnswer, ID: f.ID, Clock: out.Clock, Fault: errs.From(err)})
+	e := newEncoder()
+	defer e.free()
+
+	if err := e.frame(out, message); err != nil {
+		out.Fault = errs.From(err)
+
+		if e.frame(out, nil) != nil {
+			return
+		}
 	}
 
-	if err == nil && !c.blocked() {
-		_ = c.out.write(data)
+	if !c.blocked() {
+		_ = c.out.write(e.buf.Bytes())
 	}
 }
 
@@ -214,18 +243,13 @@
 	return address != nil && c.server.options.Links.Blocked(*address)
 }
 
-func (s *Server) handle(ctx context.Context, f *Frame) ([]byte, error) {
+func (s *Server) handle(ctx context.Context, f *Frame) (any, error) {
 	h, ok := s.handlers[f.Method]
 	if !ok {
 		return nil, ErrNoMethod.With("%s", f.Method)
 	}
 
-	v, err := h(ctx, f.Body)
-	if err != nil {
-		return nil, err
-	}
-
-	return msgpack.Marshal(v)
+	return h(ctx, f.Body)
 }
 
 var _ Clock = (*timeline.Clock)(nil)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,11 @@
 	rounds := Schedule(o.Seed, o.Rounds, o.Lengths, s.fleet.Deployment, s.fleet.Hosts)
 	fmt.Fprint(o.Log, Print(rounds))
 	s.play(ctx, rounds)
+
+	if ctx.Err() != nil {
+		return s.recorder.get(), ctx.Err()
+	}
+
 	s.settle(ctx)
 
 	s.recorder.add(func(r *Report) {
@@ -159,6 +164,10 @@
 	wg.Go(func() { s.injector.restartCrashed(ctx) })
 
 	for i, r := range rounds {
+		if ctx.Err() != nil {
+			break
+		}
+
 		s.random(ctx, r.Random)
 		s.heal(ctx, i+1)
 		s.planned(ctx, r.Planned)
@@ -258,15 +267,21 @@
 
 // serves checks that each route is answered through each node.
 func (s *soak) serves(ctx context.Context) {
-	const calls = 40
+	const calls = 20
+
+	var wg sync.WaitGroup
 
 	for _, h := range s.fleet.Hosts {
-		report := load.Run(ctx, load.Plan{
-			Nodes: []string{h.Caller}, Requests: load.OfTree(s.tree), Rate: calls, Duration: time.Second,
+		wg.Go(func() {
+			report := load.Run(ctx, load.Plan{
+				Nodes: []string{h.Caller}, Requests: load.OfTree(s.tree), Rate: calls, Duration: time.Second,
+			})
+			s.recorder.check(PromiseServesAfterHeal, report.Total.Answered == report.Total.Sent,
+				"%s: %d of %d answered, %v", h.ID, report.Total.Answered, report.Total.Sent, report.Total.Reasons)
 		})
-		s.recorder.check(PromiseServesAfterHeal, report.Total.Answered == report.Total.Sent,
-			"%s: %d of %d answered, %v", h.ID, report.Total.Answered, report.Total.Sent, report.Total.Reasons)
 	}
+
+	wg.Wait()
 }
 
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
