--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -83,11 +83,7 @@
 				return nil
 			}
 
-			if err := s.takeHead(ctx, newest(e, changes).Value); err != nil {
-				return err
-			}
-
-			if err := s.pace(ctx, changes); err != nil {
+			if err := s.takeStream(ctx, e, changes); err != nil {
 				return err
 			}
 		case <-check.C:
@@ -108,6 +104,15 @@
 
 func (s *Spreader) recheckIn() time.Duration { return s.options.Recheck/2 + jitter(s.options.Recheck) }
 
+// takeStream takes the newest head of those that are there.
+func (s *Spreader) takeStream(ctx context.Context, e platform.Entry, changes <-chan platform.Entry) error {
+	if err := s.takeHead(ctx, newest(e, changes).Value); err != nil {
+		return err
+	}
+
+	return s.pace(ctx, changes)
+}
+
 // pace reads heads for a while and takes only the last one, until there is a
 // while without any. Heads that were left in the stream meanwhile would come one
 // at a time, each a while later than the one before.
