The accepting node holds a version before the operator is told; a bound that holds

Ruled out: asking a quorum of nodes before each acceptance (cut domains could not accept).

Change: the node through which a version was accepted reads the head and pushes it on before it answers; two more calls an acceptance. The window is smaller, not closed: the copy can come back between the swap and the read.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -96,6 +97,7 @@
 
 func (n *Node) accepted(v settings.Version) {
 	n.recorder.Record(event.VersionAccepted, timeline.Entry{Version: v.Number, Detail: v.AcceptanceID})
+	n.spreader.Learn(context.Background())
 }
 
 func (n *Node) readyz(c echo.Context) error {
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -175,6 +175,16 @@
 	}
 }
 
+// Learn reads the head at once. The node through which a version was accepted
+// holds it before the operator is told: a platform that comes back from an older
+// copy a moment later would else find nobody who knows it.
+func (s *Spreader) Learn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+
+	_ = s.recheck(ctx) // the watchers bring it if the platform went away meanwhile
+}
+
 // recheck reads the head. A platform that lost it gets back what this node holds.
 func (s *Spreader) recheck(ctx context.Context) error {
 	e, err := s.store.Get(ctx, acceptance.HeadKey)
