--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -83,11 +83,9 @@
 				return nil
 			}
 
-			if err := s.takeHead(ctx, newest(e, changes).Value); err != nil {
+			if err := s.takeStream(ctx, e, changes); err != nil {
 				return err
 			}
-
-			sleep(ctx, s.options.Pace)
 		case <-check.C:
 			if !s.options.Watching() {
 				return nil
@@ -106,6 +104,60 @@
 
 func (s *Spreader) recheckIn() time.Duration { return s.options.Recheck/2 + jitter(s.options.Recheck) }
 
+// takeStream takes the newest head of those that are there.
+func (s *Spreader) takeStream(ctx context.Context, e platform.Entry, changes <-chan platform.Entry) error {
+	if err := s.takeHead(ctx, newest(e, changes).Value); err != nil {
+		return err
+	}
+
+	return s.pace(ctx, changes)
+}
+
+// pace reads heads for a while and takes only the last one, until there is a
+// while without any. Heads that were left in the stream meanwhile would come one
+// at a time, each a while later than the one before.
+func (s *Spreader) pace(ctx context.Context, changes <-chan platform.Entry) error {
+	if s.options.Pace == 0 {
+		return nil
+	}
+
+	for {
+		last, open := collect(ctx, changes, s.options.Pace)
+		if last != nil {
+			if err := s.takeHead(ctx, last.Value); err != nil {
+				return err
+			}
+		}
+
+		if last == nil || !open {
+			return ctx.Err()
+		}
+	}
+}
+
+// collect returns the last entry that came within a time, and whether the stream
+// is still open.
+func collect(ctx context.Context, changes <-chan platform.Entry, within time.Duration) (*platform.Entry, bool) {
+	var last *platform.Entry
+
+	end := time.After(within)
+
+	for {
+		select {
+		case e, open := <-changes:
+			if !open {
+				return last, false
+			}
+
+			last = &e
+		case <-end:
+			return last, true
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
 // newest skips heads that were followed by another while this node was busy or
 // frozen.
 func newest(e platform.Entry, changes <-chan platform.Entry) platform.Entry {
@@ -123,6 +175,16 @@
 	}
 }
 
+// Learn reads the head at once. The node through which a version was accepted
+// holds it before the operator is told: a platform that comes back from an older
+// copy a moment later would else find nobody who knows it.
+func (s *Spreader) Learn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeout)
+	defer cancel()
+
+	_ = s.recheck(ctx) // the watchers bring it if the platform went away meanwhile
+}
+
 // recheck reads the head. A platform that lost it gets back what this node holds.
 func (s *Spreader) recheck(ctx context.Context) error {
 	e, err := s.store.Get(ctx, acceptance.HeadKey)
