--- a/internal/once/shard/keeper.go
+++ b/internal/once/shard/keeper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -22,6 +20,9 @@
 // MethodPull is the peer method by which a node gets a newer list.
 const MethodPull = "Once.Shards"
 
+// MethodPush is the peer method by which a node that leaves sends the list.
+const MethodPush = "Once.ShardsPush"
+
 // Pull asks for a list newer than the number.
 type Pull struct {
 	Number uint64 `msgpack:"Number"`
@@ -59,12 +60,13 @@
 	asked    bool      // a peer answered in this life
 	began    time.Time
 	nudged   chan struct{}
+	adopted  map[int]adoption
 }
 
 // New returns a keeper without a list.
 func New(self Self, store Store, nodes Nodes, peers Peers, opts ...Option) *Keeper {
 	return &Keeper{
-		options: newOptions(opts...), self: self, store: store, nodes: nodes, peers: peers, owned: map[int]time.Time{},
+		options: newOptions(opts...), self: self, store: store, nodes: nodes, peers: peers, owned: map[int]time.Time{}, adopted: map[int]adoption{},
 		nudged: make(chan struct{}, 1),
 	}
 }
@@ -85,6 +87,8 @@
 	Mine bool
 	// Wait is how long keys that it has not seen are still unknown.
 	Wait time.Duration
+	// Leaving is set while this process hands its shards over.
+	Leaving bool
 }
 
 // Own returns what this process may do with a key.
@@ -92,18 +96,14 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
-	s, i, ok := k.list.Of(text)
-	since, owned := k.owned[i]
+	_, i, ok := k.list.Of(text)
+	_, owned := k.owned[i]
 
 	if !ok || !owned || k.released {
-		return Own{}
-	}
-
-	if !s.Before {
-		return Own{Mine: true}
+		return Own{Leaving: k.released}
 	}
 
-	return Own{Mine: true, Wait: max(0, k.options.Repeat-time.Since(since))}
+	return Own{Mine: true, Wait: k.waitOf(i)}
 }
 
 // List returns the list that is held.
@@ -184,140 +184,28 @@
 		}
 	}
 
-	if len(others) == 0 {
-		return
+	if len(others) > 0 {
+		k.Refresh(ctx, others[rand.IntN(len(others))].PeerAddress)
 	}
+}
 
+// Refresh asks one node for a newer list.
+func (k *Keeper) Refresh(ctx context.Context, address string) {
 	const limit = 500 * time.Millisecond
 
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	var l List
-
-	address := others[rand.IntN(len(others))].PeerAddress
-	if k.peers.Do(ctx, address, peer.LaneControl, MethodPull, Pull{Number: k.List().Number}, &l) == nil {
-		k.mu.Lock()
-		k.asked = true
-		k.mu.Unlock()
-
-		k.take(l)
-	}
-}
-
-// mustRead keeps the load on the platform to the watchers of each failure domain
-// and to those that have something to claim.
-func (k *Keeper) mustRead() bool {
-	held := k.List()
-	_, claims := held.Claim(k.self, k.claimants())
-
-	k.mu.Lock()
-	due := time.Since(k.read) >= k.options.Refresh
-	k.mu.Unlock()
-
-	return claims || (k.options.Watching() && (held.Number == 0 || due))
-}
-
-// claimants are the nodes among which vacant shards are spread. Before this
-// process has listened for a while it leaves them to others. One that has peers
-// and could ask none of them might act on a platform that came back from an
-// older copy, in which shards are vacant that others own.
-func (k *Keeper) claimants() []string {
-	k.mu.Lock()
-	settled := !k.began.IsZero() && time.Since(k.began) >= k.options.Settle
-	asked := k.asked
-	k.mu.Unlock()
-
-	var out []string
-
-	alone := true
-
-	for _, r := range k.nodes.Live() {
-		alone = alone && r.ID == k.self.Node
-
-		if r.FailureDomain == k.self.FailureDomain && r.State == membership.StateAlive {
-			out = append(out, r.ID)
-		}
-	}
-
-	if !settled || (!asked && !alone) {
-		return nil
-	}
-
-	return out
-}
-
-// sync reads the list, claims and swaps. After a conflict or a lost answer the
-// next round reads what is there.
-func (k *Keeper) sync(ctx context.Context) {
-	const limit = 2 * time.Second
-
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-
-	l, revision, err := k.get(ctx)
-	if err != nil {
+	if k.peers.Do(ctx, address, peer.LaneControl, MethodPull, Pull{Number: k.List().Number}, &l) != nil {
 		return
 	}
 
 	k.mu.Lock()
-	k.read = time.Now()
-	released := k.released
+	k.asked = true
 	k.mu.Unlock()
 
-	next, changed := l, false
-	if !released {
-		next, changed = l.Claim(k.self, k.claimants())
-	}
-
-	// The platform may have come back from an older copy; what is held wins.
-	if held := k.List(); l.Number < held.Number {
-		next, changed = List{Number: held.Number + 1, Shards: held.Shards}, true
-	}
-
-	if !changed && revision == 0 {
-		next, changed = List{Number: 1, Shards: l.Shards}, true
-	}
-
-	if !changed {
-		k.take(l)
-
-		return
-	}
-
-	k.swap(ctx, revision, next)
-}
-
-// get reads the list; before there is one, a watcher makes it.
-func (k *Keeper) get(ctx context.Context) (List, int64, error) {
-	e, err := k.store.Get(ctx, Key)
-	if err == nil {
-		l, err := Parse(e.Value)
-
-		return l, e.Revision, err
-	}
-
-	if !errors.Is(err, platform.ErrNotFound) || !k.options.Watching() {
-		return List{}, 0, err
-	}
-
-	l := NewList(k.options.Domains())
-	if len(l.Shards) == 0 {
-		return List{}, 0, ErrList.With("the settings name no failure domains")
-	}
-
-	return l, 0, nil
-}
-
-func (k *Keeper) swap(ctx context.Context, revision int64, next List) {
-	data, err := json.Marshal(next)
-	if err != nil {
-		return
-	}
-
-	if _, err := k.store.Swap(ctx, Key, revision, data); err == nil {
-		k.take(next)
-	}
+	k.take(l)
 }
 
 // take holds a list if it is newer, and notes which shards this process owns in
@@ -349,39 +237,3 @@
 
 	k.owned = owned
 }
-
-// Release stops this process from starting opaque keys and then makes its
-// shards vacant. The order is the consent: nobody else owns them before it has
-// stopped.
-func (k *Keeper) Release(ctx context.Context) {
-	k.mu.Lock()
-	k.released = true
-	owner := len(k.owned) > 0
-	k.mu.Unlock()
-
-	if owner {
-		k.Vacate(ctx, k.self.Node)
-	}
-}
-
-// Vacate makes the shards of a node vacant: its own, or on an operator's word
-// those of a host that is gone for good.
-func (k *Keeper) Vacate(ctx context.Context, node string) {
-	const tries = 5
-
-	for range tries {
-		l, revision, err := k.get(ctx)
-		if err != nil || revision == 0 {
-			return
-		}
-
-		next, changed := l.Vacate(node)
-		if !changed {
-			k.take(l)
-
-			return
-		}
-
-		k.swap(ctx, revision, next)
-	}
-}
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/membership"
@@ -39,9 +37,9 @@
 	tellAtOnce = 64
 )
 
-// Members gives the gates of a service.
+// Members gives the nodes that are thought to run.
 type Members interface {
-	Serving(service string) []membership.Record
+	Live() []membership.Record
 }
 
 // Peers sends messages to other nodes.
@@ -63,27 +61,38 @@
 	peers    Peers
 	recorder *timeline.Recorder
 	table    *Table
-	leaves   *Leaves
+	permits  *Permits
 	recent   recent
-	pulled   sync.Once
+	stale    atomic.Bool
 
 	mu     sync.Mutex
 	number uint64 // of the crashes seen here
 	down   bool
+	asked  time.Time // when the other gates were last asked
 }
 
 // NewWatch returns a watch that has seen nothing.
 func NewWatch(self Self, m Members, p Peers, r *timeline.Recorder) *Watch {
-	return &Watch{self: self, members: m, peers: p, recorder: r, table: NewTable(), leaves: NewLeaves()}
+	w := &Watch{self: self, members: m, peers: p, recorder: r, table: NewTable(), permits: NewPermits()}
+	w.stale.Store(true)
+
+	return w
 }
 
+// Stale tells that the backend server of this gate changed its state. A gate
+// whose backend server was away may have missed a warning, and asks the others
+// before it lets the next call through.
+func (w *Watch) Stale() { w.stale.Store(true) }
+
 // Table returns what is known of suspects.
 func (w *Watch) Table() *Table { return w.table }
 
 // Begin reports whether the call may run now. The returned function must be
 // called at its end with what came of it.
 func (w *Watch) Begin(ctx context.Context, c call.Call) (func(Result), error) {
-	w.pulled.Do(func() { w.pull(ctx, c.Service) })
+	if w.stale.Load() {
+		w.pull(ctx, c.Service)
+	}
 
 	r := &run{watch: w, call: c, began: time.Now(), epoch: w.epoch()}
 
@@ -110,7 +119,7 @@
 		return nil, w.refuse(r.call, ErrWaiting, time.Second)
 	}
 
-	// Another one may have crashed while this one waited for its leave.
+	// Another one may have crashed while this one waited for its permit.
 	if v := w.table.Judge(d); v.Refused {
 		w.give(ctx, first, d)
 
@@ -226,89 +235,3 @@
 		w.down = false
 	}
 }
-
-// tell warns the other gates of the service before the caller has its answer,
-// so that its repeat can't be faster than the warning. It reports whether one of
-// them finished the request since the crashed call began.
-func (w *Watch) tell(ctx context.Context, service string, r Report) (finished bool) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTime)
-	defer cancel()
-
-	var (
-		g     errgroup.Group
-		found atomic.Bool
-	)
-
-	g.SetLimit(tellAtOnce)
-
-	for _, m := range w.members.Serving(service) {
-		if m.ID == w.self.Node {
-			continue
-		}
-
-		g.Go(func() error {
-			var out Done
-
-			err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodReport, r, &out)
-			if err == nil && out.Granted {
-				found.Store(true)
-			}
-
-			return err
-		})
-	}
-
-	_ = g.Wait() // a gate that is cut off is not warned; it pulls when it starts afresh
-
-	return found.Load()
-}
-
-// pull asks a gate of the service for what it knows, before the first call runs
-// here: a gate that starts afresh would let a refused request through.
-func (w *Watch) pull(ctx context.Context, service string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTime)
-	defer cancel()
-
-	for _, m := range w.members.Serving(service) {
-		if m.ID == w.self.Node {
-			continue
-		}
-
-		var reports []Report
-		if w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, Done{}, &reports) == nil {
-			w.table.Merge(reports)
-
-			return
-		}
-	}
-}
-
-// take asks the gate that saw the first crash for leave. Without an answer the
-// call runs: that gate's host may be gone for good, and one caller's repeats,
-// one after the other, are bounded without it.
-func (w *Watch) take(ctx context.Context, c Crash, d Digest) bool {
-	if c.Gate == w.self.Life {
-		return w.leaves.Take(ctx, d)
-	}
-
-	var out Done
-
-	err := w.peers.Do(ctx, c.Address, peer.LaneControl, MethodTake, Leave{Gate: c.Gate, Digest: d}, &out)
-
-	return (err != nil && ctx.Err() == nil) || out.Granted
-}
-
-func (w *Watch) give(ctx context.Context, c Crash, d Digest) {
-	if c.Gate == w.self.Life {
-		w.leaves.Give(d)
-
-		return
-	}
-
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTime)
-	defer cancel()
-
-	var out Done
-
-	_ = w.peers.Do(ctx, c.Address, peer.LaneControl, MethodGive, Leave{Gate: c.Gate, Digest: d}, &out)
-}
