membership: a test of a replaced node that waits for the whole fleet

Cause: TestAWokenNodeGivesWayToItsReplacement failed in about one run of four: it looked at all nodes once a single one had the replacement. On the way: a probe of an old record no longer accuses a newer one, and a suspicion at an epoch that a process never had is not refuted by it.

--- a/internal/membership/gossip_test.go
+++ b/internal/membership/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -246,7 +247,13 @@
 		r := record("twin", 6000)
 		r.PeerAddress = "other-host:7000"
 		n.startAs(t, r, membership.Seeds(address(nodeID(0))))
-		until(t, 20*time.Second, "replaced", func() bool { return stateOf(nodes[9].table, "twin") == membership.StateAlive })
+		until(t, 20*time.Second, "replaced everywhere", func() bool {
+			return !slices.ContainsFunc(nodes, func(s *simNode) bool {
+				r, _ := s.table.Find("twin")
+
+				return r.Incarnation != 6000
+			})
+		})
 		n.set(func() { n.frozen[address("twin")] = false })
 
 		for range 300 {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -40,6 +40,12 @@
 	}
 
 	g.health.missed()
+
+	// A record that is newer by now is the word of a process that was not asked.
+	if now, ok := g.table.Find(target.ID); !ok || now.compareWritten(target) != 0 {
+		return
+	}
+
 	g.table.Suspect(target.ID, err.Error(), append([]string{g.table.Self().ID}, observers...)...)
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -173,7 +173,8 @@
 		return false
 	}
 
-	if t.replacedBy(r) {
+	// What is suspected at an epoch that this process never had is another one.
+	if t.replacedBy(r) || (r.State == StateSuspect && r.Epoch > t.self.Epoch) {
 		return false
 	}
 
@@ -195,7 +196,7 @@
 // calls now to the one and now to the other. The earlier one gives way for as long
 // as the later one is thought to run.
 func (t *Table) replacedBy(r Record) bool {
-	if r.Incarnation <= t.self.Incarnation || r.PeerAddress == t.self.PeerAddress || r.State != StateAlive {
+	if r.Incarnation <= t.self.Incarnation || r.PeerAddress == t.self.PeerAddress || !r.Live() {
 		return false
 	}
 
