--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -173,7 +173,8 @@
 		return false
 	}
 
-	if t.replacedBy(r) {
+	// What is suspected at an epoch that this process never had is another one.
+	if t.replacedBy(r) || (r.State == StateSuspect && r.Epoch > t.self.Epoch) {
 		return false
 	}
 
