--- a/internal/timeline/page/page.go
+++ b/internal/timeline/page/page.go
@@ -154,6 +154,15 @@
 	return v
 }
 
+// Events of the fleet, 3xx, are the ones whose peer is the ID of a node; of other
+// events it can be an address or the platform.
+const (
+	firstOfFleet = 300
+	lastOfFleet  = 399
+)
+
+func ofFleet(e timeline.Entry) bool { return e.Number >= firstOfFleet && e.Number <= lastOfFleet }
+
 // nodes returns who has a lane: who tells something, and who is told of.
 func nodes(entries []timeline.Entry) []string {
 	seen := map[string]bool{}
@@ -161,7 +170,12 @@
 	var out []string
 
 	for _, e := range entries {
-		for _, node := range []string{e.Node, e.Peer} {
+		named := []string{e.Node}
+		if ofFleet(e) {
+			named = append(named, e.Peer)
+		}
+
+		for _, node := range named {
 			if node != "" && !seen[node] {
 				seen[node] = true
 				out = append(out, node)
--- a/internal/timeline/page/page_test.go
+++ b/internal/timeline/page/page_test.go
@@ -48,3 +48,17 @@
 func TestPageWithoutEvents(t *testing.T) {
 	assert.NilError(t, page.Write(&bytes.Buffer{}, "nothing", nil))
 }
+
+// The peer of a version is where it came from: the platform, or an address. A
+// lane for each of these hides the nodes, and the page counts too many of them.
+func TestOnlyNodesHaveLanes(t *testing.T) {
+	var b bytes.Buffer
+
+	assert.NilError(t, page.Write(&b, "a version", []timeline.Entry{
+		at(1000, "derby-1", event.VersionInForce, timeline.Entry{Version: 7, Peer: "platform"}),
+		at(1005, "leic-1", event.VersionInForce, timeline.Entry{Version: 7, Peer: "127.0.0.1:7000"}),
+		at(2000, "derby-1", event.MemberDead, timeline.Entry{Peer: "leic-2"}),
+	}))
+
+	assert.Assert(t, strings.Contains(b.String(), "3 nodes"))
+}
