--- a/internal/caller/watchdog.go
+++ b/internal/caller/watchdog.go
@@ -30,13 +30,13 @@
 var began = time.Now()
 
 // run beats until ctx ends.
-func (p *watchdog) run(ctx context.Context) {
+func (w *watchdog) run(ctx context.Context) {
 	for {
-		p.resumed()
+		w.resumed()
 
 		select {
 		case <-ctx.Done():
-			p.beat.Store(0)
+			w.beat.Store(0)
 
 			return
 		case <-time.After(beatEvery):
@@ -47,17 +47,17 @@
 // resumed reports whether the process stood still a moment ago. Whoever asks
 // first after the standstill sees the gap, the beat or a request. A watchdog that
 // does not run reports nothing.
-func (p *watchdog) resumed() bool {
+func (w *watchdog) resumed() bool {
 	now := int64(time.Since(began))
 
-	last := p.beat.Load()
+	last := w.beat.Load()
 	if last != 0 && now-last > int64(standstill) {
-		p.woke.Store(now)
+		w.woke.Store(now)
 	}
 
-	p.beat.Store(max(now, 1))
+	w.beat.Store(max(now, 1))
 
-	woke := p.woke.Load()
+	woke := w.woke.Load()
 
 	return woke != 0 && now-woke < int64(settle)
 }
