idle: one wait that ends with its context

Cause: the same five lines, a wait for a time or for the end of a context, stood three times (node, spread, once/shard).

Ruled out: calling the twin of one package from another, which would tie packages together that have nothing else in common.

Change: internal/idle.For; the three copies are gone. Behaviour is the same.

Shown: tests of the three packages under the race detector, linter clean.

--- /dev/null
+++ b/internal/idle/idle.go
@@ -0,0 +1,20 @@
+// Package idle waits without outliving its context.
+//
+//	idle.For(ctx, time.Second)
+//	if ctx.Err() != nil {
+//		return
+//	}
+package idle
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after the time, or as soon as ctx ends.
+func For(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -25,7 +26,7 @@
 
 	n.leaving.Store(true)
 	n.host.Leave()
-	sleep(ctx, notice)
+	idle.For(ctx, notice)
 
 	// Ends when all callers have their answers.
 	_ = n.callers.Shutdown(ctx)
@@ -34,7 +35,7 @@
 	for n.running() > 0 && ctx.Err() == nil {
 		const pause = 10 * time.Millisecond
 
-		sleep(ctx, pause)
+		idle.For(ctx, pause)
 	}
 
 	n.handOver(ctx)
@@ -49,13 +50,6 @@
 // connections before would cut off calls that have run.
 func (n *Node) flush(ctx context.Context) {
 	for n.server.Running() > 0 && ctx.Err() == nil {
-		sleep(ctx, time.Millisecond)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		idle.For(ctx, time.Millisecond)
 	}
 }
--- a/internal/once/shard/keeper.go
+++ b/internal/once/shard/keeper.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
@@ -140,18 +141,11 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		case <-k.nudged:
-			sleep(ctx, k.options.Retry) // however many calls find the list old
+			idle.For(ctx, k.options.Retry) // however many calls find the list old
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Nudge tells that a call found the list old or a shard vacant.
 func (k *Keeper) Nudge() {
 	select {
--- a/internal/spread/join.go
+++ b/internal/spread/join.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 // asked is how many nodes a fresh process asks before it takes a version. One
@@ -36,7 +38,7 @@
 			return
 		}
 
-		sleep(ctx, jitter(pause))
+		idle.For(ctx, jitter(pause))
 		pause = min(2*pause, lastRound)
 	}
 }
--- a/internal/spread/poll.go
+++ b/internal/spread/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/acceptance"
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 // pollInterval of the baseline.
@@ -17,6 +18,6 @@
 			_ = s.takeHead(ctx, e.Value)
 		}
 
-		sleep(ctx, pollInterval/2+jitter(pollInterval))
+		idle.For(ctx, pollInterval/2+jitter(pollInterval))
 	}
 }
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -92,7 +93,7 @@
 	}()
 
 	// The push that is on its way is cheaper than a pull.
-	sleep(ctx, jitter(s.options.Wait))
+	idle.For(ctx, jitter(s.options.Wait))
 
 	for tries := range maxTries {
 		s.mu.Lock()
@@ -107,7 +108,7 @@
 			continue
 		}
 
-		sleep(ctx, jitter(s.options.Wait<<tries))
+		idle.For(ctx, jitter(s.options.Wait<<tries))
 		s.tryOther()
 	}
 }
@@ -196,7 +197,7 @@
 			return d, err
 		}
 
-		sleep(ctx, jitter(time.Duration(d.RetryMs)*time.Millisecond<<tries))
+		idle.For(ctx, jitter(time.Duration(d.RetryMs)*time.Millisecond<<tries))
 	}
 
 	return Delta{}, ErrDelta.With("%s is busy", address)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -167,13 +167,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // jitter returns a random pause up to d.
 func jitter(d time.Duration) time.Duration {
 	if d <= 0 {
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -25,7 +26,7 @@
 
 	for ctx.Err() == nil {
 		if !s.options.Watching() {
-			sleep(ctx, watchCheck)
+			idle.For(ctx, watchCheck)
 
 			continue
 		}
@@ -43,7 +44,7 @@
 
 		// All watches end together in an outage; full jitter keeps them from
 		// coming back together.
-		sleep(ctx, jitter(pause))
+		idle.For(ctx, jitter(pause))
 		pause = min(2*pause, s.options.MaxRetry)
 	}
 }
