--- a/cmd/pollencart/main.go
+++ b/cmd/pollencart/main.go
@@ -40,6 +40,7 @@
 			return err
 		}))
 	addNode(app)
+	addSidecar(app)
 	addOperator(app, out)
 
 	return app
--- /dev/null
+++ b/cmd/pollencart/sidecar.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollencart/pollencart/internal/logsink"
+	"github.com/pollencart/pollencart/internal/sidecar"
+	"github.com/pollencart/pollencart/internal/sidecar/config"
+)
+
+func addSidecar(app *kingpin.Application) {
+	c := app.Command("sidecar", "Run the node beside a backend server on the users' platform until SIGTERM, then drain.")
+	file := c.Flag("settings", "Settings file, JSON with comments.").Required().String()
+	check := c.Flag("check", "Only check the settings file.").Bool()
+
+	c.Action(action(func() error {
+		conf, err := config.Load(*file)
+		if err != nil || *check {
+			return err
+		}
+
+		return runSidecar(conf)
+	}))
+}
+
+func runSidecar(conf config.Config) error {
+	sink := logsink.New(os.Stdout)
+	logging, stopLogging := context.WithCancel(context.Background())
+	written := make(chan struct{})
+
+	go func() {
+		defer close(written)
+
+		sink.Run(logging)
+	}()
+
+	defer func() {
+		stopLogging()
+		<-written
+	}()
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	return sidecar.New(conf, slog.New(sink.Handler(slog.LevelDebug))).Run(ctx)
+}
--- /dev/null
+++ b/internal/announce/host.go
@@ -0,0 +1,308 @@
+// Package announce follows the backend server on a node's host by its heartbeats:
+// which instance it is, whether it takes calls, and whether it is leaving.
+//
+// # What goes wrong without it
+//
+// A heartbeat may arrive seconds late, also after its sender has crashed and
+// another instance has started at the same address; taken at its word it would
+// bring back a backend server that has left. So a heartbeat counts only if its
+// sequence is higher than the last one of its instance, an instance that is
+// leaving stays so, and one that was never heard of is asked for its name.
+//
+// A confirmation that an instance may leave binds all later processes on the host.
+// It is given only after the leaving has been kept where the next process finds it.
+//
+// # Usage
+//
+//	h := announce.New(announce.Probe(pool.Probe), announce.Keep(departures), announce.Changed(tell))
+//	err := h.Heard(ctx, heartbeat) // nil confirms
+package announce
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// ErrNotKept means that a leaving can't be confirmed yet.
+var ErrNotKept = errs.New("announce.not_kept", http.StatusServiceUnavailable, "the leaving is not kept yet, ask again")
+
+// confirmWithin bounds an answer to a backend server, which waits a second for it.
+const confirmWithin = 800 * time.Millisecond
+
+// Heartbeat is what a backend server says of itself.
+type Heartbeat struct {
+	Instance string
+	Service  string
+	Address  string
+	Slots    int
+	// Sequence rises with each heartbeat of an instance.
+	Sequence uint64
+	Leaving  bool
+	// Cold is how much longer the instance is slow after its start.
+	Cold time.Duration
+}
+
+// State is what is known of the backend server.
+type State struct {
+	Instance string
+	Slots    int
+	// Takes says whether calls may be sent to it.
+	Takes bool
+	// Cold says until when it is slow.
+	Cold time.Time
+}
+
+// Host follows one backend server.
+type Host struct {
+	options Options
+
+	mu        sync.Mutex
+	state     State
+	sequences map[string]uint64
+	leaving   map[string]*departure
+	checking  map[string]bool
+}
+
+// departure is an instance that is leaving. Kept is closed once the next process
+// on this host would find out.
+type departure struct {
+	kept chan struct{}
+}
+
+// New returns a host that has heard nothing.
+func New(opts ...Option) *Host {
+	return &Host{
+		options: newOptions(opts...), sequences: map[string]uint64{}, leaving: map[string]*departure{},
+		checking: map[string]bool{},
+	}
+}
+
+// State returns what is known now.
+func (h *Host) State() State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.state
+}
+
+// Heard takes a heartbeat. Nil confirms it; for an instance that is leaving this is
+// the promise that it gets no new calls.
+func (h *Host) Heard(ctx context.Context, b Heartbeat) error {
+	if b.Leaving {
+		h.note(b)
+
+		return h.Left(ctx, b.Instance)
+	}
+
+	if !h.note(b) {
+		return nil
+	}
+
+	h.mu.Lock()
+	known := h.state.Instance == b.Instance
+	left := h.leaving[b.Instance] != nil
+	h.mu.Unlock()
+
+	switch {
+	case left:
+		return nil
+	case known:
+		h.refresh(b)
+	default:
+		go h.examine(context.WithoutCancel(ctx), b)
+	}
+
+	return nil
+}
+
+// note reports whether the heartbeat is the newest of its instance.
+func (h *Host) note(b Heartbeat) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if last, ok := h.sequences[b.Instance]; ok && b.Sequence <= last {
+		return false
+	}
+
+	h.sequences[b.Instance] = b.Sequence
+
+	return true
+}
+
+func (h *Host) refresh(b Heartbeat) {
+	h.change(func(s State) State {
+		if s.Instance == b.Instance && h.leaving[b.Instance] == nil {
+			s.Slots, s.Takes = b.Slots, true
+		}
+
+		return s
+	})
+}
+
+// examine finds out whether an instance that was not heard of before runs here
+// now, and whether it was on its way out when an earlier process ended.
+func (h *Host) examine(ctx context.Context, b Heartbeat) {
+	if !h.beginCheck(b.Instance) {
+		return
+	}
+	defer h.endCheck(b.Instance)
+
+	found, healthy := h.options.Probe(ctx)
+	if found != b.Instance {
+		h.options.Recorder.Record(event.InstanceDoubted, timeline.Entry{
+			Detail: "heartbeat of " + b.Instance + ", at its address answers " + found,
+		})
+
+		return
+	}
+
+	departed, err := h.options.Keeper.Departed(ctx, b.Instance)
+	if departed || (err != nil && !healthy) {
+		h.options.Recorder.Record(event.InstanceDoubted, timeline.Entry{Detail: b.Instance + " is leaving or can't be told from one that is"})
+
+		return
+	}
+
+	h.adopt(b)
+}
+
+func (h *Host) adopt(b Heartbeat) {
+	h.change(func(s State) State {
+		if h.leaving[b.Instance] != nil {
+			return s
+		}
+
+		return State{Instance: b.Instance, Slots: b.Slots, Takes: true, Cold: time.Now().Add(b.Cold)}
+	})
+}
+
+func (h *Host) beginCheck(instance string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.checking[instance] {
+		return false
+	}
+
+	h.checking[instance] = true
+
+	return true
+}
+
+func (h *Host) endCheck(instance string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	delete(h.checking, instance)
+}
+
+// Left takes an instance out of use and returns nil once that is kept for later
+// processes on this host.
+func (h *Host) Left(ctx context.Context, instance string) error {
+	d, first := h.depart(instance)
+
+	h.change(func(s State) State {
+		if s.Instance == instance {
+			s.Takes = false
+		}
+
+		return s
+	})
+
+	if first {
+		go h.keep(context.WithoutCancel(ctx), instance, d)
+	}
+
+	select {
+	case <-d.kept:
+		return nil
+	case <-ctx.Done():
+		return ErrNotKept.Wrap(ctx.Err())
+	case <-time.After(confirmWithin):
+		h.options.Recorder.Record(event.LeavingNotKept, timeline.Entry{Detail: instance})
+
+		return ErrNotKept
+	}
+}
+
+func (h *Host) depart(instance string) (*departure, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if d := h.leaving[instance]; d != nil {
+		return d, false
+	}
+
+	d := &departure{kept: make(chan struct{})}
+	h.leaving[instance] = d
+
+	return d, true
+}
+
+// keep tries until the leaving is kept.
+func (h *Host) keep(ctx context.Context, instance string, d *departure) {
+	const pause = 100 * time.Millisecond
+
+	for {
+		err := h.options.Keeper.Keep(ctx, instance)
+		if err == nil {
+			close(d.kept)
+			h.options.Recorder.Record(event.LeavingKept, timeline.Entry{Detail: instance})
+
+			return
+		}
+
+		h.options.Recorder.Record(event.LeavingNotKept, timeline.Entry{Detail: instance + ": " + err.Error()})
+		time.Sleep(pause)
+	}
+}
+
+// Down tells that the instance does not answer at its address; its next heartbeat
+// brings it back.
+func (h *Host) Down(instance string) {
+	h.change(func(s State) State {
+		if s.Instance == instance {
+			s.Takes = false
+		}
+
+		return s
+	})
+}
+
+// Replaced tells that another instance answered than the one that was expected.
+func (h *Host) Replaced(instance string) {
+	h.change(func(s State) State {
+		if s.Instance == instance {
+			return State{}
+		}
+
+		return s
+	})
+}
+
+func (h *Host) change(f func(State) State) {
+	h.mu.Lock()
+	before := h.state
+	h.state = f(before)
+	after := h.state
+	h.mu.Unlock()
+
+	if before != after {
+		h.options.Recorder.Record(event.InstanceState, timeline.Entry{Detail: after.text()})
+		h.options.Changed(after)
+	}
+}
+
+func (s State) text() string {
+	if s.Takes {
+		return s.Instance + " takes calls"
+	}
+
+	return s.Instance + " takes no calls"
+}
--- /dev/null
+++ b/internal/announce/options.go
@@ -0,0 +1,53 @@
+package announce
+
+import (
+	"context"
+
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// Keeper keeps who is leaving beyond the life of this process.
+type Keeper interface {
+	Keep(ctx context.Context, instance string) error
+	Departed(ctx context.Context, instance string) (bool, error)
+}
+
+// Options of a host.
+type Options struct {
+	Keeper   Keeper
+	Recorder *timeline.Recorder
+	// Probe asks the backend server for its instance, and whether it is healthy.
+	Probe func(ctx context.Context) (instance string, healthy bool)
+	// Changed is told of each new state.
+	Changed func(State)
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+func newOptions(opts ...Option) Options {
+	o := Options{
+		Recorder: timeline.New(),
+		Probe:    func(context.Context) (string, bool) { return "", false },
+		Changed:  func(State) {},
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	return o
+}
+
+// WithKeeper sets who keeps leavings.
+func WithKeeper(k Keeper) Option { return func(o *Options) { o.Keeper = k } }
+
+// Recorder sets where events go.
+func Recorder(r *timeline.Recorder) Option { return func(o *Options) { o.Recorder = r } }
+
+// Probe sets what asks the backend server for its instance.
+func Probe(f func(ctx context.Context) (string, bool)) Option {
+	return func(o *Options) { o.Probe = f }
+}
+
+// Changed sets who is told of new states.
+func Changed(f func(State)) Option { return func(o *Options) { o.Changed = f } }
--- /dev/null
+++ b/internal/departures/departures.go
@@ -0,0 +1,239 @@
+// Package departures keeps which backend servers were confirmed to leave, beyond
+// the life of the process that confirmed it.
+//
+// # What goes wrong without it
+//
+// A node confirms that its backend server may leave and is killed in the next
+// moment. The process that follows it hears a heartbeat that was sent before, takes
+// the backend server for ready and sends it calls, which are cut off when it ends.
+//
+// The record lies in the platform's store. While the store can't be reached, other
+// nodes hold it in memory instead: a leaving is kept once Copies of them have it.
+//
+// # Usage
+//
+//	d := departures.New(store, peers, members)
+//	server.Handle(departures.MethodKeep, peer.Typed(d.ServeKeep))
+//	err := d.Keep(ctx, instance)
+//	gone, err := d.Departed(ctx, instance)
+package departures
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// ErrNotKept means that neither the store nor enough nodes hold the record.
+var ErrNotKept = errs.New("departures.not_kept", http.StatusServiceUnavailable, "the leaving could not be kept")
+
+// Methods between nodes.
+const (
+	MethodKeep = "Departures.Keep"
+	MethodAsk  = "Departures.Ask"
+)
+
+// Prefix of the records' keys; the instance follows.
+const Prefix = "pollencart/departures/"
+
+const (
+	// Copies is how many other nodes hold a record that the store does not: one may
+	// end together with this one.
+	Copies = 2
+	// storeTime is ten times what a busy store needs; a confirmation that takes
+	// longer than a second is of no use to the backend server.
+	storeTime = 300 * time.Millisecond
+	// peerTime bounds each question to a node.
+	peerTime = 300 * time.Millisecond
+	// life is how long a record is kept: backend servers end some seconds after
+	// their confirmation, at times many.
+	life = 2 * time.Minute
+	// maxHeld bounds the memory for records of others.
+	maxHeld = 4096
+)
+
+// Store is what is needed of the platform.
+type Store interface {
+	Get(ctx context.Context, key string) (platform.Entry, int64, error)
+	Put(ctx context.Context, e platform.Entry) error
+	Delete(ctx context.Context, key string) error
+}
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
+}
+
+// Members gives nodes at random.
+type Members interface {
+	Random(count int, without ...string) []membership.Record
+}
+
+// Instance names a backend server's process.
+type Instance struct {
+	ID string `msgpack:"ID"`
+}
+
+// Known says whether a node holds a record.
+type Known struct {
+	Departed bool `msgpack:"Departed"`
+}
+
+// Departures keeps and finds records.
+type Departures struct {
+	store   Store
+	peers   Peers
+	members Members
+
+	mu   sync.Mutex
+	held map[string]time.Time
+}
+
+// New returns departures that hold no record.
+func New(s Store, p Peers, m Members) *Departures {
+	return &Departures{store: s, peers: p, members: m, held: map[string]time.Time{}}
+}
+
+// Keep returns nil once the record is where a later process finds it.
+func (d *Departures) Keep(ctx context.Context, instance string) error {
+	d.hold(instance)
+
+	storeErr := d.write(ctx, instance)
+	if storeErr == nil {
+		time.AfterFunc(life, func() { d.remove(instance) })
+
+		return nil
+	}
+
+	copies := 0
+
+	for _, r := range d.members.Random(2 * Copies) {
+		if d.ask(ctx, r.PeerAddress, MethodKeep, instance, &Known{}) == nil {
+			copies++
+		}
+
+		if copies == Copies {
+			return nil
+		}
+	}
+
+	return ErrNotKept.With("%s: %d copies", instance, copies).Wrap(storeErr)
+}
+
+func (d *Departures) write(ctx context.Context, instance string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+
+	return d.store.Put(ctx, platform.Entry{Key: Prefix + instance, Value: []byte(instance)})
+}
+
+// remove drops a record that nobody needs any more. One that stays behind since
+// this process ended first does no harm: an instance is never started twice.
+func (d *Departures) remove(instance string) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTime)
+	defer cancel()
+
+	_ = d.store.Delete(ctx, Prefix+instance) // see above
+}
+
+// Departed reports whether an instance was confirmed to leave. The error means
+// that the store could not be asked, and no node that was asked knows of it.
+func (d *Departures) Departed(ctx context.Context, instance string) (bool, error) {
+	if d.holds(instance) {
+		return true, nil
+	}
+
+	storeErr := d.read(ctx, instance)
+	if storeErr == nil {
+		return true, nil
+	}
+
+	// A record may lie with nodes alone, if the store was away when it was made.
+	const asked = 8
+
+	answered := 0
+
+	for _, r := range d.members.Random(asked) {
+		var k Known
+		if d.ask(ctx, r.PeerAddress, MethodAsk, instance, &k) != nil {
+			continue
+		}
+
+		answered++
+
+		if k.Departed {
+			return true, nil
+		}
+	}
+
+	if errors.Is(storeErr, platform.ErrNotFound) {
+		return false, nil
+	}
+
+	return false, ErrNotKept.With("%s: %d nodes asked", instance, answered).Wrap(storeErr)
+}
+
+func (d *Departures) read(ctx context.Context, instance string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+
+	_, _, err := d.store.Get(ctx, Prefix+instance)
+
+	return err
+}
+
+func (d *Departures) ask(ctx context.Context, address, method, instance string, out *Known) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+
+	return d.peers.Do(ctx, address, peer.LaneControl, method, Instance{ID: instance}, out)
+}
+
+// ServeKeep holds a record for another node.
+func (d *Departures) ServeKeep(_ context.Context, in Instance) (Known, error) {
+	d.hold(in.ID)
+
+	return Known{Departed: true}, nil
+}
+
+// ServeAsk tells another node whether a record is held here.
+func (d *Departures) ServeAsk(_ context.Context, in Instance) (Known, error) {
+	return Known{Departed: d.holds(in.ID)}, nil
+}
+
+func (d *Departures) hold(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	now := time.Now()
+
+	if len(d.held) >= maxHeld {
+		d.forget(now)
+	}
+
+	d.held[instance] = now
+}
+
+func (d *Departures) forget(now time.Time) {
+	for id, at := range d.held {
+		if now.Sub(at) > life {
+			delete(d.held, id)
+		}
+	}
+}
+
+func (d *Departures) holds(instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	_, ok := d.held[instance]
+
+	return ok
+}
--- /dev/null
+++ b/internal/dispatch/options.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/header"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/place"
+	"github.com/pollencart/pollencart/internal/repeats"
+	"github.com/pollencart/pollencart/internal/route"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// Members gives the nodes whose backend server takes calls of a service.
+type Members interface {
+	Serving(service string) []membership.Record
+	CountLive() int
+}
+
+// Peers hands calls to other nodes.
+type Peers interface {
+	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
+	// Ready reports whether there is a connection, Open begins to make one.
+	Ready(address string, lane peer.Lane) bool
+	Open(address string, lane peer.Lane)
+}
+
+// Runner runs a call on the backend server of this host.
+type Runner interface {
+	Serve(ctx context.Context, in forward.Request) (forward.Reply, error)
+}
+
+// Tables gives the routing in force.
+type Tables interface {
+	Load() *route.Table
+}
+
+// Meter counts what callers get.
+type Meter interface {
+	Answered(o Outcome)
+}
+
+// Options of a dispatcher.
+type Options struct {
+	Node          string
+	FailureDomain string
+	// Service is that of the backend server on this host, where calls begin.
+	Service  string
+	Names    header.Names
+	Tables   Tables
+	Members  Members
+	Peers    Peers
+	Own      Runner
+	Placer   *place.Placer
+	Budget   *repeats.Budget
+	Recorder *timeline.Recorder
+	Meter    Meter
+}
--- /dev/null
+++ b/internal/dispatch/try.go
@@ -0,0 +1,294 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/place"
+	"github.com/pollencart/pollencart/internal/route"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// try is one call on its way through nodes.
+type try struct {
+	dispatcher *Dispatcher
+	ctx        context.Context //nolint:containedctx // lives as long as the call
+	route      *route.Route
+	request    forward.Request
+	outcome    *Outcome
+	target     time.Time
+
+	tried []string
+	busy  []string // turned the call away for others to take
+	last  forward.Reply
+	// failed is the answer of a backend server that failed an idempotent call. It
+	// is given to the caller if no other one does better.
+	failed *forward.Reply
+	// lost is set once nobody knows whether an attempt ran.
+	lost bool
+}
+
+func (t *try) run() ingress.Response {
+	for t.outcome.Asked < maxAsked {
+		candidates := t.candidates()
+
+		chosen, ok := t.pick(candidates)
+		if !ok {
+			break
+		}
+
+		reply := t.ask(chosen)
+
+		if t.settled(reply) {
+			return t.answer(reply)
+		}
+
+		if !t.goOn(reply) {
+			break
+		}
+	}
+
+	return t.giveUp()
+}
+
+// candidates are the nodes that the call was not at.
+func (t *try) candidates() []place.Candidate {
+	records := t.dispatcher.options.Members.Serving(t.request.Service)
+	out := make([]place.Candidate, 0, len(records))
+
+	for _, r := range records {
+		if slices.Contains(t.tried, r.ID) {
+			continue
+		}
+
+		out = append(out, place.Candidate{
+			ID: r.ID, Address: r.PeerAddress, Slots: r.Upstream.Slots,
+			Near: r.FailureDomain == t.dispatcher.options.FailureDomain, Own: r.ID == t.dispatcher.options.Node,
+		})
+	}
+
+	return t.connected(out)
+}
+
+// connected leaves out nodes to which there is no connection, and begins to make
+// one, unless no other node is left: a call must not be what finds out that a route
+// is dead.
+func (t *try) connected(all []place.Candidate) []place.Candidate {
+	peers := t.dispatcher.options.Peers
+	out := make([]place.Candidate, 0, len(all))
+
+	for _, c := range all {
+		if c.Own || peers.Ready(c.Address, peer.LaneCalls) {
+			out = append(out, c)
+		} else {
+			peers.Open(c.Address, peer.LaneCalls)
+		}
+	}
+
+	if len(out) == 0 {
+		return all
+	}
+
+	return out
+}
+
+func (t *try) pick(candidates []place.Candidate) (place.Candidate, bool) {
+	need := place.Need{Route: t.route.Name, Target: time.Until(t.target), Idempotent: t.request.Idempotent, Tried: t.busy}
+	placer := t.dispatcher.options.Placer
+
+	c, ok := placer.Pick(candidates, need)
+	if !ok && len(t.busy) > 0 {
+		// All have been asked whether they would be in time. The cheapest of them
+		// takes the call all the same, if it can end before the deadline.
+		need.Tried = nil
+		t.busy = nil
+		c, ok = placer.Pick(candidates, need)
+		t.request.Elsewhere = false
+
+		return c, ok && t.outcome.Asked < maxAsked
+	}
+
+	t.request.Elsewhere = len(candidates)-len(t.busy) > 1 && t.outcome.Asked+2 < maxAsked
+
+	return c, ok
+}
+
+// ask hands the call to a node and notes what came of it.
+func (t *try) ask(c place.Candidate) forward.Reply {
+	d := t.dispatcher
+	t.outcome.Asked++
+	t.outcome.Node = c.ID
+
+	if deadline, ok := t.ctx.Deadline(); ok {
+		t.request.RemainingMs = time.Until(deadline).Milliseconds()
+	}
+
+	t.request.TargetMs = time.Until(t.target).Milliseconds()
+
+	attempt := d.options.Placer.Start(c.ID, t.route.Name)
+	reply, err := t.send(c)
+	result := t.resultOf(reply, err)
+
+	if attempt.End(result, reply) {
+		d.options.Recorder.Record(event.GateAvoided, timeline.Entry{Call: t.request.ID, Peer: c.ID, Detail: reply.Reason})
+	}
+
+	t.note(c, reply)
+
+	return reply
+}
+
+// note keeps what the choice of the next node depends on.
+func (t *try) note(c place.Candidate, reply forward.Reply) {
+	t.last = reply
+
+	if reply.Result == forward.Refused && reply.Reason == forward.ReasonElsewhere {
+		t.busy = append(t.busy, c.ID)
+
+		return
+	}
+
+	t.tried = append(t.tried, c.ID)
+
+	if reply.Result != forward.Refused {
+		t.outcome.Sent++
+	}
+
+	if reply.Result == forward.Lost {
+		t.lost = true
+	}
+}
+
+func (t *try) send(c place.Candidate) (forward.Reply, error) {
+	if c.Own {
+		return t.dispatcher.options.Own.Serve(t.ctx, t.request)
+	}
+
+	var reply forward.Reply
+
+	err := t.dispatcher.options.Peers.Do(t.ctx, c.Address, peer.LaneCalls, forward.MethodRun, t.request, &reply)
+
+	switch {
+	case err == nil:
+		return reply, nil
+	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFrameTooLarge):
+		// No byte of the call left this process.
+		return forward.Reply{Result: forward.Refused, Reason: err.Error()}, err
+	}
+
+	return forward.Reply{Result: forward.Lost, Reason: err.Error()}, err
+}
+
+// resultOf says what the reply tells of the node.
+func (t *try) resultOf(reply forward.Reply, err error) place.Result {
+	switch {
+	case t.ctx.Err() != nil:
+		return place.Abandoned
+	case err != nil:
+		return place.Unreached
+	case reply.Result == forward.Refused && reply.Reason == forward.ReasonNone:
+		return place.Unreached
+	case reply.Result == forward.Refused:
+		return place.Busy
+	case reply.Result == forward.Answered && reply.Status < http.StatusInternalServerError:
+		return place.Answered
+	}
+
+	return place.Failed
+}
+
+// settled reports whether the reply is what the caller gets.
+func (t *try) settled(reply forward.Reply) bool {
+	if reply.Result != forward.Answered {
+		return false
+	}
+
+	if reply.Status < http.StatusInternalServerError || !t.request.Idempotent {
+		return true
+	}
+
+	t.failed = &reply
+
+	return false
+}
+
+// goOn decides whether another node is asked after a reply that is not the answer.
+func (t *try) goOn(reply forward.Reply) bool {
+	if t.ctx.Err() != nil || t.left() < leastTime {
+		return false
+	}
+
+	switch reply.Result {
+	case forward.Refused:
+		return true // it has not been passed on
+	case forward.Lost, forward.Answered:
+		if !t.request.Idempotent {
+			return false // it may have run
+		}
+	case forward.Shed:
+	}
+
+	if t.outcome.Sent >= t.route.Attempts {
+		return false
+	}
+
+	d := t.dispatcher
+	if !d.options.Budget.Again(t.request.Service, d.options.Members.CountLive()) {
+		return false
+	}
+
+	d.options.Recorder.Record(event.CallRetried, timeline.Entry{
+		Call: t.request.ID, Peer: t.outcome.Node, Detail: reply.Result.String() + " " + reply.Reason,
+	})
+
+	return true
+}
+
+func (t *try) left() time.Duration {
+	deadline, ok := t.ctx.Deadline()
+	if !ok {
+		return t.route.Timeout
+	}
+
+	return time.Until(deadline)
+}
+
+func (t *try) answer(reply forward.Reply) ingress.Response {
+	return ingress.Response{Status: reply.Status, Header: reply.Header, Body: reply.Body}
+}
+
+// giveUp makes the final answer of a call that no backend server answered.
+func (t *try) giveUp() ingress.Response {
+	if t.failed != nil {
+		return t.answer(*t.failed)
+	}
+
+	d := t.dispatcher
+
+	switch {
+	case t.lost:
+		t.outcome.Reason = "no answer, it may have run: " + t.last.Reason
+
+		if t.ctx.Err() != nil {
+			return d.own(t.outcome, http.StatusGatewayTimeout)
+		}
+
+		return d.own(t.outcome, http.StatusBadGateway)
+	case t.outcome.Asked == 0:
+		return d.refuse(t.outcome, "no backend server of "+t.request.Service+" is known to take calls", noNodeRetry)
+	}
+
+	after := t.last.RetryAfter()
+	if after <= 0 {
+		after = noNodeRetry
+	}
+
+	return d.refuse(t.outcome, "not run: "+t.last.Reason, after)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,11 +57,24 @@
 	UpstreamLost   = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
 )
 
+// The backend server beside a sidecar.
+var (
+	InstanceState   = add(313, "InstanceState", slog.LevelInfo, "The backend server on this host takes calls, or no longer does.")
+	InstanceDoubted = add(314, "InstanceDoubted", slog.LevelWarn,
+		"A heartbeat was not believed: another instance answers at its address, or it is leaving.")
+	LeavingKept    = add(315, "LeavingKept", slog.LevelInfo, "The leaving of a backend server is kept for later processes and can be confirmed.")
+	LeavingNotKept = add(316, "LeavingNotKept", slog.LevelWarn,
+		"The leaving of a backend server can't be kept yet; it is not confirmed, and tried again.")
+	GateAvoided = add(317, "GateAvoided", slog.LevelWarn, "A node or its backend server fails; calls go elsewhere for a while.")
+)
+
 // Calls.
 var (
 	CallAnswered   = add(400, "CallAnswered", slog.LevelDebug, "A call got its answer.")
 	CallTurnedAway = add(401, "CallTurnedAway", slog.LevelDebug, "A call was given up; the caller has its final answer.")
 	CallRetried    = add(402, "CallRetried", slog.LevelDebug, "An attempt failed and another one is made.")
+	CallAbandoned  = add(404, "CallAbandoned", slog.LevelDebug, "The caller went away before the call ended.")
+	CallRun        = add(405, "CallRun", slog.LevelDebug, "The node beside a backend server let a call in, or turned it away; the detail says with what result.")
 	CallUnknown    = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
 )
 
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,139 @@
+// Package forward holds the messages with which the node that a caller reaches
+// hands a call to the node beside a backend server.
+//
+// Both are kept small, since bytes between failure domains cost more than anything
+// else that a node does: arrays without field names, times in milliseconds, and no
+// header that the other end can work out.
+//
+//	reply := forward.Reply{}
+//	err := peers.Do(ctx, address, peer.LaneCalls, forward.MethodRun, request, &reply)
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// MethodRun is the peer method that runs a call.
+const MethodRun = "Run"
+
+// ErrMessage is returned for a message that does not check.
+var ErrMessage = errs.New("forward.message", http.StatusBadRequest, "message not accepted")
+
+// Request is a call on its way to a backend server.
+type Request struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	ID      string `msgpack:"ID"`
+	Service string `msgpack:"Service"`
+	// Route names the route; the time that its calls take is learnt by it.
+	Route string `msgpack:"Route"`
+	// Origin is the service of the host where the call began.
+	Origin string       `msgpack:"Origin"`
+	Method string       `msgpack:"Method"`
+	Host   string       `msgpack:"Host"`
+	URI    string       `msgpack:"URI"`
+	Header []call.Field `msgpack:"Header"`
+	Body   []byte       `msgpack:"Body"`
+	// Idempotent calls may be sent to more than one backend server.
+	Idempotent bool `msgpack:"Idempotent"`
+	Rank       int  `msgpack:"Rank"`
+	// RemainingMs is until the caller gives up, TargetMs until the answer is worth
+	// less to it.
+	RemainingMs int64 `msgpack:"RemainingMs"`
+	TargetMs    int64 `msgpack:"TargetMs"`
+	// Elsewhere says that another node can take the call if this one is busy.
+	Elsewhere bool `msgpack:"Elsewhere"`
+}
+
+// Check reports whether a decoded request can be used.
+func (r *Request) Check() error {
+	if r.ID == "" || r.Service == "" || r.Method == "" || r.URI == "" {
+		return ErrMessage.With("ID, Service, Method or URI is missing")
+	}
+
+	return nil
+}
+
+// Remaining returns the time until the caller gives up.
+func (r *Request) Remaining() time.Duration { return time.Duration(r.RemainingMs) * time.Millisecond }
+
+// Target returns the time until the answer is worth less.
+func (r *Request) Target() time.Duration { return time.Duration(r.TargetMs) * time.Millisecond }
+
+// Result says what became of a call at the node that was asked.
+type Result uint8
+
+// The results.
+const (
+	// Answered means that the backend server gave the answer.
+	Answered Result = iota + 1
+	// Refused means that the node did not pass the call on, and never will.
+	Refused
+	// Shed means that the backend server was asked and said that it did not run
+	// the call.
+	Shed
+	// Lost means that the backend server was asked and nobody knows whether it ran
+	// the call.
+	Lost
+)
+
+// String returns the name of the result.
+func (r Result) String() string {
+	names := [...]string{"", "answered", "refused", "shed", "lost"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+
+	return "invalid"
+}
+
+// Reasons that the node that asked acts on.
+const (
+	// ReasonElsewhere means that the call would be late and others may take it.
+	ReasonElsewhere = "would be late here"
+	// ReasonNone means that no backend server takes calls there.
+	ReasonNone = "no backend server takes calls"
+)
+
+// Load is what a node tells about its backend server with each reply.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Slots   int `msgpack:"Slots"`
+	Running int `msgpack:"Running"`
+	Waiting int `msgpack:"Waiting"`
+	// WaitMs is how long a call of the request's rank would wait now.
+	WaitMs int64 `msgpack:"WaitMs"`
+}
+
+// Reply is what became of a call.
+type Reply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Result Result       `msgpack:"Result"`
+	Status int          `msgpack:"Status"`
+	Header []call.Field `msgpack:"Header"`
+	Body   []byte       `msgpack:"Body"`
+	// Reason says why there is no answer, RetryMs when to come back.
+	Reason  string `msgpack:"Reason"`
+	RetryMs int64  `msgpack:"RetryMs"`
+	Load    Load   `msgpack:"Load"`
+	// HeldMs is how long the backend server took.
+	HeldMs int64 `msgpack:"HeldMs"`
+}
+
+// Check reports whether a decoded reply can be used.
+func (r *Reply) Check() error {
+	if r.Result < Answered || r.Result > Lost {
+		return ErrMessage.With("result %d", r.Result)
+	}
+
+	return nil
+}
+
+// RetryAfter returns when to come back.
+func (r *Reply) RetryAfter() time.Duration { return time.Duration(r.RetryMs) * time.Millisecond }
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,352 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/route"
+)
+
+const (
+	// readBuffer holds the head of a request; most have no body.
+	readBuffer = 4 << 10
+	// maxPipelined bounds the calls of one connection that run at the same time.
+	maxPipelined = 32
+	// bodyTimeout bounds the time in which a body comes in.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout bounds a caller that does not read its answer.
+	writeTimeout = 10 * time.Second
+	// lingerTimeout is how long a connection is read on after its last answer:
+	// closing it with unread bytes resets it, and the answer would be lost.
+	lingerTimeout = time.Second
+)
+
+// conn is one connection of a caller.
+type conn struct {
+	server *Server
+	raw    net.Conn
+	limit  *io.LimitedReader
+	in     *bufio.Reader
+	ctx    context.Context //nolint:containedctx // ends with the connection
+	cancel context.CancelFunc
+	queue  chan *exchange // in the order of arrival
+
+	mu      sync.Mutex
+	open    int  // calls that were taken and not answered
+	waiting bool // nothing of the next call has come
+	closing bool // the answer after which no call is open is the last
+	ended   bool // the last answer goes out; what comes after it is not taken
+}
+
+// exchange is one call and its answer.
+type exchange struct {
+	request  *http.Request
+	response Response
+	done     chan struct{}
+}
+
+func newConn(s *Server, raw net.Conn) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	limit := &io.LimitedReader{R: raw}
+
+	return &conn{
+		server: s, raw: raw, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), ctx: ctx, cancel: cancel,
+		queue: make(chan *exchange, maxPipelined),
+	}
+}
+
+// run reads calls until the caller or this node ends the connection.
+func (c *conn) run() {
+	defer c.server.forget(c)
+
+	written := make(chan struct{})
+
+	go func() {
+		defer close(written)
+
+		c.write()
+	}()
+
+	c.read()
+	c.cancel()
+	close(c.queue)
+	<-written
+
+	_ = c.raw.Close()
+}
+
+// read takes calls until the connection ends. It goes on reading while calls run,
+// which is how it sees that the caller went away.
+func (c *conn) read() {
+	for {
+		e, body, err := c.next()
+
+		switch {
+		case errors.Is(err, errEnded):
+			c.linger()
+
+			return
+		case err != nil:
+			return
+		}
+
+		if e.request.Close || isClosed(e.done) {
+			c.retireAfter()
+		}
+
+		if !c.take() {
+			c.linger()
+
+			return
+		}
+
+		if !isClosed(e.done) {
+			go c.handle(e, body, time.Now())
+		}
+
+		c.queue <- e
+
+		if e.request.Close {
+			c.linger()
+
+			return
+		}
+	}
+}
+
+// linger reads on without taking calls, until the caller closes or the time after
+// the last answer is over.
+func (c *conn) linger() {
+	c.limit.N = DefaultBodyBytes
+
+	_, _ = io.Copy(io.Discard, c.in) // however it ends, the connection is done with
+}
+
+func isClosed(done chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// next reads one call. The answer to one that is over a limit is there at once.
+func (c *conn) next() (*exchange, []byte, error) {
+	limits := c.server.options.Limits()
+	c.limit.N = int64(limits.HeaderBytes) + readBuffer
+
+	if err := c.awaitFirstByte(limits); err != nil {
+		return nil, nil, err
+	}
+
+	if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+		return nil, nil, err
+	}
+
+	request, err := http.ReadRequest(c.in)
+	if err != nil {
+		e, err := c.badHead(err)
+
+		return e, nil, err
+	}
+
+	e := &exchange{request: request, done: make(chan struct{})}
+	body, err := c.readBody(e, limits)
+
+	return e, body, err
+}
+
+// awaitFirstByte waits between calls. Retire ends the wait.
+func (c *conn) awaitFirstByte(limits route.Limits) error {
+	if c.in.Buffered() > 0 {
+		return nil
+	}
+
+	if err := c.await(time.Now().Add(idleSpare * limits.IdleTimeout)); err != nil {
+		return err
+	}
+
+	_, err := c.in.Peek(1)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.waiting = false
+
+	if err != nil && c.ended {
+		return errEnded
+	}
+
+	return err
+}
+
+// errEnded means that the last answer has gone out.
+var errEnded = errors.New("connection has had its last answer")
+
+// await notes that nothing of the next call has come, unless none is wanted.
+func (c *conn) await(until time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	switch {
+	case c.ended:
+		return errEnded
+	case c.closing && c.open == 0:
+		return net.ErrClosed
+	}
+
+	c.waiting = true
+
+	return c.raw.SetReadDeadline(until)
+}
+
+// badHead answers a head that is too large or is not HTTP, and ends the
+// connection; one that did not come in time just ends.
+func (c *conn) badHead(err error) (*exchange, error) {
+	status := http.StatusBadRequest
+
+	var netErr net.Error
+
+	switch {
+	case c.limit.N <= 0:
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, err
+	}
+
+	return refusal(status), nil
+}
+
+// refusal is an exchange whose answer is known; its connection ends with it.
+func refusal(status int) *exchange {
+	e := &exchange{request: &http.Request{Method: http.MethodGet}, done: make(chan struct{})}
+	e.refuse(status)
+
+	return e
+}
+
+func (e *exchange) refuse(status int) {
+	e.request.Close = true
+	e.response.Status = status
+	close(e.done)
+}
+
+func (c *conn) readBody(e *exchange, limits route.Limits) ([]byte, error) {
+	if e.request.ContentLength > int64(limits.BodyBytes) {
+		e.refuse(http.StatusRequestEntityTooLarge)
+
+		return nil, nil
+	}
+
+	if e.request.ContentLength == 0 {
+		return nil, c.raw.SetReadDeadline(time.Time{})
+	}
+
+	c.limit.N = int64(limits.BodyBytes) + readBuffer
+
+	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+
+	if err := c.invite(e); err != nil {
+		return nil, err
+	}
+
+	body, err := io.ReadAll(io.LimitReader(e.request.Body, int64(limits.BodyBytes)+1))
+	if err != nil {
+		return nil, err
+	}
+
+	if len(body) > limits.BodyBytes {
+		e.refuse(http.StatusRequestEntityTooLarge)
+	}
+
+	return body, c.raw.SetReadDeadline(time.Time{})
+}
+
+// invite tells a caller that waits for it to send the body.
+func (c *conn) invite(e *exchange) error {
+	if !strings.EqualFold(e.request.Header.Get("Expect"), "100-continue") || !c.idle() {
+		return nil
+	}
+
+	_, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
+
+	return err
+}
+
+func (c *conn) handle(e *exchange, body []byte, arrived time.Time) {
+	defer close(e.done)
+
+	uri := e.request.RequestURI
+	if !strings.HasPrefix(uri, "/") {
+		uri = e.request.URL.RequestURI()
+	}
+
+	path, _, _ := strings.Cut(uri, "?")
+
+	e.response = c.server.handler.Serve(c.ctx, Request{
+		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: body, Arrived: arrived,
+	})
+}
+
+// take counts a call in, unless the last answer is on its way: a caller takes what
+// it sent behind that for not read, and sends it again.
+func (c *conn) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.ended {
+		return false
+	}
+
+	c.open++
+
+	return true
+}
+
+// answered counts a call out and reports whether its answer is the last.
+func (c *conn) answered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.open--
+	c.ended = c.closing && c.open == 0
+
+	return c.ended
+}
+
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.open == 0
+}
+
+// retire ends the connection with the answers to the calls that were taken, or at
+// once if there are none.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.closing = true
+
+	if c.open == 0 && c.waiting {
+		_ = c.raw.SetReadDeadline(time.Now()) // a closed connection needs no waking
+	}
+}
+
+func (c *conn) retireAfter() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.closing = true
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -117,7 +117,20 @@
 
 func (c *Client) conn(ctx context.Context, key connKey) (*clientConn, error) {
 	c.mu.Lock()
+	cc := c.connect(key)
+	c.mu.Unlock()
+
+	select {
+	case <-cc.ready:
+		return cc, cc.dialErr
+	case <-ctx.Done():
+		return nil, ErrUnreachable.With("%s", key.address).Wrap(ctx.Err())
+	}
+}
 
+// connect returns the connection that is there, or begins to make one; c.mu is
+// held.
+func (c *Client) connect(key connKey) *clientConn {
 	cc := c.conns[key]
 	if cc == nil {
 		cc = &clientConn{client: c, key: key, ready: make(chan struct{}), pending: map[uint64]chan *Frame{}}
@@ -125,14 +138,8 @@
 
 		go cc.dial()
 	}
-	c.mu.Unlock()
 
-	select {
-	case <-cc.ready:
-		return cc, cc.dialErr
-	case <-ctx.Done():
-		return nil, ErrUnreachable.With("%s", key.address).Wrap(ctx.Err())
-	}
+	return cc
 }
 
 func (c *Client) forget(cc *clientConn) {
@@ -170,6 +177,8 @@
 	broken  bool
 	idle    bool
 	lastUse uint64 // the newest ID when idleness was looked at
+
+	silence silence
 }
 
 // errIdle is returned for a connection that was closed since nobody used it.
@@ -269,7 +278,11 @@
 
 		cc.client.Received.Add(int64(size))
 		cc.client.options.Clock.Observe(f.Clock)
-		cc.deliver(f)
+		cc.silence.heard()
+
+		if f.Kind == KindAnswer {
+			cc.deliver(f)
+		}
 	}
 
 	cc.fail()
@@ -319,6 +332,7 @@
 	cc.lastID++
 	f.ID = cc.lastID
 	cc.pending[f.ID] = waiting
+	cc.silence.watch(cc)
 	cc.mu.Unlock()
 
 	e := newEncoder()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // writer sends whole frames on a shared connection. The last of several
@@ -22,6 +23,10 @@
 	return &writer{conn: conn, sent: sent, buf: bufio.NewWriterSize(conn, writeBuffer)}
 }
 
+// writeTimeout bounds a write to a peer that does not read. Without it all who
+// share the connection wait on its lock, past their deadlines.
+const writeTimeout = time.Second
+
 const (
 	writeBuffer = 16 << 10
 	readBuffer  = 16 << 10
@@ -32,7 +37,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	_, err := w.buf.Write(data)
+	err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err == nil {
+		_, err = w.buf.Write(data)
+	}
+
 	last := w.waiting.Add(-1) == 0
 
 	if err == nil && last {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -57,6 +57,9 @@
 	// KindHello is the first frame of a connection; its Method is the peer address
 	// of the node that opened it.
 	KindHello
+	// KindPing asks whether the other end still reads; KindPong answers.
+	KindPing
+	KindPong
 )
 
 // Frame is what travels.
@@ -77,7 +80,7 @@
 
 // Check reports whether a decoded frame can be used.
 func (f *Frame) Check() error {
-	if f.Kind < KindRequest || f.Kind > KindHello {
+	if f.Kind < KindRequest || f.Kind > KindPong {
 		return ErrFrameInvalid.With("kind %d", f.Kind)
 	}
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -190,7 +190,16 @@
 		}()
 	case KindHello:
 		c.peer.Store(&f.Method)
-	case KindAnswer:
+	case KindPing:
+		c.pong(f.ID)
+	case KindAnswer, KindPong:
+	}
+}
+
+func (c *serverConn) pong(id uint64) {
+	data, err := Encode(&Frame{Kind: KindPong, ID: id})
+	if err == nil && !c.blocked() {
+		_ = c.out.write(data) // a broken connection ends by its reader
 	}
 }
 
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,222 @@
+// Package rendezvous lets nodes find each other through leased records in the
+// platform's store.
+//
+// Each node has one record with its peer address, which ends with its lease. What
+// else is known of a node spreads by gossip; records only say whom to ask first.
+// So nothing here is on the way of a call, and a store that is away, or that takes
+// the records of living nodes, takes nobody out: who is met stays met.
+//
+//	r := rendezvous.New(store, table, gossip.Meet)
+//	go r.Run(ctx)
+package rendezvous
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// Prefix of the records' keys; the node follows.
+const Prefix = "pollencart/nodes/"
+
+const (
+	// leaseTime outlasts most outages of the store; a record that is left behind
+	// costs those who start later one connection attempt each.
+	leaseTime = 30 * time.Second
+	// renewEvery is a third of it, so that two renewals may be lost.
+	renewEvery = 10 * time.Second
+	// firstPause and lastPause bound the pause between tries while the store does
+	// not answer. At the longest 4,300 nodes make 1,000 calls a second.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 4 * time.Second
+	callTime   = time.Second
+	// meetAtOnce is how many recorded nodes are met by one that knows nobody; it
+	// has the records of all others from the first that answers.
+	meetAtOnce = 6
+)
+
+// Record is the value of a node's key.
+type Record struct {
+	Address       string `json:"Address"`
+	FailureDomain string `json:"FailureDomain"`
+}
+
+// Store is what is needed of the platform.
+type Store interface {
+	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, error)
+	Put(ctx context.Context, e platform.Entry) error
+	Grant(ctx context.Context, life time.Duration) (platform.Lease, error)
+	KeepAlive(ctx context.Context, l platform.Lease) error
+	Delete(ctx context.Context, key string) error
+}
+
+// Meet gets to know the node at an address, and reports whether it answered.
+type Meet func(ctx context.Context, address string) bool
+
+// Rendezvous keeps this node's record and meets the nodes of other records.
+type Rendezvous struct {
+	store    Store
+	table    *membership.Table
+	meet     Meet
+	recorder *timeline.Recorder
+
+	lease platform.Lease
+	lost  bool
+}
+
+// New returns a rendezvous of the node whose table it is.
+func New(s Store, t *membership.Table, m Meet, r *timeline.Recorder) *Rendezvous {
+	return &Rendezvous{store: s, table: t, meet: m, recorder: r}
+}
+
+// Run keeps the record and meets others until ctx ends.
+func (r *Rendezvous) Run(ctx context.Context) {
+	pause := firstPause
+
+	for ctx.Err() == nil {
+		err := r.step(ctx)
+		r.note(err)
+
+		next := renewEvery/2 + rand.N(renewEvery/2)
+		if err != nil {
+			next = pause/2 + rand.N(pause)
+			pause = min(2*pause, lastPause)
+		} else {
+			pause = firstPause
+		}
+
+		select {
+		case <-ctx.Done():
+		case <-time.After(next):
+		}
+	}
+}
+
+func (r *Rendezvous) note(err error) {
+	switch {
+	case err != nil && !r.lost:
+		r.lost = true
+		r.recorder.Record(event.PlatformLost, timeline.Entry{Detail: "record of this node: " + err.Error()})
+	case err == nil && r.lost:
+		r.lost = false
+		r.recorder.Record(event.PlatformBack, timeline.Entry{Detail: "record of this node"})
+	}
+}
+
+// step renews the record, or writes it if there is none, and meets others if it
+// was not there or nobody is known.
+func (r *Rendezvous) step(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.call(ctx, func(ctx context.Context) error { return r.store.KeepAlive(ctx, r.lease) })
+		if !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+	}
+
+	if err := r.write(ctx); err != nil {
+		return err
+	}
+
+	return r.meetOthers(ctx)
+}
+
+func (r *Rendezvous) call(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+
+	return f(ctx)
+}
+
+func (r *Rendezvous) write(ctx context.Context) error {
+	r.lease = 0
+
+	var lease platform.Lease
+
+	err := r.call(ctx, func(ctx context.Context) (err error) {
+		lease, err = r.store.Grant(ctx, leaseTime)
+
+		return err
+	})
+	if err != nil {
+		return err
+	}
+
+	self := r.table.Self()
+
+	value, err := json.Marshal(Record{Address: self.PeerAddress, FailureDomain: self.FailureDomain})
+	if err != nil {
+		return err
+	}
+
+	err = r.call(ctx, func(ctx context.Context) error {
+		return r.store.Put(ctx, platform.Entry{Key: Prefix + self.ID, Value: value, Lease: lease})
+	})
+	if err == nil {
+		r.lease = lease
+	}
+
+	return err
+}
+
+func (r *Rendezvous) meetOthers(ctx context.Context) error {
+	var entries []platform.Entry
+
+	err := r.call(ctx, func(ctx context.Context) (err error) {
+		entries, err = r.store.List(ctx, Prefix, false)
+
+		return err
+	})
+	if err != nil {
+		return err
+	}
+
+	self := r.table.Self()
+	met := 0
+
+	for _, address := range addresses(entries, self) {
+		if met == meetAtOnce {
+			break
+		}
+
+		if !r.table.LiveAt(address) && r.meet(ctx, address) {
+			met++
+		}
+	}
+
+	return nil
+}
+
+// addresses returns the recorded addresses in random order, those of the own
+// failure domain first.
+func addresses(entries []platform.Entry, self membership.Record) []string {
+	var near, far []string
+
+	for _, i := range rand.Perm(len(entries)) {
+		var rec Record
+		if json.Unmarshal(entries[i].Value, &rec) != nil || rec.Address == self.PeerAddress {
+			continue // its node will write it anew
+		}
+
+		if rec.FailureDomain == self.FailureDomain {
+			near = append(near, rec.Address)
+		} else {
+			far = append(far, rec.Address)
+		}
+	}
+
+	return append(near, far...)
+}
+
+// Leave removes the record.
+func (r *Rendezvous) Leave(ctx context.Context) {
+	_ = r.call(ctx, func(ctx context.Context) error { // it ends with its lease otherwise
+		return r.store.Delete(ctx, Prefix+r.table.Self().ID)
+	})
+}
--- /dev/null
+++ b/internal/route/holder.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Holder holds the table in force. It only goes up: a table with a lower or equal
+// version is not taken, whoever offers it, so that an old answer of the store or
+// of a peer that arrives late never takes a node back.
+type Holder struct {
+	current atomic.Pointer[Table]
+
+	mu  sync.Mutex
+	raw []byte
+}
+
+// Load returns the table in force, or nil.
+func (h *Holder) Load() *Table { return h.current.Load() }
+
+// Number returns the version in force, 0 before the first.
+func (h *Holder) Number() uint64 {
+	if t := h.current.Load(); t != nil {
+		return t.version
+	}
+
+	return 0
+}
+
+// Offer takes a table, with the bytes that it was decoded from, if it is newer
+// than the one in force, and reports whether it was.
+func (h *Holder) Offer(t *Table, raw []byte) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if t.version <= h.Number() {
+		return false
+	}
+
+	h.raw = raw
+	h.current.Store(t)
+
+	return true
+}
+
+// Raw returns the bytes of the table in force, for a peer that has no way to the
+// store.
+func (h *Holder) Raw() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.raw
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,216 @@
+// Package runner is the only way to the backend server on this host. Calls of all
+// nodes meet here, so that its slots are counted exactly, nothing new reaches it
+// from the moment its leaving is known, and what is turned away has provably not
+// run.
+//
+//	r := runner.New(runner.Options{...})
+//	server.Handle(forward.MethodRun, peer.Typed(r.Serve))
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/announce"
+	"github.com/pollencart/pollencart/internal/backend"
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/poison"
+	"github.com/pollencart/pollencart/internal/slots"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// downRetry is when to come back to a backend server that does not listen; its
+// next heartbeat tells that it is back.
+const downRetry = 200 * time.Millisecond
+
+// Suspects judges requests that were running when a backend server crashed.
+type Suspects interface {
+	Begin(ctx context.Context, c call.Call) (end func(poison.Result), err error)
+}
+
+// Meter counts what runs.
+type Meter interface {
+	Ran(route string, result forward.Result, waited, held time.Duration)
+}
+
+// Options of a runner.
+type Options struct {
+	Service  string
+	Host     *announce.Host
+	Queue    *slots.Queue
+	Pool     *backend.Pool
+	Suspects Suspects
+	Recorder *timeline.Recorder
+	Meter    Meter
+}
+
+// Runner runs calls on one backend server.
+type Runner struct {
+	options Options
+	closed  atomic.Bool
+	busy    atomic.Int64
+}
+
+// New returns a runner.
+func New(o Options) *Runner { return &Runner{options: o} }
+
+// Close turns away what comes from now on; what is inside goes on.
+func (r *Runner) Close() { r.closed.Store(true) }
+
+// Busy returns how many calls are inside.
+func (r *Runner) Busy() int64 { return r.busy.Load() }
+
+// Serve runs one call, or says why not.
+func (r *Runner) Serve(ctx context.Context, in forward.Request) (forward.Reply, error) {
+	r.busy.Add(1)
+	defer r.busy.Add(-1)
+
+	ctx, cancel := context.WithTimeout(ctx, in.Remaining())
+	defer cancel()
+
+	w := work(&in)
+	began := time.Now()
+	reply := r.serve(ctx, &in, w)
+	reply.Load = load(r.options.Queue.Load(w))
+	r.tell(&in, reply, time.Since(began))
+
+	return reply, nil
+}
+
+func work(in *forward.Request) slots.Work {
+	now := time.Now()
+
+	return slots.Work{
+		Route: in.Route, Rank: in.Rank, Target: now.Add(in.Target()), Deadline: now.Add(in.Remaining()), Elsewhere: in.Elsewhere,
+	}
+}
+
+func load(l slots.Load) forward.Load {
+	return forward.Load{Slots: l.Slots, Running: l.Running, Waiting: l.Waiting, WaitMs: l.Wait.Milliseconds()}
+}
+
+func refused(reason string, after time.Duration) forward.Reply {
+	return forward.Reply{Result: forward.Refused, Reason: reason, RetryMs: after.Milliseconds()}
+}
+
+func (r *Runner) serve(ctx context.Context, in *forward.Request, w slots.Work) forward.Reply {
+	if r.closed.Load() || in.Service != r.options.Service || !r.options.Host.State().Takes {
+		return refused(forward.ReasonNone, downRetry)
+	}
+
+	slot, err := r.options.Queue.Enter(ctx, w)
+	if err != nil {
+		return r.turnedAway(err, w)
+	}
+
+	began := time.Now()
+	reply := r.run(ctx, in)
+	slot.Leave(taken(reply, time.Since(began)))
+
+	return reply
+}
+
+// taken is how long the call took if that tells something of its route.
+func taken(reply forward.Reply, held time.Duration) time.Duration {
+	if reply.Result != forward.Answered {
+		return 0
+	}
+
+	return held
+}
+
+func (r *Runner) turnedAway(err error, w slots.Work) forward.Reply {
+	switch {
+	case errors.Is(err, slots.ErrElsewhere):
+		return refused(forward.ReasonElsewhere, r.options.Queue.RetryAfter(w))
+	case errors.Is(err, slots.ErrClosed):
+		return refused(forward.ReasonNone, downRetry)
+	}
+
+	return refused(err.Error(), r.options.Queue.RetryAfter(w))
+}
+
+// run sends the call, unless the backend server began to leave while it waited or
+// the call is suspected of crashing backend servers.
+func (r *Runner) run(ctx context.Context, in *forward.Request) forward.Reply {
+	end, err := r.options.Suspects.Begin(ctx, asCall(in))
+	if err != nil {
+		return refused(err.Error(), poison.Hold)
+	}
+
+	state := r.options.Host.State()
+	if !state.Takes {
+		end(poison.Lost)
+
+		return refused(forward.ReasonNone, downRetry)
+	}
+
+	began := time.Now()
+	a, err := r.options.Pool.Do(ctx, backend.Request{
+		ID: in.ID, Origin: in.Origin, Instance: state.Instance, Method: in.Method, Host: in.Host, URI: in.URI, Header: in.Header,
+		Body: in.Body, Idempotent: in.Idempotent,
+	})
+	reply, result := r.judge(ctx, state, a, err)
+	end(result)
+
+	reply.HeldMs = time.Since(began).Milliseconds()
+
+	return reply
+}
+
+func asCall(in *forward.Request) call.Call {
+	return call.Call{
+		ID: in.ID, Service: in.Service, Method: in.Method, URI: in.URI, Header: in.Header, Body: in.Body, Idempotent: in.Idempotent,
+	}
+}
+
+// judge says what became of a call that was handed to the backend server.
+func (r *Runner) judge(ctx context.Context, s announce.State, a backend.Answer, err error) (forward.Reply, poison.Result) {
+	switch {
+	case errors.Is(err, backend.ErrDown):
+		r.options.Host.Down(s.Instance)
+
+		return refused(forward.ReasonNone, downRetry), poison.Lost
+	case errors.Is(err, backend.ErrBusy):
+		return refused(err.Error(), downRetry), poison.Lost
+	case err != nil:
+		return r.lost(ctx, s, err)
+	case a.Other:
+		r.options.Pool.Forget()
+		r.options.Host.Replaced(s.Instance)
+
+		return refused(forward.ReasonNone, downRetry), poison.Finished
+	case a.NotRun:
+		return forward.Reply{Result: forward.Shed, Reason: "the backend server turned it away", RetryMs: downRetry.Milliseconds()}, poison.Lost
+	}
+
+	return forward.Reply{Result: forward.Answered, Status: a.Status, Header: a.Header, Body: a.Body}, poison.Finished
+}
+
+// lost finds out whether the backend server ended while it ran the call. Its
+// process is gone if nobody listens any more.
+func (r *Runner) lost(ctx context.Context, s announce.State, err error) (forward.Reply, poison.Result) {
+	reply := forward.Reply{Result: forward.Lost, Reason: err.Error()}
+
+	if ctx.Err() != nil || r.options.Pool.Listens(ctx) {
+		return reply, poison.Lost
+	}
+
+	r.options.Host.Down(s.Instance)
+
+	return reply, poison.Crashed
+}
+
+func (r *Runner) tell(in *forward.Request, reply forward.Reply, took time.Duration) {
+	held := time.Duration(reply.HeldMs) * time.Millisecond
+
+	if r.options.Meter != nil {
+		r.options.Meter.Ran(in.Route, reply.Result, took-held, held)
+	}
+
+	r.options.Recorder.Record(event.CallRun, timeline.Entry{Call: in.ID, Detail: describe(in, reply, took)})
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,330 @@
+// Package sidecar puts one process together as it runs on the users' platform:
+// beside each backend server, with nothing on disk, and the platform's store for
+// what must last.
+//
+// A call comes in at ingress, dispatch chooses a node for it, and runner on that
+// node lets it in to the backend server. Nodes find each other by rendezvous and
+// know each other by membership; feed brings the configuration; announce follows
+// the backend server on the host, and departures keeps its leaving.
+//
+// # Usage
+//
+//	n := sidecar.New(config, logger)
+//	err := n.Run(ctx) // until ctx ends, then drains
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/pollencart/pollencart/internal/announce"
+	"github.com/pollencart/pollencart/internal/backend"
+	"github.com/pollencart/pollencart/internal/departures"
+	"github.com/pollencart/pollencart/internal/dispatch"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/feed"
+	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/place"
+	"github.com/pollencart/pollencart/internal/poison"
+	"github.com/pollencart/pollencart/internal/rendezvous"
+	"github.com/pollencart/pollencart/internal/repeats"
+	"github.com/pollencart/pollencart/internal/route"
+	"github.com/pollencart/pollencart/internal/runner"
+	"github.com/pollencart/pollencart/internal/sidecar/config"
+	"github.com/pollencart/pollencart/internal/sidecar/meter"
+	"github.com/pollencart/pollencart/internal/slots"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/platform"
+)
+
+// ErrListen is returned if an address can't be listened on.
+var ErrListen = errs.New("sidecar.listen", http.StatusServiceUnavailable, "can't listen")
+
+// recorded bounds the time line's memory: events of each of the two rings.
+const recorded = 512
+
+// Sidecar is one process beside one backend server.
+type Sidecar struct {
+	config   config.Config
+	recorder *timeline.Recorder
+	meter    *meter.Meter
+	leaving  atomic.Bool
+
+	server *peer.Server
+	client *peer.Client
+	table  *membership.Table
+	gossip *membership.Gossip
+
+	store      *platform.Store
+	holder     *route.Holder
+	feed       *feed.Feed
+	rendezvous *rendezvous.Rendezvous
+	departures *departures.Departures
+
+	host    *announce.Host
+	queue   *slots.Queue
+	pool    *backend.Pool
+	watch   *poison.Watch
+	runner  *runner.Runner
+	entry   *dispatch.Dispatcher
+	ingress *ingress.Server
+
+	mu        sync.Mutex
+	instance  string // that the connections of the pool lead to
+	listeners []net.Listener
+}
+
+// New returns a sidecar that does not listen yet.
+func New(c config.Config, logger *slog.Logger) *Sidecar {
+	n := &Sidecar{config: c, meter: meter.New(), store: platform.NewStore(c.StoreAddress), holder: &route.Holder{}}
+	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
+	n.fleet()
+	n.backend()
+	n.calls()
+	n.methods()
+	n.gauges()
+
+	return n
+}
+
+// fleet makes what knows the other nodes.
+func (n *Sidecar) fleet() {
+	c := n.config
+	links := []peer.Option{
+		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress),
+		peer.Lost(func(address string) { n.gossip.Doubt(address) }),
+	}
+	n.server = peer.NewServer(links...)
+	n.client = peer.NewClient(links...)
+	n.table = membership.NewTable(membership.Record{
+		ID: c.Node, Incarnation: uint64(time.Now().UnixMicro()), Region: c.Region, FailureDomain: c.FailureDomain,
+		PeerAddress: c.PeerAddress, CallerAddress: c.CallerAddress, ControlAddress: c.AnnounceAddress,
+	}, n.recorder)
+	n.feed = feed.New(feed.Options{
+		Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration, Store: n.store, Holder: n.holder,
+		Peers: n.client, Members: n.table, Recorder: n.recorder,
+	})
+	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
+	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder)
+	n.departures = departures.New(n.store, n.client, n.table)
+}
+
+// backend makes what leads to the backend server on this host.
+func (n *Sidecar) backend() {
+	c := n.config
+	n.pool = backend.New(c.BackendAddress, platform.Headers())
+	n.queue = slots.New()
+	n.watch = poison.NewWatch(poison.Self{Node: c.Node, Life: ulid.Make().String(), Address: c.BackendAddress}, n.table, n.client, n.recorder)
+	n.host = announce.New(
+		announce.Recorder(n.recorder), announce.WithKeeper(n.departures), announce.Changed(n.changed), announce.Probe(n.probe),
+	)
+	n.runner = runner.New(runner.Options{
+		Service: c.Service, Host: n.host, Queue: n.queue, Pool: n.pool, Suspects: n.watch, Recorder: n.recorder, Meter: n.meter,
+	})
+}
+
+// calls makes what takes calls of callers.
+func (n *Sidecar) calls() {
+	c := n.config
+	n.entry = dispatch.New(dispatch.Options{
+		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
+		Members: n.table, Peers: n.client, Own: n.runner, Placer: place.New(), Recorder: n.recorder, Meter: n.meter,
+		Budget: repeats.New(repeats.Bound{
+			Ratio: c.Bounds.RetryRatio, Slack: c.Bounds.RetrySlack, Window: config.Seconds(c.Bounds.RetryWindowSeconds),
+		}),
+	})
+	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder))
+}
+
+// methods adds what other nodes may ask of this one.
+func (n *Sidecar) methods() {
+	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
+	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
+	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
+	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
+	n.server.Handle(forward.MethodRun, peer.Typed(n.runner.Serve))
+	n.server.Handle(feed.MethodPull, peer.Typed(n.feed.ServePull))
+	n.server.Handle(departures.MethodKeep, peer.Typed(n.departures.ServeKeep))
+	n.server.Handle(departures.MethodAsk, peer.Typed(n.departures.ServeAsk))
+	n.server.Handle(poison.MethodReport, peer.Typed(n.watch.ServeReport))
+	n.server.Handle(poison.MethodPull, peer.Typed(n.watch.ServePull))
+	n.server.Handle(poison.MethodTake, peer.Typed(n.watch.ServeTake))
+	n.server.Handle(poison.MethodGive, peer.Typed(n.watch.ServeGive))
+}
+
+func (n *Sidecar) gauges() {
+	for _, g := range []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
+		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
+		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load(slots.Work{}).Slots) }},
+		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
+		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
+	} {
+		n.meter.Gauge(g.name, g.help, g.value)
+	}
+}
+
+// probe asks the backend server which instance it is.
+func (n *Sidecar) probe(ctx context.Context) (instance string, healthy bool) {
+	return n.pool.Probe(ctx, n.healthPath())
+}
+
+// defaultHealthPath is asked while no version is held.
+const defaultHealthPath = "/health"
+
+func (n *Sidecar) healthPath() string {
+	if t := n.holder.Load(); t != nil {
+		if s, ok := t.Service(n.config.Service); ok && s.HealthPath != "" {
+			return s.HealthPath
+		}
+	}
+
+	return defaultHealthPath
+}
+
+// changed tells everyone what the backend server on this host does now.
+func (n *Sidecar) changed(announce.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	s := n.host.State()
+	open := s.Slots
+
+	if !s.Takes {
+		open = 0
+	}
+
+	if s.Instance != n.instance {
+		n.instance = s.Instance
+		n.pool.Forget()
+	}
+
+	n.queue.Resize(open)
+	n.watch.Stale()
+	n.table.Update(func(r membership.Record) membership.Record {
+		r.Upstream = membership.Upstream{Service: n.config.Service, State: membership.UpstreamDraining, Slots: s.Slots}
+		if s.Takes && !n.leaving.Load() {
+			r.Upstream.State = membership.UpstreamReady
+		}
+
+		return r
+	})
+
+	go n.gossip.Tell(context.Background())
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (n *Sidecar) Run(ctx context.Context) error {
+	if err := n.listen(); err != nil {
+		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
+
+		return err
+	}
+
+	n.recorder.Record(event.NodeStarted, timeline.Entry{Detail: n.config.PeerAddress})
+
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+
+	var running sync.WaitGroup
+
+	for _, f := range []func(context.Context){n.feed.Run, n.gossip.Run, n.rendezvous.Run, n.tellReady} {
+		running.Go(func() { f(work) })
+	}
+
+	<-ctx.Done()
+	n.drain()
+	stop()
+	running.Wait()
+	n.close()
+	n.recorder.Record(event.NodeStopped, timeline.Entry{})
+
+	return nil
+}
+
+// tellReady records when the node first holds a version.
+func (n *Sidecar) tellReady(ctx context.Context) {
+	const look = 50 * time.Millisecond
+
+	for n.holder.Number() == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(look):
+		}
+	}
+
+	n.recorder.Record(event.NodeReady, timeline.Entry{Version: n.holder.Number()})
+}
+
+func (n *Sidecar) ready() bool { return n.holder.Number() > 0 && !n.leaving.Load() }
+
+func (n *Sidecar) listen() error {
+	for _, h := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{n.config.PeerAddress, n.server.Serve},
+		{n.config.AnnounceAddress, serveHTTP(func(e *echo.Echo) { platform.Register(e, n.host) })},
+		{n.config.ReadyAddress, serveHTTP(func(e *echo.Echo) { platform.RegisterReady(e, n.ready) })},
+		{n.config.MetricsAddress, serveHTTP(func(e *echo.Echo) { e.GET("/metrics", echo.WrapHandler(n.meter.Handler())) })},
+		{n.config.CallerAddress, n.ingress.Serve},
+	} {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			n.close()
+
+			return ErrListen.With("%s", h.address).Wrap(err)
+		}
+
+		n.listeners = append(n.listeners, l)
+
+		go n.serve(h.serve, l)
+	}
+
+	return nil
+}
+
+func (n *Sidecar) serve(serve func(net.Listener) error, l net.Listener) {
+	if err := serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
+	}
+}
+
+// headTime bounds how long a connection may take over its request's head.
+const headTime = 5 * time.Second
+
+func serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
+	e := echo.New()
+	e.HideBanner = true
+	register(e)
+
+	s := &http.Server{Handler: e, ReadHeaderTimeout: headTime}
+
+	return s.Serve
+}
+
+func (n *Sidecar) close() {
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+
+	n.ingress.Close()
+	n.server.Close()
+	n.client.Close()
+}
--- /dev/null
+++ b/internal/slots/slots.go
@@ -0,0 +1,370 @@
+// Package slots decides at the node beside a backend server which calls run now,
+// which wait and which are turned away.
+//
+// # The load it answers
+//
+// More calls than the backend server has slots for: bursts, callers that move from
+// another failure domain, slow backend servers, long calls among short ones.
+//
+//   - No more calls than slots run. A backend server that is full resets
+//     connections or slows down, and nobody can tell what ran; here a call that
+//     does not fit has provably not run.
+//   - A call that can't end before its caller gives up is turned away at once,
+//     with the time after which the backlog will be gone. Without this it waits in
+//     vain and takes the slot of one that could have been in time.
+//   - A call that would be late here and has somewhere else to go is turned away
+//     at once too, since asking the next node costs a millisecond.
+//   - Urgent ranks first, and within a rank the call that has to start soonest to
+//     be on time. One start in FairEvery goes to whoever has to start soonest of
+//     all ranks, so that no kind of call is starved by a more urgent one.
+//
+// How long calls take is learnt for each route, since they differ by ten times.
+//
+// # Usage
+//
+//	q := slots.New()
+//	q.Resize(9)
+//	s, err := q.Enter(ctx, slots.Work{Route: "search", Rank: 1, Target: t, Deadline: d})
+//	if err == nil {
+//		defer s.Leave(took)
+//	}
+package slots
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// Errors of a call that is turned away.
+var (
+	ErrClosed    = errs.New("slots.closed", http.StatusServiceUnavailable, "the backend server takes no calls")
+	ErrTooLate   = errs.New("slots.too_late", http.StatusServiceUnavailable, "the call can't end in time")
+	ErrElsewhere = errs.New("slots.elsewhere", http.StatusServiceUnavailable, "the call would be late here and may go elsewhere")
+	ErrGone      = errs.New("slots.gone", http.StatusServiceUnavailable, "the caller gave up while the call waited")
+)
+
+const (
+	// FairEvery is of how many starts one goes to the soonest call of all ranks.
+	FairEvery = 4
+	// unknownSize is taken for the length of a call whose route was never seen.
+	unknownSize = 50 * time.Millisecond
+	// smoothing of sizes; about as many calls have a say. clip bounds what a single
+	// long one says.
+	smoothing = 8
+	clip      = 4
+	// leastPart of its usual time is counted for a running call however long it
+	// has run already.
+	leastPart = 4
+	// maxRoutes bounds what is remembered of routes that are long gone.
+	maxRoutes = 4096
+	// shortestRetry and longestRetry bound the time to come back.
+	shortestRetry = 40 * time.Millisecond
+	longestRetry  = time.Second
+)
+
+// Work is a call that wants a slot.
+type Work struct {
+	Route string
+	Rank  int
+	// Target is until when an answer is worth most, Deadline until when it is
+	// worth anything.
+	Target   time.Time
+	Deadline time.Time
+	// Elsewhere says that another node can take the call.
+	Elsewhere bool
+}
+
+// Queue lets calls in to one backend server.
+type Queue struct {
+	mu      sync.Mutex
+	slots   int
+	running map[*Slot]struct{}
+	waiting []*Slot
+	sizes   map[string]time.Duration
+	starts  int
+}
+
+// Slot is a call that runs or waits.
+type Slot struct {
+	queue   *Queue
+	work    Work
+	size    time.Duration
+	began   time.Time
+	granted chan error
+}
+
+// Load is what the queue holds.
+type Load struct {
+	Slots   int
+	Running int
+	Waiting int
+	// Wait is how long a call of the asked rank would wait.
+	Wait time.Duration
+}
+
+// New returns a queue without slots.
+func New() *Queue {
+	return &Queue{running: map[*Slot]struct{}{}, sizes: map[string]time.Duration{}}
+}
+
+// Resize sets the number of slots; 0 turns all away.
+func (q *Queue) Resize(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.slots = slots
+	q.start(time.Now())
+}
+
+// Enter returns when the call may run. The error says why it may not.
+func (q *Queue) Enter(ctx context.Context, w Work) (*Slot, error) {
+	s := &Slot{queue: q, work: w, granted: make(chan error, 1)}
+
+	if err := q.enqueue(s); err != nil {
+		return nil, err
+	}
+
+	select {
+	case err := <-s.granted:
+		if err != nil {
+			return nil, err
+		}
+
+		return s, nil
+	case <-ctx.Done():
+		return nil, q.abandon(s)
+	}
+}
+
+func (q *Queue) enqueue(s *Slot) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	now := time.Now()
+	s.size = q.size(s.work.Route)
+
+	if q.slots == 0 {
+		return ErrClosed
+	}
+
+	wait := q.wait(s, now)
+	end := now.Add(wait + s.size)
+
+	switch {
+	case wait > 0 && s.work.Elsewhere && end.After(s.work.Target):
+		return ErrElsewhere
+	case wait > 0 && end.After(s.work.Deadline):
+		return ErrTooLate
+	}
+
+	q.waiting = append(q.waiting, s)
+	q.start(now)
+
+	return nil
+}
+
+// abandon takes a call out whose caller gave up. A slot that was granted in the
+// same moment is given back.
+func (q *Queue) abandon(s *Slot) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for i, o := range q.waiting {
+		if o == s {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+
+			return ErrGone
+		}
+	}
+
+	delete(q.running, s)
+	q.start(time.Now())
+
+	return ErrGone
+}
+
+// start lets waiting calls in while slots are free.
+func (q *Queue) start(now time.Time) {
+	for len(q.waiting) > 0 && len(q.running) < q.slots {
+		s := q.next(now)
+
+		// Half of the usual time is the least that is worth a try.
+		if now.Add(s.size / 2).After(s.work.Deadline) {
+			s.granted <- ErrTooLate
+
+			continue
+		}
+
+		s.began = now
+		q.running[s] = struct{}{}
+		s.granted <- nil
+	}
+
+	if q.slots == 0 {
+		q.turnAway()
+	}
+}
+
+func (q *Queue) turnAway() {
+	for _, s := range q.waiting {
+		s.granted <- ErrClosed
+	}
+
+	q.waiting = nil
+}
+
+// next takes the call out of the queue that starts next.
+func (q *Queue) next(now time.Time) *Slot {
+	q.starts++
+
+	before := (*Slot).before
+	if q.starts%FairEvery == 0 {
+		before = (*Slot).sooner
+	}
+
+	best := 0
+
+	for i := range q.waiting {
+		if before(q.waiting[i], q.waiting[best], now) {
+			best = i
+		}
+	}
+
+	s := q.waiting[best]
+	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+
+	return s
+}
+
+// before orders calls by rank, then by when they have to start.
+func (s *Slot) before(o *Slot, now time.Time) bool {
+	if s.work.Rank != o.work.Rank {
+		return s.work.Rank < o.work.Rank
+	}
+
+	return s.sooner(o, now)
+}
+
+// sooner orders calls by when they have to start to be on time. Those that can't
+// be any more come after those that can.
+func (s *Slot) sooner(o *Slot, now time.Time) bool {
+	mine, late := s.latest(now)
+	theirs, theirsLate := o.latest(now)
+
+	if late != theirsLate {
+		return !late
+	}
+
+	return mine.Before(theirs)
+}
+
+// latest returns the last moment to start, and whether it is too late to be on
+// time, so that only the deadline counts.
+func (s *Slot) latest(now time.Time) (time.Time, bool) {
+	if t := s.work.Target.Add(-s.size); !t.Before(now) {
+		return t, false
+	}
+
+	return s.work.Deadline.Add(-s.size), true
+}
+
+// wait estimates how long the call would wait: the work in front of it, shared by
+// all slots.
+func (q *Queue) wait(s *Slot, now time.Time) time.Duration {
+	if len(q.running)+len(q.waiting) < q.slots {
+		return 0
+	}
+
+	var ahead time.Duration
+
+	for r := range q.running {
+		ahead += max(r.size-now.Sub(r.began), r.size/leastPart)
+	}
+
+	for _, o := range q.waiting {
+		if o.before(s, now) {
+			ahead += o.size
+		}
+	}
+
+	return ahead / time.Duration(q.slots)
+}
+
+// Leave gives the slot back. Took is how long the backend server needed, or 0 if
+// that says nothing about the route.
+func (s *Slot) Leave(took time.Duration) {
+	q := s.queue
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	delete(q.running, s)
+
+	if took > 0 {
+		q.learn(s.work.Route, took)
+	}
+
+	q.start(time.Now())
+}
+
+func (q *Queue) size(route string) time.Duration {
+	if d, ok := q.sizes[route]; ok {
+		return d
+	}
+
+	return unknownSize
+}
+
+func (q *Queue) learn(route string, took time.Duration) {
+	mean, ok := q.sizes[route]
+	if !ok {
+		if len(q.sizes) >= maxRoutes {
+			clear(q.sizes)
+		}
+
+		q.sizes[route] = took
+
+		return
+	}
+
+	q.sizes[route] = mean + (min(took, clip*mean)-mean)/smoothing
+}
+
+// Load tells what the queue holds, as a call of the work's rank would meet it.
+func (q *Queue) Load(w Work) Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	l := Load{Slots: q.slots, Running: len(q.running), Waiting: len(q.waiting)}
+	if q.slots > 0 {
+		l.Wait = q.wait(&Slot{work: w, size: q.size(w.Route)}, time.Now())
+	}
+
+	return l
+}
+
+// Busy returns how many calls run or wait.
+func (q *Queue) Busy() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return len(q.running) + len(q.waiting)
+}
+
+// RetryAfter returns when a call of this work is likely to find a slot in time:
+// when what is over its limit will have been worked off.
+func (q *Queue) RetryAfter(w Work) time.Duration {
+	l := q.Load(w)
+
+	return min(max(l.Wait/2, shortestRetry), longestRetry)
+}
+
+// TurnedAway reports whether the error is of a call that was never let in.
+func TurnedAway(err error) bool {
+	return errors.Is(err, ErrClosed) || errors.Is(err, ErrTooLate) || errors.Is(err, ErrElsewhere) || errors.Is(err, ErrGone)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,32 @@
+// Package store says what a sidecar needs of the platform's key-value store beside
+// what every node needs (see internal/platform): lists, and watches of a prefix
+// that return when something changed.
+//
+//	changes, err := s.Watch(ctx, "fleet/", after, 20*time.Second)
+//	after = changes.Revision
+package store
+
+import (
+	"net/http"
+
+	"github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/pkg/errs"
+)
+
+// ErrCompacted means that the store no longer has the changes that were asked for;
+// the keys have to be read again.
+var ErrCompacted = errs.New("store.compacted", http.StatusGone, "the store no longer has these changes")
+
+// Change is one change of a key.
+type Change struct {
+	platform.Entry
+
+	Deleted bool
+}
+
+// Changes are what happened to the keys of a prefix.
+type Changes struct {
+	Entries []Change
+	// Revision is where to go on from.
+	Revision int64
+}
