A node is not taken for busy by what was last heard of it

Cause: calls were refused at the entry when the last reports said that no node would end them in time; the reports lag, and the nodes themselves would have taken most.

--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -45,11 +45,11 @@
 		candidates := t.candidates()
 
 		chosen, ok := t.pick(candidates)
-		if !ok || t.hopeless(chosen) {
+		if !ok {
 			break
 		}
 
-		reply := t.ask(chosen.Candidate)
+		reply := t.ask(chosen)
 
 		if t.settled(reply) {
 			return t.answer(reply)
@@ -104,8 +104,8 @@
 	return out
 }
 
-func (t *try) pick(candidates []place.Candidate) (place.Choice, bool) {
-	need := place.Need{Route: t.route.Name, Target: time.Until(t.target), Idempotent: t.request.Idempotent, Tried: t.busy}
+func (t *try) pick(candidates []place.Candidate) (place.Candidate, bool) {
+	need := place.Need{Route: t.route.Name, Rank: t.request.Rank, Target: time.Until(t.target), Idempotent: t.request.Idempotent, Tried: t.busy}
 	placer := t.dispatcher.options.Placer
 
 	c, ok := placer.Pick(candidates, need)
@@ -125,21 +125,6 @@
 	return c, ok
 }
 
-// hopeless reports whether no node is expected to end the call before its caller
-// gives up. Asking around among busy nodes would only make them busier.
-func (t *try) hopeless(c place.Choice) bool {
-	if c.Expected <= t.left() {
-		return false
-	}
-
-	t.last = forward.Reply{
-		Result: forward.Refused, RetryMs: (c.Expected - t.left()).Milliseconds(),
-		Reason: "all nodes are busy, the best for " + c.Expected.Round(time.Millisecond).String(),
-	}
-
-	return true
-}
-
 // ask hands the call to a node and notes what came of it.
 func (t *try) ask(c place.Candidate) forward.Reply {
 	d := t.dispatcher
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -106,8 +106,18 @@
 	Slots   int `msgpack:"Slots"`
 	Running int `msgpack:"Running"`
 	Waiting int `msgpack:"Waiting"`
-	// WaitMs is how long a call of the request's rank would wait now.
-	WaitMs int64 `msgpack:"WaitMs"`
+	// WaitsMs is how long a call would wait now, by its rank; less urgent ones wait
+	// as long as the last.
+	WaitsMs [Ranks]int64 `msgpack:"WaitsMs"`
+}
+
+// Ranks is how many ranks a load tells apart: calls of backend servers, and the
+// priorities that routes have.
+const Ranks = 4
+
+// Wait returns how long a call of a rank would wait.
+func (l Load) Wait(rank int) time.Duration {
+	return time.Duration(l.WaitsMs[min(max(rank, 0), Ranks-1)]) * time.Millisecond
 }
 
 // Reply is what became of a call.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,6 +82,7 @@
 // Need is what a call wants.
 type Need struct {
 	Route string
+	Rank  int
 	// Target is the time until the answer is worth less.
 	Target time.Duration
 	// Idempotent calls may find out whether a failing node has mended.
@@ -90,14 +91,6 @@
 	Tried []string
 }
 
-// Choice is where a call goes.
-type Choice struct {
-	Candidate
-
-	// Expected is the time until the call would be answered there.
-	Expected time.Duration
-}
-
 // Result is what came of a call at a node.
 type Result uint8
 
@@ -119,7 +112,27 @@
 type Placer struct {
 	mu    sync.Mutex
 	nodes map[string]*node
-	sizes map[string]time.Duration
+	sizes map[string]*size
+}
+
+// size is the usual time of a route's calls over all nodes.
+type size struct {
+	mean time.Duration
+	seen int
+}
+
+// learn takes the mean of the first calls and moves slowly after, so that neither
+// the first call nor one slow node says how long calls take.
+func (s *size) learn(held time.Duration) {
+	if s.seen < smoothing*smoothing {
+		s.seen++
+	}
+
+	if s.seen > smoothing {
+		held = min(held, clip*s.mean)
+	}
+
+	s.mean += (held - s.mean) / time.Duration(s.seen)
 }
 
 // node is what was seen of one node.
@@ -137,11 +150,11 @@
 
 // New returns a placer that has seen nothing.
 func New() *Placer {
-	return &Placer{nodes: map[string]*node{}, sizes: map[string]time.Duration{}}
+	return &Placer{nodes: map[string]*node{}, sizes: map[string]*size{}}
 }
 
 // Pick returns the node that the call goes to, or false if there is none.
-func (p *Placer) Pick(candidates []Candidate, n Need) (Choice, bool) {
+func (p *Placer) Pick(candidates []Candidate, n Need) (Candidate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -156,20 +169,19 @@
 
 		m := p.node(c.ID)
 		if now.Before(m.avoid) {
-			spare.weigh(c, m.pause, 0, m.pause <= firstAvoid)
+			spare.weigh(c, m.pause, m.pause <= firstAvoid)
 
 			continue
 		}
 
 		if p.worthATry(m, n) {
-			return Choice{Candidate: *c}, true
+			return *c, true
 		}
 
-		expected := p.expected(m, c, n, now)
-		cost := expected + time.Duration(m.failures*failureCost*float64(n.Target))
+		cost := p.expected(m, c, n, now) + time.Duration(m.failures*failureCost*float64(n.Target))
 
-		near.weigh(c, cost, expected, c.Near)
-		far.weigh(c, cost+way, expected+way, !c.Near)
+		near.weigh(c, cost, c.Near)
+		far.weigh(c, cost+way, !c.Near)
 	}
 
 	if c, ok := decide(near, far, n); ok {
@@ -180,7 +192,7 @@
 	return spare.get()
 }
 
-func decide(near, far choice, n Need) (Choice, bool) {
+func decide(near, far choice, n Need) (Candidate, bool) {
 	switch {
 	case near.candidate == nil:
 		return far.get()
@@ -197,21 +209,20 @@
 type choice struct {
 	candidate *Candidate
 	cost      time.Duration
-	expected  time.Duration
 }
 
-func (c *choice) weigh(o *Candidate, cost, expected time.Duration, takes bool) {
+func (c *choice) weigh(o *Candidate, cost time.Duration, takes bool) {
 	if takes && (c.candidate == nil || cost < c.cost) {
-		c.candidate, c.cost, c.expected = o, cost, expected
+		c.candidate, c.cost = o, cost
 	}
 }
 
-func (c *choice) get() (Choice, bool) {
+func (c *choice) get() (Candidate, bool) {
 	if c.candidate == nil {
-		return Choice{}, false
+		return Candidate{}, false
 	}
 
-	return Choice{Candidate: *c.candidate, Expected: c.expected}, true
+	return *c.candidate, true
 }
 
 func (p *Placer) worthATry(m *node, n Need) bool {
@@ -231,7 +242,7 @@
 	wait := time.Duration(0)
 
 	if age := now.Sub(m.at); !m.at.IsZero() && age < fade {
-		wait = max(time.Duration(m.load.WaitMs)*time.Millisecond-age, 0)
+		wait = max(m.load.Wait(n.Rank)-age, 0)
 	}
 
 	if over := m.inFlight + 1 - max(c.Slots, 1); over > 0 {
@@ -247,8 +258,8 @@
 }
 
 func (p *Placer) size(route string) time.Duration {
-	if d, ok := p.sizes[route]; ok {
-		return d
+	if s, ok := p.sizes[route]; ok {
+		return s.mean
 	}
 
 	return unknownSize
@@ -315,16 +326,16 @@
 	m.pause = 0
 	m.avoid = time.Time{}
 
-	mean, ok := p.sizes[route]
-	if !ok {
-		p.sizes[route] = held
-
-		return
+	s := p.sizes[route]
+	if s == nil {
+		s = &size{}
+		p.sizes[route] = s
 	}
 
-	ratio := min(float64(held)/float64(max(mean, time.Millisecond)), clip*m.speed)
+	s.learn(held)
+
+	ratio := min(float64(held)/float64(max(s.mean, time.Millisecond)), clip*m.speed)
 	m.speed += (ratio - m.speed) / smoothing
-	p.sizes[route] = mean + (min(held, clip*mean)-mean)/(smoothing*smoothing)
 }
 
 func (m *node) unreached(now time.Time) bool {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -75,7 +75,7 @@
 	w := work(&in)
 	began := time.Now()
 	reply := r.serve(ctx, &in, w)
-	reply.Load = load(r.options.Queue.Load(w))
+	reply.Load = r.load(w)
 	r.tell(&in, reply, time.Since(began))
 
 	return reply, nil
@@ -89,8 +89,15 @@
 	}
 }
 
-func load(l slots.Load) forward.Load {
-	return forward.Load{Slots: l.Slots, Running: l.Running, Waiting: l.Waiting, WaitMs: l.Wait.Milliseconds()}
+func (r *Runner) load(w slots.Work) forward.Load {
+	l := r.options.Queue.Load()
+	out := forward.Load{Slots: l.Slots, Running: l.Running, Waiting: l.Waiting}
+
+	for rank := range out.WaitsMs {
+		out.WaitsMs[rank] = r.options.Queue.Wait(w, rank).Milliseconds()
+	}
+
+	return out
 }
 
 func refused(reason string, after time.Duration) forward.Reply {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -183,7 +183,7 @@
 	}{
 		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
 		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
-		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load(slots.Work{}).Slots) }},
+		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
 	} {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -64,7 +64,7 @@
 	// LateShare is how far between target and deadline a call may be expected to end
 	// to be let in. At 0 a short queue is refused that would have been late by
 	// little; at 1 all that wait are late while the load lasts.
-	LateShare = 0.35
+	LateShare = 1.0
 	// leastPart of its usual time is counted for a running call however long it
 	// has run already.
 	leastPart = 4
@@ -93,7 +93,7 @@
 	slots   int
 	running map[*Slot]struct{}
 	waiting []*Slot
-	sizes   map[string]time.Duration
+	sizes   map[string]*size
 	starts  int
 	use     [ranks]use
 }
@@ -151,13 +151,11 @@
 	Slots   int
 	Running int
 	Waiting int
-	// Wait is how long a call of the asked rank would wait.
-	Wait time.Duration
 }
 
 // New returns a queue without slots.
 func New() *Queue {
-	return &Queue{running: map[*Slot]struct{}{}, sizes: map[string]time.Duration{}}
+	return &Queue{running: map[*Slot]struct{}{}, sizes: map[string]*size{}}
 }
 
 // Resize sets the number of slots; 0 turns all away.
@@ -383,39 +381,64 @@
 }
 
 func (q *Queue) size(route string) time.Duration {
-	if d, ok := q.sizes[route]; ok {
-		return d
+	if s, ok := q.sizes[route]; ok {
+		return s.mean
 	}
 
 	return unknownSize
 }
 
 func (q *Queue) learn(route string, took time.Duration) {
-	mean, ok := q.sizes[route]
-	if !ok {
+	s := q.sizes[route]
+	if s == nil {
 		if len(q.sizes) >= maxRoutes {
 			clear(q.sizes)
 		}
 
-		q.sizes[route] = took
+		s = &size{}
+		q.sizes[route] = s
+	}
+
+	s.learn(took)
+}
 
-		return
+// size is the usual time of a route's calls here.
+type size struct {
+	mean time.Duration
+	seen int
+}
+
+// learn takes the mean of the first calls, then follows with smoothing.
+func (s *size) learn(took time.Duration) {
+	if s.seen < smoothing {
+		s.seen++
+	} else {
+		took = min(took, clip*s.mean)
 	}
 
-	q.sizes[route] = mean + (min(took, clip*mean)-mean)/smoothing
+	s.mean += (took - s.mean) / time.Duration(s.seen)
+}
+
+// Load tells what the queue holds.
+func (q *Queue) Load() Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return Load{Slots: q.slots, Running: len(q.running), Waiting: len(q.waiting)}
 }
 
-// Load tells what the queue holds, as a call of the work's rank would meet it.
-func (q *Queue) Load(w Work) Load {
+// Wait estimates how long a call of the work's route would wait at a rank.
+func (q *Queue) Wait(w Work, rank int) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	l := Load{Slots: q.slots, Running: len(q.running), Waiting: len(q.waiting)}
-	if q.slots > 0 {
-		l.Wait = q.wait(&Slot{work: w, size: q.size(w.Route)}, time.Now())
+	if q.slots == 0 {
+		return 0
 	}
 
-	return l
+	w.Rank = rank
+
+	return q.wait(&Slot{work: w, size: q.size(w.Route)}, time.Now())
 }
 
 // Busy returns how many calls run or wait.
@@ -429,9 +452,7 @@
 // RetryAfter returns when a call of this work is likely to find a slot in time:
 // when what is over its limit will have been worked off.
 func (q *Queue) RetryAfter(w Work) time.Duration {
-	l := q.Load(w)
-
-	return min(max(l.Wait/2, shortestRetry), longestRetry)
+	return min(max(q.Wait(w, w.Rank), shortestRetry), longestRetry)
 }
 
 // TurnedAway reports whether the error is of a call that was never let in.
