Calls are ranked by their route; the calls of backend servers can't be told by address

Cause: calls from the host's own address were ranked before all others, but callers share that address, so that all calls had one rank. The calls of backend servers have the nearest targets of their rank and go first by that.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,24 +113,13 @@
 		dispatcher: d, ctx: ctx, route: found, outcome: o, target: r.Arrived.Add(min(found.Target, patience)),
 		request: forward.Request{
 			ID: o.ID, Service: service, Route: found.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
-			Header: d.options.Names.Forwarded(r.Header), Body: r.Body, Idempotent: found.Idempotent, Rank: d.rank(r, found),
+			Header: d.options.Names.Forwarded(r.Header), Body: r.Body, Idempotent: found.Idempotent, Rank: found.Priority,
 		},
 	}
 
 	return t.run()
 }
 
-// rank orders calls at the backend server. The calls that a backend server makes
-// while it runs a call go before all that callers send: if one of them fails, what
-// the other has cost so far is lost, and they are short.
-func (d *Dispatcher) rank(r ingress.Request, found *route.Route) int {
-	if r.Remote == d.options.BackendHost {
-		return 0
-	}
-
-	return 1 + found.Priority
-}
-
 // callerWay is the way to a caller and back, for which its own clock runs as well:
 // some ten milliseconds. An answer of this node that takes longer comes too late.
 const (
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -47,16 +47,14 @@
 	Node          string
 	FailureDomain string
 	// Service is that of the backend server on this host, where calls begin.
-	Service string
-	// BackendHost is where the calls of that backend server come from.
-	BackendHost string
-	Names       header.Names
-	Tables      Tables
-	Members     Members
-	Peers       Peers
-	Own         Runner
-	Placer      *place.Placer
-	Budget      *repeats.Budget
-	Recorder    *timeline.Recorder
-	Meter       Meter
+	Service  string
+	Names    header.Names
+	Tables   Tables
+	Members  Members
+	Peers    Peers
+	Own      Runner
+	Placer   *place.Placer
+	Budget   *repeats.Budget
+	Recorder *timeline.Recorder
+	Meter    Meter
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -111,9 +111,8 @@
 	WaitsMs [Ranks]int64 `msgpack:"WaitsMs"`
 }
 
-// Ranks is how many ranks a load tells apart: calls of backend servers, and the
-// priorities that routes have.
-const Ranks = 4
+// Ranks is how many ranks a load tells apart; routes have three priorities.
+const Ranks = 3
 
 // Wait returns how long a call of a rank would wait.
 func (l Load) Wait(rank int) time.Duration {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -32,7 +32,6 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
-	remote string
 	limit  *io.LimitedReader
 	in     *bufio.Reader
 	ctx    context.Context //nolint:containedctx // ends with the connection
@@ -56,10 +55,9 @@
 func newConn(s *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	limit := &io.LimitedReader{R: raw}
-	remote, _, _ := net.SplitHostPort(raw.RemoteAddr().String())
 
 	return &conn{
-		server: s, raw: raw, remote: remote, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), ctx: ctx, cancel: cancel,
+		server: s, raw: raw, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), ctx: ctx, cancel: cancel,
 		queue: make(chan *exchange, maxPipelined),
 	}
 }
@@ -296,8 +294,7 @@
 	path, _, _ := strings.Cut(uri, "?")
 
 	e.response = c.server.handler.Serve(c.ctx, Request{
-		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: body,
-		Remote: c.remote, Arrived: arrived,
+		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: body, Arrived: arrived,
 	})
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -33,8 +33,6 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Remote is the host that the call came from, without its port.
-	Remote string
 	// Arrived is when the whole request had been read.
 	Arrived time.Time
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -144,8 +144,7 @@
 func (n *Sidecar) calls() {
 	c := n.config
 	n.entry = dispatch.New(dispatch.Options{
-		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, BackendHost: hostOf(c.BackendAddress),
-		Names: platform.Headers(), Tables: n.holder,
+		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
 		Members: n.table, Peers: n.client, Own: n.runner, Placer: place.New(), Recorder: n.recorder, Meter: n.meter,
 		Budget: repeats.New(repeats.Bound{
 			Ratio: c.Bounds.RetryRatio, Slack: c.Bounds.RetrySlack, Window: config.Seconds(c.Bounds.RetryWindowSeconds),
@@ -154,12 +153,6 @@
 	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder))
 }
 
-func hostOf(address string) string {
-	host, _, _ := net.SplitHostPort(address) // the settings file was checked
-
-	return host
-}
-
 // methods adds what other nodes may ask of this one.
 func (n *Sidecar) methods() {
 	n.server.Handle(membership.MethodExchange, peer.Typed(n.gossip.Serve))
