--- a/cmd/pollencart/sidecar.go
+++ b/cmd/pollencart/sidecar.go
@@ -25,11 +25,11 @@
 			return err
 		}
 
-		return runSidecar(conf)
+		return runSidecar(*file, conf)
 	}))
 }
 
-func runSidecar(conf config.Config) error {
+func runSidecar(file string, conf config.Config) error {
 	sink := logsink.New(os.Stdout)
 	logging, stopLogging := context.WithCancel(context.Background())
 	written := make(chan struct{})
@@ -48,5 +48,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 
-	return sidecar.New(conf, slog.New(sink.Handler(slog.LevelDebug))).Run(ctx)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+
+	n := sidecar.New(conf, slog.New(sink.Handler(slog.LevelDebug)))
+	go n.Follow(ctx, file, reloads)
+
+	return n.Run(ctx)
 }
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -22,6 +22,8 @@
 // Peers hands calls to other nodes.
 type Peers interface {
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
+	// DoElsewhere is Do for a call that may go to another node as well.
+	DoElsewhere(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
 	// Ready reports whether there is a connection, Open begins to make one.
 	Ready(address string, lane peer.Lane) bool
 	Open(address string, lane peer.Lane)
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -176,9 +176,14 @@
 		return t.dispatcher.options.Own.Serve(t.ctx, t.request)
 	}
 
+	do := t.dispatcher.options.Peers.Do
+	if t.request.Idempotent {
+		do = t.dispatcher.options.Peers.DoElsewhere
+	}
+
 	var reply forward.Reply
 
-	err := t.dispatcher.options.Peers.Do(t.ctx, c.Address, peer.LaneCalls, forward.MethodRun, t.request, &reply)
+	err := do(t.ctx, c.Address, peer.LaneCalls, forward.MethodRun, t.request, &reply)
 
 	switch {
 	case err == nil:
@@ -194,8 +199,10 @@
 // resultOf says what the reply tells of the node.
 func (t *try) resultOf(reply forward.Reply, err error) place.Result {
 	switch {
-	case t.ctx.Err() != nil:
+	case errors.Is(t.ctx.Err(), context.Canceled):
 		return place.Abandoned
+	case t.ctx.Err() != nil:
+		return place.Failed // no word of the node in all the time
 	case err != nil:
 		return place.Unreached
 	case reply.Result == forward.Refused && reply.Reason == forward.ReasonNone:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -18,12 +18,15 @@
 
 // Node life.
 var (
-	NodeStarted    = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
-	NodeReady      = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
-	NodeDraining   = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
-	NodeStopped    = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
-	NodeFailed     = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
-	NodePaused     = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
+	NodeStarted     = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
+	NodeReady       = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
+	NodeDraining    = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
+	NodeStopped     = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
+	NodeFailed      = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
+	NodePaused      = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
+	SettingsRead    = add(107, "SettingsRead", slog.LevelInfo, "The settings file was read again; the detail says what changed.")
+	SettingsRefused = add(108, "SettingsRefused", slog.LevelError,
+		"The settings file was read again and is not accepted, or changes what only a restart can; the old settings hold.")
 	FaultsInjected = add(106, "FaultsInjected", slog.LevelWarn, "An experiment cut or mended links of this node.")
 )
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -45,6 +45,24 @@
 // Do sends a request and decodes its answer. The error is ErrUnreachable only
 // if no byte left this process.
 func (c *Client) Do(ctx context.Context, address string, lane Lane, method string, in, out any) error {
+	return c.do(ctx, connKey{address, lane}, method, in, out, waits)
+}
+
+// DoElsewhere is Do for a request that can be sent to another peer as well: it gives
+// up with ErrSilent as soon as the connection is in doubt.
+func (c *Client) DoElsewhere(ctx context.Context, address string, lane Lane, method string, in, out any) error {
+	return c.do(ctx, connKey{address, lane}, method, in, out, leaves)
+}
+
+// patience says what a request does on a connection that is in doubt.
+type patience bool
+
+const (
+	waits  patience = false
+	leaves patience = true
+)
+
+func (c *Client) do(ctx context.Context, key connKey, method string, in, out any, p patience) error {
 	e := newEncoder()
 	defer e.free()
 
@@ -61,9 +79,9 @@
 		Kind: KindRequest, Method: method, Body: body, Clock: c.options.Clock.Now(), RemainingMs: remaining(ctx),
 	}
 
-	answer, err := c.exchange(ctx, connKey{address, lane}, f)
+	answer, err := c.exchange(ctx, key, f, p)
 	if err != nil {
-		c.options.Lost(address)
+		c.options.Lost(key.address)
 
 		return err
 	}
@@ -77,7 +95,7 @@
 
 // exchange sends a request on the shared connection. A connection that was closed
 // for idleness just now is opened again: no byte of the request left on it.
-func (c *Client) exchange(ctx context.Context, key connKey, f *Frame) (*Frame, error) {
+func (c *Client) exchange(ctx context.Context, key connKey, f *Frame, p patience) (*Frame, error) {
 	for {
 		if c.options.Links.Blocked(key.address) {
 			return nil, c.blocked(ctx, key.address)
@@ -88,7 +106,7 @@
 			return nil, err
 		}
 
-		answer, err := conn.exchange(ctx, f)
+		answer, err := conn.exchange(ctx, f, p)
 		if !errors.Is(err, errIdle) {
 			return answer, err
 		}
@@ -313,7 +331,7 @@
 	}
 }
 
-func (cc *clientConn) exchange(ctx context.Context, f *Frame) (*Frame, error) {
+func (cc *clientConn) exchange(ctx context.Context, f *Frame, p patience) (*Frame, error) {
 	waiting := make(chan *Frame, 1)
 
 	cc.mu.Lock()
@@ -350,6 +368,15 @@
 		return nil, ErrBroken.With("%s", cc.key.address).Wrap(err)
 	}
 
+	return cc.await(ctx, f.ID, waiting, p)
+}
+
+func (cc *clientConn) await(ctx context.Context, id uint64, waiting chan *Frame, p patience) (*Frame, error) {
+	var doubts <-chan struct{} // nil is never ready
+	if p == leaves {
+		doubts = cc.silence.doubts()
+	}
+
 	select {
 	case answer, ok := <-waiting:
 		if !ok {
@@ -357,8 +384,12 @@
 		}
 
 		return answer, nil
+	case <-doubts:
+		cc.abandon(id)
+
+		return nil, ErrSilent.With("%s", cc.key.address)
 	case <-ctx.Done():
-		cc.abandon(f.ID)
+		cc.abandon(id)
 
 		return nil, ErrBroken.With("%s: no answer in time", cc.key.address).Wrap(ctx.Err())
 	}
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -1,20 +1,31 @@
 package peer
 
 import (
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pollencart/pollencart/pkg/errs"
 )
 
 const (
 	// askAfter is how long a connection with requests in flight may say nothing
 	// before the other end is asked whether it still reads. Most calls are answered
 	// sooner, so that the question is seldom sent.
-	askAfter = 300 * time.Millisecond
-	// giveUpAfter is how long the other end has to answer: hundreds of times the
-	// way, and longer than a busy host on a third of a core stands still.
+	askAfter = 250 * time.Millisecond
+	// doubtAfter is how long after the question nothing new is sent on the
+	// connection, and requests that can go elsewhere do: a hundred times the way.
+	doubtAfter = 200 * time.Millisecond
+	// giveUpAfter is how long after it the connection is given up, with requests
+	// that could not: longer than a busy host on a third of a core stands still.
 	giveUpAfter = 700 * time.Millisecond
 )
 
+// ErrSilent means that the connection says nothing; the request may have reached
+// the peer.
+var ErrSilent = errs.New("peer.silent", http.StatusGatewayTimeout, "the peer says nothing")
+
 // silence finds connections that went silent for good.
 //
 // A cut network, or a host that forgot its connections, sends no reset: requests
@@ -25,6 +36,10 @@
 	last    atomic.Int64 // when something was read, on the steady clock
 	asked   atomic.Int64 // when the open question was sent, or 0
 	watched atomic.Bool
+
+	mu      sync.Mutex
+	doubted chan struct{} // closed while the connection is in doubt
+	inDoubt bool
 }
 
 // epoch is where the steady clock is read from.
@@ -34,7 +49,55 @@
 
 func (s *silence) heard() {
 	s.last.Store(steady())
-	s.asked.Store(0)
+
+	if s.asked.Swap(0) != 0 {
+		s.trust()
+	}
+}
+
+func (s *silence) trust() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.inDoubt {
+		s.inDoubt, s.doubted = false, nil
+	}
+}
+
+func (s *silence) doubt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.inDoubt {
+		return
+	}
+
+	if s.doubted == nil {
+		s.doubted = make(chan struct{})
+	}
+
+	s.inDoubt = true
+
+	close(s.doubted)
+}
+
+// doubts is closed once the connection is in doubt.
+func (s *silence) doubts() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.doubted == nil {
+		s.doubted = make(chan struct{})
+	}
+
+	return s.doubted
+}
+
+func (s *silence) quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.inDoubt
 }
 
 // watch looks at the connection until no request waits.
@@ -46,16 +109,7 @@
 }
 
 func (s *silence) look(cc *clientConn) {
-	cc.mu.Lock()
-	done := cc.broken || len(cc.pending) == 0
-
-	if done {
-		s.watched.Store(false)
-		s.asked.Store(0)
-	}
-	cc.mu.Unlock()
-
-	if done {
+	if s.done(cc) {
 		return
 	}
 
@@ -67,13 +121,31 @@
 		cc.fail()
 
 		return
+	case asked != 0 && now-asked >= int64(doubtAfter):
+		s.doubt()
 	case asked == 0 && now-s.last.Load() >= int64(askAfter):
 		s.asked.Store(now)
 
 		go cc.ping()
 	}
 
-	time.AfterFunc(askAfter, func() { s.look(cc) })
+	time.AfterFunc(doubtAfter, func() { s.look(cc) })
+}
+
+// done reports whether no request waits, and ends the watch if so.
+func (s *silence) done(cc *clientConn) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+
+	if !cc.broken && len(cc.pending) > 0 {
+		return false
+	}
+
+	s.watched.Store(false)
+	s.asked.Store(0)
+	s.trust()
+
+	return true
 }
 
 func (cc *clientConn) ping() {
@@ -87,7 +159,7 @@
 	}
 }
 
-// Ready reports whether there is a connection to the address.
+// Ready reports whether there is a connection to the address that is not in doubt.
 func (c *Client) Ready(address string, lane Lane) bool {
 	c.mu.Lock()
 	cc := c.conns[connKey{address, lane}]
@@ -99,7 +171,7 @@
 
 	select {
 	case <-cc.ready:
-		return cc.dialErr == nil
+		return cc.dialErr == nil && !cc.silence.quiet()
 	default:
 		return false
 	}
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -64,6 +64,14 @@
 // New returns a budget that has counted nothing.
 func New(b Bound) *Budget { return &Budget{bound: b, services: map[string]*counts{}} }
 
+// Bind sets another bound; what was counted stays.
+func (b *Budget) Bind(next Bound) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.bound = next
+}
+
 // First counts a call that a caller sent.
 func (b *Budget) First(service string) {
 	b.mu.Lock()
--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -61,6 +61,13 @@
 	RetrySlack         float64 `json:"RetrySlack"`
 }
 
+// WithBounds returns the settings with other bounds.
+func (c Config) WithBounds(b Bounds) Config {
+	c.Bounds = b
+
+	return c
+}
+
 // Seconds returns a duration of the file.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -26,7 +26,7 @@
 // until they know; then their connections end with the answers that they wait for.
 func (n *Sidecar) drain() {
 	began := time.Now()
-	deadline := began.Add(config.Seconds(n.config.Bounds.GraceSeconds) - beforeGrace)
+	deadline := began.Add(config.Seconds(n.settings.Load().Bounds.GraceSeconds) - beforeGrace)
 
 	n.leaving.Store(true)
 	n.recorder.Record(event.NodeDraining, timeline.Entry{})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -62,7 +62,9 @@
 
 // Sidecar is one process beside one backend server.
 type Sidecar struct {
-	config   config.Config
+	config   config.Config                 // as at the start
+	settings atomic.Pointer[config.Config] // as read last
+	budget   *repeats.Budget
 	recorder *timeline.Recorder
 	meter    *meter.Meter
 	leaving  atomic.Bool
@@ -93,7 +95,10 @@
 
 // New returns a sidecar that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Sidecar {
-	n := &Sidecar{config: c, meter: meter.New(), store: platform.NewStore(c.StoreAddress), holder: &route.Holder{}}
+	n := &Sidecar{
+		config: c, budget: repeats.New(boundOf(c)), meter: meter.New(), store: platform.NewStore(c.StoreAddress), holder: &route.Holder{},
+	}
+	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
 	n.fleet()
 	n.backend()
@@ -146,9 +151,7 @@
 	n.entry = dispatch.New(dispatch.Options{
 		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
 		Members: n.table, Peers: n.client, Own: n.runner, Placer: place.New(), Recorder: n.recorder, Meter: n.meter,
-		Budget: repeats.New(repeats.Bound{
-			Ratio: c.Bounds.RetryRatio, Slack: c.Bounds.RetrySlack, Window: config.Seconds(c.Bounds.RetryWindowSeconds),
-		}),
+		Budget: n.budget,
 	})
 	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder))
 }
