--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -104,7 +104,7 @@
 	request := &http.Request{Method: r.Method}
 
 	for {
-		response, err := http.ReadResponse(c.in, request)
+		response, err := http.ReadResponse(c.in, request) //nolint:bodyclose // read to its end below; the connection is ours
 		if err != nil {
 			return Answer{}, false, ErrLost.Wrap(err)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,7 +182,9 @@
 }
 
 func (o Outcome) text() string {
-	b := make([]byte, 0, 96)
+	const usual = 96
+
+	b := make([]byte, 0, usual)
 	b = append(b, "status "...)
 	b = strconv.AppendInt(b, int64(o.Status), 10)
 	b = append(b, " route "...)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,8 +77,9 @@
 	CallTurnedAway = add(401, "CallTurnedAway", slog.LevelDebug, "A call was given up; the caller has its final answer.")
 	CallRetried    = add(402, "CallRetried", slog.LevelDebug, "An attempt failed and another one is made.")
 	CallAbandoned  = add(404, "CallAbandoned", slog.LevelDebug, "The caller went away before the call ended.")
-	CallRun        = add(405, "CallRun", slog.LevelDebug, "The node beside a backend server let a call in, or turned it away; the detail says with what result.")
-	CallUnknown    = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
+	CallRun        = add(405, "CallRun", slog.LevelDebug,
+		"The node beside a backend server let a call in, or turned it away; the detail says with what result.")
+	CallUnknown = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
 )
 
 // At most once.
