--- a/internal/announce/host.go
+++ b/internal/announce/host.go
@@ -162,7 +162,7 @@
 		return
 	}
 
-	departed, err := h.options.Keeper.Departed(ctx, b.Instance)
+	departed, err := h.departed(ctx, b.Instance)
 	if departed || (err != nil && !healthy) {
 		h.options.Recorder.Record(event.InstanceDoubted, timeline.Entry{Detail: b.Instance + " is leaving or can't be told from one that is"})
 
@@ -172,6 +172,14 @@
 	h.adopt(b)
 }
 
+func (h *Host) departed(ctx context.Context, instance string) (bool, error) {
+	if h.options.FirstStart {
+		return false, nil
+	}
+
+	return h.options.Keeper.Departed(ctx, instance)
+}
+
 func (h *Host) adopt(b Heartbeat) {
 	h.change(func(s State) State {
 		if h.leaving[b.Instance] != nil {
--- a/internal/announce/options.go
+++ b/internal/announce/options.go
@@ -18,6 +18,8 @@
 	Recorder *timeline.Recorder
 	// Probe asks the backend server for its instance, and whether it is healthy.
 	Probe func(ctx context.Context) (instance string, healthy bool)
+	// FirstStart says that no earlier process can have confirmed a leaving.
+	FirstStart bool
 	// Changed is told of each new state.
 	Changed func(State)
 }
@@ -49,5 +51,8 @@
 	return func(o *Options) { o.Probe = f }
 }
 
+// FirstStart sets whether no earlier process can have confirmed a leaving.
+func FirstStart(first bool) Option { return func(o *Options) { o.FirstStart = first } }
+
 // Changed sets who is told of new states.
 func Changed(f func(State)) Option { return func(o *Options) { o.Changed = f } }
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/ingress"
@@ -79,9 +82,47 @@
 		})
 	}
 
-	return t.connected(out)
+	return t.connected(t.dispatcher.reach(out))
 }
 
+// maxFar is how many nodes of other failure domains a node calls for a service. With
+// all of them each node would hold connections to all others; with few, a call that
+// its own failure domain has no room for still finds the better of several.
+const maxFar = 6
+
+// reach leaves out nodes of other failure domains beyond a few, which differ from
+// node to node, so that all are called by somebody.
+func (d *Dispatcher) reach(all []place.Candidate) []place.Candidate {
+	slices.SortFunc(all, func(a, b place.Candidate) int {
+		if a.Near != b.Near {
+			return boolCompare(b.Near, a.Near)
+		}
+
+		return cmp.Compare(d.distance(a.ID), d.distance(b.ID))
+	})
+
+	near := 0
+	for near < len(all) && all[near].Near {
+		near++
+	}
+
+	return all[:min(len(all), near+maxFar)]
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+
+	return -1
+}
+
+// distance orders nodes differently at each node.
+func (d *Dispatcher) distance(id string) uint64 { return xxhash.Sum64String(d.options.Node + "/" + id) }
+
 // connected leaves out nodes to which there is no connection, and begins to make
 // one, unless no other node is left: a call must not be what finds out that a route
 // is dead.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -87,6 +87,7 @@
 	informed atomic.Int64 // when a watcher that is current was asked, on the steady clock
 	late     atomic.Bool  // a version that gossip told of is waited for
 	hurry    chan struct{}
+	behind   chan struct{} // a push could not be used
 	fresh    chan struct{} // a newer version is in force; it is to be pushed
 
 	mu      sync.Mutex
@@ -113,7 +114,7 @@
 // New returns a feed.
 func New(o Options) *Feed {
 	return &Feed{
-		options: o, hurry: make(chan struct{}, 1), fresh: make(chan struct{}, 1), arrived: make(chan struct{}, 1),
+		options: o, hurry: make(chan struct{}, 1), fresh: make(chan struct{}, 1), behind: make(chan struct{}, 1), arrived: make(chan struct{}, 1),
 		waiting: map[source]document{},
 	}
 }
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/klauspost/compress/s2"
-
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -43,7 +41,9 @@
 // newer is a version that is newer than what was held, if there is one.
 type newer struct {
 	Version uint64 `msgpack:"Version"`
-	Packed  []byte `msgpack:"Packed"`
+	// Base is the version that Packed was made against, 0 if against none.
+	Base   uint64 `msgpack:"Base"`
+	Packed []byte `msgpack:"Packed"`
 	// Current says that the store answers the node, so that it knows of no newer one
 	// because there is none.
 	Current bool `msgpack:"Current"`
@@ -51,33 +51,48 @@
 
 // Check reports whether a decoded message can be used.
 func (n *newer) Check() error {
-	if len(n.Packed) == 0 {
-		return nil
-	}
-
-	size, err := s2.DecodedLen(n.Packed)
-	if err != nil || size > maxDocument {
-		return errMessage.With("document of %d bytes", size)
+	if len(n.Packed) > maxDocument {
+		return errMessage.With("document of %d bytes", len(n.Packed))
 	}
 
 	return nil
 }
 
-func (f *Feed) newer() newer {
+// newer makes a message of the version in force for a node that holds the given one.
+func (f *Feed) newer(held uint64) (newer, error) {
 	version, raw := f.options.Holder.Raw()
+	base, document := f.options.Holder.Before()
+
+	if held != base {
+		base, document = 0, nil
+	}
+
+	packed, err := pack(document, raw)
 
-	return newer{Version: version, Packed: s2.Encode(nil, raw), Current: f.current.Load()}
+	return newer{Version: version, Base: base, Packed: packed, Current: f.current.Load()}, err
 }
 
-// take leaves a version of another node to be decoded.
+// takeNewer leaves a version of another node to be decoded. One that was made against
+// a version that is not held here is asked for in full.
 func (f *Feed) takeNewer(n newer) error {
 	if n.Version <= f.options.Holder.Number() || len(n.Packed) == 0 {
 		return nil
 	}
 
-	data, err := s2.Decode(nil, n.Packed)
+	var base []byte
+
+	if n.Base != 0 {
+		held, raw := f.options.Holder.Raw()
+		if held != n.Base {
+			return errDelta.With("against version %d, version %d is held", n.Base, held)
+		}
+
+		base = raw
+	}
+
+	data, err := unpack(base, n.Packed)
 	if err != nil {
-		return errMessage.Wrap(err)
+		return err
 	}
 
 	f.offer(fromPeer, document{version: n.Version, data: data})
@@ -90,7 +105,7 @@
 		return newer{Version: f.options.Holder.Number(), Current: f.current.Load()}, nil
 	}
 
-	return f.newer(), nil
+	return f.newer(in.Version)
 }
 
 func (f *Feed) servePush(_ context.Context, in newer) (have, error) {
@@ -98,9 +113,11 @@
 		f.informed.Store(steady())
 	}
 
-	err := f.takeNewer(in)
+	if f.takeNewer(in) != nil {
+		signal(f.behind)
+	}
 
-	return have{Version: f.options.Holder.Number()}, err
+	return have{Version: f.options.Holder.Number()}, nil
 }
 
 // serveHint takes word of a version that this node's watch may have missed.
@@ -136,7 +153,11 @@
 // of them knows what is current.
 func (f *Feed) ask(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, askEvery/2+rand.N(askEvery))
+		select {
+		case <-ctx.Done():
+		case <-f.behind:
+		case <-time.After(askEvery/2 + rand.N(askEvery)):
+		}
 
 		if f.current.Load() && f.watches() {
 			continue
@@ -207,7 +228,12 @@
 		}
 
 		self := f.options.Members.Self()
-		message := f.newer()
+		before, _ := f.options.Holder.Before()
+
+		message, err := f.newer(before)
+		if err != nil {
+			continue // the others ask by themselves
+		}
 
 		for _, r := range f.options.Members.Live() {
 			if r.ID == self.ID || r.FailureDomain != self.FailureDomain {
@@ -233,7 +259,8 @@
 
 	var held have
 
-	_ = f.options.Peers.Do(ctx, address, peer.LaneControl, methodPush, message, &held) // it asks by itself
+	// A node that holds another version than the one before asks for what it needs.
+	_ = f.options.Peers.Do(ctx, address, peer.LaneControl, methodPush, message, &held)
 }
 
 // hint tells the watchers of all failure domains that their watch may have missed a
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -8,7 +8,7 @@
 )
 
 // Chosen reports whether a node is among the first count live nodes of its
-// failure domain in the order of rendezvous hashing. Nodes that disagree on who
+// failure domain, those with most capacity first, in the order of rendezvous hashing. Nodes that disagree on who
 // is live choose too many or too few for a moment; that costs calls to the
 // platform, never correctness.
 func (t *Table) Chosen(id, domain string, count int) bool {
@@ -19,8 +19,14 @@
 	before := 0
 	found := false
 
+	var capacity uint32
+	if m := t.members[id]; m != nil {
+		capacity = m.record.Capacity
+	}
+
 	for _, other := range t.live.ids {
-		if t.members[other].record.FailureDomain != domain {
+		o := t.members[other].record
+		if o.FailureDomain != domain {
 			continue
 		}
 
@@ -30,7 +36,7 @@
 			continue
 		}
 
-		if weight(domain, other) > own {
+		if o.Capacity > capacity || (o.Capacity == capacity && weight(domain, other) > own) {
 			before++
 		}
 
@@ -42,8 +48,8 @@
 	return found
 }
 
-// FirstOf returns up to count live nodes of a failure domain in the order of
-// rendezvous hashing.
+// FirstOf returns up to count live nodes of a failure domain, those with most
+// capacity first, in the order of rendezvous hashing.
 func (t *Table) FirstOf(domain string, count int) []Record {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -56,7 +62,13 @@
 		}
 	}
 
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(weight(domain, b.ID), weight(domain, a.ID)) })
+	slices.SortFunc(out, func(a, b Record) int {
+		if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
+			return c
+		}
+
+		return cmp.Compare(weight(domain, b.ID), weight(domain, a.ID))
+	})
 
 	return out[:min(count, len(out))]
 }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -89,6 +89,9 @@
 	CallerAddress  string   `json:"CallerAddress" msgpack:"CallerAddress"`
 	ControlAddress string   `json:"ControlAddress" msgpack:"ControlAddress"`
 	Upstream       Upstream `json:"Upstream" msgpack:"Upstream"`
+	// Capacity is the bandwidth of the host's link in megabits a second, 0 if all
+	// hosts are alike. Those with most of it do what one node does for many.
+	Capacity uint32 `json:"Capacity,omitempty" msgpack:"Capacity"`
 }
 
 // Check reports whether a decoded record can be used.
--- a/internal/route/holder.go
+++ b/internal/route/holder.go
@@ -11,8 +11,12 @@
 type Holder struct {
 	current atomic.Pointer[Table]
 
-	mu  sync.Mutex
-	raw []byte
+	mu     sync.Mutex
+	raw    []byte
+	before struct {
+		version uint64
+		raw     []byte
+	}
 }
 
 // Load returns the table in force, or nil.
@@ -37,6 +41,7 @@
 		return false
 	}
 
+	h.before.version, h.before.raw = h.Number(), h.raw
 	h.raw = raw
 	h.current.Store(t)
 
@@ -51,3 +56,11 @@
 
 	return h.Number(), h.raw
 }
+
+// Before returns the version that was in force before, and its bytes.
+func (h *Holder) Before() (uint64, []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.before.version, h.before.raw
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -79,7 +79,7 @@
 }
 
 // New checks the parts of a version and puts them together.
-func New(version uint64, limits Limits, services []Service, routes []Route) (*Table, error) {
+func New(version uint64, limits Limits, services []Service, routes []*Route) (*Table, error) {
 	t := &Table{
 		version: version, limits: limits, count: len(routes),
 		services: make(map[string]Service, len(services)), hosts: map[string]*prefixes{},
@@ -89,8 +89,8 @@
 		t.services[s.Name] = s
 	}
 
-	for i := range routes {
-		if err := t.add(&routes[i]); err != nil {
+	for _, r := range routes {
+		if err := t.add(r); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -40,6 +40,12 @@
 	MetricsAddress  string `json:"MetricsAddress"`
 	// StoreAddress is where the platform's store listens.
 	StoreAddress string `json:"StoreAddress"`
+	// LinkMbps is the bandwidth of the host's link. The nodes of a failure domain that
+	// have most of it pass settings on to the others.
+	LinkMbps float64 `json:"LinkMbps"`
+	// FirstStart says that the whole system starts for the first time: no earlier
+	// process can have confirmed anything.
+	FirstStart bool `json:"FirstStart"`
 	// AnnounceEverySeconds is the pause between heartbeats of a backend server.
 	AnnounceEverySeconds float64 `json:"AnnounceEverySeconds"`
 	Bounds               Bounds  `json:"Bounds"`
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -120,10 +120,10 @@
 	n.client = peer.NewClient(links...)
 	n.table = membership.NewTable(membership.Record{
 		ID: c.Node, Incarnation: uint64(time.Now().UnixMicro()), Region: c.Region, FailureDomain: c.FailureDomain,
-		PeerAddress: c.PeerAddress, CallerAddress: c.CallerAddress, ControlAddress: c.AnnounceAddress,
+		PeerAddress: c.PeerAddress, CallerAddress: c.CallerAddress, ControlAddress: c.AnnounceAddress, Capacity: uint32(c.LinkMbps),
 	}, n.recorder)
 	n.feed = feed.New(feed.Options{
-		Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration, Store: n.store, Holder: n.holder,
+		Key: platform.ConfigurationKey, Decode: new(platform.Configurations).Decode, Store: n.store, Holder: n.holder,
 		Peers: n.client, Members: n.table, Recorder: n.recorder,
 	})
 	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
@@ -139,6 +139,7 @@
 	n.watch = poison.NewWatch(poison.Self{Node: c.Node, Life: ulid.Make().String(), Address: c.BackendAddress}, n.table, n.client, n.recorder)
 	n.host = announce.New(
 		announce.Recorder(n.recorder), announce.WithKeeper(n.departures), announce.Changed(n.changed), announce.Probe(n.probe),
+		announce.FirstStart(c.FirstStart),
 	)
 	n.runner = runner.New(runner.Options{
 		Service: c.Service, Host: n.host, Queue: n.queue, Pool: n.pool, Suspects: n.watch, Recorder: n.recorder, Meter: n.meter,
