--- /dev/null
+++ b/internal/announce/host_test.go
@@ -0,0 +1,190 @@
+package announce_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/announce"
+)
+
+// keeper stands for what outlives a process.
+type keeper struct {
+	mu   sync.Mutex
+	kept map[string]bool
+	away bool
+}
+
+func (k *keeper) Keep(_ context.Context, instance string) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	if k.away {
+		return errors.New("away")
+	}
+
+	k.kept[instance] = true
+
+	return nil
+}
+
+func (k *keeper) Departed(_ context.Context, instance string) (bool, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	if k.away {
+		return false, errors.New("away")
+	}
+
+	return k.kept[instance], nil
+}
+
+func (k *keeper) set(away bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	k.away = away
+}
+
+// world is a host with the backend server that runs there.
+type world struct {
+	keeper  *keeper
+	running string
+	healthy bool
+}
+
+func newWorld() *world {
+	return &world{keeper: &keeper{kept: map[string]bool{}}, running: "i-1", healthy: true}
+}
+
+// process starts the node's process.
+func (w *world) process() *announce.Host {
+	return announce.New(announce.WithKeeper(w.keeper), announce.Probe(func(context.Context) (string, bool) { return w.running, w.healthy }))
+}
+
+func beat(instance string, sequence uint64) announce.Heartbeat {
+	return announce.Heartbeat{Instance: instance, Service: "browse", Slots: 9, Sequence: sequence}
+}
+
+func leave(instance string, sequence uint64) announce.Heartbeat {
+	b := beat(instance, sequence)
+	b.Leaving = true
+
+	return b
+}
+
+func heard(t *testing.T, h *announce.Host, b announce.Heartbeat) {
+	t.Helper()
+	assert.NilError(t, h.Heard(context.Background(), b))
+	synctest.Wait()
+}
+
+// A heartbeat that was sent before the backend server said that it leaves arrives
+// after. Taken at its word it would bring back a backend server that is about to end.
+func TestALateHeartbeatDoesNotBringBackWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newWorld().process()
+		heard(t, h, beat("i-1", 1))
+		assert.Assert(t, h.State().Takes)
+		heard(t, h, leave("i-1", 3))
+		assert.Assert(t, !h.State().Takes)
+		heard(t, h, beat("i-1", 2))
+		heard(t, h, beat("i-1", 4))
+		assert.Assert(t, !h.State().Takes)
+	})
+}
+
+// The process that confirmed a leaving is killed in the next moment. The one that
+// follows hears an old heartbeat and must be bound by the confirmation.
+func TestAConfirmationBindsTheNextProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		h := w.process()
+		heard(t, h, beat("i-1", 1))
+		heard(t, h, leave("i-1", 2))
+
+		next := w.process()
+		heard(t, next, beat("i-1", 1))
+		assert.Assert(t, !next.State().Takes)
+	})
+}
+
+// Nothing can keep the leaving for now. It is not confirmed, though nothing is sent
+// any more, and confirmed as soon as it is kept.
+func TestALeavingThatIsNotKeptIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		h := w.process()
+		heard(t, h, beat("i-1", 1))
+		w.keeper.set(true)
+
+		start := time.Now()
+		err := h.Heard(context.Background(), leave("i-1", 2))
+		assert.ErrorIs(t, err, announce.ErrNotKept)
+		assert.Assert(t, time.Since(start) < time.Second)
+		assert.Assert(t, !h.State().Takes)
+
+		w.keeper.set(false)
+		assert.NilError(t, h.Heard(context.Background(), leave("i-1", 3)))
+	})
+}
+
+// A partition delays a heartbeat; meanwhile its sender crashed and another instance
+// started at the same address.
+func TestAHeartbeatOfAnEarlierInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.running = "i-2"
+		h := w.process()
+		heard(t, h, beat("i-2", 1))
+		heard(t, h, beat("i-1", 7))
+		assert.Equal(t, h.State().Instance, "i-2")
+		assert.Assert(t, h.State().Takes)
+	})
+}
+
+// The process is new, its backend server says that it is not healthy, and nobody can
+// be asked whether it is leaving: nothing is sent to it until that is known.
+func TestADoubtfulInstanceWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.healthy = false
+		w.keeper.set(true)
+		h := w.process()
+		heard(t, h, beat("i-1", 1))
+		assert.Assert(t, !h.State().Takes)
+
+		w.keeper.set(false)
+		heard(t, h, beat("i-1", 2))
+		assert.Assert(t, h.State().Takes)
+	})
+}
+
+// A backend server that ended at once is out of use until its next heartbeat.
+func TestABackendServerThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newWorld().process()
+		heard(t, h, beat("i-1", 1))
+		h.Down("i-1")
+		assert.Assert(t, !h.State().Takes)
+		heard(t, h, beat("i-1", 2))
+		assert.Assert(t, h.State().Takes)
+	})
+}
+
+// Some leave without having said that they will.
+func TestLeavingWithoutNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newWorld().process()
+		heard(t, h, beat("i-1", 1))
+		assert.NilError(t, h.Left(context.Background(), "i-1"))
+		assert.Assert(t, !h.State().Takes)
+		heard(t, h, beat("i-1", 2))
+		assert.Assert(t, !h.State().Takes)
+	})
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -33,6 +33,11 @@
 
 func (c *conn) close() { _ = c.raw.Close() }
 
+// fresh reports whether a connection that was idle for so long may carry a call.
+func (c *conn) fresh(idle time.Duration, idempotent bool) bool {
+	return idle <= c.keep && (idempotent || idle <= freshIdle)
+}
+
 // quiet reports whether nothing has come on an idle connection. What has come
 // belongs to no request that waits: an answer sent twice, an end, or a reset.
 func (c *conn) quiet() bool {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -127,8 +127,7 @@
 			return p.dial(ctx)
 		}
 
-		idle := time.Since(c.used)
-		if idle > c.keep || (!idempotent && idle > freshIdle) || !c.quiet() {
+		if !c.fresh(time.Since(c.used), idempotent) || !c.quiet() {
 			c.close()
 
 			continue
--- /dev/null
+++ b/internal/departures/departures_test.go
@@ -0,0 +1,140 @@
+package departures_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/departures"
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/platform"
+)
+
+// store is the platform's store.
+type store struct {
+	mu   sync.Mutex
+	keys map[string]bool
+	away bool
+}
+
+func (s *store) Get(_ context.Context, key string) (platform.Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	switch {
+	case s.away:
+		return platform.Entry{}, 0, platform.ErrUnavailable
+	case !s.keys[key]:
+		return platform.Entry{}, 0, platform.ErrNotFound
+	}
+
+	return platform.Entry{Key: key}, 0, nil
+}
+
+func (s *store) Put(_ context.Context, e platform.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.away {
+		return platform.ErrUnavailable
+	}
+
+	s.keys[e.Key] = true
+
+	return nil
+}
+
+func (s *store) Delete(context.Context, string) error { return nil }
+
+// fleet carries messages between nodes, and gives the others at random.
+type fleet struct {
+	nodes map[string]*departures.Departures
+	self  string
+}
+
+func (f fleet) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
+	n, ok := f.nodes[address]
+	if !ok {
+		return errors.New("cut")
+	}
+
+	var err error
+
+	if method == departures.MethodKeep {
+		*out.(*departures.Known), err = n.ServeKeep(ctx, in.(departures.Instance))
+	} else {
+		*out.(*departures.Known), err = n.ServeAsk(ctx, in.(departures.Instance))
+	}
+
+	return err
+}
+
+func (f fleet) Random(int, ...string) []membership.Record {
+	var out []membership.Record
+
+	for address := range f.nodes {
+		if address != f.self {
+			out = append(out, membership.Record{PeerAddress: address})
+		}
+	}
+
+	return out
+}
+
+func newFleet(s *store, count int) map[string]*departures.Departures {
+	nodes := map[string]*departures.Departures{}
+	for _, address := range []string{"a", "b", "c", "d"}[:count] {
+		f := fleet{nodes, address}
+		nodes[address] = departures.New(s, f, f)
+	}
+
+	return nodes
+}
+
+// A node confirms that its backend server may leave and is killed. The next process
+// on the host finds that in the store.
+func TestTheNextProcessFindsIt(t *testing.T) {
+	s := &store{keys: map[string]bool{}}
+	nodes := newFleet(s, 2)
+	assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1"))
+
+	f := fleet{nodes, "a"}
+	next := departures.New(s, f, f)
+	departed, err := next.Departed(context.Background(), "i-1")
+	assert.NilError(t, err)
+	assert.Assert(t, departed)
+
+	departed, err = next.Departed(context.Background(), "i-2")
+	assert.NilError(t, err)
+	assert.Assert(t, !departed)
+}
+
+// The store is away when the leaving is confirmed, and also when the next process
+// starts. Other nodes hold it meanwhile.
+func TestOthersHoldItWhileTheStoreIsAway(t *testing.T) {
+	s := &store{keys: map[string]bool{}, away: true}
+	nodes := newFleet(s, 4)
+	assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1"))
+
+	f := fleet{nodes, "a"}
+	departed, err := departures.New(s, f, f).Departed(context.Background(), "i-1")
+	assert.NilError(t, err)
+	assert.Assert(t, departed)
+}
+
+// The store is away and too few other nodes can be reached: it is not kept.
+func TestOneCopyIsNotEnough(t *testing.T) {
+	nodes := newFleet(&store{away: true}, 2)
+	assert.ErrorIs(t, nodes["a"].Keep(context.Background(), "i-1"), departures.ErrNotKept)
+}
+
+// Nobody can be asked. That is not the same as nobody knowing of it.
+func TestNobodyCanBeAsked(t *testing.T) {
+	nodes := newFleet(&store{away: true}, 1)
+	_, err := nodes["a"].Departed(context.Background(), "i-1")
+	assert.ErrorIs(t, err, departures.ErrNotKept)
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -211,18 +211,25 @@
 // badHead answers a head that is too large or is not HTTP, and ends the
 // connection; one that did not come in time just ends.
 func (c *conn) badHead(err error) (*exchange, error) {
-	status := http.StatusBadRequest
-
-	var netErr net.Error
-
 	switch {
 	case c.limit.N <= 0:
-		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return refusal(http.StatusRequestHeaderFieldsTooLarge), nil
+	case c.broken(), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, err
 	}
 
-	return refusal(status), nil
+	return refusal(http.StatusBadRequest), nil
+}
+
+// broken reports whether the connection can't be read any more. The reader of
+// requests tells a part of a line that came in time from one that did not only by
+// its text.
+func (c *conn) broken() bool {
+	var timeout net.Error
+
+	_, err := c.in.Peek(1)
+
+	return errors.As(err, &timeout)
 }
 
 // refusal is an exchange whose answer is known; its connection ends with it.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -27,6 +27,7 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -62,8 +63,11 @@
 	tryNew = 8
 	// tryAgain is of how many calls one goes to a node that fails, to see it mend.
 	tryAgain = 30
-	// failing is the part of failed calls from which a node counts as failing.
-	failing = 0.25
+	// failing is the part of failed calls from which a node counts as failing. Below,
+	// it costs nothing; with a cost but no new tries it would never be seen to mend.
+	failing = 0.05
+	// forgive is how fast failures lose their say when no newer ones come.
+	forgive = 4 * time.Second
 	// fade is how fast a reported wait loses its say when nothing newer comes.
 	fade = 500 * time.Millisecond
 )
@@ -142,6 +146,7 @@
 	// speed is how long calls take here, over the usual time of their route.
 	speed    float64
 	failures float64
+	failed   time.Time // the last time
 	load     forward.Load
 	at       time.Time
 	avoid    time.Time
@@ -174,11 +179,11 @@
 			continue
 		}
 
-		if p.worthATry(m, n) {
+		if p.worthATry(m, n, now) {
 			return *c, true
 		}
 
-		cost := p.expected(m, c, n, now) + time.Duration(m.failures*failureCost*float64(n.Target))
+		cost := p.expected(m, c, n, now) + time.Duration(m.failing(now)*failureCost*float64(n.Target))
 
 		near.weigh(c, cost, c.Near)
 		far.weigh(c, cost+way, !c.Near)
@@ -225,17 +230,26 @@
 	return *c.candidate, true
 }
 
-func (p *Placer) worthATry(m *node, n Need) bool {
+func (p *Placer) worthATry(m *node, n Need, now time.Time) bool {
 	switch {
 	case !m.used:
 		return rand.IntN(tryNew) == 0
-	case m.failures > failing && n.Idempotent:
+	case m.failing(now) > 0 && n.Idempotent:
 		return rand.IntN(tryAgain) == 0
 	}
 
 	return false
 }
 
+// failing is the part of calls that the node fails, beyond what counts.
+func (m *node) failing(now time.Time) float64 {
+	if m.failures <= failing {
+		return 0
+	}
+
+	return max(m.failures*math.Exp(-float64(now.Sub(m.failed))/float64(forgive))-failing, 0)
+}
+
 // expected is the time until a call would be answered.
 func (p *Placer) expected(m *node, c *Candidate, n Need, now time.Time) time.Duration {
 	service := time.Duration(float64(p.size(n.Route)) * m.speed)
@@ -313,6 +327,7 @@
 		m.answered(p, a.route, time.Duration(reply.HeldMs)*time.Millisecond)
 	case Failed:
 		m.failures += (1 - m.failures) / smoothing
+		m.failed = time.Now()
 	case Unreached:
 		return m.unreached(time.Now())
 	case Busy, Abandoned:
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -48,9 +48,10 @@
 
 // Budget counts the calls and repeats of this node.
 type Budget struct {
-	bound Bound
+	start time.Time // where the steady clock is read from
 
 	mu       sync.Mutex
+	bound    Bound
 	services map[string]*counts
 }
 
@@ -62,7 +63,9 @@
 }
 
 // New returns a budget that has counted nothing.
-func New(b Bound) *Budget { return &Budget{bound: b, services: map[string]*counts{}} }
+func New(b Bound) *Budget {
+	return &Budget{start: time.Now(), bound: b, services: map[string]*counts{}}
+}
 
 // Bind sets another bound; what was counted stays.
 func (b *Budget) Bind(next Bound) {
@@ -120,11 +123,8 @@
 	return c
 }
 
-// start is where the steady clock is read from.
-var start = time.Now()
-
 func (b *Budget) bucket() int64 {
-	return int64(time.Since(start) / (b.bound.Window / buckets))
+	return int64(time.Since(b.start) / (b.bound.Window / buckets))
 }
 
 func sum(values [buckets]float64) float64 {
--- /dev/null
+++ b/internal/sidecar/config/config_test.go
@@ -0,0 +1,39 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/sidecar/config"
+)
+
+const good = `// as the platform renders it
+{
+  "Node": "n", "Region": "r", "FailureDomain": "d", "Service": "s",
+  "BackendAddress": "10.0.0.1:1", "CallerAddress": "10.0.0.1:2", "PeerAddress": "10.0.0.1:3", "ReadyAddress": "10.0.0.1:4",
+  "AnnounceAddress": "10.0.0.1:5", "MetricsAddress": "10.0.0.1:6", "StoreAddress": "10.0.0.2:1", "LinkMbps": 5, "FirstStart": true,
+  "AnnounceEverySeconds": 1.5,
+  "Bounds": {"DrainSeconds": 2, "GraceSeconds": 6, "ReuseSeconds": 2, "RetryRatio": 0.2, "RetryWindowSeconds": 10, "RetrySlack": 58}
+}`
+
+func TestParse(t *testing.T) {
+	c, err := config.Parse("f", []byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, c.Bounds.RetrySlack, 58.0)
+}
+
+func TestBadFilesAreNamed(t *testing.T) {
+	for change, want := range map[string]string{
+		`"Node": "n"->"Node": ""`:                 "key Node",
+		`"10.0.0.2:1"->"10.0.0.2"`:                "key StoreAddress",
+		`"GraceSeconds": 6->"GraceSeconds": 0`:    "key Bounds.GraceSeconds",
+		`"LinkMbps": 5->"LinkMbps": "fast"`:       "LinkMbps",
+		`"FirstStart": true->"SecondStart": true`: "SecondStart",
+	} {
+		from, to, _ := strings.Cut(change, "->")
+		_, err := config.Parse("f", []byte(strings.Replace(good, from, to, 1)))
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -9,16 +9,16 @@
 //   - No more calls than slots run. A backend server that is full resets
 //     connections or slows down, and nobody can tell what ran; here a call that
 //     does not fit has provably not run.
-//   - A call that can't end in time is turned away at once, with the time after
-//     which the backlog will be gone, and one that waits as soon as it can't any
-//     more. Without this it waits in vain and takes the slot of one that could have
-//     been in time. In time is a little after the target: a queue that is filled up
-//     to the deadline makes every call late.
+//   - A call that would be late is turned away at once, with the time after which
+//     the backlog will be gone, and one that waits as soon as it can't end before its
+//     deadline. Without this it waits in vain, and a queue that is filled up to the
+//     deadline makes every call late. Only a few late ones wait, to use slots that
+//     get free when nobody who can be on time wants them.
 //   - A call that would be late here and has somewhere else to go is turned away
 //     at once too, since asking the next node costs a millisecond.
 //   - Urgent ranks first, and within a rank the call that has to start soonest to
-//     be on time. One start in FairEvery goes to whoever has to start soonest of
-//     all ranks, so that no kind of call is starved by a more urgent one.
+//     be on time. One start in FairEvery goes to a rank of which less than StarvedAt
+//     was let in lately, so that no kind of call is starved by more urgent ones.
 //
 // How long calls take is learnt for each route, since they differ by ten times.
 //
@@ -53,18 +53,22 @@
 )
 
 const (
-	// FairEvery is of how many starts one goes to the soonest call of all ranks.
+	// FairEvery is of how many starts one goes to a starved rank.
 	FairEvery = 4
+	// StarvedAt is the part of a rank's calls that is let in at the least while calls
+	// of other ranks are; fairSmoothing is over how many of them it is counted.
+	StarvedAt     = 0.35
+	fairSmoothing = 32
 	// unknownSize is taken for the length of a call whose route was never seen.
 	unknownSize = 50 * time.Millisecond
 	// smoothing of sizes; about as many calls have a say. clip bounds what a single
 	// long one says.
 	smoothing = 8
 	clip      = 4
-	// LateShare is how far between target and deadline a call may be expected to end
-	// to be let in. At 0 a short queue is refused that would have been late by
-	// little; at 1 all that wait are late while the load lasts.
-	LateShare = 1.0
+	// latePart of the slots is how many calls may wait that will be late. With twice
+	// the load that the slots take, all that were let in to be late waited in vain:
+	// those that can be on time go first, and there are always some.
+	latePart = 2
 	// leastPart of its usual time is counted for a running call however long it
 	// has run already.
 	leastPart = 4
@@ -96,6 +100,7 @@
 	sizes   map[string]*size
 	starts  int
 	use     [ranks]use
+	letIn   [ranks]float64 // the part of a rank's calls that was let in lately
 }
 
 // use is the slot time that calls of a rank took lately.
@@ -155,7 +160,18 @@
 
 // New returns a queue without slots.
 func New() *Queue {
-	return &Queue{running: map[*Slot]struct{}{}, sizes: map[string]*size{}}
+	q := &Queue{running: map[*Slot]struct{}{}, sizes: map[string]*size{}}
+	for i := range q.letIn {
+		q.letIn[i] = 1
+	}
+
+	return q
+}
+
+// note counts a call of a rank that was let in (1) or turned away (0).
+func (q *Queue) note(w Work, in float64) {
+	share := &q.letIn[rankOf(w)]
+	*share += (in - *share) / fairSmoothing
 }
 
 // Resize sets the number of slots; 0 turns all away.
@@ -203,11 +219,6 @@
 	return s, nil
 }
 
-// limit is until when a call has to be expected to end.
-func (w Work) limit() time.Time {
-	return w.Target.Add(time.Duration(LateShare * float64(w.Deadline.Sub(w.Target))))
-}
-
 func (q *Queue) enqueue(s *Slot) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -220,21 +231,49 @@
 	}
 
 	wait := q.wait(s, now)
+	if err := q.judge(s, now, wait); wait > 0 && err != nil {
+		if errors.Is(err, ErrTooLate) {
+			q.note(s.work, 0)
+		}
+
+		return err
+	}
+
+	q.waiting = append(q.waiting, s)
+	q.start(now)
+
+	return nil
+}
+
+// judge decides whether a call that has to wait may.
+func (q *Queue) judge(s *Slot, now time.Time, wait time.Duration) error {
 	end := now.Add(wait + s.size)
 
 	switch {
-	case wait > 0 && s.work.Elsewhere && end.After(s.work.Target):
+	case !end.After(s.work.Target):
+		return nil
+	case s.work.Elsewhere:
 		return ErrElsewhere
-	case wait > 0 && end.After(s.work.limit()):
+	case end.After(s.work.Deadline), q.late(now) >= max(q.slots/latePart, 1):
 		return ErrTooLate
 	}
 
-	q.waiting = append(q.waiting, s)
-	q.start(now)
-
 	return nil
 }
 
+// late counts the waiting calls that will be late.
+func (q *Queue) late(now time.Time) int {
+	count := 0
+
+	for _, o := range q.waiting {
+		if _, late := o.latest(now); late {
+			count++
+		}
+	}
+
+	return count
+}
+
 // abandon takes a call out that waits in vain. A slot that was granted in the same
 // moment is given back.
 func (q *Queue) abandon(s *Slot, why error) error {
@@ -243,6 +282,7 @@
 
 	if i := slices.Index(q.waiting, s); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.note(s.work, 0)
 
 		return why
 	}
@@ -267,6 +307,7 @@
 
 		s.began = now
 		q.running[s] = struct{}{}
+		q.note(s.work, 1)
 		s.granted <- nil
 	}
 
@@ -287,15 +328,19 @@
 func (q *Queue) next(now time.Time) *Slot {
 	q.starts++
 
-	before := (*Slot).before
+	only := -1
 	if q.starts%FairEvery == 0 {
-		before = (*Slot).sooner
+		only = q.starved()
 	}
 
-	best := 0
+	best := -1
 
-	for i := range q.waiting {
-		if before(q.waiting[i], q.waiting[best], now) {
+	for i, o := range q.waiting {
+		if only >= 0 && rankOf(o.work) != only {
+			continue
+		}
+
+		if best < 0 || o.before(q.waiting[best], now) {
 			best = i
 		}
 	}
@@ -306,6 +351,20 @@
 	return s
 }
 
+// starved returns the rank of a waiting call of whose kind the least was let in, if
+// it is too little, or -1.
+func (q *Queue) starved() int {
+	starved, least := -1, StarvedAt
+
+	for _, o := range q.waiting {
+		if r := rankOf(o.work); q.letIn[r] < least {
+			starved, least = r, q.letIn[r]
+		}
+	}
+
+	return starved
+}
+
 // before orders calls by rank, then by when they have to start.
 func (s *Slot) before(o *Slot, now time.Time) bool {
 	if s.work.Rank != o.work.Rank {
@@ -315,7 +374,7 @@
 	return s.sooner(o, now)
 }
 
-// sooner orders calls by when they have to start to be on time. Those that can't
+// sooner orders calls of a rank by when they have to start to be on time. Those that can't
 // be any more come after those that can.
 func (s *Slot) sooner(o *Slot, now time.Time) bool {
 	mine, late := s.latest(now)
@@ -338,26 +397,57 @@
 	return s.work.Deadline.Add(-s.size), true
 }
 
-// wait estimates how long the call would wait: the work in front of it, shared by
-// all slots.
+// wait estimates how long the call would wait, by dealing what runs and what is in
+// front of it to the slots as they get free. The mean over all slots would say that
+// a short call has to wait for half of a long one, however many of them run.
 func (q *Queue) wait(s *Slot, now time.Time) time.Duration {
 	if len(q.running)+len(q.waiting) < q.slots {
 		return 0
 	}
 
-	var ahead time.Duration
+	rank := rankOf(s.work)
+	starved := q.letIn[rank] < StarvedAt
+	left := q.left(rank, now)
 
-	for r := range q.running {
-		ahead += max(r.size-now.Sub(r.began), r.size/leastPart)
+	if starved {
+		left = 1.0 / FairEvery
 	}
 
+	free := q.remaining(now)
+
 	for _, o := range q.waiting {
-		if o.before(s, now) {
-			ahead += o.size
+		if o.before(s, now) && (!starved || rankOf(o.work) == rank) {
+			*earliest(free) += o.size
+		}
+	}
+
+	return time.Duration(float64(*earliest(free)) / left)
+}
+
+// remaining returns when each slot gets free.
+func (q *Queue) remaining(now time.Time) []time.Duration {
+	free := make([]time.Duration, 0, max(q.slots, len(q.running)))
+	for r := range q.running {
+		free = append(free, max(r.size-now.Sub(r.began), r.size/leastPart))
+	}
+
+	for len(free) < q.slots {
+		free = append(free, 0)
+	}
+
+	return free
+}
+
+func earliest(free []time.Duration) *time.Duration {
+	best := 0
+
+	for i, d := range free {
+		if d < free[best] {
+			best = i
 		}
 	}
 
-	return time.Duration(float64(ahead) / (float64(q.slots) * q.left(rankOf(s.work), now)))
+	return &free[best]
 }
 
 // Leave gives the slot back. Took is how long the backend server needed, or 0 if
--- /dev/null
+++ b/internal/slots/slots_test.go
@@ -0,0 +1,353 @@
+package slots_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/slots"
+)
+
+const ms = time.Millisecond
+
+// kind is a kind of call in a load that is played.
+type kind struct {
+	route            string
+	rank             int
+	held             time.Duration
+	target, deadline time.Duration
+	every            time.Duration // mean time between arrivals
+}
+
+// got is what the callers of a kind got.
+type got struct {
+	sync.Mutex
+
+	asked, onTime, late, refused int
+	held                         []time.Duration // of those that were turned away
+}
+
+func (g *got) share() float64 { return float64(g.onTime) / float64(max(g.asked, 1)) }
+
+// play sends calls of each kind at random for some time and returns what they got.
+func play(q *slots.Queue, length time.Duration, kinds ...kind) []*got {
+	random := rand.New(rand.NewPCG(1, 2))
+	out := make([]*got, len(kinds))
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+
+	defer cancel()
+
+	var wg sync.WaitGroup
+
+	for i, k := range kinds {
+		out[i] = &got{}
+		gaps := make([]time.Duration, 0, length/k.every*2)
+
+		for total := time.Duration(0); total < length; {
+			gap := time.Duration(random.ExpFloat64() * float64(k.every))
+			gaps, total = append(gaps, gap), total+gap
+		}
+
+		wg.Go(func() {
+			for _, gap := range gaps {
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(gap):
+				}
+
+				wg.Go(func() { one(q, k, out[i]) })
+			}
+		})
+	}
+
+	wg.Wait()
+
+	return out
+}
+
+func one(q *slots.Queue, k kind, g *got) {
+	start := time.Now()
+	w := slots.Work{Route: k.route, Rank: k.rank, Target: start.Add(k.target), Deadline: start.Add(k.deadline)}
+
+	ctx, cancel := context.WithDeadline(context.Background(), w.Deadline)
+	defer cancel()
+
+	s, err := q.Enter(ctx, w)
+	if err == nil {
+		time.Sleep(k.held)
+		s.Leave(k.held)
+	}
+
+	g.Lock()
+	defer g.Unlock()
+
+	g.asked++
+
+	switch {
+	case err != nil:
+		g.refused++
+		g.held = append(g.held, time.Since(start))
+	case time.Since(start) <= k.target:
+		g.onTime++
+	default:
+		g.late++
+	}
+}
+
+func newQueue(n int) *slots.Queue {
+	q := slots.New()
+	q.Resize(n)
+
+	return q
+}
+
+var (
+	folderOpen = kind{"folder-open", 2, 120 * ms, 400 * ms, 1000 * ms, 10 * ms}
+	search     = kind{"search", 1, 48 * ms, 150 * ms, 400 * ms, 30 * ms}
+	sweep      = kind{"sweep", 2, 300 * ms, 800 * ms, 2000 * ms, 60 * ms}
+)
+
+// More calls than slots reach a backend server, which then resets connections, and
+// nobody can say what ran.
+func TestNeverMoreThanTheSlotsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(9)
+		most := 0
+
+		var wg sync.WaitGroup
+
+		for range 100 {
+			wg.Go(func() {
+				s, err := q.Enter(context.Background(), slots.Work{Target: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)})
+				assert.NilError(t, err)
+
+				most = max(most, q.Load().Running)
+
+				time.Sleep(10 * ms)
+				s.Leave(10 * ms)
+			})
+		}
+
+		wg.Wait()
+		assert.Equal(t, most, 9)
+	})
+}
+
+// Twice as many calls come as the slots take. If all of them wait, all are late; so
+// most of what the slots can do is still done on time, and who is turned away is
+// told soon.
+func TestSaturation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := folderOpen
+		load.every = load.held / 9 / 2
+		g := play(newQueue(9), 10*time.Second, load)[0]
+
+		slices.Sort(g.held)
+		t.Logf("asked %d, on time %d, late %d, refused %d, half of them within %s, nine tenths within %s",
+			g.asked, g.onTime, g.late, g.refused, g.held[len(g.held)/2], g.held[len(g.held)*9/10])
+		assert.Assert(t, g.share() > 0.20, "%.2f", g.share())
+		assert.Assert(t, float64(g.onTime+g.late) > 0.45*float64(g.asked))
+		assert.Assert(t, g.held[len(g.held)/2] < 10*ms)
+	})
+}
+
+// A burst fills the queue for a moment. It is worked off, and nobody is turned away
+// who could have been served.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(9)
+		g := &got{}
+
+		one(q, folderOpen, g) // the usual time is known
+
+		var wg sync.WaitGroup
+		for range 27 {
+			wg.Go(func() { one(q, folderOpen, g) })
+		}
+
+		wg.Wait()
+		assert.Equal(t, g.onTime, 28)
+	})
+}
+
+// A sweep has long calls, searches are short and urgent. Searches wait for a slot
+// that gets free, not for the sweep's queue, and the sweep is not starved by them.
+func TestLongWorkAmongShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, l := search, sweep
+		s.every, l.every = 8*ms, 35*ms // together about 1.6 times the slots
+
+		g := play(newQueue(9), 20*time.Second, s, l)
+		t.Logf("searches on time %.2f, sweep served %.2f", g[0].share(), float64(g[1].onTime+g[1].late)/float64(g[1].asked))
+		assert.Assert(t, g[0].share() > 0.9)
+		assert.Assert(t, float64(g[1].onTime+g[1].late) > 0.25*float64(g[1].asked))
+	})
+}
+
+// All that come are more urgent than the sweep and want all slots. One start in four
+// still goes to whoever has to start soonest of all.
+func TestTheLeastUrgentAreNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		urgent := folderOpen
+		urgent.rank, urgent.every = 0, 10*ms
+
+		g := play(newQueue(9), 20*time.Second, urgent, sweep)
+		served := float64(g[1].onTime+g[1].late) / float64(g[1].asked)
+		t.Logf("urgent on time %.2f, sweep served %.2f", g[0].share(), served)
+		assert.Assert(t, served > 0.25)
+	})
+}
+
+// The backend server turns five times slower. Callers whose calls can't end any more
+// are told at once instead of at their deadline.
+func TestASlowBackendServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(9)
+
+		healthy, slow := folderOpen, folderOpen
+		healthy.every, slow.every = 20*ms, 20*ms
+		slow.held *= 5
+
+		play(q, 3*time.Second, healthy)
+		play(q, 2*time.Second, slow)
+		g := play(q, 5*time.Second, slow)[0]
+
+		slices.Sort(g.held)
+		t.Logf("refused %d of %d, half of them within %s", g.refused, g.asked, g.held[len(g.held)/2])
+		assert.Assert(t, g.held[len(g.held)/2] < 50*ms)
+	})
+}
+
+// A call waits and can't end in time any more, because more urgent ones went first.
+// It is turned away then, not at its deadline.
+func TestNothingWaitsInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1)
+		one(q, sweep, &got{}) // 300 ms is known
+
+		s, err := q.Enter(context.Background(), slots.Work{Route: "sweep", Deadline: time.Now().Add(time.Minute)})
+		assert.NilError(t, err)
+
+		time.Sleep(290 * ms) // nearly done, as far as is known
+
+		start := time.Now()
+		_, err = q.Enter(context.Background(), slots.Work{
+			Route: "sweep", Target: start.Add(500 * ms), Deadline: start.Add(1000 * ms),
+		})
+		assert.ErrorIs(t, err, slots.ErrTooLate)
+		assert.Equal(t, time.Since(start), 700*ms)
+		s.Leave(0)
+	})
+}
+
+// Others can take the call in time. It is sent back at once, since asking them takes
+// a millisecond and waiting here a target.
+func TestACallThatWouldBeLateGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1)
+		one(q, sweep, &got{})
+
+		_, err := q.Enter(context.Background(), slots.Work{Route: "sweep", Deadline: time.Now().Add(time.Minute)})
+		assert.NilError(t, err)
+
+		start := time.Now()
+		_, err = q.Enter(context.Background(), slots.Work{
+			Route: "sweep", Target: start.Add(400 * ms), Deadline: start.Add(2000 * ms), Elsewhere: true,
+		})
+		assert.ErrorIs(t, err, slots.ErrElsewhere)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
+
+// The backend server says that it leaves while calls wait. None of them is sent to
+// it any more, and all are told at once.
+func TestLeavingTurnsAwayAllThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1)
+		w := slots.Work{Route: "a", Target: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)}
+
+		s, err := q.Enter(context.Background(), w)
+		assert.NilError(t, err)
+
+		errs := make(chan error, 3)
+		for range 3 {
+			go func() {
+				_, err := q.Enter(context.Background(), w)
+				errs <- err
+			}()
+		}
+
+		synctest.Wait()
+		q.Resize(0)
+
+		for range 3 {
+			assert.ErrorIs(t, <-errs, slots.ErrClosed)
+		}
+
+		s.Leave(0)
+
+		_, err = q.Enter(context.Background(), w)
+		assert.ErrorIs(t, err, slots.ErrClosed)
+	})
+}
+
+// A caller goes away in the moment in which its call gets a slot. The slot must not
+// be lost for good.
+func TestASlotOfACallerThatLeftIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1)
+		w := slots.Work{Route: "a", Target: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)}
+
+		for range 50 {
+			s, err := q.Enter(context.Background(), w)
+			assert.NilError(t, err)
+
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+
+			go func() {
+				defer close(done)
+
+				if s, err := q.Enter(ctx, w); err == nil {
+					s.Leave(0)
+				} else {
+					assert.Assert(t, errors.Is(err, slots.ErrGone))
+				}
+			}()
+
+			synctest.Wait()
+
+			go cancel()
+			go s.Leave(0)
+
+			<-done
+			synctest.Wait()
+			assert.Equal(t, q.Busy(), 0)
+		}
+	})
+}
+
+// BenchmarkEnter is one call through an idle queue.
+func BenchmarkEnter(b *testing.B) {
+	q := newQueue(9)
+	w := slots.Work{Route: "a", Target: time.Now().Add(time.Hour), Deadline: time.Now().Add(time.Hour)}
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		s, err := q.Enter(context.Background(), w)
+		if err != nil {
+			b.Fatal(err)
+		}
+
+		s.Leave(ms)
+	}
+}
