--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -176,7 +176,9 @@
 func TestAnUploadOnABrokenConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3)
-		f.reply = func(context.Context, string, forward.Request) (forward.Reply, error) { return forward.Reply{}, peer.ErrBroken }
+		f.reply = func(context.Context, string, forward.Request) (forward.Reply, error) {
+			return forward.Reply{}, peer.ErrBroken
+		}
 		r := send(newDispatcher(f, holder(t)), "/once/x")
 		assert.Equal(t, len(f.asked), 1)
 		assert.Equal(t, r.Status, http.StatusBadGateway)
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// Settings returns the settings that hold now.
+func (n *Sidecar) Settings() config.Config { return *n.settings.Load() }
+
 func (n *Sidecar) reload(file string, data []byte) {
 	next, err := config.Parse(file, data)
 	if err != nil {
