--- a/internal/announce/host_test.go
+++ b/internal/announce/host_test.go
@@ -71,8 +71,8 @@
 	return announce.Heartbeat{Instance: instance, Service: "browse", Slots: 9, Sequence: sequence}
 }
 
-func leave(instance string, sequence uint64) announce.Heartbeat {
-	b := beat(instance, sequence)
+func leave(sequence uint64) announce.Heartbeat {
+	b := beat("i-1", sequence)
 	b.Leaving = true
 
 	return b
@@ -91,7 +91,7 @@
 		h := newWorld().process()
 		heard(t, h, beat("i-1", 1))
 		assert.Assert(t, h.State().Takes)
-		heard(t, h, leave("i-1", 3))
+		heard(t, h, leave(3))
 		assert.Assert(t, !h.State().Takes)
 		heard(t, h, beat("i-1", 2))
 		heard(t, h, beat("i-1", 4))
@@ -106,7 +106,7 @@
 		w := newWorld()
 		h := w.process()
 		heard(t, h, beat("i-1", 1))
-		heard(t, h, leave("i-1", 2))
+		heard(t, h, leave(2))
 
 		next := w.process()
 		heard(t, next, beat("i-1", 1))
@@ -124,13 +124,13 @@
 		w.keeper.set(true)
 
 		start := time.Now()
-		err := h.Heard(context.Background(), leave("i-1", 2))
+		err := h.Heard(context.Background(), leave(2))
 		assert.ErrorIs(t, err, announce.ErrNotKept)
 		assert.Assert(t, time.Since(start) < time.Second)
 		assert.Assert(t, !h.State().Takes)
 
 		w.keeper.set(false)
-		assert.NilError(t, h.Heard(context.Background(), leave("i-1", 3)))
+		assert.NilError(t, h.Heard(context.Background(), leave(3)))
 	})
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -49,7 +49,13 @@
 
 func (f *fleet) CountLive() int { return len(f.records) }
 
-func (f *fleet) Ready(address string, _ peer.Lane) bool { return !f.dead[address] }
+func (f *fleet) Link(address string, _ peer.Lane) peer.Link {
+	if f.dead[address] {
+		return peer.LinkDown
+	}
+
+	return peer.LinkReady
+}
 
 func (f *fleet) Open(address string, _ peer.Lane) { f.opened = append(f.opened, address) }
 
@@ -357,6 +363,19 @@
 	})
 }
 
+// A failure domain is cut off and none of its own backend servers has the service. The
+// caller is told at once, not after a connection attempt.
+func TestAllLinksAreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.dead["a0"], f.dead["a1"] = true, true
+		r := send(newDispatcher(f, holder(t)), "/once/x")
+		assert.Equal(t, r.Status, http.StatusServiceUnavailable)
+		assert.Equal(t, len(f.asked), 0)
+		assert.Equal(t, len(f.opened), 2)
+	})
+}
+
 // A route leads to two services by 90 and 10, and one of them turns calls away. Its
 // share is not moved to the other.
 func TestWeightsAreExact(t *testing.T) {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -24,8 +24,8 @@
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
 	// DoElsewhere is Do for a call that may go to another node as well.
 	DoElsewhere(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
-	// Ready reports whether there is a connection, Open begins to make one.
-	Ready(address string, lane peer.Lane) bool
+	// Link tells what is known of a connection, Open begins to make one.
+	Link(address string, lane peer.Lane) peer.Link
 	Open(address string, lane peer.Lane)
 }
 
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -124,25 +124,38 @@
 func (d *Dispatcher) distance(id string) uint64 { return xxhash.Sum64String(d.options.Node + "/" + id) }
 
 // connected leaves out nodes to which there is no connection, and begins to make
-// one, unless no other node is left: a call must not be what finds out that a route
-// is dead.
+// one. A node that was not called yet is better than none; one whose link is down is
+// not: a call must not be what finds out that a route is dead, again and again.
 func (t *try) connected(all []place.Candidate) []place.Candidate {
 	peers := t.dispatcher.options.Peers
-	out := make([]place.Candidate, 0, len(all))
+	ready := make([]place.Candidate, 0, len(all))
+
+	var fresh []place.Candidate
 
 	for _, c := range all {
-		if c.Own || peers.Ready(c.Address, peer.LaneCalls) {
-			out = append(out, c)
-		} else {
-			peers.Open(c.Address, peer.LaneCalls)
+		link := peer.LinkReady
+		if !c.Own {
+			link = peers.Link(c.Address, peer.LaneCalls)
+		}
+
+		switch link {
+		case peer.LinkReady:
+			ready = append(ready, c)
+
+			continue
+		case peer.LinkNone:
+			fresh = append(fresh, c)
+		case peer.LinkDown:
 		}
+
+		peers.Open(c.Address, peer.LaneCalls)
 	}
 
-	if len(out) == 0 {
-		return all
+	if len(ready) == 0 {
+		return fresh
 	}
 
-	return out
+	return ready
 }
 
 func (t *try) pick(candidates []place.Candidate) (place.Candidate, bool) {
@@ -340,7 +353,7 @@
 
 		return d.own(t.outcome, http.StatusBadGateway)
 	case t.last.Result == 0:
-		return d.refuse(t.outcome, "no backend server of "+t.request.Service+" is known to take calls", noNodeRetry)
+		return d.refuse(t.outcome, "no backend server of "+t.request.Service+" can be reached that takes calls", noNodeRetry)
 	}
 
 	after := t.last.RetryAfter()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,6 +27,8 @@
 
 	mu    sync.Mutex
 	conns map[connKey]*clientConn
+	// failed is when a connection could not be made last.
+	failed map[connKey]time.Time
 
 	Received atomic.Int64
 	Sent     atomic.Int64
@@ -39,7 +41,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(opts ...Option) *Client {
-	return &Client{options: newOptions(opts...), conns: map[connKey]*clientConn{}}
+	return &Client{options: newOptions(opts...), conns: map[connKey]*clientConn{}, failed: map[connKey]time.Time{}}
 }
 
 // Do sends a request and decodes its answer. The error is ErrUnreachable only
@@ -160,6 +162,18 @@
 	return cc
 }
 
+// note keeps when a connection could not be made.
+func (c *Client) note(key connKey, failed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if failed {
+		c.failed[key] = time.Now()
+	} else {
+		delete(c.failed, key)
+	}
+}
+
 func (c *Client) forget(cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,6 +253,7 @@
 	if err != nil {
 		cc.dialErr = ErrUnreachable.With("%s", cc.key.address).Wrap(err)
 		cc.client.forget(cc)
+		cc.client.note(cc.key, true)
 
 		return
 	}
@@ -246,6 +261,7 @@
 	cc.client.mu.Lock()
 	cc.conn = conn
 	cc.client.mu.Unlock()
+	cc.client.note(cc.key, false)
 	cc.out = newWriter(conn, &cc.client.Sent)
 	cc.hello()
 
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -64,12 +64,13 @@
 	}
 }
 
-func (s *silence) doubt() {
+// doubt reports whether the connection was not in doubt before.
+func (s *silence) doubt() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.inDoubt {
-		return
+		return false
 	}
 
 	if s.doubted == nil {
@@ -79,6 +80,8 @@
 	s.inDoubt = true
 
 	close(s.doubted)
+
+	return true
 }
 
 // doubts is closed once the connection is in doubt.
@@ -108,6 +111,19 @@
 	}
 }
 
+// ask asks now, whether requests wait or not.
+func (s *silence) ask(cc *clientConn) {
+	if !s.asked.CompareAndSwap(0, steady()) {
+		return
+	}
+
+	go cc.ping()
+
+	if s.watched.CompareAndSwap(false, true) {
+		time.AfterFunc(doubtAfter, func() { s.look(cc) })
+	}
+}
+
 func (s *silence) look(cc *clientConn) {
 	if s.done(cc) {
 		return
@@ -122,7 +138,9 @@
 
 		return
 	case asked != 0 && now-asked >= int64(doubtAfter):
-		s.doubt()
+		if s.doubt() {
+			cc.client.askAll(cc.key.lane)
+		}
 	case asked == 0 && now-s.last.Load() >= int64(askAfter):
 		s.asked.Store(now)
 
@@ -132,12 +150,13 @@
 	time.AfterFunc(doubtAfter, func() { s.look(cc) })
 }
 
-// done reports whether no request waits, and ends the watch if so.
+// done reports whether no request waits and no question is open, and ends the watch
+// if so.
 func (s *silence) done(cc *clientConn) bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 
-	if !cc.broken && len(cc.pending) > 0 {
+	if !cc.broken && (len(cc.pending) > 0 || s.asked.Load() != 0) {
 		return false
 	}
 
@@ -159,19 +178,53 @@
 	}
 }
 
-// Ready reports whether there is a connection to the address that is not in doubt.
-func (c *Client) Ready(address string, lane Lane) bool {
+// Link is what is known of the connection to an address.
+type Link uint8
+
+// The states of a link.
+const (
+	// LinkNone means that there is no connection, or none yet.
+	LinkNone Link = iota
+	LinkReady
+	// LinkDown means that the connection is in doubt, or could not be made a moment
+	// ago: what is sent there now is likely to be lost or to wait.
+	LinkDown
+)
+
+// downFor is how long a failed connection attempt counts: another one is under way
+// all the while, and finds out when the link is back.
+const downFor = time.Second
+
+// Link returns what is known of the connection to the address.
+func (c *Client) Link(address string, lane Lane) Link {
+	key := connKey{address, lane}
+
 	c.mu.Lock()
-	cc := c.conns[connKey{address, lane}]
+	cc := c.conns[key]
+	failed, hasFailed := c.failed[key]
 	c.mu.Unlock()
 
+	switch {
+	case cc.opened() && cc.silence.quiet():
+		return LinkDown
+	case cc.opened():
+		return LinkReady
+	case hasFailed && time.Since(failed) < downFor:
+		return LinkDown
+	}
+
+	return LinkNone
+}
+
+// opened reports whether the connection was made.
+func (cc *clientConn) opened() bool {
 	if cc == nil {
 		return false
 	}
 
 	select {
 	case <-cc.ready:
-		return cc.dialErr == nil && !cc.silence.quiet()
+		return cc.dialErr == nil
 	default:
 		return false
 	}
@@ -185,3 +238,17 @@
 
 	c.connect(connKey{address, lane})
 }
+
+// askAll asks on all connections of a lane whether the other ends still read. Where
+// one went silent many may have: a failure domain that is cut off loses the links to
+// all others in one moment. Without this each link costs the calls that find it out.
+func (c *Client) askAll(lane Lane) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	for key, cc := range c.conns {
+		if key.lane == lane && cc.opened() {
+			cc.silence.ask(cc)
+		}
+	}
+}
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -90,7 +90,7 @@
 	}
 
 	assert.NilError(t, call(c.Do))
-	assert.Assert(t, c.Ready(p.address, peer.LaneCalls))
+	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkReady)
 
 	p.silent.Store(p.opened.Load())
 
@@ -98,10 +98,40 @@
 	go func() { stays <- call(c.Do) }()
 
 	assert.ErrorIs(t, call(c.DoElsewhere), peer.ErrSilent)
-	assert.Assert(t, !c.Ready(p.address, peer.LaneCalls))
+	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkDown)
 	assert.ErrorIs(t, <-stays, peer.ErrBroken)
 	assert.NilError(t, call(c.Do))
-	assert.Assert(t, c.Ready(p.address, peer.LaneCalls))
+	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkReady)
+}
+
+// A failure domain is cut off, which silences the links to many nodes in one moment.
+// The first call that finds out has all links asked, so that the others cost no call.
+func TestOneSilentLinkHasTheOthersAsked(t *testing.T) {
+	a, b := newEnd(t), newEnd(t)
+	pa, pb := newPipe(t, a.address), newPipe(t, b.address)
+	c := peer.NewClient(peer.WithDialTimeout(patience))
+	t.Cleanup(c.Close)
+
+	call := func(p *pipe) error {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+
+		var out ping
+
+		return c.DoElsewhere(ctx, p.address, peer.LaneCalls, "Ping", ping{Text: "x"}, &out)
+	}
+
+	assert.NilError(t, call(pa))
+	assert.NilError(t, call(pb))
+	pa.silent.Store(1)
+	pb.silent.Store(1)
+	assert.ErrorIs(t, call(pa), peer.ErrSilent)
+
+	deadline := time.Now().Add(patience)
+	for c.Link(pb.address, peer.LaneCalls) == peer.LinkReady {
+		assert.Assert(t, time.Now().Before(deadline))
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // A call takes long while nothing else is said on the connection. The other end still
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -171,12 +171,10 @@
 	return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
 }
 
-func (h *host) serves(status int) func() bool {
-	return func() bool {
-		got, _, _ := h.call("probe")
+func (h *host) serves() bool {
+	status, _, _ := h.call("probe")
 
-		return got == status
-	}
+	return status == http.StatusOK
 }
 
 // A call reaches a backend server beside another node, unchanged, with the service of
@@ -187,7 +185,7 @@
 	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
 	f.announced(t)
 	eventually(t, f.hosts[0].ready)
-	eventually(t, f.hosts[0].serves(http.StatusOK))
+	eventually(t, f.hosts[0].serves)
 
 	status, body, header := f.hosts[0].call("id-1")
 	assert.Equal(t, status, http.StatusOK)
@@ -211,8 +209,8 @@
 	f := newFleet(t, "ledger", "ledger")
 	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
 	f.announced(t)
-	eventually(t, f.hosts[1].serves(http.StatusOK))
-	eventually(t, f.hosts[0].serves(http.StatusOK))
+	eventually(t, f.hosts[1].serves)
+	eventually(t, f.hosts[0].serves)
 
 	leaving := f.hosts[0]
 	assert.Equal(t, leaving.announce(true), http.StatusOK)
@@ -229,7 +227,7 @@
 	leaving.start(t)
 	eventually(t, leaving.ready)
 	assert.Equal(t, leaving.announce(false), http.StatusOK)
-	eventually(t, leaving.serves(http.StatusOK))
+	eventually(t, leaving.serves)
 
 	for range 20 {
 		leaving.call("after the restart")
@@ -247,7 +245,7 @@
 	f.announced(t)
 
 	for _, h := range f.hosts {
-		eventually(t, h.serves(http.StatusOK))
+		eventually(t, h.serves)
 		h.backend.Work = 200 * time.Millisecond
 	}
 
@@ -278,7 +276,7 @@
 	f := newFleet(t, "ledger")
 	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
 	f.announced(t)
-	eventually(t, f.hosts[0].serves(http.StatusOK))
+	eventually(t, f.hosts[0].serves)
 	f.store.Fault(func(string) int { return http.StatusServiceUnavailable })
 
 	f.hosts[0].backend.Work = 20 * time.Millisecond
