--- a/cmd/pollencart/main.go
+++ b/cmd/pollencart/main.go
@@ -42,6 +42,7 @@
 	addNode(app)
 	addSidecar(app)
 	addOperator(app, out)
+	addExplain(app, out)
 
 	return app
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -175,7 +175,7 @@
 	case ctx.Err() != nil:
 		e = event.CallAbandoned
 	case o.Reason != "":
-		e = event.CallTurnedAway
+		e = event.CallFailed
 	}
 
 	d.options.Recorder.Record(e, timeline.Entry{Call: o.ID, Peer: o.Node, Version: o.Version, Detail: o.text()})
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -79,6 +79,9 @@
 	CallAbandoned  = add(404, "CallAbandoned", slog.LevelDebug, "The caller went away before the call ended.")
 	CallRun        = add(405, "CallRun", slog.LevelDebug,
 		"The node beside a backend server let a call in, or turned it away; the detail says with what result.")
+	CallNotRun = add(406, "CallNotRun", slog.LevelWarn,
+		"The node beside a backend server did not run a call, or nobody knows whether it ran; the detail has what decided it.")
+	CallFailed  = add(407, "CallFailed", slog.LevelWarn, "A caller got a final answer of this node's own; the detail says why.")
 	CallUnknown = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
 )
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -219,5 +219,10 @@
 		r.options.Meter.Ran(in.Route, reply.Result, took-held, held)
 	}
 
-	r.options.Recorder.Record(event.CallRun, timeline.Entry{Call: in.ID, Detail: describe(in, reply, took)})
+	e := event.CallRun
+	if reply.Result != forward.Answered {
+		e = event.CallNotRun
+	}
+
+	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, reply, took)})
 }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -198,19 +198,40 @@
 	default:
 	}
 
-	hopeless := time.NewTimer(time.Until(s.work.Deadline.Add(-s.size)))
-	defer hopeless.Stop()
-
-	select {
-	case err := <-s.granted:
-		return s.result(err)
-	case <-hopeless.C:
-		return nil, q.abandon(s, ErrTooLate)
-	case <-ctx.Done():
-		return nil, q.abandon(s, ErrGone)
+	// The first look is when the call can't be on time any more.
+	look := time.NewTimer(time.Until(s.work.Target.Add(-s.size)))
+	defer look.Stop()
+
+	for {
+		select {
+		case err := <-s.granted:
+			return s.result(err)
+		case <-look.C:
+			if q.inVain(s) {
+				return nil, q.abandon(s, ErrTooLate)
+			}
+
+			look.Reset(time.Until(s.work.Deadline.Add(-s.size)))
+		case <-ctx.Done():
+			return nil, q.abandon(s, ErrGone)
+		}
 	}
 }
 
+// inVain reports whether a waiting call has no prospect any more: it can't end before
+// its deadline, or it will be late and others that will be wait already.
+func (q *Queue) inVain(s *Slot) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	now := time.Now()
+
+	return !now.Add(s.size).Before(s.work.Deadline) || q.late(now) > q.mostLate()
+}
+
+// mostLate is how many calls may wait that will be late.
+func (q *Queue) mostLate() int { return max(q.slots/latePart, 1) }
+
 func (s *Slot) result(err error) (*Slot, error) {
 	if err != nil {
 		return nil, err
@@ -254,7 +275,7 @@
 		return nil
 	case s.work.Elsewhere:
 		return ErrElsewhere
-	case end.After(s.work.Deadline), q.late(now) >= max(q.slots/latePart, 1):
+	case end.After(s.work.Deadline), q.late(now) >= q.mostLate():
 		return ErrTooLate
 	}
 
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -155,6 +155,7 @@
 			g.asked, g.onTime, g.late, g.refused, g.held[len(g.held)/2], g.held[len(g.held)*9/10])
 		assert.Assert(t, g.share() > 0.20, "%.2f", g.share())
 		assert.Assert(t, float64(g.onTime+g.late) > 0.45*float64(g.asked))
+		assert.Assert(t, g.held[len(g.held)*9/10] < 300*ms)
 		assert.Assert(t, g.held[len(g.held)/2] < 10*ms)
 	})
 }
