--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,11 +36,10 @@
 	afterCalls = 600
 )
 
-// line is one line of a node's log.
+// line is one line of a node's log. The first names are those of log/slog.
 type line struct {
-	Time   time.Time `json:"time"`
-	Level  string    `json:"level"`
-	Name   string    `json:"msg"`
+	Time   time.Time `json:"time"` //nolint:tagliatelle // as log/slog writes it
+	Name   string    `json:"msg"`  //nolint:tagliatelle // as log/slog writes it
 	Number int       `json:"Event"`
 	Node   string    `json:"Node"`
 	Call   string    `json:"Call"`
