--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -1,9 +1,9 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -26,32 +26,14 @@
 		failed := 0
 
 		for seed := *first; seed < *first+*count; seed++ {
-			dir, err := os.MkdirTemp("", "pollencart-hosts-")
+			broken, err := oneSeed(ctx, hosts.Options{Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Program: *program})
 			if err != nil {
 				return err
 			}
 
-			log, err := os.Create(filepath.Join(dir, "schedule.log"))
-			if err != nil {
-				return err
-			}
-
-			report, err := hosts.Run(ctx, hosts.Options{
-				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Program: *program, Dir: dir, Log: log,
-			})
-			if err != nil {
-				return err
-			}
-
-			if err := finish(report, dir, log); err != nil {
-				return err
-			}
-
-			if len(report.Broken) > 0 {
+			if broken {
 				failed++
 			}
-
-			time.Sleep(time.Second) // sockets of the last seed end
 		}
 
 		if failed > 0 {
@@ -62,6 +44,28 @@
 	})
 }
 
+// oneSeed plays one seed and reports whether a promise was broken.
+func oneSeed(ctx context.Context, o hosts.Options) (bool, error) {
+	var err error
+	if o.Dir, err = os.MkdirTemp("", "pollencart-hosts-"); err != nil {
+		return false, err
+	}
+
+	log, err := os.Create(filepath.Join(o.Dir, "schedule.log"))
+	if err != nil {
+		return false, err
+	}
+
+	o.Log = log
+
+	report, err := hosts.Run(ctx, o)
+	if err != nil {
+		return false, err
+	}
+
+	return len(report.Broken) > 0, finish(report, o.Dir, log)
+}
+
 // finish prints the report, and keeps the logs of a run that found something.
 func finish(r *hosts.Report, dir string, log *os.File) error {
 	if err := r.Print(os.Stdout); err != nil {
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/draw"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
@@ -107,8 +108,8 @@
 	g.picks++
 
 	var (
-		draws [tiers]draw
-		spare draw
+		draws [tiers]draw.Two[drawn]
+		spare draw.Two[drawn]
 	)
 
 	for i := range candidates {
@@ -126,19 +127,19 @@
 
 			return *c, true
 		case m.ejected:
-			spare.add(c, m, lastResort+s.options.Random.ExpFloat64())
+			spare.Add(drawn{c, m}, lastResort+s.options.Random.ExpFloat64())
 		case m.cold(s.options.Random, now):
-			spare.add(c, m, s.options.Random.ExpFloat64())
+			spare.Add(drawn{c, m}, s.options.Random.ExpFloat64())
 		default:
-			draws[s.tier(c)].add(c, m, s.options.Random.ExpFloat64()/float64(max(c.Slots, 1)))
+			draws[s.tier(c)].Add(drawn{c, m}, s.options.Random.ExpFloat64()/float64(max(c.Slots, 1)))
 		}
 	}
 
 	chosen := s.cheapest(&draws, g, n, now)
 	// An ejected gate is better than none for the first attempt; sending a call
 	// there once more is only load.
-	if chosen.candidate == nil && (len(n.Tried) == 0 || spare.first.key < lastResort) {
-		chosen = spare.first
+	if chosen.candidate == nil && (len(n.Tried) == 0 || spare.FirstKey() < lastResort) {
+		chosen, _ = spare.First()
 	}
 
 	if chosen.candidate == nil {
@@ -151,18 +152,16 @@
 }
 
 // cheapest compares the two that were drawn from each tier.
-func (s *Selector) cheapest(draws *[tiers]draw, g *group, n Need, now time.Time) drawn {
+func (s *Selector) cheapest(draws *[tiers]draw.Two[drawn], g *group, n Need, now time.Time) drawn {
 	var (
 		best drawn
 		cost time.Duration
 	)
 
 	for tier := range draws {
-		for _, d := range []drawn{draws[tier].first, draws[tier].second} {
-			if d.candidate == nil {
-				continue
-			}
+		both, count := draws[tier].Both()
 
+		for _, d := range both[:count] {
 			c := d.member.cost(g, d.candidate, n.Class.Rank(), now) + s.options.Distances[tier]
 			if best.candidate == nil || c < cost {
 				best, cost = d, c
@@ -199,22 +198,6 @@
 type drawn struct {
 	candidate *Candidate
 	member    *member
-	key       float64
-}
-
-// draw keeps the two lowest of random keys: a weighted draw without putting
-// back, in one pass.
-type draw struct{ first, second drawn }
-
-func (d *draw) add(c *Candidate, m *member, key float64) {
-	next := drawn{c, m, key}
-
-	switch {
-	case d.first.candidate == nil || key < d.first.key:
-		d.first, d.second = next, d.first
-	case d.second.candidate == nil || key < d.second.key:
-		d.second = next
-	}
 }
 
 // Attempt is one call on its way to a gate.
--- /dev/null
+++ b/internal/sidecar/listen.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
+	"github.com/pollencart/pollencart/platform"
+)
+
+// ErrListen is returned if an address can't be listened on.
+var ErrListen = errs.New("sidecar.listen", http.StatusServiceUnavailable, "can't listen")
+
+func (n *Sidecar) ready() bool { return n.holder.Number() > 0 && !n.leaving.Load() }
+
+func (n *Sidecar) listen() error {
+	for _, h := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{n.config.PeerAddress, n.server.Serve},
+		{n.config.AnnounceAddress, serveHTTP(func(e *echo.Echo) { platform.Register(e, n.host) })},
+		{n.config.ReadyAddress, serveHTTP(func(e *echo.Echo) { platform.RegisterReady(e, n.ready) })},
+		{n.config.MetricsAddress, serveHTTP(func(e *echo.Echo) { e.GET("/metrics", echo.WrapHandler(n.meter.Handler())) })},
+		{n.config.CallerAddress, n.ingress.Serve},
+	} {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			n.close()
+
+			return ErrListen.With("%s", h.address).Wrap(err)
+		}
+
+		n.listeners = append(n.listeners, l)
+
+		go n.serve(h.serve, l)
+	}
+
+	return nil
+}
+
+func (n *Sidecar) serve(serve func(net.Listener) error, l net.Listener) {
+	if err := serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
+	}
+}
+
+// headTime bounds how long a connection may take over its request's head.
+const headTime = 5 * time.Second
+
+func serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
+	e := echo.New()
+	e.HideBanner = true
+	register(e)
+
+	s := &http.Server{Handler: e, ReadHeaderTimeout: headTime}
+
+	return s.Serve
+}
+
+func (n *Sidecar) close() {
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+
+	n.ingress.Close()
+	n.server.Close()
+	n.client.Close()
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -40,14 +40,6 @@
 	node    *sidecar.Sidecar
 }
 
-// document is a configuration that leads all calls of a host to a service.
-func document(version int, service string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":{"columns":["name","host","path-prefix","kind","timeout-s","target-latency-s",`+
-		`"priority","service","attempts","weighted-clusters"],"rows":[["r","a.example","/r/","unsafe",5,1,1,%q,2,null]]},`+
-		`"services":{"columns":["name","health-path","max-connections"],"rows":[["browse","/health",50],["ledger","/health",50]]},`+
-		`"limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-s":3,"idle-timeout-s":15}}`, version, service)
-}
-
 func newFleet(t *testing.T, services ...string) *fleet {
 	t.Helper()
 
@@ -141,15 +133,15 @@
 }
 
 func (h *host) call(id string) (int, string, http.Header) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+h.config.CallerAddress+"/r/x?y=1", strings.NewReader("body"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.config.CallerAddress+"/once/x?y=1", strings.NewReader("body"))
 	if err != nil {
 		return 0, err.Error(), nil
 	}
 
-	request.Host = "a.example"
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", "4000")
-	request.Header.Set("Caller-Service", "forged")
+	names := platform.Headers()
+	request.Header.Set(names.Call, id)
+	request.Header.Set(names.Deadline, "4000")
+	request.Header.Set(names.Caller, "forged")
 
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
@@ -182,19 +174,19 @@
 func TestTheWholePath(t *testing.T) {
 	f := newFleet(t, "browse", "ledger", "ledger")
 	assert.Assert(t, !f.hosts[0].ready())
-	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
 	f.announced(t)
 	eventually(t, f.hosts[0].ready)
 	eventually(t, f.hosts[0].serves)
 
 	status, body, header := f.hosts[0].call("id-1")
 	assert.Equal(t, status, http.StatusOK)
-	assert.Equal(t, body, "/r/x?y=1 body")
-	assert.Equal(t, header.Get("Attempt-Id"), "id-1")
+	assert.Equal(t, body, "/once/x?y=1 body")
+	assert.Equal(t, header.Get(platform.Headers().Call), "id-1")
 	assert.Equal(t, header.Get("Origin"), "browse")
-	assert.Equal(t, header.Get("Server-Signature"), "signed")
+	assert.Equal(t, header.Get(platform.Headers().Signature), "signed")
 
-	f.store.Write(platform.ConfigurationKey, document(2, "browse"))
+	f.store.Write(platform.ConfigurationKey, standin.Document(2, "browse"))
 	eventually(t, func() bool {
 		f.hosts[1].call("moved")
 		return len(f.hosts[0].backend.Calls()) > 0
@@ -205,7 +197,7 @@
 // and started anew, and an old heartbeat arrives: nothing is sent there any more.
 func TestNothingReachesABackendServerThatWasConfirmedToLeave(t *testing.T) {
 	f := newFleet(t, "ledger", "ledger")
-	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
 	f.announced(t)
 	eventually(t, f.hosts[1].serves)
 	eventually(t, f.hosts[0].serves)
@@ -239,7 +231,7 @@
 // answer.
 func TestAPlannedStopCutsNothingOff(t *testing.T) {
 	f := newFleet(t, "ledger", "ledger")
-	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
 	f.announced(t)
 
 	for _, h := range f.hosts {
@@ -272,7 +264,7 @@
 // backend server than it has slots.
 func TestAStoreThatIsAway(t *testing.T) {
 	f := newFleet(t, "ledger")
-	f.store.Write(platform.ConfigurationKey, document(1, "ledger"))
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
 	f.announced(t)
 	eventually(t, f.hosts[0].serves)
 	f.store.Fault(func(string) int { return http.StatusServiceUnavailable })
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -35,7 +35,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -103,45 +102,6 @@
 	letIn   [ranks]float64 // the part of a rank's calls that was let in lately
 }
 
-// use is the slot time that calls of a rank took lately.
-type use struct {
-	held time.Duration
-	at   time.Time
-}
-
-// lately is over how long the use of slots by urgent calls is averaged: longer than
-// most calls, shorter than a burst.
-const lately = time.Second
-
-// ranks is how many ranks are told apart; less urgent ones count as the last.
-const ranks = 8
-
-func rankOf(w Work) int { return min(max(w.Rank, 0), ranks-1) }
-
-func (u *use) now(now time.Time) time.Duration {
-	if u.at.IsZero() {
-		return 0
-	}
-
-	return time.Duration(float64(u.held) * math.Exp(-float64(now.Sub(u.at))/float64(lately)))
-}
-
-func (u *use) add(held time.Duration, now time.Time) {
-	u.held, u.at = u.now(now)+held, now
-}
-
-// left is the part of the slots that calls more urgent than the rank leave, as they
-// came lately. They pass those that wait; without this a call of a low rank is told
-// a wait that it never gets.
-func (q *Queue) left(rank int, now time.Time) float64 {
-	taken := 0.0
-	for i := range rank {
-		taken += float64(q.use[i].now(now))
-	}
-
-	return max(1-taken/(float64(lately)*float64(q.slots)), 1.0/FairEvery)
-}
-
 // Slot is a call that runs or waits.
 type Slot struct {
 	queue   *Queue
@@ -168,12 +128,6 @@
 	return q
 }
 
-// note counts a call of a rank that was let in (1) or turned away (0).
-func (q *Queue) note(w Work, in float64) {
-	share := &q.letIn[rankOf(w)]
-	*share += (in - *share) / fairSmoothing
-}
-
 // Resize sets the number of slots; 0 turns all away.
 func (q *Queue) Resize(slots int) {
 	q.mu.Lock()
@@ -218,20 +172,6 @@
 	}
 }
 
-// inVain reports whether a waiting call has no prospect any more: it can't end before
-// its deadline, or it will be late and others that will be wait already.
-func (q *Queue) inVain(s *Slot) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	now := time.Now()
-
-	return !now.Add(s.size).Before(s.work.Deadline) || q.late(now) > q.mostLate()
-}
-
-// mostLate is how many calls may wait that will be late.
-func (q *Queue) mostLate() int { return max(q.slots/latePart, 1) }
-
 func (s *Slot) result(err error) (*Slot, error) {
 	if err != nil {
 		return nil, err
@@ -266,35 +206,6 @@
 	return nil
 }
 
-// judge decides whether a call that has to wait may.
-func (q *Queue) judge(s *Slot, now time.Time, wait time.Duration) error {
-	end := now.Add(wait + s.size)
-
-	switch {
-	case !end.After(s.work.Target):
-		return nil
-	case s.work.Elsewhere:
-		return ErrElsewhere
-	case end.After(s.work.Deadline), q.late(now) >= q.mostLate():
-		return ErrTooLate
-	}
-
-	return nil
-}
-
-// late counts the waiting calls that will be late.
-func (q *Queue) late(now time.Time) int {
-	count := 0
-
-	for _, o := range q.waiting {
-		if _, late := o.latest(now); late {
-			count++
-		}
-	}
-
-	return count
-}
-
 // abandon takes a call out that waits in vain. A slot that was granted in the same
 // moment is given back.
 func (q *Queue) abandon(s *Slot, why error) error {
@@ -345,132 +256,6 @@
 	q.waiting = nil
 }
 
-// next takes the call out of the queue that starts next.
-func (q *Queue) next(now time.Time) *Slot {
-	q.starts++
-
-	only := -1
-	if q.starts%FairEvery == 0 {
-		only = q.starved()
-	}
-
-	best := -1
-
-	for i, o := range q.waiting {
-		if only >= 0 && rankOf(o.work) != only {
-			continue
-		}
-
-		if best < 0 || o.before(q.waiting[best], now) {
-			best = i
-		}
-	}
-
-	s := q.waiting[best]
-	q.waiting = slices.Delete(q.waiting, best, best+1)
-
-	return s
-}
-
-// starved returns the rank of a waiting call of whose kind the least was let in, if
-// it is too little, or -1.
-func (q *Queue) starved() int {
-	starved, least := -1, StarvedAt
-
-	for _, o := range q.waiting {
-		if r := rankOf(o.work); q.letIn[r] < least {
-			starved, least = r, q.letIn[r]
-		}
-	}
-
-	return starved
-}
-
-// before orders calls by rank, then by when they have to start.
-func (s *Slot) before(o *Slot, now time.Time) bool {
-	if s.work.Rank != o.work.Rank {
-		return s.work.Rank < o.work.Rank
-	}
-
-	return s.sooner(o, now)
-}
-
-// sooner orders calls of a rank by when they have to start to be on time. Those that can't
-// be any more come after those that can.
-func (s *Slot) sooner(o *Slot, now time.Time) bool {
-	mine, late := s.latest(now)
-	theirs, theirsLate := o.latest(now)
-
-	if late != theirsLate {
-		return !late
-	}
-
-	return mine.Before(theirs)
-}
-
-// latest returns the last moment to start, and whether it is too late to be on
-// time, so that only the deadline counts.
-func (s *Slot) latest(now time.Time) (time.Time, bool) {
-	if t := s.work.Target.Add(-s.size); !t.Before(now) {
-		return t, false
-	}
-
-	return s.work.Deadline.Add(-s.size), true
-}
-
-// wait estimates how long the call would wait, by dealing what runs and what is in
-// front of it to the slots as they get free. The mean over all slots would say that
-// a short call has to wait for half of a long one, however many of them run.
-func (q *Queue) wait(s *Slot, now time.Time) time.Duration {
-	if len(q.running)+len(q.waiting) < q.slots {
-		return 0
-	}
-
-	rank := rankOf(s.work)
-	starved := q.letIn[rank] < StarvedAt
-	left := q.left(rank, now)
-
-	if starved {
-		left = 1.0 / FairEvery
-	}
-
-	free := q.remaining(now)
-
-	for _, o := range q.waiting {
-		if o.before(s, now) && (!starved || rankOf(o.work) == rank) {
-			*earliest(free) += o.size
-		}
-	}
-
-	return time.Duration(float64(*earliest(free)) / left)
-}
-
-// remaining returns when each slot gets free.
-func (q *Queue) remaining(now time.Time) []time.Duration {
-	free := make([]time.Duration, 0, max(q.slots, len(q.running)))
-	for r := range q.running {
-		free = append(free, max(r.size-now.Sub(r.began), r.size/leastPart))
-	}
-
-	for len(free) < q.slots {
-		free = append(free, 0)
-	}
-
-	return free
-}
-
-func earliest(free []time.Duration) *time.Duration {
-	best := 0
-
-	for i, d := range free {
-		if d < free[best] {
-			best = i
-		}
-	}
-
-	return &free[best]
-}
-
 // Leave gives the slot back. Took is how long the backend server needed, or 0 if
 // that says nothing about the route.
 func (s *Slot) Leave(took time.Duration) {
@@ -491,45 +276,6 @@
 	q.start(now)
 }
 
-func (q *Queue) size(route string) time.Duration {
-	if s, ok := q.sizes[route]; ok {
-		return s.mean
-	}
-
-	return unknownSize
-}
-
-func (q *Queue) learn(route string, took time.Duration) {
-	s := q.sizes[route]
-	if s == nil {
-		if len(q.sizes) >= maxRoutes {
-			clear(q.sizes)
-		}
-
-		s = &size{}
-		q.sizes[route] = s
-	}
-
-	s.learn(took)
-}
-
-// size is the usual time of a route's calls here.
-type size struct {
-	mean time.Duration
-	seen int
-}
-
-// learn takes the mean of the first calls, then follows with smoothing.
-func (s *size) learn(took time.Duration) {
-	if s.seen < smoothing {
-		s.seen++
-	} else {
-		took = min(took, clip*s.mean)
-	}
-
-	s.mean += (took - s.mean) / time.Duration(s.seen)
-}
-
 // Load tells what the queue holds.
 func (q *Queue) Load() Load {
 	q.mu.Lock()
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -56,6 +56,12 @@
 	startTime = 20 * time.Second
 	// announceEvery is the pause between heartbeats.
 	announceEvery = 500 * time.Millisecond
+	// failureDomains is how many the hosts stand in.
+	failureDomains = 3
+	// longest is how long a fault lasts at the most.
+	longest = 4 * time.Second
+	// private is the mode of a settings file.
+	private = 0o600
 	// servedAtEnd is the part of calls that is served when all is well again.
 	servedAtEnd = 0.95
 )
@@ -159,7 +165,7 @@
 
 	h := &host{backend: b, file: filepath.Join(r.options.Dir, name+".jsonc")}
 	h.config = config.Config{
-		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%3), Service: service, BackendAddress: b.address,
+		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: b.address,
 		StoreAddress: r.link.address, AnnounceEverySeconds: announceEvery.Seconds(),
 		Bounds: config.Bounds{
 			DrainSeconds: drainBound.Seconds(), GraceSeconds: grace.Seconds(), RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 50,
@@ -183,7 +189,7 @@
 		return nil, err
 	}
 
-	return h, os.WriteFile(h.file, data, 0o600)
+	return h, os.WriteFile(h.file, data, private)
 }
 
 func freeAddress() (string, error) {
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -158,13 +158,13 @@
 func (r *run) pause(random *rand.Rand, h *host) {
 	h.plan()
 	h.signal(syscall.SIGSTOP)
-	time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
+	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	h.signal(syscall.SIGCONT)
 }
 
 func (r *run) storeDown(random *rand.Rand, _ *host) {
 	r.store.Fault(func(string) int { return http.StatusServiceUnavailable })
-	time.Sleep(time.Duration(random.Int64N(int64(4 * time.Second))))
+	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	r.store.Fault(nil)
 }
 
@@ -177,13 +177,13 @@
 
 		return 0
 	})
-	time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
+	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	r.store.Fault(nil)
 }
 
 func (r *run) storeSilent(random *rand.Rand, _ *host) {
 	r.link.silence(true)
-	time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
+	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	r.link.silence(false)
 }
 
