--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -22,8 +22,9 @@
 // storeKey is where the configuration lies.
 const storeKey = "configuration"
 
-// world is a store and the nodes of one failure domain.
+// world is a store and nodes, in one failure domain or in several.
 type world struct {
+	domains  int
 	mu       sync.Mutex
 	version  int64
 	changed  chan struct{}
@@ -45,7 +46,13 @@
 func newWorld(t *testing.T, count int) *world {
 	t.Helper()
 
-	w := &world{changed: make(chan struct{}), turned: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*node{}}
+	return newWorldIn(t, 1, count)
+}
+
+func newWorldIn(t *testing.T, domains, count int) *world {
+	t.Helper()
+
+	w := &world{domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*node{}}
 	ctx, cancel := context.WithCancel(context.Background())
 
 	var wg sync.WaitGroup
@@ -188,16 +195,39 @@
 func (n *node) Live() []membership.Record {
 	var out []membership.Record
 	for i := range len(n.world.nodes) {
-		id := "n" + strconv.Itoa(i)
-		out = append(out, membership.Record{ID: id, PeerAddress: id, FailureDomain: "derby"})
+		out = append(out, n.world.record(i))
 	}
 
 	return out
 }
 
-func (n *node) Self() membership.Record { return membership.Record{ID: n.id, FailureDomain: "derby"} }
+func (w *world) record(i int) membership.Record {
+	id := "n" + strconv.Itoa(i)
 
-func (n *node) FirstOf(_ string, count int) []membership.Record { return n.Live()[:count] }
+	return membership.Record{ID: id, PeerAddress: id, FailureDomain: "d" + strconv.Itoa(i%w.domains)}
+}
+
+func (n *node) Self() membership.Record {
+	for i := range len(n.world.nodes) {
+		if r := n.world.record(i); r.ID == n.id {
+			return r
+		}
+	}
+
+	return membership.Record{}
+}
+
+func (n *node) FirstOf(domain string, count int) []membership.Record {
+	var out []membership.Record
+
+	for _, r := range n.Live() {
+		if r.FailureDomain == domain && len(out) < count {
+			out = append(out, r)
+		}
+	}
+
+	return out
+}
 
 func (n *node) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
 	time.Sleep(time.Millisecond)
@@ -263,6 +293,34 @@
 	})
 }
 
+// The watcher that finds a missed change tells those of the other failure domains, which
+// would find it only by looks of their own.
+func TestWhoFindsAMissedChangeTellsTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldIn(t, 4, 12)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+		time.Sleep(5 * time.Second)
+		w.set(func() { w.deaf = true })
+		w.write(2)
+
+		first := func() bool {
+			for _, n := range w.nodes {
+				if n.holder.Number() == 2 {
+					return true
+				}
+			}
+
+			return false
+		}
+		for !first() {
+			time.Sleep(time.Millisecond)
+		}
+
+		w.within(t, 2, 100*time.Millisecond)
+	})
+}
+
 // The store turns both watchers away and serves the others. These notice that nobody
 // tells them what is current, and ask by themselves.
 func TestWatchersThatAreTurnedAway(t *testing.T) {
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -215,6 +215,15 @@
 
 	_, err := in.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
+
+	// What comes behind the last answer counts as not read.
+	get(t, c, "/third")
+
+	select {
+	case <-began:
+		t.Fatal("a call behind the last answer runs")
+	case <-time.After(short):
+	}
 }
 
 func TestRetireEndsIdleConnections(t *testing.T) {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -189,6 +189,7 @@
 	f.store.Write(platform.ConfigurationKey, standin.Document(2, "browse"))
 	eventually(t, func() bool {
 		f.hosts[1].call("moved")
+
 		return len(f.hosts[0].backend.Calls()) > 0
 	})
 }
