--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -53,8 +52,9 @@
 
 		h.config = config.Config{
 			Node: fmt.Sprintf("n%d", i), Region: "midlands", FailureDomain: "derby", Service: service,
-			BackendAddress: strings.TrimPrefix(b.URL, "http://"), CallerAddress: free(t), PeerAddress: free(t), ReadyAddress: free(t),
-			AnnounceAddress: free(t), MetricsAddress: free(t), StoreAddress: strings.TrimPrefix(server.URL, "http://"),
+			BackendAddress: strings.TrimPrefix(b.URL, "http://"), StoreAddress: strings.TrimPrefix(server.URL, "http://"),
+			CallerAddress: standin.FreeAddress(), PeerAddress: standin.FreeAddress(), ReadyAddress: standin.FreeAddress(),
+			AnnounceAddress: standin.FreeAddress(), MetricsAddress: standin.FreeAddress(),
 			Bounds: config.Bounds{DrainSeconds: 2, GraceSeconds: 6, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 50},
 		}
 		f.hosts = append(f.hosts, h)
@@ -77,18 +77,6 @@
 	return f
 }
 
-// free returns an address that nobody listens on.
-func free(t *testing.T) string {
-	t.Helper()
-
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-
-	defer func() { _ = l.Close() }()
-
-	return l.Addr().String()
-}
-
 // start runs a process of the node.
 func (h *host) start(t *testing.T) {
 	t.Helper()
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -120,16 +120,21 @@
 func TestNeverMoreThanTheSlotsRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newQueue(9)
-		most := 0
 
-		var wg sync.WaitGroup
+		var (
+			wg   sync.WaitGroup
+			mu   sync.Mutex
+			most int
+		)
 
 		for range 100 {
 			wg.Go(func() {
 				s, err := q.Enter(context.Background(), slots.Work{Target: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Minute)})
 				assert.NilError(t, err)
 
+				mu.Lock()
 				most = max(most, q.Load().Running)
+				mu.Unlock()
 
 				time.Sleep(10 * ms)
 				s.Leave(10 * ms)
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -40,18 +40,11 @@
 	askLeave = 8 * time.Second
 )
 
-func newBackend(name, service string, r *Report) (*backend, error) {
-	b := &backend{name: name, service: service, report: r, confirmed: map[string]time.Time{}}
-
-	address, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
-
-	b.address = address
+func newBackend(name, service string, r *Report) *backend {
+	b := &backend{name: name, service: service, address: standin.FreeAddress(), report: r, confirmed: map[string]time.Time{}}
 	b.up()
 
-	return b, nil
+	return b
 }
 
 // up starts the next instance, unless one runs.
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -16,7 +16,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -158,11 +157,7 @@
 	name := fmt.Sprintf("n%d", i)
 	service := services()[i%len(services())]
 
-	b, err := newBackend(name, service, r.report)
-	if err != nil {
-		return nil, err
-	}
-
+	b := newBackend(name, service, r.report)
 	h := &host{backend: b, file: filepath.Join(r.options.Dir, name+".jsonc")}
 	h.config = config.Config{
 		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: b.address,
@@ -175,11 +170,10 @@
 	for _, address := range []*string{
 		&h.config.CallerAddress, &h.config.PeerAddress, &h.config.ReadyAddress, &h.config.AnnounceAddress, &h.config.MetricsAddress,
 	} {
-		if *address, err = freeAddress(); err != nil {
-			return nil, err
-		}
+		*address = standin.FreeAddress()
 	}
 
+	var err error
 	if h.log, err = os.Create(filepath.Join(r.options.Dir, name+".log")); err != nil {
 		return nil, err
 	}
@@ -192,15 +186,6 @@
 	return h, os.WriteFile(h.file, data, private)
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-
-	return l.Addr().String(), l.Close()
-}
-
 // write is the operator's next version. Its number stands in a route's name, so that
 // what is in force can be seen.
 func (r *run) write() {
