--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -88,13 +88,13 @@
 	link    *link
 	hosts   []*host
 	version int
-	quiet   chan struct{} // closed once no more faults come
+	stalls  stalls
 }
 
 // Run plays the schedule of the seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	r := &run{
-		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), report: newReport(o.Seed), store: standin.NewStore(), quiet: make(chan struct{}),
+		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), report: newReport(o.Seed), store: standin.NewStore(),
 	}
 
 	server := httptest.NewServer(r.store.Handler())
@@ -109,11 +109,14 @@
 
 	defer r.stopAll()
 
+	go r.stalls.watch(ctx)
+
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
 
 	r.play(ctx)
+	r.report.Stalls = r.stalls.count()
 
 	return r.report, ctx.Err()
 }
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -13,6 +13,8 @@
 	Faults map[string]int
 	// Answers counts what callers got by status, 0 for none.
 	Answers map[int]int
+	// Stalls is how often the machine itself stood still.
+	Stalls int
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -106,7 +108,7 @@
 		}
 	}
 
-	_, err := fmt.Fprintf(out, "\nuploads %d, broken %d\n", len(r.uploads), len(r.Broken))
+	_, err := fmt.Fprintf(out, "\nuploads %d, stalls of the machine %d, broken %d\n", len(r.uploads), r.Stalls, len(r.Broken))
 
 	for _, b := range r.Broken {
 		if err == nil {
