--- a/internal/soak/hosts/stalls.go
+++ b/internal/soak/hosts/stalls.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// stalls notices when the machine itself stands still. With four soaks beside hunts the
-// nodes told of pauses of three to six seconds that nobody had asked for, and calls of
+// stalls notices when the whole machine stands still. Beside other heavy work the nodes
+// told of pauses of three to six seconds that the schedule did not have, and calls of
 // that time had no answer from processes that were not running.
 type stalls struct {
 	mu    sync.Mutex
