A node that is being stopped does not give up calls when a link looks silent

The doubt was right for a dead link and wrong for a busy host. Now a call leaves its node only if another one is there, attempts are left and no planned stop has begun. Ruled out: the pause of the peer itself (its backend server ran the call in time).

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -30,9 +30,12 @@
 	records []membership.Record
 	dead    map[string]bool // no connection
 	opened  []string
-	asked   []string
-	seen    []forward.Request
-	reply   func(ctx context.Context, address string, in forward.Request) (forward.Reply, error)
+	// elsewhere counts calls that are given up when their link is in doubt.
+	elsewhere int
+	leaving   bool
+	asked     []string
+	seen      []forward.Request
+	reply     func(ctx context.Context, address string, in forward.Request) (forward.Reply, error)
 }
 
 func (f *fleet) Serving(service string) []membership.Record {
@@ -74,6 +77,8 @@
 }
 
 func (f *fleet) DoElsewhere(ctx context.Context, address string, l peer.Lane, method string, in, out any) error {
+	f.elsewhere++
+
 	return f.Do(ctx, address, l, method, in, out)
 }
 
@@ -123,6 +128,7 @@
 	return dispatch.New(dispatch.Options{
 		Node: "me", FailureDomain: "derby", Service: "finder", Names: header.Default(), Tables: h, Members: f, Peers: f, Own: nil,
 		Placer: place.New(), Budget: repeats.New(repeats.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}), Recorder: timeline.New(),
+		Leaving: func() bool { return f.leaving },
 	})
 }
 
@@ -363,6 +369,25 @@
 	})
 }
 
+// A node that is being stopped has little processor time left, and its links look
+// silent while backend servers work at its calls. Giving these up would cut off what a
+// planned stop has to finish; and a call that has nowhere else to go gains nothing.
+func TestCallsAreNotGivenUpDuringAPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			nodes   int
+			leaving bool
+			path    string
+			want    int
+		}{{3, false, "/safe/x", 1}, {3, true, "/safe/x", 0}, {1, false, "/safe/x", 0}, {3, false, "/once/x", 0}} {
+			f := newFleet(c.nodes)
+			f.leaving = c.leaving
+			send(newDispatcher(f, holder(t)), c.path)
+			assert.Equal(t, f.elsewhere, c.want, "%v", c)
+		}
+	})
+}
+
 // A failure domain is cut off and none of its own backend servers has the service. The
 // caller is told at once, not after a connection attempt.
 func TestAllLinksAreDown(t *testing.T) {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -58,5 +58,7 @@
 	Placer   *place.Placer
 	Budget   *repeats.Budget
 	Recorder *timeline.Recorder
-	Meter    Meter
+	// Leaving reports whether a planned stop of this node began.
+	Leaving func() bool
+	Meter   Meter
 }
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -35,6 +35,8 @@
 	// failed is the answer of a backend server that failed an idempotent call. It
 	// is given to the caller if no other one does better.
 	failed *forward.Reply
+	// others is how many nodes are left that could take the call.
+	others int
 	// lost is set once nobody knows whether an attempt ran.
 	lost bool
 }
@@ -48,6 +50,7 @@
 			break
 		}
 
+		t.others = len(candidates) - 1
 		reply := t.ask(chosen)
 
 		if t.settled(reply) {
@@ -114,7 +117,7 @@
 	}
 
 	do := t.dispatcher.options.Peers.Do
-	if t.request.Idempotent {
+	if t.mayLeave() {
 		do = t.dispatcher.options.Peers.DoElsewhere
 	}
 
@@ -133,6 +136,16 @@
 	return forward.Reply{Result: forward.Lost, Reason: err.Error()}, err
 }
 
+// mayLeave reports whether the call is given up where it is once the link to its node
+// is in doubt. That takes another node to go to. And a node that is being stopped does
+// not: its own host is busy with the stop, so that links look silent that are not, and
+// a call that its backend server works at would end with an answer of this node's.
+func (t *try) mayLeave() bool {
+	d := t.dispatcher
+
+	return t.request.Idempotent && t.others > 0 && t.outcome.Sent+1 < t.route.Attempts && !d.options.Leaving()
+}
+
 // resultOf says what the reply tells of the node.
 func (t *try) resultOf(reply forward.Reply, err error) place.Result {
 	switch {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -145,7 +145,7 @@
 	n.entry = dispatch.New(dispatch.Options{
 		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
 		Members: n.table, Peers: n.client, Own: n.runner, Placer: place.New(), Recorder: n.recorder, Meter: n.meter,
-		Budget: n.budget,
+		Budget: n.budget, Leaving: n.leaving.Load,
 	})
 	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder))
 }
