--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -151,7 +151,7 @@
 
 	a := Answer{
 		Status: response.StatusCode, Header: names.Returned(response.Header), Body: body,
-		NotRun: notRun, Other: other, Leaving: response.Close,
+		NotRun: notRun, Other: other,
 	}
 
 	return a, !response.Close && c.in.Buffered() == 0 && response.ContentLength >= 0 || chunked(response), nil
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -74,8 +74,6 @@
 	NotRun bool
 	// Other is set if another instance answered, which did not run the call.
 	Other bool
-	// Leaving is set if the backend server closes its connections.
-	Leaving bool
 }
 
 // Pool holds the connections to one backend server.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -68,7 +68,6 @@
 	limits   Limits
 	services map[string]Service
 	hosts    map[string]*prefixes
-	count    int
 }
 
 // prefixes are the routes of one host, and the lengths of their prefixes, longest
@@ -81,7 +80,7 @@
 // New checks the parts of a version and puts them together.
 func New(version uint64, limits Limits, services []Service, routes []*Route) (*Table, error) {
 	t := &Table{
-		version: version, limits: limits, count: len(routes),
+		version: version, limits: limits,
 		services: make(map[string]Service, len(services)), hosts: map[string]*prefixes{},
 	}
 
@@ -162,9 +161,6 @@
 // Limits returns the limits towards callers.
 func (t *Table) Limits() Limits { return t.limits }
 
-// Count returns how many routes there are.
-func (t *Table) Count() int { return t.count }
-
 // Service returns what is configured of a service.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -311,8 +311,3 @@
 func (q *Queue) RetryAfter(w Work) time.Duration {
 	return min(max(q.Wait(w, w.Rank), shortestRetry), longestRetry)
 }
-
-// TurnedAway reports whether the error is of a call that was never let in.
-func TurnedAway(err error) bool {
-	return errors.Is(err, ErrClosed) || errors.Is(err, ErrTooLate) || errors.Is(err, ErrElsewhere) || errors.Is(err, ErrGone)
-}
