Who has a version from the store tells the other failure domains; few ask a store that is away

Its watchers' connections stayed open, so they told everybody there that they were current; the look at the revision failed after a second and was taken for nothing. Version 9 was in force elsewhere at 2.84 s and there at 6.00 s; two calls were handled by an older one (CONFIG). Ruled out: gossip of the version (it came at 4.97 s, too late by itself), decoding. Change: a watcher tells one watcher of each other failure domain; who has not got it 200 ms later fetches it from there. A failed look doubts the watch. Nodes that hear no watcher ask those of other failure domains before the store, and go to the store by twos, fours, eights. Tests, failing before: TestAFailureDomainThatTheStoreDoesNotAnswer (not in force after 1 s), TestAStoreThatIsAwayIsNotAskedByAll (571 calls, now 169).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,8 +13,12 @@
 //     and then; the first to find a missed change tells the watchers of all failure
 //     domains.
 //   - A watcher may be turned away by the store, cut off, or gone. Every other node
-//     asks one of its watchers twice a second, and goes to the store itself, and to
-//     any node, once none of them knows what is current.
+//     asks one of its watchers twice a second, then one of other failure domains.
+//     While none of them knows what is current, more and more nodes of the failure
+//     domain go to the store.
+//   - The store may answer nobody in a whole failure domain, and nobody there sees an
+//     error. Who has a version from the store tells a watcher of each other failure
+//     domain.
 //   - Versions come faster than a small host can read them. Only the newest of those
 //     that wait is decoded.
 //
@@ -29,6 +33,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,14 +90,17 @@
 
 	current  atomic.Bool  // the store answers this node
 	informed atomic.Int64 // when a watcher that is current was asked, on the steady clock
+	answered atomic.Int64 // when another node answered a question, on the steady clock
 	late     atomic.Bool  // a version that gossip told of is waited for
 	hurry    chan struct{}
 	behind   chan struct{} // a push could not be used
 	fresh    chan struct{} // a newer version is in force; it is to be pushed
+	toldOf   chan struct{} // a version was told of that is not held
 
 	mu      sync.Mutex
 	waiting map[source]document
 	arrived chan struct{}
+	newest  told // the newest that was told of
 
 	pushing sync.Map // addresses that are being pushed to
 }
@@ -115,7 +123,7 @@
 func New(o Options) *Feed {
 	return &Feed{
 		options: o, hurry: make(chan struct{}, 1), fresh: make(chan struct{}, 1), behind: make(chan struct{}, 1), arrived: make(chan struct{}, 1),
-		waiting: map[source]document{},
+		toldOf: make(chan struct{}, 1), waiting: map[source]document{},
 	}
 }
 
@@ -123,6 +131,7 @@
 func (f *Feed) Register(s *peer.Server) {
 	s.Handle(methodPull, peer.Typed(f.servePull))
 	s.Handle(methodPush, peer.Typed(f.servePush))
+	s.Handle(methodTell, peer.Typed(f.serveTell))
 	s.Handle(methodHint, peer.Typed(f.serveHint))
 }
 
@@ -130,7 +139,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 
-	for _, loop := range []func(context.Context){f.follow, f.check, f.ask, f.push, f.decode} {
+	for _, loop := range []func(context.Context){f.follow, f.check, f.ask, f.push, f.decode, f.fetchTold} {
 		wg.Go(func() { loop(ctx) })
 	}
 
@@ -138,16 +147,13 @@
 }
 
 // watches reports whether this node is a watcher of its failure domain.
-func (f *Feed) watches() bool {
-	self := f.options.Members.Self()
+func (f *Feed) watches() bool { return f.isAmong(Watchers) }
 
-	for _, r := range f.options.Members.FirstOf(self.FailureDomain, Watchers) {
-		if r.ID == self.ID {
-			return true
-		}
-	}
+// isAmong reports whether this node is among the first of its failure domain.
+func (f *Feed) isAmong(first int) bool {
+	self := f.options.Members.Self()
 
-	return false
+	return slices.ContainsFunc(f.options.Members.FirstOf(self.FailureDomain, first), func(r membership.Record) bool { return r.ID == self.ID })
 }
 
 // offer leaves a document to be decoded; an older one from the same source that
@@ -184,7 +190,7 @@
 		}
 
 		for from, d := range f.take() {
-			f.apply(from, d)
+			f.apply(ctx, from, d)
 		}
 	}
 }
@@ -199,7 +205,7 @@
 	return out
 }
 
-func (f *Feed) apply(from source, d document) {
+func (f *Feed) apply(ctx context.Context, from source, d document) {
 	if d.version != 0 && d.version <= f.options.Holder.Number() {
 		return
 	}
@@ -214,6 +220,11 @@
 	if f.options.Holder.Offer(table, d.data) {
 		f.options.Recorder.Record(event.VersionInForce, timeline.Entry{Version: table.Version(), Detail: string(from)})
 		signal(f.fresh)
+
+		// The first version of a process is news to nobody.
+		if before, _ := f.options.Holder.Before(); from == fromStore && before != 0 {
+			f.tell(ctx, table.Version())
+		}
 	}
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -30,6 +30,7 @@
 	changed  chan struct{}
 	deaf     bool            // watches hear nothing
 	turned   map[string]bool // nodes that the store turns away
+	silent   map[string]bool // nodes that the store does not answer any more
 	calls    int
 	watchers int // open watches
 	nodes    map[string]*node
@@ -52,7 +53,7 @@
 func newWorldIn(t *testing.T, domains, count int) *world {
 	t.Helper()
 
-	w := &world{domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*node{}}
+	w := &world{domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*node{}}
 	ctx, cancel := context.WithCancel(context.Background())
 
 	var wg sync.WaitGroup
@@ -129,11 +130,24 @@
 	}
 }
 
-func (n *node) call() (int64, error) {
+func (n *node) isSilent() bool {
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
 
-	n.world.calls++
+	return n.world.silent[n.id]
+}
+
+func (n *node) call(ctx context.Context) (int64, error) {
+	n.world.set(func() { n.world.calls++ })
+
+	if n.isSilent() {
+		<-ctx.Done()
+
+		return 0, ctx.Err()
+	}
+
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
 
 	if n.world.turned[n.id] {
 		return 0, platform.ErrUnavailable
@@ -142,8 +156,8 @@
 	return n.world.version, nil
 }
 
-func (n *node) Get(context.Context, string) (platform.Entry, int64, error) {
-	v, err := n.call()
+func (n *node) Get(ctx context.Context, _ string) (platform.Entry, int64, error) {
+	v, err := n.call(ctx)
 	time.Sleep(4 * time.Millisecond)
 
 	if err == nil && v == 0 {
@@ -153,10 +167,10 @@
 	return platform.Entry{Value: []byte(strconv.FormatInt(v, 10))}, v, err
 }
 
-func (n *node) Revision(context.Context) (int64, error) { return n.call() }
+func (n *node) Revision(ctx context.Context) (int64, error) { return n.call(ctx) }
 
 func (n *node) Watch(ctx context.Context, _ string, after int64, patience time.Duration) (store.Changes, error) {
-	v, err := n.call()
+	v, err := n.call(ctx)
 	if err != nil {
 		return store.Changes{}, err
 	}
@@ -175,6 +189,12 @@
 
 	select {
 	case <-changed:
+		if n.isSilent() {
+			<-ctx.Done()
+
+			return store.Changes{}, ctx.Err()
+		}
+
 		n.world.mu.Lock()
 		defer n.world.mu.Unlock()
 
@@ -249,6 +269,8 @@
 		*out.(*newer), err = f.servePull(ctx, in.(have))
 	case methodPush:
 		*out.(*have), err = f.servePush(ctx, in.(newer))
+	case methodTell:
+		*out.(*have), err = f.serveTell(ctx, in.(told))
 	case methodHint:
 		*out.(*have), err = f.serveHint(ctx, in.(have))
 	}
@@ -337,6 +359,62 @@
 	})
 }
 
+// The store stops answering all nodes of a failure domain, whose connections stay
+// open: their watches wait on and tell nothing. Callers there would be sent by old
+// settings until the connections are found out.
+func TestAFailureDomainThatTheStoreDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldIn(t, 3, 12)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+		time.Sleep(5 * time.Second)
+		w.set(func() {
+			for i := range 4 {
+				w.silent[w.record(3*i).ID] = true
+			}
+		})
+
+		for v := int64(2); v < 6; v++ {
+			w.write(v)
+			w.within(t, uint64(v), time.Second)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// The store is away for a while. Each call that it turns away is paid for and tells
+// nobody anything, so not every node may ask again and again.
+func TestAStoreThatIsAwayIsNotAskedByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldIn(t, 4, 84)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+		time.Sleep(5 * time.Second)
+
+		away := func(is bool) {
+			w.set(func() {
+				w.deaf, w.calls = is, 0
+				close(w.changed)
+				w.changed = make(chan struct{})
+
+				for id := range w.nodes {
+					w.turned[id] = is
+				}
+			})
+		}
+
+		away(true)
+		time.Sleep(4500 * time.Millisecond)
+		w.set(func() {
+			t.Logf("%d calls in 4.5 s", w.calls)
+			assert.Assert(t, w.calls < 200)
+		})
+		away(false)
+		w.write(2)
+		w.within(t, 2, 3*time.Second)
+	})
+}
+
 // A node is cut off from all others and still reaches the store.
 func TestANodeThatIsCutOffFromOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -30,13 +30,37 @@
 	// idlePause is how often a node that is not a watcher looks whether it has to go
 	// to the store.
 	idlePause = 200 * time.Millisecond
-	// uninformed is how long no watcher may have answered before that: two questions.
+	// uninformed is how long no watcher may have told that it is current before that:
+	// two questions.
 	uninformed = 1200 * time.Millisecond
+	// widenEvery is after how long twice as many nodes of a failure domain go to the
+	// store while nobody is current. If all of them did at once, 84 nodes made 571 calls
+	// while the store was away for 4.5 s; so it is 169, as counted by
+	// TestAStoreThatIsAwayIsNotAskedByAll.
+	widenEvery = 3 * time.Second
+	// maxDoublings lets all nodes of the largest failure domain go to the store.
+	maxDoublings = 12
 )
 
 // needsStore reports whether this node has to ask the store itself.
 func (f *Feed) needsStore() bool {
-	return f.options.Holder.Number() == 0 || f.watches() || steady()-f.informed.Load() > int64(uninformed)
+	if f.options.Holder.Number() == 0 || f.watches() {
+		return true
+	}
+
+	now := steady()
+
+	lacking := now - f.informed.Load() - int64(uninformed)
+	if lacking < 0 {
+		return false
+	}
+
+	// Who hears no other node may be the only one that the store answers.
+	if now-f.answered.Load() > int64(uninformed) {
+		return true
+	}
+
+	return f.isAmong(Watchers << min(1+lacking/int64(widenEvery), maxDoublings))
 }
 
 // follow waits on the store while that is this node's part.
@@ -163,8 +187,16 @@
 		}
 
 		at, err := f.revision(ctx)
-		if err != nil || at == last {
-			continue // the watch notices by itself that the store is away
+		if err != nil {
+			// The watch may wait on a connection that has gone silent.
+			f.lost(err)
+			signal(f.hurry)
+
+			continue
+		}
+
+		if at == last {
+			continue
 		}
 
 		last = at
@@ -193,7 +225,7 @@
 		return 0 // the next look tries again
 	}
 
-	f.apply(fromStore, document{data: entry.Value})
+	f.apply(ctx, fromStore, document{data: entry.Value})
 
 	return f.options.Holder.Number()
 }
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/membership"
@@ -15,7 +17,6 @@
 const (
 	methodPull = "Feed.Pull"
 	methodPush = "Feed.Push"
-	methodHint = "Feed.Hint"
 )
 
 const (
@@ -24,8 +25,6 @@
 	// askTime bounds a question, pushTime a push to a host with a slow link.
 	askTime  = 400 * time.Millisecond
 	pushTime = 2 * time.Second
-	// usualDelay is within what a version comes to a node that nothing is wrong with.
-	usualDelay = 600 * time.Millisecond
 	// maxDocument bounds a configuration: the largest value that the store holds.
 	maxDocument = 2 << 20
 )
@@ -120,37 +119,8 @@
 	return have{Version: f.options.Holder.Number()}, nil
 }
 
-// serveHint takes word of a version that this node's watch may have missed.
-func (f *Feed) serveHint(_ context.Context, in have) (have, error) {
-	if in.Version > f.options.Holder.Number() {
-		signal(f.hurry)
-	}
-
-	return have{Version: f.options.Holder.Number()}, nil
-}
-
-// Hear takes word by gossip that a node holds a version. Mostly it is on its way
-// here already, from the store or a watcher; only if it does not come is it fetched,
-// across failure domains if need be.
-func (f *Feed) Hear(ctx context.Context, address string, version uint64) {
-	if version <= f.options.Holder.Number() || f.late.Swap(true) {
-		return
-	}
-	defer f.late.Store(false)
-
-	sleep(ctx, usualDelay)
-
-	switch {
-	case version <= f.options.Holder.Number():
-	case f.current.Load():
-		signal(f.hurry)
-	case steady()-f.informed.Load() > int64(uninformed):
-		f.pull(ctx, address)
-	}
-}
-
-// ask asks a watcher of the own failure domain now and then, and anyone while none
-// of them knows what is current.
+// ask asks a watcher of the own failure domain now and then, and one of any failure
+// domain while none of them knows what is current.
 func (f *Feed) ask(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -166,16 +136,31 @@
 		self := f.options.Members.Self()
 		watchers := without(f.options.Members.FirstOf(self.FailureDomain, Watchers), self.ID)
 
-		if f.pullOne(ctx, watchers) {
+		if f.pullOne(ctx, watchers) || f.current.Load() || f.pullOne(ctx, without(f.watchersOfAll(), self.ID)) {
 			f.informed.Store(steady())
-
-			continue
 		}
+	}
+}
 
-		if !f.current.Load() {
-			f.pullOne(ctx, without(f.options.Members.Live(), self.ID))
-		}
+// watchersOfAll returns the watchers of all failure domains.
+func (f *Feed) watchersOfAll() []membership.Record {
+	var out []membership.Record
+
+	for _, domain := range f.domains() {
+		out = append(out, f.options.Members.FirstOf(domain, Watchers)...)
+	}
+
+	return out
+}
+
+// domains returns the failure domains that have live nodes.
+func (f *Feed) domains() []string {
+	found := map[string]bool{}
+	for _, r := range f.options.Members.Live() {
+		found[r.FailureDomain] = true
 	}
+
+	return slices.Sorted(maps.Keys(found))
 }
 
 func without(records []membership.Record, id string) []membership.Record {
@@ -210,6 +195,8 @@
 		return false // another one is asked the next time
 	}
 
+	f.answered.Store(steady())
+
 	return f.takeNewer(n) == nil && n.Current
 }
 
@@ -262,32 +249,3 @@
 	// A node that holds another version than the one before asks for what it needs.
 	_ = f.options.Peers.Do(ctx, address, peer.LaneControl, methodPush, message, &held)
 }
-
-// hint tells the watchers of all failure domains that their watch may have missed a
-// version.
-func (f *Feed) hint(ctx context.Context) {
-	self := f.options.Members.Self()
-	domains := map[string]bool{}
-
-	for _, r := range f.options.Members.Live() {
-		domains[r.FailureDomain] = true
-	}
-
-	for domain := range domains {
-		for _, r := range f.options.Members.FirstOf(domain, Watchers) {
-			if r.ID != self.ID {
-				go f.hintTo(ctx, r.PeerAddress)
-			}
-		}
-	}
-}
-
-func (f *Feed) hintTo(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
-	defer cancel()
-
-	var held have
-
-	// A watcher that does not hear finds out by its own look at the store.
-	_ = f.options.Peers.Do(ctx, address, peer.LaneControl, methodHint, have{Version: f.options.Holder.Number()}, &held)
-}
