A call counts as on time only with a deviation of its route's time to spare

In the queue those that start at the last moment for a call of usual length are late in half of all cases; under a lasting overload all start at that moment. Weighed: deviations 0, 0.5, 1, 1.5, 2 and smoothing 8, 16, 32; two deviations cost a call in a hundred at 0.9 of the slots.

--- a/internal/slots/estimate.go
+++ b/internal/slots/estimate.go
@@ -97,12 +97,14 @@
 	return &free[best]
 }
 
-func (q *Queue) size(route string) time.Duration {
+// size returns the usual time of a route's calls, and how much longer most of them
+// take at the most.
+func (q *Queue) size(route string) (usual, spare time.Duration) {
 	if s, ok := q.sizes[route]; ok {
-		return s.mean
+		return s.mean, time.Duration(spareDeviations * float64(s.deviation))
 	}
 
-	return unknownSize
+	return unknownSize, 0
 }
 
 func (q *Queue) learn(route string, took time.Duration) {
@@ -121,8 +123,9 @@
 
 // size is the usual time of a route's calls here.
 type size struct {
-	mean time.Duration
-	seen int
+	mean      time.Duration
+	deviation time.Duration // from the mean, either way
+	seen      int
 }
 
 // learn takes the mean of the first calls, then follows with smoothing.
@@ -133,5 +136,10 @@
 		took = min(took, clip*s.mean)
 	}
 
-	s.mean += (took - s.mean) / time.Duration(s.seen)
+	off := took - s.mean
+	s.mean += off / time.Duration(s.seen)
+
+	if s.seen > 1 {
+		s.deviation += (off.Abs() - s.deviation) / time.Duration(s.seen)
+	}
 }
--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -30,7 +30,7 @@
 	end := now.Add(wait + s.size)
 
 	switch {
-	case !end.After(s.work.Target):
+	case !end.Add(s.spare).After(s.work.Target):
 		return nil
 	case s.work.Elsewhere:
 		return ErrElsewhere
@@ -120,7 +120,7 @@
 // latest returns the last moment to start, and whether it is too late to be on
 // time, so that only the deadline counts.
 func (s *Slot) latest(now time.Time) (time.Time, bool) {
-	if t := s.work.Target.Add(-s.size); !t.Before(now) {
+	if t := s.work.Target.Add(-s.size - s.spare); !t.Before(now) {
 		return t, false
 	}
 
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -60,10 +60,16 @@
 	fairSmoothing = 32
 	// unknownSize is taken for the length of a call whose route was never seen.
 	unknownSize = 50 * time.Millisecond
-	// smoothing of sizes; about as many calls have a say. clip bounds what a single
-	// long one says.
-	smoothing = 8
+	// smoothing of sizes; about as many calls have a say. With 8, 0.62 of the exports
+	// above are on time. clip bounds what a single long one says.
+	smoothing = 16
 	clip      = 4
+	// spareDeviations is how many of its usual deviations a call is given beyond its
+	// usual time when it is judged whether it will be on time. With 1.3 times the calls
+	// that 6 slots take, 0.70 of listings and 0.65 of exports are on time so, and 0.64
+	// and 0.60 with none (TestCallsThatDifferInLength); with two, a call in a hundred
+	// less is on time where the slots suffice.
+	spareDeviations = 1.0
 	// latePart of the slots is how many calls may wait that will be late. With twice
 	// the load that the slots take, all that were let in to be late waited in vain:
 	// those that can be on time go first, and there are always some.
@@ -107,6 +113,7 @@
 	queue   *Queue
 	work    Work
 	size    time.Duration
+	spare   time.Duration // more than that most calls of the route do not take
 	began   time.Time
 	granted chan error
 }
@@ -153,7 +160,7 @@
 	}
 
 	// The first look is when the call can't be on time any more.
-	look := time.NewTimer(time.Until(s.work.Target.Add(-s.size)))
+	look := time.NewTimer(time.Until(s.work.Target.Add(-s.size - s.spare)))
 	defer look.Stop()
 
 	for {
@@ -185,7 +192,7 @@
 	defer q.mu.Unlock()
 
 	now := time.Now()
-	s.size = q.size(s.work.Route)
+	s.size, s.spare = q.size(s.work.Route)
 
 	if q.slots == 0 {
 		return ErrClosed
@@ -294,8 +301,10 @@
 	}
 
 	w.Rank = rank
+	s := &Slot{work: w}
+	s.size, s.spare = q.size(w.Route)
 
-	return q.wait(&Slot{work: w, size: q.size(w.Route)}, time.Now())
+	return q.wait(s, time.Now())
 }
 
 // Busy returns how many calls run or wait.
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,6 +25,13 @@
 	held             time.Duration
 	target, deadline time.Duration
 	every            time.Duration // mean time between arrivals
+	// spread of the time held, as the standard deviation of its logarithm.
+	spread float64
+}
+
+// draw returns how long one call of the kind takes; the mean is held.
+func (k kind) draw(r *rand.Rand) time.Duration {
+	return time.Duration(float64(k.held) * math.Exp(k.spread*r.NormFloat64()-k.spread*k.spread/2))
 }
 
 // got is what the callers of a kind got.
@@ -48,22 +56,23 @@
 
 	for i, k := range kinds {
 		out[i] = &got{}
-		gaps := make([]time.Duration, 0, length/k.every*2)
+		calls := make([]kind, 0, length/k.every*2)
 
 		for total := time.Duration(0); total < length; {
-			gap := time.Duration(random.ExpFloat64() * float64(k.every))
-			gaps, total = append(gaps, gap), total+gap
+			c := k
+			c.every, c.held = time.Duration(random.ExpFloat64()*float64(k.every)), k.draw(random)
+			calls, total = append(calls, c), total+c.every
 		}
 
 		wg.Go(func() {
-			for _, gap := range gaps {
+			for _, c := range calls {
 				select {
 				case <-ctx.Done():
 					return
-				case <-time.After(gap):
+				case <-time.After(c.every):
 				}
 
-				wg.Go(func() { one(q, k, out[i]) })
+				wg.Go(func() { one(q, c, out[i]) })
 			}
 		})
 	}
@@ -110,9 +119,11 @@
 }
 
 var (
-	folderOpen = kind{"folder-open", 2, 120 * ms, 400 * ms, 1000 * ms, 10 * ms}
-	search     = kind{"search", 1, 48 * ms, 150 * ms, 400 * ms, 30 * ms}
-	sweep      = kind{"sweep", 2, 300 * ms, 800 * ms, 2000 * ms, 60 * ms}
+	folderOpen = kind{route: "folder-open", rank: 2, held: 120 * ms, target: 400 * ms, deadline: 1000 * ms, every: 10 * ms}
+	search     = kind{route: "search", rank: 1, held: 48 * ms, target: 150 * ms, deadline: 400 * ms, every: 30 * ms}
+	sweep      = kind{route: "sweep", rank: 2, held: 300 * ms, target: 800 * ms, deadline: 2000 * ms, every: 60 * ms}
+	listing    = kind{route: "listing", rank: 2, held: 100 * ms, target: 300 * ms, deadline: 800 * ms, every: 14 * ms, spread: 0.5}
+	export     = kind{route: "export", rank: 2, held: 220 * ms, target: 600 * ms, deadline: 1500 * ms, every: 60 * ms, spread: 0.8}
 )
 
 // More calls than slots reach a backend server, which then resets connections, and
@@ -212,6 +223,26 @@
 	})
 }
 
+// Calls of one route differ in length, and 1.3 times as many come as the slots take. One
+// that starts at the last moment at which a call of usual length would be on time is
+// late in half of all cases, and has taken the slot of one that would have been on time.
+func TestCallsThatDifferInLength(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const over, slots = 1.3, 6
+
+		for _, c := range []struct {
+			kind  kind
+			least float64 // share on time
+		}{{listing, 0.68}, {export, 0.62}} {
+			c.kind.every = time.Duration(float64(c.kind.held) / slots / over)
+			g := play(newQueue(slots), time.Minute, c.kind)[0]
+
+			t.Logf("%s: on time %.2f, late %.2f", c.kind.route, g.share(), float64(g.late)/float64(g.asked))
+			assert.Assert(t, g.share() > c.least)
+		}
+	})
+}
+
 // The backend server turns five times slower. Callers whose calls can't end any more
 // are told at once instead of at their deadline.
 func TestASlowBackendServer(t *testing.T) {
