The target runs from a caller's first attempt

Cause: a caller that was turned away comes back and was taken for a new one, with the whole target before it. It waited behind callers that came later, or took a slot though it was late already. Change: what a caller still waits, against the longest that callers of the route state, is the time that has gone.

--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -104,7 +104,7 @@
 }
 
 func (t *try) pick(candidates []place.Candidate) (place.Candidate, bool) {
-	need := place.Need{Route: t.route.Name, Rank: t.request.Rank, Target: time.Until(t.target), Idempotent: t.request.Idempotent, Tried: t.busy}
+	need := place.Need{Route: t.route.Name, Rank: t.request.Rank, Target: t.worthIn(), Idempotent: t.request.Idempotent, Tried: t.busy}
 	placer := t.dispatcher.options.Placer
 
 	c, ok := placer.Pick(candidates, need)
@@ -123,3 +123,13 @@
 
 	return c, ok
 }
+
+// worthIn is the time in which the answer is worth something to the caller: until the
+// target, or until the deadline once that is missed.
+func (t *try) worthIn() time.Duration {
+	if left := time.Until(t.target); left > 0 {
+		return left
+	}
+
+	return t.left()
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,10 +50,13 @@
 type Dispatcher struct {
 	options  Options
 	splitter *splitter
+	elapsed  *elapsed
 }
 
 // New returns a dispatcher.
-func New(o Options) *Dispatcher { return &Dispatcher{options: o, splitter: newSplitter()} }
+func New(o Options) *Dispatcher {
+	return &Dispatcher{options: o, splitter: newSplitter(), elapsed: newElapsed()}
+}
 
 var _ ingress.Handler = (*Dispatcher)(nil)
 
@@ -101,7 +104,7 @@
 
 	o.Route = found.Name
 
-	patience := d.patience(r, found)
+	patience, waited := d.patience(r, found)
 
 	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(patience))
 	defer cancel()
@@ -110,7 +113,7 @@
 	d.options.Budget.First(service)
 
 	t := &try{
-		dispatcher: d, ctx: ctx, route: found, outcome: o, target: r.Arrived.Add(min(found.Target, patience)),
+		dispatcher: d, ctx: ctx, route: found, outcome: o, target: r.Arrived.Add(min(found.Target-waited, patience)),
 		request: forward.Request{
 			ID: o.ID, Service: service, Route: found.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
 			Header: d.options.Names.Forwarded(r.Header), Body: r.Body, Idempotent: found.Idempotent, Rank: found.Priority,
@@ -128,16 +131,16 @@
 )
 
 // patience is how long the call may take: what the operator allows, or less if the
-// caller says so.
-func (d *Dispatcher) patience(r ingress.Request, found *route.Route) time.Duration {
+// caller says so. Waited is how long the caller has waited for earlier attempts.
+func (d *Dispatcher) patience(r ingress.Request, found *route.Route) (patience, waited time.Duration) {
 	ms, err := strconv.ParseInt(r.Header.Get(d.options.Names.Deadline), 10, 64)
 	if err != nil || ms <= 0 {
-		return found.Timeout // none was sent, or it can't be read
+		return found.Timeout, 0 // none was sent, or it can't be read
 	}
 
 	stated := time.Duration(ms) * time.Millisecond
 
-	return min(found.Timeout, stated-min(callerWay, stated/callerWayPart))
+	return min(found.Timeout, stated-min(callerWay, stated/callerWayPart)), d.elapsed.of(found.Name, stated)
 }
 
 // refuse answers a call that has not run and will not.
