Calls that backend servers make are told by where they come from, and go first

Ruled out: ranking by the host's address (callers share it; tried earlier). Change: a route whose calls all begin on hosts of one service, while others' do not, is called by that service's backend servers. Its calls go before all others and count as on time until their deadline.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/nested"
 	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/slots"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -57,12 +58,13 @@
 // Runner runs calls on one backend server.
 type Runner struct {
 	options Options
+	nested  *nested.Routes
 	closed  atomic.Bool
 	busy    atomic.Int64
 }
 
 // New returns a runner.
-func New(o Options) *Runner { return &Runner{options: o} }
+func New(o Options) *Runner { return &Runner{options: o, nested: nested.New()} }
 
 // Close turns away what comes from now on; what is inside goes on.
 func (r *Runner) Close() { r.closed.Store(true) }
@@ -78,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, in.Remaining())
 	defer cancel()
 
-	w := work(&in)
+	w := r.work(&in)
 	began := time.Now()
 	reply := r.serve(ctx, &in, w)
 	reply.Load = r.load(w)
@@ -87,12 +89,20 @@
 	return reply, nil
 }
 
-func work(in *forward.Request) slots.Work {
+// work is the call as the queue sees it. A nested call is worth the same until the one
+// that waits for it gives up.
+func (r *Runner) work(in *forward.Request) slots.Work {
 	now := time.Now()
-
-	return slots.Work{
+	w := slots.Work{
 		Route: in.Route, Rank: in.Rank, Target: now.Add(in.Target()), Deadline: now.Add(in.Remaining()), Elsewhere: in.Elsewhere,
+		Nested: r.nested.Note(in.Route, in.Origin),
+	}
+
+	if w.Nested {
+		w.Target = w.Deadline
 	}
+
+	return w
 }
 
 func (r *Runner) load(w slots.Work) forward.Load {
--- a/internal/slots/estimate.go
+++ b/internal/slots/estimate.go
@@ -18,7 +18,14 @@
 // ranks is how many ranks are told apart; less urgent ones count as the last.
 const ranks = 8
 
-func rankOf(w Work) int { return min(max(w.Rank, 0), ranks-1) }
+// rankOf is the rank under which a call is counted.
+func rankOf(w Work) int {
+	if w.Nested {
+		return 0
+	}
+
+	return min(max(w.Rank, 0), ranks-1)
+}
 
 func (u *use) now(now time.Time) time.Duration {
 	if u.at.IsZero() {
--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -122,8 +122,13 @@
 	return starved
 }
 
-// before orders calls by rank, then by when they have to start.
+// before orders nested calls before others, calls by rank, then by when they have to
+// start.
 func (s *Slot) before(o *Slot, now time.Time) bool {
+	if s.work.Nested != o.work.Nested {
+		return s.work.Nested
+	}
+
 	if s.work.Rank != o.work.Rank {
 		return s.work.Rank < o.work.Rank
 	}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -16,6 +16,8 @@
 //     get free when nobody who can be on time wants them.
 //   - A call that would be late here and has somewhere else to go is turned away
 //     at once too, since asking the next node costs a millisecond.
+//   - Calls that a running call waits for go first of all: turned away, they make that
+//     run worthless, and it is sent again.
 //   - Urgent ranks first, and within a rank the call that has to start soonest to
 //     be on time. One start in FairEvery goes to a rank of which less than StarvedAt
 //     was let in lately, so that no kind of call is starved by more urgent ones.
@@ -94,6 +96,8 @@
 	Deadline time.Time
 	// Elsewhere says that another node can take the call.
 	Elsewhere bool
+	// Nested says that a call which runs elsewhere waits for this one.
+	Nested bool
 }
 
 // Queue lets calls in to one backend server.
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -25,6 +25,7 @@
 	held             time.Duration
 	target, deadline time.Duration
 	every            time.Duration // mean time between arrivals
+	nested           bool
 	// spread of the time held, as the standard deviation of its logarithm.
 	spread float64
 }
@@ -84,7 +85,7 @@
 
 func one(q *slots.Queue, k kind, g *got) {
 	start := time.Now()
-	w := slots.Work{Route: k.route, Rank: k.rank, Target: start.Add(k.target), Deadline: start.Add(k.deadline)}
+	w := slots.Work{Route: k.route, Rank: k.rank, Target: start.Add(k.target), Deadline: start.Add(k.deadline), Nested: k.nested}
 
 	ctx, cancel := context.WithDeadline(context.Background(), w.Deadline)
 	defer cancel()
@@ -265,6 +266,20 @@
 	})
 }
 
+// Backend servers of another service check permissions here while they run calls, among
+// uploads of the same rank that want all slots. A check that is turned away fails the
+// call that waits for it, which has held a slot elsewhere for nothing.
+func TestCallsThatRunningCallsWaitForGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upload := kind{route: "upload", rank: 1, held: 240 * ms, target: 400 * ms, deadline: 1000 * ms, every: 40 * ms, spread: 0.5}
+		check := kind{route: "check", rank: 1, held: 44 * ms, target: 230 * ms, deadline: 230 * ms, every: 20 * ms, spread: 0.5, nested: true}
+
+		g := play(newQueue(6), 20*time.Second, upload, check)
+		t.Logf("uploads on time %.2f, checks %.2f", g[0].share(), g[1].share())
+		assert.Assert(t, g[1].share() > 0.97)
+	})
+}
+
 // The backend server turns five times slower. Callers whose calls can't end any more
 // are told at once instead of at their deadline.
 func TestASlowBackendServer(t *testing.T) {
