--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -15,9 +15,13 @@
 
 	"github.com/pollencart/pollencart/internal/dispatch"
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/header"
 	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/place"
+	"github.com/pollencart/pollencart/internal/repeats"
 	"github.com/pollencart/pollencart/internal/route"
 	"github.com/pollencart/pollencart/internal/slots"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
 // beside runs calls in the queues of the fleet's nodes. Each call takes 140 ms in the
@@ -26,12 +30,14 @@
 	queues map[string]*slots.Queue
 	speeds map[string]float64
 
-	mu     sync.Mutex
-	random *rand.Rand
-	asks   int
+	mu      sync.Mutex
+	random  *rand.Rand
+	asks    int
+	crossed int
+	domains map[string]string // by address
 }
 
-func (b *beside) held(address string) time.Duration {
+func (b *beside) held(address string, in forward.Request) time.Duration {
 	const (
 		mean   = 140 * time.Millisecond
 		spread = 0.5
@@ -42,13 +48,17 @@
 
 	b.asks++
 
+	if b.domains[address] != in.Origin {
+		b.crossed++
+	}
+
 	return time.Duration(float64(mean) * b.speeds[address] * math.Exp(spread*b.random.NormFloat64()-spread*spread/2))
 }
 
 func (b *beside) run(ctx context.Context, address string, in forward.Request) (forward.Reply, error) {
 	const way = 500 * time.Microsecond
 
-	held := b.held(address)
+	held := b.held(address, in)
 	queue := b.queues[address]
 	now := time.Now()
 	w := slots.Work{
@@ -89,11 +99,15 @@
 type played struct {
 	use      float64 // of what the backend servers can do
 	comeBack bool    // callers that are turned away come back once
+	// hot is the part of the calls that begin in the first of two failure domains; 0 if
+	// there is but one.
+	hot float64
 }
 
 // result is what callers got.
 type result struct {
 	asked, onTime, late, refused int
+	crossed                      int // asked in another failure domain
 }
 
 func (r result) share() float64 { return float64(r.onTime) / float64(r.asked) }
@@ -114,10 +128,13 @@
 	)
 
 	f := newFleet(nodes)
-	b := &beside{queues: map[string]*slots.Queue{}, speeds: map[string]float64{}, random: rand.New(rand.NewPCG(1, 2))}
+	b := &beside{queues: map[string]*slots.Queue{}, speeds: map[string]float64{}, random: rand.New(rand.NewPCG(1, 2)), domains: map[string]string{}}
 	capacity := 0.0
 
 	for i, r := range f.records {
+		f.records[i].FailureDomain = p.domain(i)
+		b.domains[r.PeerAddress] = p.domain(i)
+
 		q := slots.New()
 		q.Resize(perNode)
 		b.queues[r.PeerAddress], b.speeds[r.PeerAddress] = q, []float64{0.7, 0.7, 1.6}[i%3]
@@ -134,8 +151,8 @@
 		out result
 	)
 
-	for range entries {
-		all = append(all, newDispatcher(f, h))
+	for i := range entries {
+		all = append(all, p.entry(f, h, i))
 	}
 
 	for start, i := time.Now(), 0; time.Since(start) < length; i++ {
@@ -146,7 +163,7 @@
 
 		wg.Go(func() {
 			began := time.Now()
-			r := p.call(t, all[i%entries], "id-"+strconv.Itoa(i), began)
+			r := p.call(t, all[p.pick(i, entries)], "id-"+strconv.Itoa(i), began)
 
 			mu.Lock()
 			defer mu.Unlock()
@@ -165,11 +182,45 @@
 	}
 
 	wg.Wait()
+
+	out.crossed = b.crossed
 	t.Logf("%+v, on time %.3f", out, out.share())
 
 	return out, b
 }
 
+// domain is the failure domain of a node or an entry.
+func (p played) domain(i int) string {
+	if p.hot > 0 && i%2 == 1 {
+		return "leic"
+	}
+
+	return "derby"
+}
+
+// entry returns the dispatcher of an entry.
+func (p played) entry(f *fleet, h *route.Holder, i int) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		Node: "e" + strconv.Itoa(i), FailureDomain: p.domain(i), Service: p.domain(i), Names: header.Default(), Tables: h, Members: f, Peers: f,
+		Placer: place.New(), Budget: repeats.New(repeats.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}), Recorder: timeline.New(),
+		Leaving: func() bool { return false },
+	})
+}
+
+// pick chooses the entry of a call.
+func (p played) pick(i, entries int) int {
+	if p.hot == 0 {
+		return i % entries
+	}
+
+	const every = 100
+	if float64(i%every) < p.hot*every {
+		return (2 * i) % entries
+	}
+
+	return (2*i + 1) % entries
+}
+
 // call sends a call, and once more if the caller comes back, which it does after the
 // time that it was told, or after a third of what it has left.
 func (p played) call(t *testing.T, d *dispatch.Dispatcher, id string, began time.Time) ingress.Response {
@@ -201,6 +252,20 @@
 	})
 }
 
+// Two thirds of the callers are in one of two failure domains, which its own backend
+// servers can't serve in time, while those of the other have slots to spare. Callers
+// there must not be late for the price of a crossing, nor may calls cross for nothing.
+func TestAHotFailureDomainSpills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := played{use: 0.75, hot: 0.64}.play(t)
+		crossed := float64(r.crossed) / float64(r.asked)
+
+		t.Logf("%.2f crossed", crossed)
+		assert.Assert(t, r.share() > 0.95)
+		assert.Assert(t, crossed < 0.06)
+	})
+}
+
 // More calls come than the backend servers take, and callers that are turned away come
 // back. To them the target runs from their first attempt; a node that takes them for
 // new callers puts them behind others and answers them late.
