--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -8,7 +8,9 @@
 // the backend server for ready and sends it calls, which are cut off when it ends.
 //
 // The record lies in the platform's store. While the store can't be reached, other
-// nodes hold it in memory instead: a leaving is kept once Copies of them have it.
+// nodes hold it in memory instead: a leaving is kept once Copies of them have it. Which
+// nodes these are follows from the instance, so that the next process asks the same ones.
+// Of 85 nodes that are drawn, eight know of a record on two others in 18 of 100 cases.
 //
 // # Usage
 //
@@ -22,6 +24,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +50,11 @@
 	// Copies is how many other nodes hold a record that the store does not: one may
 	// end together with this one.
 	Copies = 2
+	// holders and holdersNear are how many nodes of all and of the own failure domain
+	// are asked to hold a record: some may be out of reach, or all but the own failure
+	// domain.
+	holders     = 4
+	holdersNear = 2
 	// storeTime is ten times what a busy store needs; a confirmation that takes
 	// longer than a second is of no use to the backend server.
 	storeTime = 300 * time.Millisecond
@@ -71,9 +79,11 @@
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
 }
 
-// Members gives nodes at random.
+// Members gives other nodes in an order that follows from a key.
 type Members interface {
-	Random(count int, without ...string) []membership.Record
+	Ranked(key string, count int) []membership.Record
+	// RankedIn is Ranked among those of the own failure domain.
+	RankedIn(key string, count int) []membership.Record
 }
 
 // Instance names a backend server's process.
@@ -112,19 +122,60 @@
 		return nil
 	}
 
-	copies := 0
+	copies := len(d.askAll(ctx, MethodKeep, instance, Copies))
+	if copies >= Copies {
+		return nil
+	}
+
+	return ErrNotKept.With("%s: %d copies", instance, copies).Wrap(storeErr)
+}
 
-	for _, r := range d.members.Random(2 * Copies) {
-		if d.ask(ctx, r.PeerAddress, MethodKeep, instance, &Known{}) == nil {
-			copies++
+// holders returns the nodes that hold the record of an instance if the store does not.
+func (d *Departures) holders(instance string) []string {
+	var out []string
+
+	for _, r := range append(d.members.Ranked(instance, holders), d.members.RankedIn(instance, holdersNear)...) {
+		if !slices.Contains(out, r.PeerAddress) {
+			out = append(out, r.PeerAddress)
 		}
+	}
+
+	return out
+}
+
+// askAll asks all holders at the same time and returns the first answers, at most as
+// many as are enough. A holder that is gone must not hold up the others' word.
+func (d *Departures) askAll(ctx context.Context, method, instance string, enough int) []Known {
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+
+	addresses := d.holders(instance)
+	answers := make(chan *Known, len(addresses))
+
+	for _, address := range addresses {
+		go func() {
+			k := &Known{}
+			if d.peers.Do(ctx, address, peer.LaneControl, method, Instance{ID: instance}, k) != nil {
+				k = nil // it tells nothing
+			}
+
+			answers <- k
+		}()
+	}
+
+	var out []Known
 
-		if copies == Copies {
-			return nil
+	for range addresses {
+		if k := <-answers; k != nil {
+			out = append(out, *k)
+		}
+
+		if len(out) >= enough {
+			break
 		}
 	}
 
-	return ErrNotKept.With("%s: %d copies", instance, copies).Wrap(storeErr)
+	return out
 }
 
 func (d *Departures) write(ctx context.Context, instance string) error {
@@ -150,34 +201,26 @@
 		return true, nil
 	}
 
+	// A record may lie with nodes alone, if the store was away when it was made. They
+	// are asked beside it.
+	asked := make(chan []Known, 1)
+	go func() { asked <- d.askAll(ctx, MethodAsk, instance, len(d.holders(instance))-Copies+1) }()
+
 	storeErr := d.read(ctx, instance)
 	if storeErr == nil {
 		return true, nil
 	}
 
-	// A record may lie with nodes alone, if the store was away when it was made.
-	const asked = 8
-
-	answered := 0
-
-	for _, r := range d.members.Random(asked) {
-		var k Known
-		if d.ask(ctx, r.PeerAddress, MethodAsk, instance, &k) != nil {
-			continue
-		}
-
-		answered++
-
-		if k.Departed {
-			return true, nil
-		}
+	answers := <-asked
+	if slices.ContainsFunc(answers, func(k Known) bool { return k.Departed }) {
+		return true, nil
 	}
 
 	if errors.Is(storeErr, platform.ErrNotFound) {
 		return false, nil
 	}
 
-	return false, ErrNotKept.With("%s: %d nodes asked", instance, answered).Wrap(storeErr)
+	return false, ErrNotKept.With("%s: %d nodes asked", instance, len(answers)).Wrap(storeErr)
 }
 
 func (d *Departures) read(ctx context.Context, instance string) error {
@@ -189,13 +232,6 @@
 	return err
 }
 
-func (d *Departures) ask(ctx context.Context, address, method, instance string, out *Known) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTime)
-	defer cancel()
-
-	return d.peers.Do(ctx, address, peer.LaneControl, method, Instance{ID: instance}, out)
-}
-
 // ServeKeep holds a record for another node.
 func (d *Departures) ServeKeep(_ context.Context, in Instance) (Known, error) {
 	d.hold(in.ID)
--- a/internal/departures/departures_test.go
+++ b/internal/departures/departures_test.go
@@ -1,11 +1,15 @@
 package departures_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/pollencart/pollencart/internal/departures"
@@ -50,7 +54,7 @@
 
 func (s *store) Delete(context.Context, string) error { return nil }
 
-// fleet carries messages between nodes, and gives the others at random.
+// fleet carries messages between nodes, and gives the others in an order.
 type fleet struct {
 	nodes map[string]*departures.Departures
 	self  string
@@ -73,7 +77,7 @@
 	return err
 }
 
-func (f fleet) Random(int, ...string) []membership.Record {
+func (f fleet) Ranked(key string, count int) []membership.Record {
 	var out []membership.Record
 
 	for address := range f.nodes {
@@ -82,12 +86,19 @@
 		}
 	}
 
-	return out
+	slices.SortFunc(out, func(a, b membership.Record) int {
+		return cmp.Compare(xxhash.Sum64String(key+a.PeerAddress), xxhash.Sum64String(key+b.PeerAddress))
+	})
+
+	return out[:min(count, len(out))]
 }
 
+func (f fleet) RankedIn(string, int) []membership.Record { return nil }
+
 func newFleet(s *store, count int) map[string]*departures.Departures {
 	nodes := map[string]*departures.Departures{}
-	for _, address := range []string{"a", "b", "c", "d"}[:count] {
+	for i := range count {
+		address := string(rune('a' + i))
 		f := fleet{nodes, address}
 		nodes[address] = departures.New(s, f, f)
 	}
@@ -126,6 +137,26 @@
 	assert.Assert(t, departed)
 }
 
+// The store was away when one of many nodes confirmed a leaving and was killed. The next
+// process asks those that hold the record, not others; else it takes the backend server
+// for one that stays, and calls sent there are cut off when it ends.
+func TestARecordThatLiesWithNodesAloneIsFoundAmongMany(t *testing.T) {
+	s := &store{keys: map[string]bool{}, away: true}
+	nodes := newFleet(s, 80)
+
+	for i := range 50 {
+		instance := "i-" + strconv.Itoa(i)
+		s.away = true
+		assert.NilError(t, nodes["a"].Keep(context.Background(), instance))
+
+		s.away = false
+		f := fleet{nodes, "a"}
+		departed, err := departures.New(s, f, f).Departed(context.Background(), instance)
+		assert.NilError(t, err)
+		assert.Assert(t, departed, instance)
+	}
+}
+
 // The store is away and too few other nodes can be reached: it is not kept.
 func TestOneCopyIsNotEnough(t *testing.T) {
 	nodes := newFleet(&store{away: true}, 2)
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/store"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -28,7 +29,8 @@
 	// found after 0.3 s in the mean, of the 2 s in which a version has to be in force.
 	checkEvery = 2400 * time.Millisecond
 	// peersFirst is how long a node that starts again tries to have a version from
-	// another one, looking each peersPause whether it knows any: after some 30 ms.
+	// another one, asking one each peersPause: it knows others after some 30 ms, and
+	// those with fast links hold a version 80 ms after a restart of all.
 	peersFirst = 300 * time.Millisecond
 	peersPause = 10 * time.Millisecond
 	// idlePause is how often a node that is not a watcher looks whether it has to go
@@ -117,43 +119,26 @@
 		return
 	}
 
-	began := time.Now()
-	asked := map[string]bool{}
+	for began, turn := time.Now(), 0; time.Since(began) < peersFirst && f.options.Holder.Number() == 0; turn++ {
+		watchers := without(f.nearFirst(), f.options.Members.Self().ID)
 
-	for time.Since(began) < peersFirst && f.options.Holder.Number() == 0 {
-		next := f.notAsked(asked)
-
-		switch {
-		case next == "" && len(asked) > 0:
-			return // nobody who is known has it
-		case next == "":
-			sleep(ctx, peersPause)
-		case f.pull(ctx, next):
+		// After a restart of all nodes those with fast links hold a version first.
+		if len(watchers) > 0 && f.pull(ctx, watchers[turn%len(watchers)].PeerAddress) {
 			f.informed.Store(steady())
 			f.awaitFirst(ctx)
 
 			return
 		}
 
-		if next != "" {
-			asked[next] = true
-		}
+		sleep(ctx, peersPause)
 	}
 }
 
-// notAsked returns the address of a watcher that was not asked, those of the own
-// failure domain first.
-func (f *Feed) notAsked(asked map[string]bool) string {
+// nearFirst returns the watchers of all failure domains, those of the own one first.
+func (f *Feed) nearFirst() []membership.Record {
 	self := f.options.Members.Self()
-	near := f.options.Members.FirstOf(self.FailureDomain, Watchers)
-
-	for _, r := range without(append(near, f.watchersOfAll()...), self.ID) {
-		if !asked[r.PeerAddress] {
-			return r.PeerAddress
-		}
-	}
 
-	return ""
+	return append(f.options.Members.FirstOf(self.FailureDomain, Watchers), f.watchersOfAll()...)
 }
 
 // awaitFirst waits until what was had is decoded.
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -73,4 +73,36 @@
 	return out[:min(count, len(out))]
 }
 
+// Ranked returns up to count live nodes but this one, in the order of rendezvous hashing
+// of a key. Nodes that know the same live nodes choose the same ones.
+func (t *Table) Ranked(key string, count int) []Record {
+	return t.ranked(key, count, func(Record) bool { return true })
+}
+
+// RankedIn is Ranked among the nodes of this one's failure domain.
+func (t *Table) RankedIn(key string, count int) []Record {
+	domain := t.Self().FailureDomain
+
+	return t.ranked(key, count, func(r Record) bool { return r.FailureDomain == domain })
+}
+
+func (t *Table) ranked(key string, count int, takes func(Record) bool) []Record {
+	self := t.Self().ID
+
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	var out []Record
+
+	for _, id := range t.live.ids {
+		if r := t.members[id].record; id != self && takes(r) {
+			out = append(out, r)
+		}
+	}
+
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(weight(key, b.ID), weight(key, a.ID)) })
+
+	return out[:min(count, len(out))]
+}
+
 func weight(domain, id string) uint64 { return xxhash.Sum64String(domain + "\x00" + id) }
