--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -39,6 +39,9 @@
 	// not answer. At the longest 4,300 nodes make 1,000 calls a second.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 4 * time.Second
+	// renewPause is the pause after the first renewal that failed: the lease outlasts
+	// two renewals. With firstPause 86 nodes made 530 calls in an outage of 8 s.
+	renewPause = 2 * time.Second
 	callTime   = time.Second
 	// meetAtOnce is how many recorded nodes are met by one that knows nobody; it
 	// has the records of all others from the first that answers.
@@ -97,7 +100,7 @@
 			next = pause/2 + rand.N(pause)
 			pause = min(2*pause, lastPause)
 		} else {
-			pause = firstPause
+			pause = renewPause
 		}
 
 		select {
