After a restart of all the watchers go to the store at once

Cause: since nodes that start again ask each other for a version for 0.3 s, after a restart of all everybody waited for everybody. Test, failing before: TestAfterARestartOfAllTheWatchersGoToTheStore.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -481,6 +481,17 @@
 	})
 }
 
+// All processes start again at the same time and none holds a version. Those that will
+// watch the store must not wait for each other, or all callers are turned away meanwhile.
+func TestAfterARestartOfAllTheWatchersGoToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 12)
+		w.write(1)
+		w.within(t, 1, 100*time.Millisecond)
+		w.set(func() { assert.Assert(t, w.calls < 4*Watchers, "%d", w.calls) })
+	})
+}
+
 // Versions come twenty times a second. All nodes are at the last one soon after, and
 // none was ever taken back.
 func TestAStormOfVersions(t *testing.T) {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -122,7 +122,12 @@
 	for began, turn := time.Now(), 0; time.Since(began) < peersFirst && f.options.Holder.Number() == 0; turn++ {
 		watchers := without(f.nearFirst(), f.options.Members.Self().ID)
 
-		// After a restart of all nodes those with fast links hold a version first.
+		// After a restart of all nodes somebody has to go to the store first: those that
+		// will watch it.
+		if len(watchers) > 0 && f.watches() {
+			return
+		}
+
 		if len(watchers) > 0 && f.pull(ctx, watchers[turn%len(watchers)].PeerAddress) {
 			f.informed.Store(steady())
 			f.awaitFirst(ctx)
