No call is given up for a silent link during a planned stop; metrics of store calls, links and repeats

Two listings were handed to a node that had just started, with a sixth of a core and hardly any of it left; 20 to 50 ms later their own node had its SIGTERM, and 105 ms later their link was in doubt. Whether a call may leave was asked when it was handed over. Ruled out: the backend server (it worked at both), the link (it spoke again). Change: it is asked when the link falls in doubt, and no link is closed for its silence during a planned stop. Test, failing before with ErrSilent: TestCallsUnderWayWaitDuringAPlannedStop.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -42,6 +42,8 @@
 // Meter counts what callers get.
 type Meter interface {
 	Answered(o Outcome)
+	// Repeated counts a call that might be sent once more, and whether it is.
+	Repeated(service string, allowed bool)
 }
 
 // Options of a dispatcher.
--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -200,21 +200,29 @@
 		doubts = cc.silence.doubts()
 	}
 
-	select {
-	case answer, ok := <-waiting:
-		if !ok {
-			return nil, ErrBroken.With("%s", cc.key.address)
-		}
+	for {
+		select {
+		case answer, ok := <-waiting:
+			if !ok {
+				return nil, ErrBroken.With("%s", cc.key.address)
+			}
+
+			return answer, nil
+		case <-doubts:
+			if cc.client.options.Patient() {
+				doubts = nil // waits on
 
-		return answer, nil
-	case <-doubts:
-		cc.abandon(id)
+				continue
+			}
 
-		return nil, ErrSilent.With("%s", cc.key.address)
-	case <-ctx.Done():
-		cc.abandon(id)
+			cc.abandon(id)
 
-		return nil, ErrBroken.With("%s: no answer in time", cc.key.address).Wrap(ctx.Err())
+			return nil, ErrSilent.With("%s", cc.key.address)
+		case <-ctx.Done():
+			cc.abandon(id)
+
+			return nil, ErrBroken.With("%s: no answer in time", cc.key.address).Wrap(ctx.Err())
+		}
 	}
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -58,6 +58,10 @@
 	IdleTimeout time.Duration
 	// Lost is told of peer addresses that a request could not reach.
 	Lost func(address string)
+	// Patient reports whether requests wait on connections that say nothing: during a
+	// planned stop nothing may be given up that a peer works at, and the host has little
+	// processor time.
+	Patient func() bool
 }
 
 // Option sets an option.
@@ -74,6 +78,7 @@
 
 		HelloTimeout: DefaultHelloTimeout,
 		Lost:         func(string) {},
+		Patient:      func() bool { return false },
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -88,6 +93,9 @@
 // Lost sets who is told of peer addresses that a request could not reach.
 func Lost(f func(address string)) Option { return func(o *Options) { o.Lost = f } }
 
+// Patient sets what reports whether requests wait on connections that say nothing.
+func Patient(f func() bool) Option { return func(o *Options) { o.Patient = f } }
+
 // WithIdleTimeout sets how long a connection for control is kept unused.
 func WithIdleTimeout(d time.Duration) Option { return func(o *Options) { o.IdleTimeout = d } }
 
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -133,7 +133,7 @@
 	asked := s.asked.Load()
 
 	switch {
-	case asked != 0 && now-asked >= int64(giveUpAfter):
+	case asked != 0 && now-asked >= int64(giveUpAfter) && !cc.client.options.Patient():
 		cc.fail()
 
 		return
@@ -216,6 +216,28 @@
 	return LinkNone
 }
 
+// Down counts the addresses to which calls can't be sent now.
+func (c *Client) Down() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	down := map[string]bool{}
+
+	for key, cc := range c.conns {
+		if cc.opened() && cc.silence.quiet() {
+			down[key.address] = true
+		}
+	}
+
+	for key, at := range c.failed {
+		if time.Since(at) < downFor {
+			down[key.address] = true
+		}
+	}
+
+	return len(down)
+}
+
 // opened reports whether the connection was made.
 func (cc *clientConn) opened() bool {
 	if cc == nil {
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -104,6 +104,36 @@
 	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkReady)
 }
 
+// A node is being stopped while calls of its callers run elsewhere, and the node beside
+// one of the backend servers has so little processor time that its link looks silent. A
+// call that was handed over before the stop must not be given up for that: its backend
+// server works at it, and the stop would have cut it off.
+func TestCallsUnderWayWaitDuringAPlannedStop(t *testing.T) {
+	e := newEnd(t)
+	p := newPipe(t, e.address)
+
+	var stopping atomic.Bool
+
+	c := peer.NewClient(peer.WithDialTimeout(patience), peer.Patient(stopping.Load))
+	t.Cleanup(c.Close)
+
+	call := func(wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+
+		var out ping
+
+		return c.DoElsewhere(ctx, p.address, peer.LaneCalls, "Ping", ping{Text: "x"}, &out)
+	}
+
+	assert.NilError(t, call(patience))
+	p.silent.Store(p.opened.Load())
+	time.AfterFunc(100*time.Millisecond, func() { stopping.Store(true) })
+
+	err := call(2 * time.Second)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
 // A failure domain is cut off, which silences the links to many nodes in one moment.
 // The first call that finds out has all links asked, so that the others cost no call.
 func TestOneSilentLinkHasTheOthersAsked(t *testing.T) {
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -5,6 +5,7 @@
 package meter
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/pollencart/pollencart/internal/dispatch"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/invariant"
+	"github.com/pollencart/pollencart/pkg/errs"
 )
 
 // buckets of latencies in seconds, around the targets and timeouts of calls.
@@ -33,6 +35,8 @@
 	ran      *prometheus.CounterVec
 	waited   prometheus.Histogram
 	held     *prometheus.HistogramVec
+	store    *prometheus.HistogramVec
+	repeats  *prometheus.CounterVec
 }
 
 // New returns a meter that has counted nothing.
@@ -56,8 +60,14 @@
 		held: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pollencart_run_seconds", Help: "Time that the backend server here took, in seconds.", Buckets: buckets(),
 		}, []string{"Route"}),
+		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pollencart_store_seconds", Help: "Calls to the platform's store by kind and outcome, in seconds.", Buckets: buckets(),
+		}, []string{"Call", "Outcome"}),
+		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollencart_repeats_total", Help: "Calls that another backend server might have answered, by whether the budget allowed it.",
+		}, []string{"Service", "Allowed"}),
 	}
-	m.registry.MustRegister(m.calls, m.latency, m.sent, m.asked, m.ran, m.waited, m.held, invariant.Collector{},
+	m.registry.MustRegister(m.calls, m.latency, m.sent, m.asked, m.ran, m.waited, m.held, m.store, m.repeats, invariant.Collector{},
 		collectors.NewGoCollector())
 
 	return m
@@ -86,6 +96,30 @@
 	}
 }
 
+// Called counts a call to the store.
+func (m *Meter) Called(call string, took time.Duration, err error) {
+	m.store.WithLabelValues(call, outcome(err)).Observe(took.Seconds())
+}
+
+// outcome names an error by its ID: there are few of them.
+func outcome(err error) string {
+	var known *errs.Error
+
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &known):
+		return known.ID
+	}
+
+	return "other"
+}
+
+// Repeated counts a call that might be sent to another backend server.
+func (m *Meter) Repeated(service string, allowed bool) {
+	m.repeats.WithLabelValues(service, strconv.FormatBool(allowed)).Inc()
+}
+
 // Handler serves the metrics as text.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -90,8 +90,9 @@
 
 // New returns a sidecar that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Sidecar {
+	m := meter.New()
 	n := &Sidecar{
-		config: c, budget: repeats.New(boundOf(c)), meter: meter.New(), store: platform.NewStore(c.StoreAddress), holder: &route.Holder{},
+		config: c, budget: repeats.New(boundOf(c)), meter: m, store: platform.NewStore(c.StoreAddress, m.Called), holder: &route.Holder{},
 	}
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
@@ -109,7 +110,7 @@
 	c := n.config
 	links := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress), peer.WithDialTimeout(dialTimeout),
-		peer.Lost(func(address string) { n.gossip.Doubt(address) }),
+		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.leaving.Load),
 	}
 	n.server = peer.NewServer(links...)
 	n.client = peer.NewClient(links...)
@@ -177,6 +178,7 @@
 		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
 		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
+		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
 	} {
 		n.meter.Gauge(g.name, g.help, g.value)
