--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,8 +66,9 @@
 	Route   string
 	Status  int
 	Reason  string
-	Sent    int // to backend servers
-	Asked   int // nodes
+	Sent    int           // to backend servers
+	Asked   int           // nodes
+	Waited  time.Duration // by the caller before this attempt, as far as can be told
 	Node    string
 	Took    time.Duration
 	Version uint64
@@ -105,6 +106,7 @@
 	o.Route = found.Name
 
 	patience, waited := d.patience(r, found)
+	o.Waited = waited
 
 	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(patience))
 	defer cancel()
@@ -199,6 +201,11 @@
 	b = append(b, " sent "...)
 	b = strconv.AppendInt(b, int64(o.Sent), 10)
 
+	if o.Waited > 0 {
+		b = append(b, " waited "...)
+		b = strconv.AppendInt(b, o.Waited.Milliseconds(), 10)
+	}
+
 	if o.Reason != "" {
 		b = append(b, " reason "...)
 		b = append(b, o.Reason...)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,8 @@
 	SettingsRead    = add(107, "SettingsRead", slog.LevelInfo, "The settings file was read again; the detail says what changed.")
 	SettingsRefused = add(108, "SettingsRefused", slog.LevelError,
 		"The settings file was read again and is not accepted, or changes what only a restart can; the old settings hold.")
+	LinesLeftOut = add(109, "LinesLeftOut", slog.LevelInfo,
+		"Log lines were left out, since nobody read them (Unread) or there were too many of their level (Sampled); counted from the start.")
 	FaultsInjected = add(106, "FaultsInjected", slog.LevelWarn, "An experiment cut or mended links of this node.")
 )
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -53,7 +53,10 @@
 func newWorldIn(t *testing.T, domains, count int) *world {
 	t.Helper()
 
-	w := &world{domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{}, nodes: map[string]*node{}}
+	w := &world{
+		domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{},
+		nodes: map[string]*node{},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 
 	var wg sync.WaitGroup
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -26,6 +26,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/event"
 )
 
 const (
@@ -169,8 +171,8 @@
 		return nil
 	}
 
-	r := slog.NewRecord(time.Now(), slog.LevelInfo, "LinesLeftOut", 0)
-	r.AddAttrs(slog.Int64("Unread", unread), slog.Int64("Sampled", sampled))
+	r := slog.NewRecord(time.Now(), event.LinesLeftOut.Level, event.LinesLeftOut.Name, 0)
+	r.AddAttrs(slog.Int("Event", event.LinesLeftOut.Number), slog.Int64("Unread", unread), slog.Int64("Sampled", sampled))
 
 	return h.Handler.Handle(ctx, r)
 }
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -111,7 +111,15 @@
 		}
 	}
 
-	time.Sleep(200 * time.Millisecond)
+	// The stop has to find them all inside; on a busy machine they come late.
+	f.wait("all calls to run", func() bool {
+		running := 0
+		for _, x := range f.hosts {
+			running += x.backend.Counts().Calls
+		}
+
+		return running >= 8*len(work)
+	})
 	h.stop()
 	wg.Wait()
 	assert.NilError(t, <-h.done)
--- a/internal/runner/describe.go
+++ b/internal/runner/describe.go
@@ -5,10 +5,11 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/slots"
 )
 
 // describe tells the inputs of the decision on a call, and its outcome.
-func describe(in *forward.Request, reply forward.Reply, took time.Duration) string {
+func describe(in *forward.Request, w slots.Work, reply forward.Reply, took time.Duration) string {
 	const usual = 128
 
 	b := make([]byte, 0, usual)
@@ -23,6 +24,10 @@
 	b = number(b, " waiting ", int64(reply.Load.Waiting))
 	b = number(b, " slots ", int64(reply.Load.Slots))
 
+	if w.Nested {
+		b = append(b, " nested"...)
+	}
+
 	if reply.Reason != "" {
 		b = append(b, " reason "...)
 		b = append(b, reply.Reason...)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -84,7 +84,7 @@
 	began := time.Now()
 	reply := r.serve(ctx, &in, w)
 	reply.Load = r.load(w)
-	r.tell(&in, reply, time.Since(began))
+	r.tell(&in, w, reply, time.Since(began))
 
 	return reply, nil
 }
@@ -228,7 +228,7 @@
 	return reply, poison.Crashed
 }
 
-func (r *Runner) tell(in *forward.Request, reply forward.Reply, took time.Duration) {
+func (r *Runner) tell(in *forward.Request, w slots.Work, reply forward.Reply, took time.Duration) {
 	held := time.Duration(reply.HeldMs) * time.Millisecond
 
 	if r.options.Meter != nil {
@@ -240,5 +240,5 @@
 		e = event.CallNotRun
 	}
 
-	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, reply, took)})
+	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, took)})
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -211,7 +211,8 @@
 	}
 
 	if a.planned && c.planned.Load() && !o.unsent {
-		c.recorder.check(PromisePlannedStop, o.ok || o.stayed || o.ran == call.RanNo, "%s through %s: %s", a.route.Path, host.ID, o.reason)
+		c.recorder.check(PromisePlannedStop, o.ok || o.stayed || o.ran == call.RanNo, "%s through %s: %s after %s of %s",
+			a.route.Path, host.ID, o.reason, elapsed, time.Duration(a.route.Values.Deadline))
 	}
 
 	c.count(a, o)
