One map of bounded size for what is learnt by name; fakes and played loads beside their tests

The bound stood three times (queue, entry, nested routes); it is internal/bounded now, with a test. Fakes of the feed and played loads of the queue are files of their own. A counter of the dispatcher's fake was not locked, which the race detector found.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -77,7 +77,9 @@
 }
 
 func (f *fleet) DoElsewhere(ctx context.Context, address string, l peer.Lane, method string, in, out any) error {
+	f.mu.Lock()
 	f.elsewhere++
+	f.mu.Unlock()
 
 	return f.Do(ctx, address, l, method, in, out)
 }
--- a/internal/dispatch/elapsed.go
+++ b/internal/dispatch/elapsed.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/bounded"
 )
 
 const (
@@ -26,7 +28,7 @@
 // answered on time so, and 0.64 otherwise (TestCallersThatComeBack).
 type elapsed struct {
 	mu     sync.Mutex
-	routes map[string]*longest
+	routes *bounded.Map[longest]
 }
 
 // longest is the longest time that was stated in this window and in the one before.
@@ -35,23 +37,14 @@
 	now, before time.Duration
 }
 
-func newElapsed() *elapsed { return &elapsed{routes: map[string]*longest{}} }
+func newElapsed() *elapsed { return &elapsed{routes: bounded.New[longest](maxRoutes)} }
 
 // of returns how long the caller has waited that states how long it still waits.
 func (e *elapsed) of(route string, stated time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	l := e.routes[route]
-	if l == nil {
-		if len(e.routes) >= maxRoutes {
-			clear(e.routes) // routes that are gone; the others are learnt again
-		}
-
-		l = &longest{since: time.Now()}
-		e.routes[route] = l
-	}
-
+	l := e.routes.At(route)
 	l.note(stated)
 
 	if gone := max(l.now, l.before) - stated; gone > leastElapsed {
--- /dev/null
+++ b/internal/feed/world_test.go
@@ -0,0 +1,283 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/internal/route"
+	"github.com/pollencart/pollencart/internal/store"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// storeKey is where the configuration lies.
+const storeKey = "configuration"
+
+// world is a store and nodes, in one failure domain or in several.
+type world struct {
+	domains  int
+	mu       sync.Mutex
+	version  int64
+	changed  chan struct{}
+	deaf     bool            // watches hear nothing
+	turned   map[string]bool // nodes that the store turns away
+	silent   map[string]bool // nodes that the store does not answer any more
+	calls    int
+	watchers int // open watches
+	nodes    map[string]*node
+	cut      map[string]bool // nodes that others can't reach
+}
+
+type node struct {
+	id     string
+	world  *world
+	holder *route.Holder
+	feed   *Feed
+	calls  int // to the store
+}
+
+func newWorld(t *testing.T, count int) *world {
+	t.Helper()
+
+	return newWorldIn(t, 1, count)
+}
+
+func newWorldIn(t *testing.T, domains, count int) *world {
+	t.Helper()
+
+	w := &world{
+		domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{},
+		nodes: map[string]*node{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+
+	var wg sync.WaitGroup
+
+	for i := range count {
+		n := &node{id: "n" + strconv.Itoa(i), world: w, holder: &route.Holder{}}
+		n.feed = New(Options{
+			Key: storeKey, Decode: decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: timeline.New(),
+		})
+		w.nodes[n.id] = n
+	}
+
+	for _, n := range w.nodes {
+		wg.Go(func() { n.feed.Run(ctx) })
+	}
+
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+
+	return w
+}
+
+func decode(data []byte) (*route.Table, error) {
+	var version uint64
+	if err := json.Unmarshal(data, &version); err != nil {
+		return nil, err
+	}
+
+	return route.New(version, route.Limits{}, nil, nil)
+}
+
+// write is the operator's change.
+func (w *world) write(version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.version = version
+	if !w.deaf {
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+}
+
+func (w *world) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	f()
+}
+
+// lowest returns the lowest version in force.
+func (w *world) lowest() uint64 {
+	out := uint64(1 << 60)
+	for _, n := range w.nodes {
+		out = min(out, n.holder.Number())
+	}
+
+	return out
+}
+
+// within waits until all nodes have the version, and fails after the time.
+func (w *world) within(t *testing.T, version uint64, bound time.Duration) {
+	t.Helper()
+
+	start := time.Now()
+	for w.lowest() < version {
+		if time.Since(start) > bound {
+			t.Fatalf("version %d is not in force everywhere after %s", version, bound)
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (n *node) isSilent() bool {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+
+	return n.world.silent[n.id]
+}
+
+func (n *node) call(ctx context.Context) (int64, error) {
+	n.world.set(func() {
+		n.world.calls++
+		n.calls++
+	})
+
+	if n.isSilent() {
+		<-ctx.Done()
+
+		return 0, ctx.Err()
+	}
+
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+
+	if n.world.turned[n.id] {
+		return 0, platform.ErrUnavailable
+	}
+
+	return n.world.version, nil
+}
+
+func (n *node) Get(ctx context.Context, _ string) (platform.Entry, int64, error) {
+	v, err := n.call(ctx)
+	time.Sleep(4 * time.Millisecond)
+
+	if err == nil && v == 0 {
+		err = platform.ErrNotFound
+	}
+
+	return platform.Entry{Value: []byte(strconv.FormatInt(v, 10))}, v, err
+}
+
+func (n *node) Revision(ctx context.Context) (int64, error) { return n.call(ctx) }
+
+func (n *node) Watch(ctx context.Context, _ string, after int64, patience time.Duration) (store.Changes, error) {
+	v, err := n.call(ctx)
+	if err != nil {
+		return store.Changes{}, err
+	}
+
+	n.world.mu.Lock()
+	changed := n.world.changed
+	deaf := n.world.deaf
+	n.world.watchers++
+	n.world.mu.Unlock()
+
+	defer n.world.set(func() { n.world.watchers-- })
+
+	if v > after && !deaf {
+		return n.changes(v), nil
+	}
+
+	select {
+	case <-changed:
+		if n.isSilent() {
+			<-ctx.Done()
+
+			return store.Changes{}, ctx.Err()
+		}
+
+		n.world.mu.Lock()
+		defer n.world.mu.Unlock()
+
+		return n.changes(n.world.version), nil
+	case <-time.After(patience):
+		return store.Changes{Revision: after}, nil
+	case <-ctx.Done():
+		return store.Changes{}, ctx.Err()
+	}
+}
+
+func (n *node) changes(v int64) store.Changes {
+	return store.Changes{
+		Revision: v, Entries: []store.Change{{Entry: platform.Entry{Value: []byte(strconv.FormatInt(v, 10))}}},
+	}
+}
+
+func (n *node) Live() []membership.Record {
+	var out []membership.Record
+	for i := range len(n.world.nodes) {
+		out = append(out, n.world.record(i))
+	}
+
+	return out
+}
+
+func (w *world) record(i int) membership.Record {
+	id := "n" + strconv.Itoa(i)
+
+	return membership.Record{ID: id, PeerAddress: id, FailureDomain: "d" + strconv.Itoa(i%w.domains)}
+}
+
+func (n *node) Self() membership.Record {
+	for i := range len(n.world.nodes) {
+		if r := n.world.record(i); r.ID == n.id {
+			return r
+		}
+	}
+
+	return membership.Record{}
+}
+
+func (n *node) FirstOf(domain string, count int) []membership.Record {
+	var out []membership.Record
+
+	for _, r := range n.Live() {
+		if r.FailureDomain == domain && len(out) < count {
+			out = append(out, r)
+		}
+	}
+
+	return out
+}
+
+func (n *node) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
+	time.Sleep(time.Millisecond)
+
+	n.world.mu.Lock()
+	cut := n.world.cut[address] || n.world.cut[n.id]
+	n.world.mu.Unlock()
+
+	if cut {
+		return peer.ErrUnreachable
+	}
+
+	f := n.world.nodes[address].feed
+
+	var err error
+
+	switch method {
+	case methodPull:
+		*out.(*newer), err = f.servePull(ctx, in.(have))
+	case methodPush:
+		*out.(*have), err = f.servePush(ctx, in.(newer))
+	case methodTell:
+		*out.(*have), err = f.serveTell(ctx, in.(told))
+	case methodHint:
+		*out.(*have), err = f.serveHint(ctx, in.(have))
+	}
+
+	return err
+}
--- a/internal/nested/nested.go
+++ b/internal/nested/nested.go
@@ -24,6 +24,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/bounded"
 )
 
 const (
@@ -41,7 +43,7 @@
 // Routes knows by which services routes are called.
 type Routes struct {
 	mu     sync.Mutex
-	rows   map[string]*row
+	rows   *bounded.Map[row]
 	origin string    // of the last call of any route
 	mixed  time.Time // when one came whose origin was another
 }
@@ -53,7 +55,7 @@
 }
 
 // New returns routes that have seen no call.
-func New() *Routes { return &Routes{rows: map[string]*row{}} }
+func New() *Routes { return &Routes{rows: bounded.New[row](maxRoutes)} }
 
 // Note takes a call of a route that began on a host of a service, and reports whether
 // the route is called by backend servers of that service.
@@ -65,7 +67,7 @@
 		r.origin, r.mixed = origin, time.Now()
 	}
 
-	w := r.row(route)
+	w := r.rows.At(route)
 	if w.origin != origin {
 		w.origin, w.length = origin, 0
 	}
@@ -74,17 +76,3 @@
 
 	return w.length == Enough && time.Since(r.mixed) < mixedWithin
 }
-
-func (r *Routes) row(route string) *row {
-	w := r.rows[route]
-	if w == nil {
-		if len(r.rows) >= maxRoutes {
-			clear(r.rows)
-		}
-
-		w = &row{}
-		r.rows[route] = w
-	}
-
-	return w
-}
--- a/internal/slots/estimate.go
+++ b/internal/slots/estimate.go
@@ -107,7 +107,7 @@
 // size returns the usual time of a route's calls, and how much longer most of them
 // take at the most.
 func (q *Queue) size(route string) (usual, spare time.Duration) {
-	if s, ok := q.sizes[route]; ok {
+	if s, ok := q.sizes.Get(route); ok {
 		return s.mean, time.Duration(spareDeviations * float64(s.deviation))
 	}
 
@@ -115,17 +115,7 @@
 }
 
 func (q *Queue) learn(route string, took time.Duration) {
-	s := q.sizes[route]
-	if s == nil {
-		if len(q.sizes) >= maxRoutes {
-			clear(q.sizes)
-		}
-
-		s = &size{}
-		q.sizes[route] = s
-	}
-
-	s.learn(took)
+	q.sizes.At(route).learn(took)
 }
 
 // size is the usual time of a route's calls here.
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -42,6 +42,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/bounded"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -106,7 +107,7 @@
 	slots   int
 	running map[*Slot]struct{}
 	waiting []*Slot
-	sizes   map[string]*size
+	sizes   *bounded.Map[size]
 	starts  int
 	use     [ranks]use
 	letIn   [ranks]float64 // the part of a rank's calls that was let in lately
@@ -131,7 +132,7 @@
 
 // New returns a queue without slots.
 func New() *Queue {
-	q := &Queue{running: map[*Slot]struct{}{}, sizes: map[string]*size{}}
+	q := &Queue{running: map[*Slot]struct{}{}, sizes: bounded.New[size](maxRoutes)}
 	for i := range q.letIn {
 		q.letIn[i] = 1
 	}
