--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -12,7 +12,7 @@
 }
 
 // inVain reports whether a waiting call has no prospect any more: it can't end before
-// its deadline, or it will be late and others that will be wait already.
+// its deadline, or it is not sure to be on time and enough of those wait already.
 func (q *Queue) inVain(s *Slot) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -22,7 +22,7 @@
 	return !now.Add(s.size).Before(s.work.Deadline) || q.late(now) > q.mostLate()
 }
 
-// mostLate is how many calls may wait that will be late.
+// mostLate is how many calls may wait that are not sure to be on time.
 func (q *Queue) mostLate() int { return max(q.slots/latePart, 1) }
 
 // judge decides whether a call that has to wait may. One that is on time unless it is
@@ -149,7 +149,7 @@
 )
 
 // shortest is the part of its usual time that a call takes at the least: with a spread
-// of 0.5 one in twelve takes less than half.
+// of 0.5 one in eight takes less than half of it.
 const shortest = 2
 
 func (s *Slot) prospect(now time.Time) prospect {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -73,7 +73,7 @@
 	// and 0.60 with none (TestCallsThatDifferInLength); with two, a call in a hundred
 	// less is on time where the slots suffice.
 	spareDeviations = 1.0
-	// latePart of the slots is how many calls may wait that will be late. With twice
+	// latePart of the slots is how many calls may wait that are not sure to be on time. With twice
 	// the load that the slots take, all that were let in to be late waited in vain:
 	// those that can be on time go first, and there are always some.
 	latePart = 2
