--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -96,3 +96,33 @@
 	assert.Equal(t, out[0].Detail, "by a [and on 2 more nodes within 200 ms]")
 	assert.Equal(t, out[4].Stamp.WallMs, int64(90_000))
 }
+
+// The time of day of a host jumps an hour ahead and back. What it tells others in that
+// hour must still come after what caused it and before what it causes, and the stamps of
+// the hour that follows, in which clocks stand, must not run out.
+func TestAHostWhoseTimeJumpsTellsNoFalseOrder(t *testing.T) {
+	const hour = 3_600_000
+
+	var jumped, other timeline.Clock
+
+	before := other.Now()
+	jumped.Observe(timeline.Stamp{WallMs: before.WallMs + hour}) // its own time, for a moment
+
+	sent := jumped.Now()
+	other.Observe(sent)
+
+	effect := other.Now()
+	assert.Assert(t, before.Compare(sent) < 0 && sent.Compare(effect) < 0)
+
+	const stampsOfAnHour = 2000 * 3600 // a busy node takes two thousand a second
+
+	for range stampsOfAnHour {
+		effect = other.Now()
+	}
+
+	assert.Equal(t, effect.WallMs, sent.WallMs)
+	assert.Assert(t, effect.Logical > stampsOfAnHour && effect.Logical < 1<<31)
+
+	jumped.Observe(effect)
+	assert.Assert(t, jumped.Now().Compare(effect) > 0)
+}
