--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 
-	copies := len(d.askAll(ctx, MethodKeep, instance, Copies))
+	copies := len(d.askAll(ctx, d.holders(instance), MethodKeep, instance, Copies))
 	if copies >= Copies {
 		return nil
 	}
@@ -143,13 +143,12 @@
 	return out
 }
 
-// askAll asks all holders at the same time and returns the first answers, at most as
-// many as are enough. A holder that is gone must not hold up the others' word.
-func (d *Departures) askAll(ctx context.Context, method, instance string, enough int) []Known {
+// askAll asks nodes at the same time and returns the first answers, at most as many as
+// are enough. One that is gone must not hold up the others' word.
+func (d *Departures) askAll(ctx context.Context, addresses []string, method, instance string, enough int) []Known {
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 
-	addresses := d.holders(instance)
 	answers := make(chan *Known, len(addresses))
 
 	for _, address := range addresses {
@@ -203,8 +202,10 @@
 
 	// A record may lie with nodes alone, if the store was away when it was made. They
 	// are asked beside it.
+	holders := d.holders(instance)
 	asked := make(chan []Known, 1)
-	go func() { asked <- d.askAll(ctx, MethodAsk, instance, len(d.holders(instance))-Copies+1) }()
+
+	go func() { asked <- d.askAll(ctx, holders, MethodAsk, instance, len(holders)-Copies+1) }()
 
 	storeErr := d.read(ctx, instance)
 	if storeErr == nil {
--- a/internal/dispatch/elapsed.go
+++ b/internal/dispatch/elapsed.go
@@ -13,8 +13,8 @@
 	statedWindow = 10 * time.Second
 	// leastElapsed is what two first attempts of a route may state differently.
 	leastElapsed = 5 * time.Millisecond
-	// maxRoutes bounds what is remembered: four times the routes of the largest
-	// configurations that are known.
+	// maxRoutes bounds what is remembered: more than twice the routes of the largest
+	// configurations that are known, 3,000.
 	maxRoutes = 8192
 )
 
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -51,26 +51,33 @@
 // FirstOf returns up to count live nodes of a failure domain, those with most
 // capacity first, in the order of rendezvous hashing.
 func (t *Table) FirstOf(domain string, count int) []Record {
+	out := t.living(func(r Record) bool { return r.FailureDomain == domain })
+
+	slices.SortFunc(out, func(a, b Record) int {
+		if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
+			return c
+		}
+
+		return byWeight(domain, a, b)
+	})
+
+	return out[:min(count, len(out))]
+}
+
+// living returns the live nodes that are wanted, in no order.
+func (t *Table) living(wanted func(Record) bool) []Record {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
 	var out []Record
 
 	for _, id := range t.live.ids {
-		if r := t.members[id].record; r.FailureDomain == domain {
+		if r := t.members[id].record; wanted(r) {
 			out = append(out, r)
 		}
 	}
 
-	slices.SortFunc(out, func(a, b Record) int {
-		if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
-			return c
-		}
-
-		return cmp.Compare(weight(domain, b.ID), weight(domain, a.ID))
-	})
-
-	return out[:min(count, len(out))]
+	return out
 }
 
 // Ranked returns up to count live nodes but this one, in the order of rendezvous hashing
@@ -88,21 +95,14 @@
 
 func (t *Table) ranked(key string, count int, takes func(Record) bool) []Record {
 	self := t.Self().ID
+	out := t.living(func(r Record) bool { return r.ID != self && takes(r) })
 
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-
-	var out []Record
-
-	for _, id := range t.live.ids {
-		if r := t.members[id].record; id != self && takes(r) {
-			out = append(out, r)
-		}
-	}
-
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(weight(key, b.ID), weight(key, a.ID)) })
+	slices.SortFunc(out, func(a, b Record) int { return byWeight(key, a, b) })
 
 	return out[:min(count, len(out))]
 }
 
+// byWeight is the order of rendezvous hashing.
+func byWeight(key string, a, b Record) int { return cmp.Compare(weight(key, b.ID), weight(key, a.ID)) }
+
 func weight(domain, id string) uint64 { return xxhash.Sum64String(domain + "\x00" + id) }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -64,7 +64,7 @@
 	// unknownSize is taken for the length of a call whose route was never seen.
 	unknownSize = 50 * time.Millisecond
 	// smoothing of sizes; about as many calls have a say. With 8, 0.62 of the exports
-	// above are on time. clip bounds what a single long one says.
+	// of spareDeviations are on time. clip bounds what a single long one says.
 	smoothing = 16
 	clip      = 4
 	// spareDeviations is how many of its usual deviations a call is given beyond its
@@ -73,9 +73,9 @@
 	// and 0.60 with none (TestCallsThatDifferInLength); with two, a call in a hundred
 	// less is on time where the slots suffice.
 	spareDeviations = 1.0
-	// latePart of the slots is how many calls may wait that are not sure to be on time. With twice
-	// the load that the slots take, all that were let in to be late waited in vain:
-	// those that can be on time go first, and there are always some.
+	// latePart of the slots is how many calls may wait that are not sure to be on time.
+	// With twice the load that the slots take, all that were let in to be late waited in
+	// vain: those that can be on time go first, and there are always some.
 	latePart = 2
 	// leastPart of its usual time is counted for a running call however long it
 	// has run already.
