Backend servers that start again under their name; entries of other writers

Cause: heartbeats were ordered by sequence alone, so a backend server that starts again under its name looked old and stayed unused, and a leaving that was confirmed for the earlier start bound the later one. One entry of another type made a whole page of a list unreadable, and a record with an empty address was met.

Change: heartbeats are ordered by start, then by sequence; a leaving and its record belong to one start; one that tells no start and is out of use is asked for its name.

--- a/internal/announce/host.go
+++ b/internal/announce/host.go
@@ -9,6 +9,12 @@
 // sequence is higher than the last one of its instance, an instance that is
 // leaving stays so, and one that was never heard of is asked for its name.
 //
+// A backend server may also start again under the name that it had. It counts its
+// heartbeats from one again and knows nothing of an earlier leaving. Ordered by
+// sequence alone its heartbeats would look old, and it would stay unused for as long
+// as the earlier start had run. So heartbeats are ordered by start, then by sequence,
+// and a leaving belongs to one start.
+//
 // A confirmation that an instance may leave binds all later processes on the host.
 // It is given only after the leaving has been kept where the next process finds it.
 //
@@ -21,6 +27,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -38,10 +45,14 @@
 // Heartbeat is what a backend server says of itself.
 type Heartbeat struct {
 	Instance string
-	Service  string
-	Address  string
-	Slots    int
-	// Sequence rises with each heartbeat of an instance.
+	// Started is when this start of the instance began, in Unix milliseconds, or 0 if
+	// it does not say. Starts of an instance are ordered by it and nothing else is: the
+	// clock is the backend server's.
+	Started int64
+	Service string
+	Address string
+	Slots   int
+	// Sequence rises with each heartbeat of a start.
 	Sequence uint64
 	Leaving  bool
 	// Cold is how much longer the instance is slow after its start.
@@ -51,7 +62,9 @@
 // State is what is known of the backend server.
 type State struct {
 	Instance string
-	Slots    int
+	// Started tells starts of the instance apart; 0 if it did not say.
+	Started int64
+	Slots   int
 	// Takes says whether calls may be sent to it.
 	Takes bool
 	// Cold says until when it is slow.
@@ -62,23 +75,38 @@
 type Host struct {
 	options Options
 
-	mu        sync.Mutex
-	state     State
-	sequences map[string]uint64
-	leaving   map[string]*departure
-	checking  map[string]bool
+	mu       sync.Mutex
+	state    State
+	newest   map[string]moment
+	leaving  map[string]*departure
+	checking map[string]bool
+}
+
+// moment orders the heartbeats of an instance.
+type moment struct {
+	started  int64
+	sequence uint64
+}
+
+func (m moment) after(o moment) bool {
+	if m.started != o.started {
+		return m.started > o.started
+	}
+
+	return m.sequence > o.sequence
 }
 
-// departure is an instance that is leaving. Kept is closed once the next process
-// on this host would find out.
+// departure is a start of an instance that is leaving. Kept is closed once the next
+// process on this host would find out.
 type departure struct {
-	kept chan struct{}
+	started int64
+	kept    chan struct{}
 }
 
 // New returns a host that has heard nothing.
 func New(opts ...Option) *Host {
 	return &Host{
-		options: newOptions(opts...), sequences: map[string]uint64{}, leaving: map[string]*departure{},
+		options: newOptions(opts...), newest: map[string]moment{}, leaving: map[string]*departure{},
 		checking: map[string]bool{},
 	}
 }
@@ -94,51 +122,110 @@
 // Heard takes a heartbeat. Nil confirms it; for an instance that is leaving this is
 // the promise that it gets no new calls.
 func (h *Host) Heard(ctx context.Context, b Heartbeat) error {
+	if h.options.Service != "" && b.Service != h.options.Service {
+		h.Doubt(b.Instance, "it is of service "+b.Service+", the one on this host of "+h.options.Service)
+
+		return nil
+	}
+
 	if b.Leaving {
 		h.note(b)
 
-		return h.Left(ctx, b.Instance)
+		return h.Left(ctx, b.Instance, b.Started)
 	}
 
-	if !h.note(b) {
+	if !h.note(b) && !h.idle(b) {
 		return nil
 	}
 
-	h.mu.Lock()
-	known := h.state.Instance == b.Instance
-	left := h.leaving[b.Instance] != nil
-	h.mu.Unlock()
-
-	switch {
-	case left:
-		return nil
-	case known:
+	switch h.standing(b) {
+	case departing:
+	case inUse:
 		h.refresh(b)
-	default:
+	case unheard:
 		go h.examine(context.WithoutCancel(ctx), b)
 	}
 
 	return nil
 }
 
+// Doubt tells of a word that was not believed, once for each instance and reason.
+func (h *Host) Doubt(instance, reason string) {
+	h.options.Recorder.Once(event.InstanceDoubted, timeline.Entry{Detail: instance + ": " + reason})
+}
+
 // note reports whether the heartbeat is the newest of its instance.
 func (h *Host) note(b Heartbeat) bool {
+	h.mu.Lock()
+	last, ok := h.newest[b.Instance]
+	next := moment{started: b.Started, sequence: b.Sequence}
+	newer := !ok || next.after(last)
+
+	if newer {
+		h.newest[b.Instance] = next
+	}
+	h.mu.Unlock()
+
+	if b.Started < last.started {
+		h.Doubt(b.Instance, "a heartbeat of its start at "+strconv.FormatInt(b.Started, 10)+
+			", another began at "+strconv.FormatInt(last.started, 10))
+	}
+
+	return newer
+}
+
+// idle reports whether an old heartbeat is of the instance here, which is out of use. It
+// may have started again without telling a start, and would stay out of use until its
+// sequence has caught up; its health answer tells who runs.
+func (h *Host) idle(b Heartbeat) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if last, ok := h.sequences[b.Instance]; ok && b.Sequence <= last {
-		return false
+	return h.state.Instance == b.Instance && h.state.Started == b.Started && !h.state.Takes && !h.isLeaving(b)
+}
+
+// standing is what is known of the start that sent a heartbeat.
+type standing uint8
+
+const (
+	// unheard starts are asked for their name.
+	unheard standing = iota
+	inUse
+	departing
+)
+
+func (h *Host) standing(b Heartbeat) standing {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	old := h.newest[b.Instance].after(moment{started: b.Started, sequence: b.Sequence})
+
+	switch {
+	case h.isLeaving(b):
+		return departing
+	case old:
+		return unheard
+	case h.state.Instance == b.Instance && (h.state.Started == b.Started || h.state.Started == 0):
+		// One that was found by its health answer did not tell its start. It had not
+		// left, whichever it was.
+		return inUse
 	}
 
-	h.sequences[b.Instance] = b.Sequence
+	return unheard
+}
 
-	return true
+// isLeaving reports whether the start of the heartbeat was confirmed to leave, or one
+// after it. It holds the lock.
+func (h *Host) isLeaving(b Heartbeat) bool {
+	d := h.leaving[b.Instance]
+
+	return d != nil && b.Started <= d.started
 }
 
 func (h *Host) refresh(b Heartbeat) {
 	h.change(func(s State) State {
-		if s.Instance == b.Instance && h.leaving[b.Instance] == nil {
-			s.Slots, s.Takes = b.Slots, true
+		if s.Instance == b.Instance && !h.isLeaving(b) {
+			s.Started, s.Slots, s.Takes = b.Started, b.Slots, true
 		}
 
 		return s
@@ -185,7 +272,7 @@
 // judge takes an instance into use that answers at its address, unless it was
 // confirmed to leave.
 func (h *Host) judge(ctx context.Context, b Heartbeat, healthy bool) {
-	departed, err := h.departed(ctx, b.Instance)
+	departed, err := h.departed(ctx, b)
 	if departed || (err != nil && !healthy) {
 		h.options.Recorder.Record(event.InstanceDoubted, timeline.Entry{Detail: b.Instance + " is leaving or can't be told from one that is"})
 
@@ -195,21 +282,21 @@
 	h.adopt(b)
 }
 
-func (h *Host) departed(ctx context.Context, instance string) (bool, error) {
+func (h *Host) departed(ctx context.Context, b Heartbeat) (bool, error) {
 	if h.options.FirstStart {
 		return false, nil
 	}
 
-	return h.options.Keeper.Departed(ctx, instance)
+	return h.options.Keeper.Departed(ctx, b.Instance, b.Started)
 }
 
 func (h *Host) adopt(b Heartbeat) {
 	h.change(func(s State) State {
-		if h.leaving[b.Instance] != nil {
+		if h.isLeaving(b) || h.newest[b.Instance].started > b.Started {
 			return s
 		}
 
-		return State{Instance: b.Instance, Slots: b.Slots, Takes: true, Cold: time.Now().Add(b.Cold)}
+		return State{Instance: b.Instance, Started: b.Started, Slots: b.Slots, Takes: true, Cold: time.Now().Add(b.Cold)}
 	})
 }
 
@@ -233,13 +320,19 @@
 	delete(h.checking, instance)
 }
 
-// Left takes an instance out of use and returns nil once that is kept for later
-// processes on this host.
-func (h *Host) Left(ctx context.Context, instance string) error {
-	d, first := h.depart(instance)
+// Left takes a start of an instance out of use and returns nil once that is kept for
+// later processes on this host. A start of 0 is the one that runs: whoever does not
+// tell its start must not be sent calls after it was confirmed to leave.
+func (h *Host) Left(ctx context.Context, instance string, started int64) error {
+	d, first := h.depart(instance, started)
+	if d == nil {
+		h.Doubt(instance, "its start at "+strconv.FormatInt(started, 10)+" leaves, another one runs")
+
+		return nil
+	}
 
 	h.change(func(s State) State {
-		if s.Instance == instance {
+		if s.Instance == instance && s.Started <= d.started {
 			s.Takes = false
 		}
 
@@ -262,26 +355,47 @@
 	}
 }
 
-func (h *Host) depart(instance string) (*departure, bool) {
+// depart returns the departure of a start, and whether it is a new one. It is nil if a
+// later start of the instance was heard of: the earlier one is gone already.
+func (h *Host) depart(instance string, started int64) (*departure, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if d := h.leaving[instance]; d != nil {
+	newest := max(h.newest[instance].started, h.startedNow(instance))
+
+	if started == 0 {
+		started = newest
+	}
+
+	if started < newest {
+		return nil, false
+	}
+
+	if d := h.leaving[instance]; d != nil && d.started >= started {
 		return d, false
 	}
 
-	d := &departure{kept: make(chan struct{})}
+	d := &departure{started: started, kept: make(chan struct{})}
 	h.leaving[instance] = d
 
 	return d, true
 }
 
+// startedNow returns the start of the instance that is in use, if it is this one.
+func (h *Host) startedNow(instance string) int64 {
+	if h.state.Instance != instance {
+		return 0
+	}
+
+	return h.state.Started
+}
+
 // keep tries until the leaving is kept.
 func (h *Host) keep(ctx context.Context, instance string, d *departure) {
 	const pause = 100 * time.Millisecond
 
 	for {
-		err := h.options.Keeper.Keep(ctx, instance)
+		err := h.options.Keeper.Keep(ctx, instance, d.started)
 		if err == nil {
 			close(d.kept)
 			h.options.Recorder.Record(event.LeavingKept, timeline.Entry{Detail: instance})
--- a/internal/announce/host_test.go
+++ b/internal/announce/host_test.go
@@ -12,16 +12,17 @@
 
 	"github.com/pollencart/pollencart/internal/announce"
 	"github.com/pollencart/pollencart/internal/backend"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
 // keeper stands for what outlives a process.
 type keeper struct {
 	mu   sync.Mutex
-	kept map[string]bool
+	kept map[string]int64
 	away bool
 }
 
-func (k *keeper) Keep(_ context.Context, instance string) error {
+func (k *keeper) Keep(_ context.Context, instance string, started int64) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
@@ -29,12 +30,12 @@
 		return errors.New("away")
 	}
 
-	k.kept[instance] = true
+	k.kept[instance] = started
 
 	return nil
 }
 
-func (k *keeper) Departed(_ context.Context, instance string) (bool, error) {
+func (k *keeper) Departed(_ context.Context, instance string, started int64) (bool, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
@@ -42,7 +43,9 @@
 		return false, errors.New("away")
 	}
 
-	return k.kept[instance], nil
+	last, ok := k.kept[instance]
+
+	return ok && started <= last, nil
 }
 
 func (k *keeper) set(away bool) {
@@ -61,7 +64,7 @@
 }
 
 func newWorld() *world {
-	return &world{keeper: &keeper{kept: map[string]bool{}}, running: "i-1", healthy: true}
+	return &world{keeper: &keeper{kept: map[string]int64{}}, running: "i-1", healthy: true}
 }
 
 // process starts the node's process.
@@ -219,9 +222,119 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newWorld().process()
 		heard(t, h, beat("i-1", 1))
-		assert.NilError(t, h.Left(context.Background(), "i-1"))
+		assert.NilError(t, h.Left(context.Background(), "i-1", 0))
 		assert.Assert(t, !h.State().Takes)
 		heard(t, h, beat("i-1", 2))
 		assert.Assert(t, !h.State().Takes)
 	})
 }
+
+// started is a heartbeat of a start of i-1.
+func started(at int64, sequence uint64) announce.Heartbeat {
+	b := beat("i-1", sequence)
+	b.Started = at
+
+	return b
+}
+
+// A backend server crashes and starts again under the name that it had. Its heartbeats
+// count from one again; taken for old ones, they would leave it unused for as long as
+// the earlier start had run.
+func TestABackendServerThatStartsAgainUnderItsName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newWorld().process()
+		heard(t, h, started(100, 40))
+		h.Down("i-1")
+		heard(t, h, started(200, 1))
+		assert.Assert(t, h.State().Takes)
+		assert.Equal(t, h.State().Started, int64(200))
+	})
+}
+
+// The backend server was confirmed to leave, and starts again under the same name. The
+// promise was about the start that left; kept for the name, it would have this process
+// and the next one never use it.
+func TestALeavingBelongsToOneStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		h := w.process()
+		heard(t, h, started(100, 1))
+
+		leaving := started(100, 2)
+		leaving.Leaving = true
+		heard(t, h, leaving)
+		assert.Assert(t, !h.State().Takes)
+
+		heard(t, h, started(200, 1))
+		assert.Assert(t, h.State().Takes)
+
+		next := w.process()
+		heard(t, next, started(100, 3))
+		assert.Assert(t, !next.State().Takes)
+		heard(t, next, started(200, 2))
+		assert.Assert(t, next.State().Takes)
+	})
+}
+
+// A partition delays what the earlier start said: a heartbeat with a high sequence, and
+// its leaving. The start that runs now would be taken out of use by it, or known by the
+// wrong start.
+func TestWordsOfTheEarlierStartComeLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		h := w.process()
+		heard(t, h, started(200, 1))
+		heard(t, h, started(100, 90))
+		assert.Equal(t, h.State().Started, int64(200))
+
+		leaving := started(100, 91)
+		leaving.Leaving = true
+		heard(t, h, leaving)
+		assert.NilError(t, h.Left(context.Background(), "i-1", 100))
+		assert.Assert(t, h.State().Takes)
+		assert.Equal(t, len(w.keeper.kept), 0) // nobody is left to be bound by it
+	})
+}
+
+// A backend server that does not tell its start says that it leaves. That is about the
+// start that runs: calls sent to it after the confirmation would be cut off.
+func TestALeavingWithoutAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newWorld().process()
+		heard(t, h, started(200, 5))
+		assert.NilError(t, h.Left(context.Background(), "i-1", 0))
+		assert.Assert(t, !h.State().Takes)
+		heard(t, h, started(200, 6))
+		assert.Assert(t, !h.State().Takes)
+	})
+}
+
+// A backend server that does not tell its start crashes and starts again under its name.
+// Its sequence is low again; asked for its name it is found, and calls reach it.
+func TestAStartThatIsNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newWorld().process()
+		heard(t, h, beat("i-1", 40))
+		h.Down("i-1")
+		heard(t, h, beat("i-1", 1))
+		assert.Assert(t, h.State().Takes)
+	})
+}
+
+// Somebody sends heartbeats of another service to this host. They name nobody to use,
+// and are told once however often they come.
+func TestAHeartbeatOfAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		recorder := timeline.New()
+		w := newWorld()
+		h := announce.New(announce.WithKeeper(w.keeper), announce.Service("ledger"), announce.Recorder(recorder),
+			announce.Probe(func(context.Context) backend.Health { return backend.Health{Instance: "i-1", Healthy: true} }))
+
+		for sequence := range uint64(5) {
+			heard(t, h, beat("i-1", sequence))
+		}
+
+		assert.Assert(t, !h.State().Takes)
+		assert.Equal(t, len(recorder.Entries(timeline.Filter{})), 1)
+	})
+}
--- a/internal/announce/options.go
+++ b/internal/announce/options.go
@@ -9,8 +9,10 @@
 
 // Keeper keeps who is leaving beyond the life of this process.
 type Keeper interface {
-	Keep(ctx context.Context, instance string) error
-	Departed(ctx context.Context, instance string) (bool, error)
+	Keep(ctx context.Context, instance string, started int64) error
+	// Departed reports whether the start was confirmed to leave, or one after it; a
+	// start of 0 is any.
+	Departed(ctx context.Context, instance string, started int64) (bool, error)
 }
 
 // Options of a host.
@@ -21,6 +23,9 @@
 	Probe func(ctx context.Context) backend.Health
 	// FirstStart says that no earlier process can have confirmed a leaving.
 	FirstStart bool
+	// Service is that of the backend server on this host; a heartbeat of another one
+	// names nobody to use. Empty believes any.
+	Service string
 	// Changed is told of each new state.
 	Changed func(State)
 }
@@ -55,5 +60,8 @@
 // FirstStart sets whether no earlier process can have confirmed a leaving.
 func FirstStart(first bool) Option { return func(o *Options) { o.FirstStart = first } }
 
+// Service sets the service of the backend server on this host.
+func Service(name string) Option { return func(o *Options) { o.Service = name } }
+
 // Changed sets who is told of new states.
 func Changed(f func(State)) Option { return func(o *Options) { o.Changed = f } }
--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"slices"
@@ -86,9 +87,19 @@
 	RankedIn(key string, count int) []membership.Record
 }
 
-// Instance names a backend server's process.
+// Instance names a start of a backend server's process.
 type Instance struct {
-	ID string `msgpack:"ID"`
+	ID string `json:"ID" msgpack:"ID"`
+	// Started tells starts of the same ID apart, in Unix milliseconds; 0 if the backend
+	// server did not tell it. A confirmation binds its start and all before it: bound by
+	// the ID alone, a backend server that starts again would stay unused.
+	Started int64 `json:"Started" msgpack:"Started"`
+}
+
+// binds reports whether a record of this start is a confirmation of the other's. A
+// start that is not known may be any.
+func (i Instance) binds(o Instance) bool {
+	return i.ID == o.ID && (o.Started == 0 || i.Started == 0 || o.Started <= i.Started)
 }
 
 // Known says whether a node holds a record.
@@ -103,16 +114,23 @@
 	members Members
 
 	mu   sync.Mutex
-	held map[string]time.Time
+	held map[string]record
+}
+
+// record is a leaving that this node holds.
+type record struct {
+	started int64
+	at      time.Time
 }
 
 // New returns departures that hold no record.
 func New(s Store, p Peers, m Members) *Departures {
-	return &Departures{store: s, peers: p, members: m, held: map[string]time.Time{}}
+	return &Departures{store: s, peers: p, members: m, held: map[string]record{}}
 }
 
 // Keep returns nil once the record is where a later process finds it.
-func (d *Departures) Keep(ctx context.Context, instance string) error {
+func (d *Departures) Keep(ctx context.Context, id string, started int64) error {
+	instance := Instance{ID: id, Started: started}
 	d.hold(instance)
 
 	storeErr := d.write(ctx, instance)
@@ -122,12 +140,12 @@
 		return nil
 	}
 
-	copies := len(d.askAll(ctx, d.holders(instance), MethodKeep, instance, Copies))
+	copies := len(d.askAll(ctx, d.holders(id), MethodKeep, instance, Copies))
 	if copies >= Copies {
 		return nil
 	}
 
-	return ErrNotKept.With("%s: %d copies", instance, copies).Wrap(storeErr)
+	return ErrNotKept.With("%s: %d copies", id, copies).Wrap(storeErr)
 }
 
 // holders returns the nodes that hold the record of an instance if the store does not.
@@ -145,7 +163,7 @@
 
 // askAll asks nodes at the same time and returns the first answers, at most as many as
 // are enough. One that is gone must not hold up the others' word.
-func (d *Departures) askAll(ctx context.Context, addresses []string, method, instance string, enough int) []Known {
+func (d *Departures) askAll(ctx context.Context, addresses []string, method string, instance Instance, enough int) []Known {
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 
@@ -154,7 +172,7 @@
 	for _, address := range addresses {
 		go func() {
 			k := &Known{}
-			if d.peers.Do(ctx, address, peer.LaneControl, method, Instance{ID: instance}, k) != nil {
+			if d.peers.Do(ctx, address, peer.LaneControl, method, instance, k) != nil {
 				k = nil // it tells nothing
 			}
 
@@ -177,38 +195,50 @@
 	return out
 }
 
-func (d *Departures) write(ctx context.Context, instance string) error {
+func (d *Departures) write(ctx context.Context, instance Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
 
-	return d.store.Put(ctx, platform.Entry{Key: Prefix + instance, Value: []byte(instance)})
+	value, err := json.Marshal(instance)
+	if err != nil {
+		return err
+	}
+
+	return d.store.Put(ctx, platform.Entry{Key: Prefix + instance.ID, Value: value})
 }
 
 // remove drops a record that nobody needs any more. One that stays behind since
-// this process ended first does no harm: an instance is never started twice.
-func (d *Departures) remove(instance string) {
+// this process ended first does no harm: later starts are not bound by it. One that was
+// written anew for a later start stays.
+func (d *Departures) remove(instance Instance) {
+	if d.startedOf(instance.ID) != instance.Started {
+		return
+	}
+
 	ctx, cancel := context.WithTimeout(context.Background(), storeTime)
 	defer cancel()
 
-	_ = d.store.Delete(ctx, Prefix+instance) // see above
+	_ = d.store.Delete(ctx, Prefix+instance.ID) // see above
 }
 
-// Departed reports whether an instance was confirmed to leave. The error means
-// that the store could not be asked, and no node that was asked knows of it.
-func (d *Departures) Departed(ctx context.Context, instance string) (bool, error) {
+// Departed reports whether a start was confirmed to leave, or one after it; a start of
+// 0 is any. The error means that the store could not be asked, and no node that was
+// asked knows of it.
+func (d *Departures) Departed(ctx context.Context, id string, started int64) (bool, error) {
+	instance := Instance{ID: id, Started: started}
 	if d.holds(instance) {
 		return true, nil
 	}
 
 	// A record may lie with nodes alone, if the store was away when it was made. They
 	// are asked beside it.
-	holders := d.holders(instance)
+	holders := d.holders(id)
 	asked := make(chan []Known, 1)
 
 	go func() { asked <- d.askAll(ctx, holders, MethodAsk, instance, len(holders)-Copies+1) }()
 
-	storeErr := d.read(ctx, instance)
-	if storeErr == nil {
+	kept, storeErr := d.read(ctx, id)
+	if storeErr == nil && kept.binds(instance) {
 		return true, nil
 	}
 
@@ -217,35 +247,47 @@
 		return true, nil
 	}
 
-	if errors.Is(storeErr, platform.ErrNotFound) {
+	if storeErr == nil || errors.Is(storeErr, platform.ErrNotFound) {
 		return false, nil
 	}
 
-	return false, ErrNotKept.With("%s: %d nodes asked", instance, len(answers)).Wrap(storeErr)
+	return false, ErrNotKept.With("%s: %d nodes asked", id, len(answers)).Wrap(storeErr)
 }
 
-func (d *Departures) read(ctx context.Context, instance string) error {
+// read returns the record of an instance. One whose value can't be read was still
+// written for this instance, so it binds every start: a backend server that is used
+// again after it was confirmed to leave cuts calls off, one that is not costs its slots
+// until the record goes.
+func (d *Departures) read(ctx context.Context, id string) (Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
 
-	_, _, err := d.store.Get(ctx, Prefix+instance)
+	e, _, err := d.store.Get(ctx, Prefix+id)
+	if err != nil {
+		return Instance{}, err
+	}
+
+	var kept Instance
+	if json.Unmarshal(e.Value, &kept) != nil || kept.ID != id {
+		return Instance{ID: id}, nil
+	}
 
-	return err
+	return kept, nil
 }
 
 // ServeKeep holds a record for another node.
 func (d *Departures) ServeKeep(_ context.Context, in Instance) (Known, error) {
-	d.hold(in.ID)
+	d.hold(in)
 
 	return Known{Departed: true}, nil
 }
 
 // ServeAsk tells another node whether a record is held here.
 func (d *Departures) ServeAsk(_ context.Context, in Instance) (Known, error) {
-	return Known{Departed: d.holds(in.ID)}, nil
+	return Known{Departed: d.holds(in)}, nil
 }
 
-func (d *Departures) hold(instance string) {
+func (d *Departures) hold(i Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -255,22 +297,29 @@
 		d.forget(now)
 	}
 
-	d.held[instance] = now
+	d.held[i.ID] = record{started: max(i.Started, d.held[i.ID].started), at: now}
 }
 
 func (d *Departures) forget(now time.Time) {
-	for id, at := range d.held {
-		if now.Sub(at) > life {
+	for id, r := range d.held {
+		if now.Sub(r.at) > life {
 			delete(d.held, id)
 		}
 	}
 }
 
-func (d *Departures) holds(instance string) bool {
+func (d *Departures) holds(i Instance) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	_, ok := d.held[instance]
+	r, ok := d.held[i.ID]
+
+	return ok && Instance{ID: i.ID, Started: r.started}.binds(i)
+}
+
+func (d *Departures) startedOf(id string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 
-	return ok
+	return d.held[id].started
 }
--- a/internal/departures/departures_test.go
+++ b/internal/departures/departures_test.go
@@ -21,7 +21,7 @@
 // store is the platform's store.
 type store struct {
 	mu   sync.Mutex
-	keys map[string]bool
+	keys map[string][]byte
 	away bool
 }
 
@@ -32,11 +32,11 @@
 	switch {
 	case s.away:
 		return platform.Entry{}, 0, platform.ErrUnavailable
-	case !s.keys[key]:
+	case s.keys[key] == nil:
 		return platform.Entry{}, 0, platform.ErrNotFound
 	}
 
-	return platform.Entry{Key: key}, 0, nil
+	return platform.Entry{Key: key, Value: s.keys[key]}, 0, nil
 }
 
 func (s *store) Put(_ context.Context, e platform.Entry) error {
@@ -47,7 +47,7 @@
 		return platform.ErrUnavailable
 	}
 
-	s.keys[e.Key] = true
+	s.keys[e.Key] = e.Value
 
 	return nil
 }
@@ -109,17 +109,17 @@
 // A node confirms that its backend server may leave and is killed. The next process
 // on the host finds that in the store.
 func TestTheNextProcessFindsIt(t *testing.T) {
-	s := &store{keys: map[string]bool{}}
+	s := &store{keys: map[string][]byte{}}
 	nodes := newFleet(s, 2)
-	assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1"))
+	assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1", 0))
 
 	f := fleet{nodes, "a"}
 	next := departures.New(s, f, f)
-	departed, err := next.Departed(context.Background(), "i-1")
+	departed, err := next.Departed(context.Background(), "i-1", 0)
 	assert.NilError(t, err)
 	assert.Assert(t, departed)
 
-	departed, err = next.Departed(context.Background(), "i-2")
+	departed, err = next.Departed(context.Background(), "i-2", 0)
 	assert.NilError(t, err)
 	assert.Assert(t, !departed)
 }
@@ -127,12 +127,12 @@
 // The store is away when the leaving is confirmed, and also when the next process
 // starts. Other nodes hold it meanwhile.
 func TestOthersHoldItWhileTheStoreIsAway(t *testing.T) {
-	s := &store{keys: map[string]bool{}, away: true}
+	s := &store{keys: map[string][]byte{}, away: true}
 	nodes := newFleet(s, 4)
-	assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1"))
+	assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1", 0))
 
 	f := fleet{nodes, "a"}
-	departed, err := departures.New(s, f, f).Departed(context.Background(), "i-1")
+	departed, err := departures.New(s, f, f).Departed(context.Background(), "i-1", 0)
 	assert.NilError(t, err)
 	assert.Assert(t, departed)
 }
@@ -141,17 +141,17 @@
 // process asks those that hold the record, not others; else it takes the backend server
 // for one that stays, and calls sent there are cut off when it ends.
 func TestARecordThatLiesWithNodesAloneIsFoundAmongMany(t *testing.T) {
-	s := &store{keys: map[string]bool{}, away: true}
+	s := &store{keys: map[string][]byte{}, away: true}
 	nodes := newFleet(s, 80)
 
 	for i := range 50 {
 		instance := "i-" + strconv.Itoa(i)
 		s.away = true
-		assert.NilError(t, nodes["a"].Keep(context.Background(), instance))
+		assert.NilError(t, nodes["a"].Keep(context.Background(), instance, 0))
 
 		s.away = false
 		f := fleet{nodes, "a"}
-		departed, err := departures.New(s, f, f).Departed(context.Background(), instance)
+		departed, err := departures.New(s, f, f).Departed(context.Background(), instance, 0)
 		assert.NilError(t, err)
 		assert.Assert(t, departed, instance)
 	}
@@ -160,12 +160,45 @@
 // The store is away and too few other nodes can be reached: it is not kept.
 func TestOneCopyIsNotEnough(t *testing.T) {
 	nodes := newFleet(&store{away: true}, 2)
-	assert.ErrorIs(t, nodes["a"].Keep(context.Background(), "i-1"), departures.ErrNotKept)
+	assert.ErrorIs(t, nodes["a"].Keep(context.Background(), "i-1", 0), departures.ErrNotKept)
 }
 
 // Nobody can be asked. That is not the same as nobody knowing of it.
 func TestNobodyCanBeAsked(t *testing.T) {
 	nodes := newFleet(&store{away: true}, 1)
-	_, err := nodes["a"].Departed(context.Background(), "i-1")
+	_, err := nodes["a"].Departed(context.Background(), "i-1", 0)
 	assert.ErrorIs(t, err, departures.ErrNotKept)
 }
+
+// A backend server was confirmed to leave and starts again under its name. The record
+// binds the start that left and those before it; the next process must find the later
+// one free, or it would stay unused.
+func TestARecordBindsItsStart(t *testing.T) {
+	for name, away := range map[string]bool{"in the store": false, "with nodes": true} {
+		t.Run(name, func(t *testing.T) {
+			s := &store{keys: map[string][]byte{}, away: away}
+			nodes := newFleet(s, 4)
+			assert.NilError(t, nodes["a"].Keep(context.Background(), "i-1", 100))
+
+			s.away = false
+			next := departures.New(s, fleet{nodes, "a"}, fleet{nodes, "a"})
+
+			for started, want := range map[int64]bool{0: true, 99: true, 100: true, 101: false} {
+				departed, err := next.Departed(context.Background(), "i-1", started)
+				assert.NilError(t, err)
+				assert.Equal(t, departed, want, "start %d", started)
+			}
+		})
+	}
+}
+
+// Somebody wrote bytes that can't be read over the record. The promise was given, so it
+// holds for every start.
+func TestARecordThatCantBeRead(t *testing.T) {
+	s := &store{keys: map[string][]byte{departures.Prefix + "i-1": []byte("\xff{")}}
+	nodes := newFleet(s, 1)
+
+	departed, err := nodes["a"].Departed(context.Background(), "i-1", 100)
+	assert.NilError(t, err)
+	assert.Assert(t, departed)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	PlatformBack     = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
 	PlatformRepaired = add(212, "PlatformRepaired", slog.LevelWarn,
 		"The platform came back from an older copy and was given back the version that this node holds.")
+	EntryDoubted = add(213, "EntryDoubted", slog.LevelWarn, "An entry of the store can't be read or names nobody; it is left out, and told once.")
 )
 
 // Fleet.
@@ -66,7 +67,8 @@
 var (
 	InstanceState   = add(313, "InstanceState", slog.LevelInfo, "The backend server on this host takes calls, or no longer does.")
 	InstanceDoubted = add(314, "InstanceDoubted", slog.LevelWarn,
-		"A heartbeat was not believed: another instance answers at its address, or it is leaving.")
+		"A word of a backend server was not believed: it can't be read, another instance answers at its address, "+
+			"another start runs, or it is leaving.")
 	LeavingKept    = add(315, "LeavingKept", slog.LevelInfo, "The leaving of a backend server is kept for later processes and can be confirmed.")
 	LeavingNotKept = add(316, "LeavingNotKept", slog.LevelWarn,
 		"The leaving of a backend server can't be kept yet; it is not confirmed, and tried again.")
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -15,6 +15,8 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,6 +26,7 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/pkg/errs"
 )
 
 // Prefix of the records' keys; the node follows.
@@ -55,6 +58,23 @@
 	FailureDomain string `json:"FailureDomain"`
 }
 
+// ErrRecord is returned for a record that names nobody to meet.
+var ErrRecord = errs.New("rendezvous.record", http.StatusUnprocessableEntity, "record not understood")
+
+// DecodeRecord returns the record of a node. Others may write below the prefix too.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, ErrRecord.Wrap(err)
+	}
+
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return Record{}, ErrRecord.With("address %q", r.Address)
+	}
+
+	return r, nil
+}
+
 // Store is what is needed of the platform.
 type Store interface {
 	List(ctx context.Context, prefix string, stale bool) ([]platform.Entry, error)
@@ -215,7 +235,7 @@
 
 	met := 0
 
-	for batch := range slices.Chunk(addresses(entries, r.table.Self()), meetAtOnce) {
+	for batch := range slices.Chunk(r.addresses(entries), meetAtOnce) {
 		if met += r.meetAll(ctx, batch); met >= meetAtOnce {
 			break
 		}
@@ -250,13 +270,21 @@
 
 // addresses returns the recorded addresses in random order, those of the own
 // failure domain first.
-func addresses(entries []platform.Entry, self membership.Record) []string {
+func (r *Rendezvous) addresses(entries []platform.Entry) []string {
 	var near, far []string
 
+	self := r.table.Self()
+
 	for _, i := range rand.Perm(len(entries)) {
-		var rec Record
-		if json.Unmarshal(entries[i].Value, &rec) != nil || rec.Address == self.PeerAddress {
-			continue // its node will write it anew
+		rec, err := DecodeRecord(entries[i].Value)
+		if err != nil {
+			r.recorder.Once(event.EntryDoubted, timeline.Entry{Detail: entries[i].Key + ": " + err.Error()})
+
+			continue
+		}
+
+		if rec.Address == self.PeerAddress {
+			continue
 		}
 
 		if rec.FailureDomain == self.FailureDomain {
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -120,8 +123,11 @@
 	return ok
 }
 
+// address is where the node n1, n2, ... is met.
+func address(id string) string { return "10.0.0." + strings.TrimPrefix(id, "n") + ":7" }
+
 func table(id string) *membership.Table {
-	return membership.NewTable(membership.Record{ID: id, PeerAddress: "a-" + id, FailureDomain: "derby"}, timeline.New())
+	return membership.NewTable(membership.Record{ID: id, PeerAddress: address(id), FailureDomain: "derby"}, timeline.New())
 }
 
 func start(t *testing.T, s *store, id string) (met func() []string) {
@@ -171,7 +177,7 @@
 
 		met := start(t, s, "n2")
 		time.Sleep(time.Second)
-		assert.DeepEqual(t, met(), []string{"a-n1"})
+		assert.DeepEqual(t, met(), []string{address("n1")})
 	})
 }
 
@@ -187,7 +193,7 @@
 
 		met := process(t, s, "n2", false)
 		time.Sleep(50 * time.Millisecond)
-		assert.Assert(t, slices.Contains(met(), "a-n1"))
+		assert.Assert(t, slices.Contains(met(), address("n1")))
 	})
 }
 
@@ -223,3 +229,54 @@
 		assert.Assert(t, s.has("n1"))
 	})
 }
+
+// Somebody else writes below the prefix of the records: fields of another type, no
+// address, bytes that are no record. Each names nobody to meet and is told once; the
+// nodes of the other records are met all the same.
+func TestRecordsOfOtherWriters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		for i, value := range []string{`{"Address":7}`, `{"FailureDomain":"derby"}`, `{"Address":"nowhere"}`, "\xff\x00{", `[]`, ``} {
+			key := rendezvous.Prefix + strconv.Itoa(i)
+			s.keys[key] = platform.Entry{Key: key, Value: []byte(value), Revision: 5}
+		}
+
+		start(t, s, "n1")
+		time.Sleep(time.Second)
+
+		recorder := timeline.New()
+		var met []string
+
+		r := rendezvous.New(s, table("n2"), func(_ context.Context, address string) bool {
+			met = append(met, address)
+
+			return true
+		}, recorder, true)
+
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		r.Run(ctx)
+
+		assert.Assert(t, slices.Contains(met, address("n1")))
+		assert.Equal(t, len(slices.Compact(met)), 1)
+		assert.Equal(t, len(recorder.Entries(timeline.Filter{})), 6)
+	})
+}
+
+// FuzzDecodeRecord looks for bytes that make a record which nobody can be met by.
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte(`{"Address":"10.0.0.1:7","FailureDomain":"derby"}`))
+	f.Add([]byte(`{"Address":""}`))
+	f.Add([]byte(`{"Address":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := rendezvous.DecodeRecord(data)
+		if err != nil {
+			assert.ErrorIs(t, err, rendezvous.ErrRecord)
+
+			return
+		}
+
+		_, _, err = net.SplitHostPort(r.Address)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -84,7 +84,7 @@
 	ingress *ingress.Server
 
 	mu        sync.Mutex
-	instance  string // that the connections of the pool lead to
+	instance  departures.Instance // that the connections of the pool lead to
 	listeners []net.Listener
 }
 
@@ -92,10 +92,11 @@
 func New(c config.Config, logger *slog.Logger) *Sidecar {
 	m := meter.New()
 	n := &Sidecar{
-		config: c, budget: repeats.New(boundOf(c)), meter: m, store: platform.NewStore(c.StoreAddress, m.Called), holder: &route.Holder{},
+		config: c, budget: repeats.New(boundOf(c)), meter: m, holder: &route.Holder{},
 	}
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
+	n.store = platform.NewStore(c.StoreAddress, m.Called, n.unreadable)
 	n.fleet()
 	n.backend()
 	n.calls()
@@ -135,7 +136,7 @@
 	n.watch = poison.NewWatch(poison.Self{Node: c.Node, Life: ulid.Make().String(), Address: c.BackendAddress}, n.table, n.client, n.recorder)
 	n.host = announce.New(
 		announce.Recorder(n.recorder), announce.WithKeeper(n.departures), announce.Changed(n.changed), announce.Probe(n.probe),
-		announce.FirstStart(c.FirstStart),
+		announce.FirstStart(c.FirstStart), announce.Service(c.Service),
 	)
 	n.runner = runner.New(runner.Options{
 		Service: c.Service, Host: n.host, Queue: n.queue, Pool: n.pool, Suspects: n.watch, Recorder: n.recorder, Meter: n.meter,
@@ -203,6 +204,11 @@
 	return defaultHealthPath
 }
 
+// unreadable tells of an entry of the store that was left out of a list or watch.
+func (n *Sidecar) unreadable(key, reason string) {
+	n.recorder.Once(event.EntryDoubted, timeline.Entry{Detail: key + ": " + reason})
+}
+
 // changed tells everyone what the backend server on this host does now.
 func (n *Sidecar) changed(announce.State) {
 	n.mu.Lock()
@@ -215,8 +221,10 @@
 		open = 0
 	}
 
-	if s.Instance != n.instance {
-		n.instance = s.Instance
+	// Connections to an earlier start are dead. Some were not closed, and a call sent on
+	// one can't be told from a call that ran.
+	if start := (departures.Instance{ID: s.Instance, Started: s.Started}); start != n.instance {
+		n.instance = start
 		n.pool.Forget()
 	}
 
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 
+	"github.com/pollencart/pollencart/internal/bounded"
 	"github.com/pollencart/pollencart/internal/event"
 )
 
@@ -42,6 +43,7 @@
 	mu    sync.Mutex
 	rare  ring
 	calls ring
+	once  *bounded.Map[struct{}]
 }
 
 // The numbers of events of single calls and their keys.
@@ -85,12 +87,31 @@
 func New(opts ...Option) *Recorder {
 	o := newOptions(opts...)
 
-	return &Recorder{options: o, rare: ring{size: o.Size}, calls: ring{size: o.Size}}
+	return &Recorder{options: o, rare: ring{size: o.Size}, calls: ring{size: o.Size}, once: bounded.New[struct{}](maxOnce)}
 }
 
 // Clock returns the node's clock.
 func (r *Recorder) Clock() *Clock { return &r.clock }
 
+// maxOnce bounds what is remembered of entries that are told once: some hundred
+// instances and keys with a few reasons each.
+const maxOnce = 4096
+
+// Once records an entry unless one with the same number and detail was recorded by it
+// before. Who sends what can't be read sends it again, several times a second.
+func (r *Recorder) Once(e event.Event, entry Entry) {
+	name := e.Name + " " + entry.Detail
+
+	r.mu.Lock()
+	_, told := r.once.Get(name)
+	r.once.At(name)
+	r.mu.Unlock()
+
+	if !told {
+		r.Record(e, entry)
+	}
+}
+
 // Record stamps the entry, keeps it and logs it.
 func (r *Recorder) Record(e event.Event, entry Entry) {
 	entry.Stamp = r.clock.Now()
