Callers who come back are told by their request and deadline

Cause: a caller's waiting time was taken as what it states against the longest that callers of the route state. On the new deployment callers differ in patience by 15%: with the states of all calls in the logs, device lookups were thought to have waited for 117 ms in the median (uniform from 0 to 225) of a target of 600. Their calls crossed to other failure domains and were turned away for being late while they were not. Each of 139 callers who came back in 30 s came to the same node, with the same request, and gave up at the same moment within 1 ms.

Change: a node remembers requests that it answered without success, and when their callers give up; the same request with the same deadline is the caller again.

--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/pollencart/pollencart/internal/dispatch"
@@ -99,6 +100,7 @@
 type played struct {
 	use      float64 // of what the backend servers can do
 	comeBack bool    // callers that are turned away come back once
+	differ   float64 // callers wait for so much of the longest time less, at the most
 	// hot is the part of the calls that begin in the first of two failure domains; 0 if
 	// there is but one.
 	hot float64
@@ -226,7 +228,8 @@
 func (p played) call(t *testing.T, d *dispatch.Dispatcher, id string, began time.Time) ingress.Response {
 	t.Helper()
 
-	left := func() time.Duration { return listingTimeout - time.Since(began) }
+	patience := time.Duration(float64(listingTimeout) * (1 - p.differ*float64(xxhash.Sum64String(id)%100)/100))
+	left := func() time.Duration { return patience - time.Since(began) }
 	stated := func() string { return strconv.FormatInt(left().Milliseconds(), 10) }
 
 	r := send(d, "/safe/x", "Pollencart-Call", id, "Pollencart-Deadline-Ms", stated())
@@ -275,3 +278,26 @@
 		assert.Assert(t, r.share() > 0.7)
 	})
 }
+
+// Callers differ in how long they wait, and say so. Those of little patience are no
+// callers who come back: a node that takes them for such sends calls elsewhere, and turns
+// calls away, that would have been on time.
+func TestCallersOfDifferentPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		alike, _ := played{use: 0.95, hot: 0.5}.play(t)
+		differ, _ := played{use: 0.95, hot: 0.5, differ: 0.25}.play(t)
+
+		t.Logf("crossed %d and %d", alike.crossed, differ.crossed)
+		assert.Assert(t, differ.share() > alike.share()-0.01)
+		assert.Assert(t, float64(differ.crossed) < 1.25*float64(alike.crossed))
+	})
+}
+
+// As with callers who come back, and all differ in patience: who waits is told by the
+// moment at which it gives up.
+func TestCallersOfDifferentPatienceThatComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := played{use: 1.2, comeBack: true, differ: 0.25}.play(t)
+		assert.Assert(t, r.share() > 0.7)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,7 +28,6 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/ingress"
-	"github.com/pollencart/pollencart/internal/route"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -48,14 +47,14 @@
 
 // Dispatcher answers calls.
 type Dispatcher struct {
-	options  Options
-	splitter *splitter
-	elapsed  *elapsed
+	options   Options
+	splitter  *splitter
+	returning *returning
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{options: o, splitter: newSplitter(), elapsed: newElapsed()}
+	return &Dispatcher{options: o, splitter: newSplitter(), returning: newReturning()}
 }
 
 var _ ingress.Handler = (*Dispatcher)(nil)
@@ -105,8 +104,13 @@
 
 	o.Route = found.Name
 
-	patience, waited := d.patience(r, found)
-	o.Waited = waited
+	stated := d.stated(r)
+	patience := found.Timeout
+
+	if stated > 0 {
+		patience = min(patience, stated-min(callerWay, stated/callerWayPart))
+		o.Waited = d.returning.elapsed(r, r.Arrived.Add(stated))
+	}
 
 	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(patience))
 	defer cancel()
@@ -115,14 +119,19 @@
 	d.options.Budget.First(service)
 
 	t := &try{
-		dispatcher: d, ctx: ctx, route: found, outcome: o, target: r.Arrived.Add(min(found.Target-waited, patience)),
+		dispatcher: d, ctx: ctx, route: found, outcome: o, target: r.Arrived.Add(min(found.Target-o.Waited, patience)),
 		request: forward.Request{
 			ID: o.ID, Service: service, Route: found.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
 			Header: d.options.Names.Forwarded(r.Header), Body: r.Body, Idempotent: found.Idempotent, Rank: found.Priority,
 		},
 	}
 
-	return t.run()
+	response := t.run()
+	if stated > 0 && response.Status >= http.StatusInternalServerError {
+		d.returning.note(r, r.Arrived.Add(stated), o.Waited)
+	}
+
+	return response
 }
 
 // callerWay is the way to a caller and back, for which its own clock runs as well:
@@ -132,17 +141,15 @@
 	callerWayPart = 20 // of what the caller says, at most
 )
 
-// patience is how long the call may take: what the operator allows, or less if the
-// caller says so. Waited is how long the caller has waited for earlier attempts.
-func (d *Dispatcher) patience(r ingress.Request, found *route.Route) (patience, waited time.Duration) {
+// stated is how long the caller says that it waits, or 0 if it does not say, or nothing
+// that can be read.
+func (d *Dispatcher) stated(r ingress.Request) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get(d.options.Names.Deadline), 10, 64)
 	if err != nil || ms <= 0 {
-		return found.Timeout, 0 // none was sent, or it can't be read
+		return 0
 	}
 
-	stated := time.Duration(ms) * time.Millisecond
-
-	return min(found.Timeout, stated-min(callerWay, stated/callerWayPart)), d.elapsed.of(found.Name, stated)
+	return time.Duration(ms) * time.Millisecond
 }
 
 // refuse answers a call that has not run and will not.
