Test of callers of different patience asks for a share, not for a ratio of two plays

Two plays of the same load differ by up to half in what crosses, since choices are drawn: the ratio failed once on the code that it should pass (557 and 902 crossed). The share that crosses is below 0.10 in 55 plays with the change and 0.18 to 0.24 in ten without.

--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -284,12 +284,12 @@
 // calls away, that would have been on time.
 func TestCallersOfDifferentPatience(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		alike, _ := played{use: 0.95, hot: 0.5}.play(t)
-		differ, _ := played{use: 0.95, hot: 0.5, differ: 0.25}.play(t)
+		r, _ := played{use: 0.95, hot: 0.5, differ: 0.25}.play(t)
+		crossed := float64(r.crossed) / float64(r.asked)
 
-		t.Logf("crossed %d and %d", alike.crossed, differ.crossed)
-		assert.Assert(t, differ.share() > alike.share()-0.01)
-		assert.Assert(t, float64(differ.crossed) < 1.25*float64(alike.crossed))
+		t.Logf("%.3f crossed", crossed)
+		assert.Assert(t, r.share() > 0.92)
+		assert.Assert(t, crossed < 0.13)
 	})
 }
 
--- a/internal/dispatch/returning.go
+++ b/internal/dispatch/returning.go
@@ -32,8 +32,8 @@
 // has shrunk by the time that went by. Callers differ in how long they wait, so a short
 // time alone tells nothing. With callers whose patience differs by 15%, a node that took
 // the difference from the longest for time gone by thought that lookups with a target of
-// 600 ms had waited for 117 ms in the median: 2,170 of 11,243 calls crossed to another
-// failure domain where 687 do otherwise (TestCallersOfDifferentPatience). With 1.2 times
+// 600 ms had waited for 117 ms in the median: 0.18 to 0.24 of the calls crossed to another
+// failure domain where 0.04 to 0.09 do so (TestCallersOfDifferentPatience). With 1.2 times
 // the calls that backend servers take, 0.77 of the callers are answered on time so, and
 // 0.64 if all are taken for new ones (TestCallersThatComeBack).
 type returning struct {
