A call that waits goes elsewhere while it can still be on time

Change: in the moment in which a waiting call is not sure any more to be on time, it is turned away for another node, if it has one to go to.

Test: urgent calls take the slots for which a call waits (seen failing: it was told that it can't end in time, at its deadline).

Weighed and not built: second tries of lookups that take long.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -15,7 +15,12 @@
 //     deadline makes every call late. Only a few late ones wait, to use slots that
 //     get free when nobody who can be on time wants them.
 //   - A call that would be late here and has somewhere else to go is turned away
-//     at once too, since asking the next node costs a millisecond.
+//     at once too, since asking the next node costs a millisecond. So is one that waits,
+//     in the moment in which it can't be sure any more to be on time: calls of urgent
+//     ranks and long ones came before it, and another node may have a free slot. Without
+//     it calls waited for 1,100 ms of their 1,500 in the median and were turned away then,
+//     while backend servers elsewhere used half of their slots. Worth 0.824 without, 0.828
+//     so (means of 15 runs of five days).
 //   - Calls that a running call waits for go first of all: turned away, they make that
 //     run worthless, and it is sent again.
 //   - Urgent ranks first, and within a rank the call that has to start soonest to
@@ -173,6 +178,10 @@
 		case err := <-s.granted:
 			return s.result(err)
 		case <-look.C:
+			if s.work.Elsewhere {
+				return nil, q.abandon(s, ErrElsewhere)
+			}
+
 			if q.inVain(s) {
 				return nil, q.abandon(s, ErrTooLate)
 			}
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -228,6 +228,48 @@
 	})
 }
 
+// A call may wait since it would be on time, and has other nodes to go to. Urgent calls
+// come meanwhile and take the slots that get free. It must go elsewhere while it can be on
+// time there, not wait until it can't even end before its deadline.
+func TestACallThatWaitsGoesElsewhereWhileItCanBeOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const held = 100 * ms
+
+		q := slots.New()
+		q.Resize(1)
+
+		run := func() {
+			now := time.Now()
+			s, err := q.Enter(context.Background(), slots.Work{Route: "lookup", Target: now.Add(time.Minute), Deadline: now.Add(time.Minute)})
+			assert.Check(t, err)
+			time.Sleep(held)
+			s.Leave(held)
+		}
+
+		for range 20 {
+			run() // the route's time is known
+		}
+
+		var urgent sync.WaitGroup
+		defer urgent.Wait()
+
+		urgent.Go(run)
+		time.AfterFunc(10*ms, func() {
+			for range 20 {
+				urgent.Go(run)
+			}
+		})
+		time.Sleep(ms)
+
+		began := time.Now()
+		_, err := q.Enter(context.Background(), slots.Work{
+			Route: "lookup", Rank: 1, Target: began.Add(600 * ms), Deadline: began.Add(1500 * ms), Elsewhere: true,
+		})
+		assert.ErrorIs(t, err, slots.ErrElsewhere)
+		assert.Assert(t, time.Since(began) <= 600*ms-held, "%s", time.Since(began))
+	})
+}
+
 // The backend server says that it leaves while calls wait. None of them is sent to
 // it any more, and all are told at once.
 func TestLeavingTurnsAwayAllThatWait(t *testing.T) {
