--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -82,7 +82,9 @@
 	time.Sleep(held)
 	slot.Leave(held)
 
-	return forward.Reply{Result: forward.Answered, Status: http.StatusOK, HeldMs: held.Milliseconds(), Load: b.load(queue, w)}, nil
+	return forward.Reply{
+		Result: forward.Answered, Status: http.StatusOK, HeldMs: held.Milliseconds(), Load: b.load(queue, w), Body: listing,
+	}, nil
 }
 
 func (b *beside) load(q *slots.Queue, w slots.Work) forward.Load {
@@ -96,6 +98,9 @@
 	return out
 }
 
+// listing is the answer, as long as listings are.
+var listing = make([]byte, 1500)
+
 // played is a load on the backend servers of one failure domain.
 type played struct {
 	use      float64 // of what the backend servers can do
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -104,7 +104,10 @@
 }
 
 func (t *try) pick(candidates []place.Candidate) (place.Candidate, bool) {
-	need := place.Need{Route: t.route.Name, Rank: t.request.Rank, Target: t.worthIn(), Idempotent: t.request.Idempotent, Tried: t.busy}
+	need := place.Need{
+		Route: t.route.Name, Rank: t.request.Rank, Target: t.worthIn(), Deadline: t.left(), Bytes: len(t.request.Body),
+		Idempotent: t.request.Idempotent, Tried: t.busy,
+	}
 	placer := t.dispatcher.options.Placer
 
 	c, ok := placer.Pick(candidates, need)
--- a/internal/place/node.go
+++ b/internal/place/node.go
@@ -8,15 +8,17 @@
 	"github.com/pollencart/pollencart/internal/forward"
 )
 
-// size is the usual time of a route's calls over all nodes.
+// size is how long a route's calls take over all nodes, and how much is sent for them.
 type size struct {
-	mean time.Duration
-	seen int
+	mean      time.Duration
+	deviation time.Duration // from the mean, either way
+	bytes     float64       // of the answer
+	seen      int
 }
 
 // learn takes the mean of the first calls and moves slowly after, so that neither
 // the first call nor one slow node says how long calls take.
-func (s *size) learn(held time.Duration) {
+func (s *size) learn(held time.Duration, bytes int) {
 	if s.seen < smoothing*smoothing {
 		s.seen++
 	}
@@ -25,9 +27,33 @@
 		held = min(held, clip*s.mean)
 	}
 
-	s.mean += (held - s.mean) / time.Duration(s.seen)
+	off := held - s.mean
+	s.mean += off / time.Duration(s.seen)
+	s.deviation += (off.Abs() - s.deviation) / time.Duration(s.seen)
+	s.bytes += (float64(bytes) - s.bytes) / float64(s.seen)
 }
 
+// loss is what a caller stands to lose of its call if it is expected to end then: half
+// of it if it is late, the rest if it is given up.
+func (s *size) loss(expected time.Duration, n Need) float64 {
+	return lateLoss*s.exceeds(expected, n.Target) + (1-lateLoss)*s.exceeds(expected, n.Deadline)
+}
+
+// exceeds is the chance that a call takes longer than a limit. Calls of a route differ in
+// length, as far as seen in the same proportion at each node.
+func (s *size) exceeds(expected, limit time.Duration) float64 {
+	// A logistic curve is near enough to a bell, and has more of the long calls.
+	const steep = 1.7
+
+	deviation := deviations * float64(s.deviation) / float64(max(s.mean, time.Millisecond)) * float64(expected)
+
+	return 1 / (1 + math.Exp(steep*float64(limit-expected)/max(deviation, 1)))
+}
+
+// toll is what it costs to carry a call to another failure domain and back, as a part of
+// what the call is worth.
+func (s *size) toll(n Need) float64 { return tollPerByte * (s.bytes + float64(n.Bytes) + frameBytes) }
+
 // node is what was seen of one node.
 type node struct {
 	used     bool
@@ -64,7 +90,7 @@
 
 // expected is the time until a call would be answered.
 func (p *Placer) expected(m *node, c *Candidate, n Need, now time.Time) time.Duration {
-	service := time.Duration(float64(p.size(n.Route)) * m.speed)
+	service := time.Duration(float64(p.size(n.Route).mean) * m.speed)
 	wait := time.Duration(0)
 
 	if age := now.Sub(m.at); !m.at.IsZero() && age < fade {
@@ -83,12 +109,12 @@
 	return time.Duration(float64(service+behind*wait) * spread)
 }
 
-func (p *Placer) size(route string) time.Duration {
+func (p *Placer) size(route string) *size {
 	if s, ok := p.sizes[route]; ok {
-		return s.mean
+		return s
 	}
 
-	return unknownSize
+	return &size{mean: unknownSize, deviation: unknownSize / 2}
 }
 
 func (p *Placer) node(id string) *node {
@@ -124,7 +150,7 @@
 
 	switch r {
 	case Answered:
-		m.answered(p, a.route, time.Duration(reply.HeldMs)*time.Millisecond)
+		m.answered(p, a.route, time.Duration(reply.HeldMs)*time.Millisecond, len(reply.Body))
 	case Failed:
 		m.failures += (1 - m.failures) / smoothing
 		m.failed = time.Now()
@@ -136,7 +162,7 @@
 	return false
 }
 
-func (m *node) answered(p *Placer, route string, held time.Duration) {
+func (m *node) answered(p *Placer, route string, held time.Duration, bytes int) {
 	m.failures -= m.failures / smoothing
 	m.pause = 0
 	m.avoid = time.Time{}
@@ -147,7 +173,7 @@
 		p.sizes[route] = s
 	}
 
-	s.learn(held)
+	s.learn(held, bytes)
 
 	ratio := min(float64(held)/float64(max(s.mean, time.Millisecond)), clip*m.speed)
 	m.speed += (ratio - m.speed) / smoothing
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -5,10 +5,11 @@
 // Backend servers that differ in speed by three times, are busy, slow, cold, or
 // fail in part, in failure domains between which each byte is dear.
 //
-//   - The own failure domain first, as long as the call is expected to be on time
-//     there: what crosses costs more than a short wait. Only when the expected end
-//     takes more than Comfort of the time until the target, the cheapest node
-//     elsewhere is weighed against it.
+//   - The own failure domain first, since what crosses is dear. A call goes to the
+//     cheapest node elsewhere if it gains more by that than its bytes cost: a small one to
+//     be on time a little more often, one with a large answer only if it would hardly be
+//     at home. With the mean alone, whatever the size, issues of 1 kB stayed at a slow
+//     backend server where one in five was late or given up.
 //   - Of the nodes of a tier two are drawn, by how much their backend servers can do,
 //     and the better is taken. With a choice among all every node runs after the one
 //     that looked best a moment ago: the busiest of 30 backend servers then got 3.5
@@ -40,9 +41,6 @@
 )
 
 const (
-	// Comfort is the part of the time until the target that a call may be expected
-	// to take in the own failure domain before it is weighed against others.
-	Comfort = 0.6
 	// behind is how many calls are delayed by one that waits: itself and the one behind
 	// it, as a queue at a busy backend server hardly ever runs empty. With the own wait
 	// alone all run after the fastest ones until their queues make them as slow as the
@@ -51,10 +49,20 @@
 	// runs of five days); 0.947 and 0.952 of calls on time with 1 and 2
 	// (TestCallsFindFreeSlots).
 	behind = 2
-	// crossing is what an expected end elsewhere has to be better by, as a part of
-	// the time until the target, so that calls do not cross for nothing. Means of the
-	// worth of 15 runs of five days: 0.823 with 0.1, 0.827 with 0.2, 0.825 with 0.3.
-	crossing = 0.2
+	// tollPerByte is what a byte between failure domains costs, as a part of what a call is
+	// worth: 0.04 for a kilobyte. A call that is half lost when late crosses with an
+	// answer of 1.5 kB if that makes it on time in one case of six more. Worth 0.832 so,
+	// 0.828 with half and 0.831 with twice of it (means of 15 runs of five days); 0.828 with
+	// a part of the target that had to be gained, whatever the size.
+	tollPerByte = 0.04 / 1024
+	// frameBytes is what both ways of a call need beside its bodies: 190 bytes each, and
+	// 40 for the headers of a packet.
+	frameBytes = 460
+	// lateLoss is the part of a call that is lost by being late.
+	lateLoss = 0.5
+	// deviations is the standard deviation of calls over their mean deviation: of a bell,
+	// 1.25.
+	deviations = 1.25
 	// way is there and back to another failure domain.
 	way = 2 * time.Millisecond
 	// unknownSize is taken for a route that was never seen at a node.
@@ -99,8 +107,11 @@
 type Need struct {
 	Route string
 	Rank  int
-	// Target is the time until the answer is worth less.
-	Target time.Duration
+	// Target is the time until the answer is worth less, Deadline until it is worth
+	// nothing.
+	Target, Deadline time.Duration
+	// Bytes of the call's body.
+	Bytes int
 	// Idempotent calls may find out whether a failing node has mended.
 	Idempotent bool
 	// Tried are nodes that this call was at.
@@ -171,7 +182,7 @@
 		tier.Add(drawn{c, m}, rand.ExpFloat64()*m.speed/float64(max(c.Slots, 1)))
 	}
 
-	if c, ok := decide(p.better(near, n, now), p.better(far, n, now), n); ok {
+	if c, ok := p.decide(p.better(near, n, now), p.better(far, n, now), n); ok {
 		return c, true
 	}
 
@@ -203,13 +214,18 @@
 	return out
 }
 
-func decide(near, far choice, n Need) (Candidate, bool) {
+// decide takes the node of the other failure domain if what the caller stands to lose at
+// the near one is more than the crossing costs.
+func (p *Placer) decide(near, far choice, n Need) (Candidate, bool) {
 	switch {
 	case near.candidate == nil:
 		return far.get()
-	case far.candidate == nil,
-		near.cost <= time.Duration(Comfort*float64(n.Target)),
-		near.cost <= far.cost+time.Duration(crossing*float64(n.Target)):
+	case far.candidate == nil, near.cost <= far.cost:
+		return near.get()
+	}
+
+	s := p.size(n.Route)
+	if s.loss(near.cost, n)-s.loss(far.cost, n) <= s.toll(n) {
 		return near.get()
 	}
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +25,9 @@
 	return out
 }
 
-func need() place.Need { return place.Need{Route: "search", Target: 150 * ms, Idempotent: true} }
+func need() place.Need {
+	return place.Need{Route: "search", Target: 150 * ms, Deadline: 400 * ms, Idempotent: true}
+}
 
 // run sends calls one after the other; held says how long a node takes, or that it
 // fails. It returns how many each node got.
@@ -201,3 +205,37 @@
 		p.Pick(c, need())
 	}
 }
+
+// The near backend server is half as fast as one elsewhere, and late now and then. Calls
+// with small answers cross to be on time; for those with large ones the bytes would cost
+// more than the few late ones do.
+func TestASmallCallCrossesForLess(t *testing.T) {
+	for name, bytes := range map[string]int{"small": 200, "large": 20_000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := place.New()
+				c := nodes(1, 1)
+				random := rand.New(rand.NewPCG(1, 2))
+				got := map[string]int{}
+
+				for range 500 {
+					chosen, _ := p.Pick(c, place.Need{Route: "search", Target: 150 * ms, Deadline: 400 * ms})
+					got[chosen.ID]++
+
+					mean := 48.0
+					if chosen.Near {
+						mean = 100
+					}
+
+					took := time.Duration(mean * math.Exp(0.6*random.NormFloat64()) * float64(ms))
+					a := p.Start(chosen.ID, "search")
+					time.Sleep(took)
+					a.End(place.Answered, forward.Reply{HeldMs: took.Milliseconds(), Body: make([]byte, bytes)})
+				}
+
+				t.Logf("%v", got)
+				assert.Equal(t, got["n1"] > 250, name == "small")
+			})
+		})
+	}
+}
