--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,17 +105,20 @@
 	o.Route = found.Name
 
 	stated := d.stated(r)
+	this := failure{first: r.Arrived, deadline: r.Arrived.Add(stated)}
 	patience := found.Timeout
 
 	if stated > 0 {
 		patience = min(patience, stated-min(callerWay, stated/callerWayPart))
-		o.Waited = d.returning.elapsed(r, r.Arrived.Add(stated))
+		this = d.recall(r, this)
+		o.Waited = r.Arrived.Sub(this.first)
 	}
 
 	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(patience))
 	defer cancel()
 
-	service := d.splitter.pick(found)
+	service := d.splitter.pick(found, this.service)
+	this.service = service
 	d.options.Budget.First(service)
 
 	t := &try{
@@ -128,7 +131,7 @@
 
 	response := t.run()
 	if stated > 0 && response.Status >= http.StatusInternalServerError {
-		d.returning.note(r, r.Arrived.Add(stated), o.Waited)
+		d.returning.note(r, this)
 	}
 
 	return response
@@ -141,6 +144,15 @@
 	callerWayPart = 20 // of what the caller says, at most
 )
 
+// recall returns what is remembered of the caller, or the call as it is.
+func (d *Dispatcher) recall(r ingress.Request, this failure) failure {
+	if f, ok := d.returning.earlier(r, this.deadline); ok {
+		return f
+	}
+
+	return this
+}
+
 // stated is how long the caller says that it waits, or 0 if it does not say, or nothing
 // that can be read.
 func (d *Dispatcher) stated(r ingress.Request) time.Duration {
--- a/internal/dispatch/returning.go
+++ b/internal/dispatch/returning.go
@@ -47,6 +47,7 @@
 type failure struct {
 	first    time.Time // when the caller's first attempt came
 	deadline time.Time
+	service  string // to which it was dealt
 }
 
 func newReturning() *returning { return &returning{failed: map[uint64][]failure{}} }
@@ -64,14 +65,14 @@
 	return h.Sum64()
 }
 
-// elapsed returns how long the caller has waited that gives up at the deadline. What is
-// remembered of it is forgotten: each failure brings a caller back once.
-func (t *returning) elapsed(r ingress.Request, deadline time.Time) time.Duration {
+// earlier returns the failure of the caller that gives up at the deadline, or false if it
+// is a new one. It is forgotten: each failure brings a caller back once.
+func (t *returning) earlier(r ingress.Request, deadline time.Time) (failure, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.count == 0 {
-		return 0
+		return failure{}, false
 	}
 
 	request := sameRequest(r)
@@ -80,15 +81,15 @@
 		if f.deadline.Sub(deadline).Abs() <= sameDeadline {
 			t.forget(request, i)
 
-			return r.Arrived.Sub(f.first)
+			return f, true
 		}
 	}
 
-	return 0
+	return failure{}, false
 }
 
-// note remembers a call that ended without success, and how long its caller had waited.
-func (t *returning) note(r ingress.Request, deadline time.Time, waited time.Duration) {
+// note remembers a call that ended without success.
+func (t *returning) note(r ingress.Request, f failure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -99,7 +100,7 @@
 	}
 
 	request := sameRequest(r)
-	t.failed[request] = append(t.failed[request], failure{first: r.Arrived.Add(-waited), deadline: deadline})
+	t.failed[request] = append(t.failed[request], f)
 	t.count++
 }
 
--- a/internal/dispatch/split.go
+++ b/internal/dispatch/split.go
@@ -26,11 +26,20 @@
 
 func newSplitter() *splitter { return &splitter{routes: map[string]*deal{}} }
 
-func (s *splitter) pick(r *route.Route) string {
+// A caller who comes back goes where it was dealt before. Dealt anew, half of those that
+// one of two destinations had no room for would end at the other, and that one would get
+// up to three quarters of the callers.
+func (s *splitter) pick(r *route.Route, before string) string {
 	if len(r.Destinations) == 1 {
 		return r.Destinations[0].Service
 	}
 
+	for _, d := range r.Destinations {
+		if d.Service == before && d.Weight > 0 {
+			return before
+		}
+	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
