--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo scale check test lint tools soak bench load plots
+.PHONY: build demo scale check test fuzz lint tools soak bench load plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -11,7 +11,7 @@
 demo: build
 	bin/bench demo --deployment examples/$(DEPLOYMENT)
 
-check: tools lint test
+check: tools lint test fuzz
 
 tools:
 	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
@@ -27,6 +27,16 @@
 test:
 	go test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# What others send is decoded here: each decoder gets inputs that nobody thought of.
+FUZZ_COUNT ?= 20000x
+
+fuzz:
+	go test -run '^$$' -fuzz '^FuzzDecodeHeartbeat$$' -fuzztime $(FUZZ_COUNT) ./platform
+	go test -run '^$$' -fuzz '^FuzzDecodeLeaving$$' -fuzztime $(FUZZ_COUNT) ./platform
+	go test -run '^$$' -fuzz '^FuzzDecodeConfiguration$$' -fuzztime $(FUZZ_COUNT) ./platform
+	go test -run '^$$' -fuzz '^FuzzList$$' -fuzztime 2000x ./platform
+	go test -run '^$$' -fuzz '^FuzzDecodeRecord$$' -fuzztime $(FUZZ_COUNT) ./internal/rendezvous
+
 # Faults of every kind at random, under load, on real processes.
 SEED ?= 1
 MINUTES ?= 10
--- a/internal/announce/host.go
+++ b/internal/announce/host.go
@@ -39,6 +39,10 @@
 // ErrNotKept means that a leaving can't be confirmed yet.
 var ErrNotKept = errs.New("announce.not_kept", http.StatusServiceUnavailable, "the leaving is not kept yet, ask again")
 
+// ErrForeign is returned for a word that is of no backend server on this host. Confirmed,
+// it would promise something for one that others go on sending calls to.
+var ErrForeign = errs.New("announce.foreign", http.StatusServiceUnavailable, "no backend server on this host said that")
+
 // confirmWithin bounds an answer to a backend server, which waits a second for it.
 const confirmWithin = 800 * time.Millisecond
 
@@ -125,7 +129,7 @@
 	if h.options.Service != "" && b.Service != h.options.Service {
 		h.Doubt(b.Instance, "it is of service "+b.Service+", the one on this host of "+h.options.Service)
 
-		return nil
+		return ErrForeign
 	}
 
 	if b.Leaving {
@@ -322,13 +326,14 @@
 
 // Left takes a start of an instance out of use and returns nil once that is kept for
 // later processes on this host. A start of 0 is the one that runs: whoever does not
-// tell its start must not be sent calls after it was confirmed to leave.
+// tell its start must not be sent calls after it was confirmed to leave. ErrForeign means
+// that a later start runs.
 func (h *Host) Left(ctx context.Context, instance string, started int64) error {
 	d, first := h.depart(instance, started)
 	if d == nil {
 		h.Doubt(instance, "its start at "+strconv.FormatInt(started, 10)+" leaves, another one runs")
 
-		return nil
+		return ErrForeign
 	}
 
 	h.change(func(s State) State {
--- a/internal/announce/host_test.go
+++ b/internal/announce/host_test.go
@@ -289,8 +289,8 @@
 
 		leaving := started(100, 91)
 		leaving.Leaving = true
-		heard(t, h, leaving)
-		assert.NilError(t, h.Left(context.Background(), "i-1", 100))
+		assert.ErrorIs(t, h.Heard(context.Background(), leaving), announce.ErrForeign)
+		assert.ErrorIs(t, h.Left(context.Background(), "i-1", 100), announce.ErrForeign)
 		assert.Assert(t, h.State().Takes)
 		assert.Equal(t, len(w.keeper.kept), 0) // nobody is left to be bound by it
 	})
@@ -331,7 +331,7 @@
 			announce.Probe(func(context.Context) backend.Health { return backend.Health{Instance: "i-1", Healthy: true} }))
 
 		for sequence := range uint64(5) {
-			heard(t, h, beat("i-1", sequence))
+			assert.ErrorIs(t, h.Heard(context.Background(), beat("i-1", sequence)), announce.ErrForeign)
 		}
 
 		assert.Assert(t, !h.State().Takes)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,33 +105,32 @@
 	o.Route = found.Name
 
 	stated := d.stated(r)
-	this := failure{first: r.Arrived, deadline: r.Arrived.Add(stated)}
+	c := caller{first: r.Arrived, deadline: r.Arrived.Add(stated)}
 	patience := found.Timeout
 
 	if stated > 0 {
 		patience = min(patience, stated-min(callerWay, stated/callerWayPart))
-		this = d.recall(r, this)
-		o.Waited = r.Arrived.Sub(this.first)
+		c = d.returning.recall(r, c)
+		o.Waited = r.Arrived.Sub(c.first)
 	}
 
 	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(patience))
 	defer cancel()
 
-	service := d.splitter.pick(found, this.service)
-	this.service = service
-	d.options.Budget.First(service)
+	c.service = d.splitter.pick(found, c.service)
+	d.options.Budget.First(c.service)
 
 	t := &try{
 		dispatcher: d, ctx: ctx, route: found, outcome: o, target: r.Arrived.Add(min(found.Target-o.Waited, patience)),
 		request: forward.Request{
-			ID: o.ID, Service: service, Route: found.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
+			ID: o.ID, Service: c.service, Route: found.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
 			Header: d.options.Names.Forwarded(r.Header), Body: r.Body, Idempotent: found.Idempotent, Rank: found.Priority,
 		},
 	}
 
 	response := t.run()
 	if stated > 0 && response.Status >= http.StatusInternalServerError {
-		d.returning.note(r, this)
+		d.returning.note(r, c)
 	}
 
 	return response
@@ -144,15 +143,6 @@
 	callerWayPart = 20 // of what the caller says, at most
 )
 
-// recall returns what is remembered of the caller, or the call as it is.
-func (d *Dispatcher) recall(r ingress.Request, this failure) failure {
-	if f, ok := d.returning.earlier(r, this.deadline); ok {
-		return f
-	}
-
-	return this
-}
-
 // stated is how long the caller says that it waits, or 0 if it does not say, or nothing
 // that can be read.
 func (d *Dispatcher) stated(r ingress.Request) time.Duration {
--- a/internal/dispatch/returning.go
+++ b/internal/dispatch/returning.go
@@ -38,19 +38,19 @@
 // 0.64 if all are taken for new ones (TestCallersThatComeBack).
 type returning struct {
 	mu     sync.Mutex
-	failed map[uint64][]failure
+	failed map[uint64][]caller
 	count  int
 	swept  time.Time
 }
 
-// failure is a call that ended without success.
-type failure struct {
-	first    time.Time // when the caller's first attempt came
-	deadline time.Time
-	service  string // to which it was dealt
+// caller is what is known of who waits for a call.
+type caller struct {
+	first    time.Time // when its first attempt came
+	deadline time.Time // when it gives up
+	service  string    // to which it was dealt; empty before
 }
 
-func newReturning() *returning { return &returning{failed: map[uint64][]failure{}} }
+func newReturning() *returning { return &returning{failed: map[uint64][]caller{}} }
 
 // sameRequest is equal for attempts of one caller.
 func sameRequest(r ingress.Request) uint64 {
@@ -65,31 +65,32 @@
 	return h.Sum64()
 }
 
-// earlier returns the failure of the caller that gives up at the deadline, or false if it
-// is a new one. It is forgotten: each failure brings a caller back once.
-func (t *returning) earlier(r ingress.Request, deadline time.Time) (failure, bool) {
+// recall returns what is remembered of the caller if it has been here with the same
+// request, or what is known of it now. What was remembered is forgotten: each failure
+// brings a caller back once.
+func (t *returning) recall(r ingress.Request, c caller) caller {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.count == 0 {
-		return failure{}, false
+		return c
 	}
 
 	request := sameRequest(r)
 
 	for i, f := range t.failed[request] {
-		if f.deadline.Sub(deadline).Abs() <= sameDeadline {
+		if f.deadline.Sub(c.deadline).Abs() <= sameDeadline {
 			t.forget(request, i)
 
-			return f, true
+			return f
 		}
 	}
 
-	return failure{}, false
+	return c
 }
 
-// note remembers a call that ended without success.
-func (t *returning) note(r ingress.Request, f failure) {
+// note remembers a caller whose call ended without success.
+func (t *returning) note(r ingress.Request, c caller) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -100,7 +101,7 @@
 	}
 
 	request := sameRequest(r)
-	t.failed[request] = append(t.failed[request], f)
+	t.failed[request] = append(t.failed[request], c)
 	t.count++
 }
 
