Split the backend server's host by job, and two test files

Leaving and the order of heartbeats have files of their own in internal/announce; the tests of weights and of meetings too. Nothing else is changed; the tests are the same.

--- a/internal/announce/host.go
+++ b/internal/announce/host.go
@@ -27,7 +27,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -86,27 +85,6 @@
 	checking map[string]bool
 }
 
-// moment orders the heartbeats of an instance.
-type moment struct {
-	started  int64
-	sequence uint64
-}
-
-func (m moment) after(o moment) bool {
-	if m.started != o.started {
-		return m.started > o.started
-	}
-
-	return m.sequence > o.sequence
-}
-
-// departure is a start of an instance that is leaving. Kept is closed once the next
-// process on this host would find out.
-type departure struct {
-	started int64
-	kept    chan struct{}
-}
-
 // New returns a host that has heard nothing.
 func New(opts ...Option) *Host {
 	return &Host{
@@ -158,74 +136,6 @@
 	h.options.Recorder.Once(event.InstanceDoubted, timeline.Entry{Detail: instance + ": " + reason})
 }
 
-// note reports whether the heartbeat is the newest of its instance.
-func (h *Host) note(b Heartbeat) bool {
-	h.mu.Lock()
-	last, ok := h.newest[b.Instance]
-	next := moment{started: b.Started, sequence: b.Sequence}
-	newer := !ok || next.after(last)
-
-	if newer {
-		h.newest[b.Instance] = next
-	}
-	h.mu.Unlock()
-
-	if b.Started < last.started {
-		h.Doubt(b.Instance, "a heartbeat of its start at "+strconv.FormatInt(b.Started, 10)+
-			", another began at "+strconv.FormatInt(last.started, 10))
-	}
-
-	return newer
-}
-
-// idle reports whether an old heartbeat is of the instance here, which is out of use. It
-// may have started again without telling a start, and would stay out of use until its
-// sequence has caught up; its health answer tells who runs.
-func (h *Host) idle(b Heartbeat) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	return h.state.Instance == b.Instance && h.state.Started == b.Started && !h.state.Takes && !h.isLeaving(b)
-}
-
-// standing is what is known of the start that sent a heartbeat.
-type standing uint8
-
-const (
-	// unheard starts are asked for their name.
-	unheard standing = iota
-	inUse
-	departing
-)
-
-func (h *Host) standing(b Heartbeat) standing {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	old := h.newest[b.Instance].after(moment{started: b.Started, sequence: b.Sequence})
-
-	switch {
-	case h.isLeaving(b):
-		return departing
-	case old:
-		return unheard
-	case h.state.Instance == b.Instance && (h.state.Started == b.Started || h.state.Started == 0):
-		// One that was found by its health answer did not tell its start. It had not
-		// left, whichever it was.
-		return inUse
-	}
-
-	return unheard
-}
-
-// isLeaving reports whether the start of the heartbeat was confirmed to leave, or one
-// after it. It holds the lock.
-func (h *Host) isLeaving(b Heartbeat) bool {
-	d := h.leaving[b.Instance]
-
-	return d != nil && b.Started <= d.started
-}
-
 func (h *Host) refresh(b Heartbeat) {
 	h.change(func(s State) State {
 		if s.Instance == b.Instance && !h.isLeaving(b) {
@@ -324,95 +234,6 @@
 	delete(h.checking, instance)
 }
 
-// Left takes a start of an instance out of use and returns nil once that is kept for
-// later processes on this host. A start of 0 is the one that runs: whoever does not
-// tell its start must not be sent calls after it was confirmed to leave. ErrForeign means
-// that a later start runs.
-func (h *Host) Left(ctx context.Context, instance string, started int64) error {
-	d, first := h.depart(instance, started)
-	if d == nil {
-		h.Doubt(instance, "its start at "+strconv.FormatInt(started, 10)+" leaves, another one runs")
-
-		return ErrForeign
-	}
-
-	h.change(func(s State) State {
-		if s.Instance == instance && s.Started <= d.started {
-			s.Takes = false
-		}
-
-		return s
-	})
-
-	if first {
-		go h.keep(context.WithoutCancel(ctx), instance, d)
-	}
-
-	select {
-	case <-d.kept:
-		return nil
-	case <-ctx.Done():
-		return ErrNotKept.Wrap(ctx.Err())
-	case <-time.After(confirmWithin):
-		h.options.Recorder.Record(event.LeavingNotKept, timeline.Entry{Detail: instance})
-
-		return ErrNotKept
-	}
-}
-
-// depart returns the departure of a start, and whether it is a new one. It is nil if a
-// later start of the instance was heard of: the earlier one is gone already.
-func (h *Host) depart(instance string, started int64) (*departure, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	newest := max(h.newest[instance].started, h.startedNow(instance))
-
-	if started == 0 {
-		started = newest
-	}
-
-	if started < newest {
-		return nil, false
-	}
-
-	if d := h.leaving[instance]; d != nil && d.started >= started {
-		return d, false
-	}
-
-	d := &departure{started: started, kept: make(chan struct{})}
-	h.leaving[instance] = d
-
-	return d, true
-}
-
-// startedNow returns the start of the instance that is in use, if it is this one.
-func (h *Host) startedNow(instance string) int64 {
-	if h.state.Instance != instance {
-		return 0
-	}
-
-	return h.state.Started
-}
-
-// keep tries until the leaving is kept.
-func (h *Host) keep(ctx context.Context, instance string, d *departure) {
-	const pause = 100 * time.Millisecond
-
-	for {
-		err := h.options.Keeper.Keep(ctx, instance, d.started)
-		if err == nil {
-			close(d.kept)
-			h.options.Recorder.Record(event.LeavingKept, timeline.Entry{Detail: instance})
-
-			return
-		}
-
-		h.options.Recorder.Record(event.LeavingNotKept, timeline.Entry{Detail: instance + ": " + err.Error()})
-		time.Sleep(pause)
-	}
-}
-
 // Down tells that the instance does not answer at its address; its next heartbeat
 // brings it back.
 func (h *Host) Down(instance string) {
--- /dev/null
+++ b/internal/dispatch/split_test.go
@@ -0,0 +1,115 @@
+package dispatch_test
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/route"
+)
+
+// A route leads to two services by 90 and 10, and one of them turns calls away. Its
+// share is not moved to the other.
+func TestWeightsAreExact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.records[1].Upstream.Service = "ledger"
+		f.reply = func(ctx context.Context, a string, in forward.Request) (forward.Reply, error) {
+			if in.Service == "browse" {
+				return forward.Reply{Result: forward.Refused, Reason: "busy"}, nil
+			}
+
+			return answered(ctx, a, in)
+		}
+		d := newDispatcher(f, holder(t, func(r *route.Route) {
+			r.Destinations = []route.Destination{{Service: "browse", Weight: 90}, {Service: "ledger", Weight: 10}}
+		}))
+
+		for range 300 {
+			send(d, "/safe/x")
+		}
+
+		ledger := 0
+
+		for _, r := range f.seen {
+			if r.Service == "ledger" {
+				ledger++
+			}
+		}
+
+		assert.Assert(t, ledger >= 29 && ledger <= 31, "%d", ledger)
+	})
+}
+
+// One of two services has no room, and its callers come back a while later. They must not
+// end at the other service, which would get more than its share then.
+func TestCallersWhoComeBackKeepTheirPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.records[1].Upstream.Service = "ledger"
+		f.reply = func(ctx context.Context, a string, in forward.Request) (forward.Reply, error) {
+			if in.Service == "ledger" {
+				return forward.Reply{Result: forward.Refused, Reason: "busy"}, nil
+			}
+
+			return answered(ctx, a, in)
+		}
+		d := newDispatcher(f, holder(t, func(r *route.Route) {
+			r.Destinations = []route.Destination{{Service: "browse", Weight: 50}, {Service: "ledger", Weight: 50}}
+		}))
+		served := 0
+
+		for range 200 {
+			if send(d, "/safe/x", "Pollencart-Deadline-Ms", "900").Status == http.StatusOK {
+				served++
+
+				continue
+			}
+
+			time.Sleep(200 * time.Millisecond)
+
+			if send(d, "/safe/x", "Pollencart-Deadline-Ms", "700").Status == http.StatusOK {
+				served++
+			}
+		}
+
+		assert.Equal(t, served, 100)
+	})
+}
+
+// The nodes are stopped and started in turn. Each deals its own calls anew from where it
+// begins, and all together still deal them as they are weighed.
+func TestWeightsHoldAcrossRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.records[1].Upstream.Service = "ledger"
+		h := holder(t, func(r *route.Route) {
+			r.Destinations = []route.Destination{{Service: "browse", Weight: 70}, {Service: "ledger", Weight: 30}}
+		})
+
+		const nodes, each = 40, 25
+
+		for range nodes {
+			d := newDispatcher(f, h)
+			for range each {
+				send(d, "/safe/x")
+			}
+		}
+
+		ledger := 0
+
+		for _, r := range f.seen {
+			if r.Service == "ledger" {
+				ledger++
+			}
+		}
+
+		assert.Assert(t, math.Abs(float64(ledger)/(nodes*each)-0.3) < 0.03, "%d", ledger)
+	})
+}
