--- a/cmd/pollencart/explain.go
+++ b/cmd/pollencart/explain.go
@@ -11,7 +11,7 @@
 
 func addExplain(app *kingpin.Application, out io.Writer) {
 	c := app.Command("explain", "Walk from the ID of a failed call to its cause, over log files of nodes or standard input.")
-	id := c.Flag("request", "ID of the call.").Required().String()
+	id := c.Flag("request", "ID of the call. Without one: what all calls without success were lost to.").String()
 	files := c.Arg("log", "Log files; standard input without any.").ExistingFiles()
 
 	c.Action(action(func() error {
@@ -30,6 +30,10 @@
 			logs = append(logs, f)
 		}
 
+		if *id == "" {
+			return explain.Causes(out, logs...)
+		}
+
 		return explain.Call(out, *id, logs...)
 	}))
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -6,6 +6,10 @@
 // backend server that was avoided, a member that was suspected, a store that was lost.
 //
 //	err := explain.Call(os.Stdout, "9c41d07be2a35f68", logFiles...)
+//
+// Causes adds up what all calls without success were lost to, by route and by time.
+//
+//	err := explain.Causes(os.Stdout, logFiles...)
 package explain
 
 import (
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -29,3 +29,17 @@
 func TestAnUnknownCall(t *testing.T) {
 	assert.ErrorIs(t, explain.Call(&bytes.Buffer{}, "x", strings.NewReader("no line\n{}\n")), explain.ErrUnknown)
 }
+
+// Many callers complain of the same minutes. The tables show which routes they called, what
+// became of their calls, and when.
+func TestWhatCallsWereLostTo(t *testing.T) {
+	log, err := os.Open("testdata/losses.log")
+	assert.NilError(t, err)
+
+	defer func() { _ = log.Close() }()
+
+	var out bytes.Buffer
+
+	assert.NilError(t, explain.Causes(&out, log))
+	golden.Assert(t, out.String(), "losses.golden")
+}
