--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -81,14 +81,17 @@
 }
 
 func (s *store) Grant(context.Context, time.Duration) (platform.Lease, error) {
+	var granted platform.Lease
+
 	err := s.call(func() error {
 		s.last++
+		granted = s.last
 		s.leases[s.last] = true
 
 		return nil
 	})
 
-	return s.last, err
+	return granted, err
 }
 
 func (s *store) KeepAlive(_ context.Context, l platform.Lease) error {
