--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -38,18 +38,12 @@
 // by route and cause, and by time. Lines of failures are no sample, so the counts are
 // whole as long as no line was left out.
 func Causes(out io.Writer, logs ...io.Reader) error {
-	var failed []line
-
-	for _, l := range logs {
-		lines, err := read(l)
-		if err != nil {
-			return err
-		}
-
-		failed = append(failed, slices.DeleteFunc(lines, func(l line) bool { return l.Number != event.CallFailed.Number })...)
+	all, err := merge(logs)
+	if err != nil {
+		return err
 	}
 
-	slices.SortStableFunc(failed, func(a, b line) int { return a.Time.Compare(b.Time) })
+	failed := slices.DeleteFunc(all, func(l line) bool { return l.Number != event.CallFailed.Number })
 
 	if err := writeLosses(out, failed); err != nil {
 		return err
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -55,19 +55,11 @@
 
 // Call writes the walk of a call.
 func Call(out io.Writer, id string, logs ...io.Reader) error {
-	var all []line
-
-	for _, l := range logs {
-		lines, err := read(l)
-		if err != nil {
-			return err
-		}
-
-		all = append(all, lines...)
+	all, err := merge(logs)
+	if err != nil {
+		return err
 	}
 
-	slices.SortStableFunc(all, func(a, b line) int { return a.Time.Compare(b.Time) })
-
 	own := slices.DeleteFunc(slices.Clone(all), func(l line) bool { return !l.of(id) })
 	if len(own) == 0 {
 		return ErrUnknown.With("%s; lines of calls that went well are a sample", id)
@@ -148,6 +140,24 @@
 	return text
 }
 
+// merge returns the lines of all logs in the order of time.
+func merge(logs []io.Reader) ([]line, error) {
+	var all []line
+
+	for _, l := range logs {
+		lines, err := read(l)
+		if err != nil {
+			return nil, err
+		}
+
+		all = append(all, lines...)
+	}
+
+	slices.SortStableFunc(all, func(a, b line) int { return a.Time.Compare(b.Time) })
+
+	return all, nil
+}
+
 // read takes the lines that are a node's; whatever collects logs may put its own text
 // in front of them.
 func read(in io.Reader) ([]line, error) {
