--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -18,20 +18,30 @@
 
 func addSoak(app *kingpin.Application) {
 	c := app.Command("soak", "Play faults of every kind at random under load, and check what must always hold.")
-	o := soak.Options{Log: os.Stderr, Lengths: soak.Lengths{
-		Random: 20 * time.Second, Planned: 12 * time.Second, Gap: 700 * time.Millisecond,
-	}}
+	o := soak.Options{Log: os.Stderr}
 
-	var minutes float64
+	var (
+		minutes float64
+		kinds   []string
+	)
 
 	c.Flag("seed", "Seed of the schedule.").Default("1").Uint64Var(&o.Seed)
 	c.Flag("minutes", "How long, about.").Default("10").Float64Var(&minutes)
 	c.Flag("rate", "Calls a second.").Default("120").IntVar(&o.Rate)
 	c.Flag("deployment", "Folder of the deployment.").Default("examples/midlands").StringVar(&o.Deployment)
 	c.Flag("binaries", "Folder of the programs.").Default("bin").StringVar(&o.Binaries)
+	c.Flag("random", "Length of a random phase.").Default("20s").DurationVar(&o.Lengths.Random)
+	c.Flag("planned", "Length of a phase of planned stops.").Default("12s").DurationVar(&o.Lengths.Planned)
+	c.Flag("gap", "Mean time between two faults.").Default("700ms").DurationVar(&o.Lengths.Gap)
+	c.Flag("kind", "A kind of fault to draw, as often as it is named; all kinds if none is.").EnumsVar(&kinds, soak.Kinds()...)
+	c.Flag("log-level", "Log level of the nodes.").Default("Info").StringVar(&o.LogLevel)
 	c.Flag("repair", "Longest time until the fleet has repaired itself.").Default("20s").DurationVar(&o.Repair)
 
 	c.Action(func(*kingpin.ParseContext) error {
+		for _, k := range kinds {
+			o.Lengths.Kinds = append(o.Lengths.Kinds, soak.Kind(k))
+		}
+
 		round := o.Lengths.Random + o.Lengths.Planned
 		o.Rounds = max(1, int(time.Duration(minutes*float64(time.Minute))/round))
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -53,6 +53,16 @@
 	{KindAccept, 8}, {KindRaceSame, 2}, {KindRaceDifferent, 2}, {KindPoison, 3},
 }
 
+// Kinds returns the names of all kinds.
+func Kinds() []string {
+	out := make([]string, len(weights))
+	for i, w := range weights {
+		out[i] = string(w.kind)
+	}
+
+	return out
+}
+
 // Step is one fault or operation of the schedule.
 type Step struct {
 	At      time.Duration
@@ -94,6 +104,9 @@
 	Planned time.Duration
 	// Gap is the mean time between two steps of the random phase.
 	Gap time.Duration
+	// Kinds are drawn in the random phase instead of the usual mix, each as often as
+	// it stands here.
+	Kinds []Kind
 }
 
 // Schedule makes the rounds from the seed alone, so that a seed that found a
@@ -136,6 +149,10 @@
 }
 
 func (g *generator) kind() Kind {
+	if n := len(g.lengths.Kinds); n > 0 {
+		return g.lengths.Kinds[g.rand.IntN(n)]
+	}
+
 	total := 0
 	for _, w := range weights {
 		total += w.weight
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,8 @@
 	Deployment string
 	Binaries   string
 	Dir        string
+	// LogLevel of the nodes; the usual one if empty.
+	LogLevel string
 	// Repair bounds how long the fleet may take to repair itself.
 	Repair time.Duration
 	// Log takes the schedule and what happens.
@@ -104,7 +106,7 @@
 	}
 
 	s.fleet, err = harness.Start(ctx, d, harness.Options{
-		Binaries: s.options.Binaries, Dir: s.options.Dir, FaultInjection: true,
+		Binaries: s.options.Binaries, Dir: s.options.Dir, FaultInjection: true, LogLevel: s.options.LogLevel,
 		BackendArgs: []string{"--ledger", s.ledger.url, "--drain-notice", drainNotice.String()},
 	})
 	if err != nil {
