A call that was given up may have ended its backend server; a stop keeps time for what others depend on

Change: a run that was given up, or broke off while somebody listens, is kept for 2 s and counts as running in a crash that shows by then: a call that finds nobody, another crash, a new start. The last third of a stop, 4 s at most, is for handing keys over and ending those under way; no key is started then. Who waits for a home that left by itself waits until its connection ends. Answers that count as sent are flushed before a connection is closed.

Ruled out: the node's own deadline of a call (the upload had run for 101 ms of 2 s); the transport's repeat (one line of each attempt).

--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -221,7 +221,9 @@
 }
 
 // watch ends the wait for a home that froze or was cut off: its connection
-// stays open and its caller would wait until the deadline.
+// stays open and its caller would wait until the deadline. A home that left by itself
+// answers what it has started before it closes its connections; given up at once, uploads
+// that had run ended in unknown.
 func (e *Entry) watch(ctx context.Context, cancel context.CancelFunc, node string) {
 	const pause = 100 * time.Millisecond
 
@@ -232,7 +234,8 @@
 		case <-time.After(pause):
 		}
 
-		if r, ok := e.options.Nodes.Find(node); !ok || r.State != membership.StateAlive {
+		r, ok := e.options.Nodes.Find(node)
+		if !ok || (r.State != membership.StateAlive && r.State != membership.StateLeft) {
 			cancel()
 
 			return
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,7 @@
 	NodeStopped     = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
 	NodeFailed      = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
 	NodePaused      = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
+	NodeCutsOff     = add(110, "NodeCutsOff", slog.LevelWarn, "A planned stop ran out of time; the detail says what it leaves unfinished.")
 	SettingsRead    = add(107, "SettingsRead", slog.LevelInfo, "The settings file was read again; the detail says what changed.")
 	SettingsRefused = add(108, "SettingsRefused", slog.LevelError,
 		"The settings file was read again and is not accepted, or changes what only a restart can; the old settings hold.")
--- a/internal/gate/poison.go
+++ b/internal/gate/poison.go
@@ -57,6 +57,8 @@
 		return poison.Crashed
 	case errors.Is(err, upstream.ErrBrokenOff):
 		return poison.BrokenOff
+	case errors.Is(err, upstream.ErrUnreached):
+		return poison.Down
 	}
 
 	return poison.Lost
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
@@ -14,31 +15,91 @@
 // whole fleet, and longer than what looks at /readyz should pause.
 const notice = time.Second
 
+// leavePart is the part of the DrainTimeout that is kept for handing over what others
+// depend on, and leaveTime the most of it: the calls of most routes end within it.
+const (
+	leavePart = 3
+	leaveTime = 4 * time.Second
+)
+
+// stop is the planned stop of a node in its order, apart from what is stopped.
+//
+// What goes wrong with one deadline for all: a call that hangs at the backend server
+// keeps the stop waiting until the deadline, and the node is the home of new keys all
+// the while. Then there is no time to hand them over and to end those under way: their
+// callers get 503 or 504 and unknown, and the keys of the shards have no home.
+type stop struct {
+	timeout time.Duration
+	// shut takes no more callers and returns when those that are there have their
+	// answers; inside counts all that has not ended here.
+	shut   func(context.Context)
+	inside func() int64
+	// handOver starts no more keys and gives those of others away; keys counts those
+	// that have not ended.
+	handOver func(context.Context)
+	keys     func() int64
+	// leave tells the others.
+	leave func(context.Context)
+}
+
+// run returns when nothing is inside any more, or the time is over. A call that does not
+// end takes no more than its own answer with it.
+func (s stop) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+
+	early, stopEarly := context.WithTimeout(ctx, s.timeout-min(leaveTime, s.timeout/leavePart))
+	defer stopEarly()
+
+	idle.For(early, notice)
+	s.shut(early)
+	until(early, s.inside)
+	s.handOver(ctx)
+	until(ctx, s.keys)
+	s.leave(context.WithoutCancel(ctx))
+}
+
+// until waits until nothing is counted or ctx ends.
+func until(ctx context.Context, count func() int64) {
+	const pause = 10 * time.Millisecond
+
+	for count() > 0 && ctx.Err() == nil {
+		idle.For(ctx, pause)
+	}
+}
+
 // drain is the planned stop. Nothing is cut off: the gate refuses new calls as
 // not run from the first moment, so that entries send them elsewhere; callers of
 // this entry are still answered while they and the fleet learn of it; then
 // nothing new is let in, and what is inside is finished.
 func (n *Node) drain() {
-	n.recorder.Record(event.NodeDraining, timeline.Entry{})
-
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.DrainTimeout))
-	defer cancel()
-
+	n.recorder.Record(event.NodeDraining, timeline.Entry{Detail: "within " + time.Duration(n.config.DrainTimeout).String()})
 	n.leaving.Store(true)
 	n.host.Leave()
-	idle.For(ctx, notice)
 
-	// Ends when all callers have their answers.
+	stop{
+		timeout: time.Duration(n.config.DrainTimeout),
+		shut:    n.shut, inside: n.running, handOver: n.handOver, keys: n.home.Running, leave: n.leave,
+	}.run(context.Background())
+}
+
+// shut takes no more requests of callers.
+func (n *Node) shut(ctx context.Context) {
+	// Ends when all callers have their answers, or with ctx; what is left is told by leave.
 	_ = n.callers.Shutdown(ctx)
 	n.closed.Store(true)
+}
 
-	for n.running() > 0 && ctx.Err() == nil {
-		const pause = 10 * time.Millisecond
-
-		idle.For(ctx, pause)
+// leave tells others that this node leaves, and says what it leaves unfinished.
+func (n *Node) leave(ctx context.Context) {
+	if left := n.running(); left > 0 {
+		n.recorder.Record(event.NodeCutsOff, timeline.Entry{Detail: fmt.Sprintf("%d callers' requests, %d calls of other nodes, %d keys",
+			n.inFlight.Load(), n.gate.Running(), n.home.Running())})
 	}
 
-	n.handOver(ctx)
+	ctx, cancel := context.WithTimeout(ctx, notice)
+	defer cancel()
+
 	n.gossip.Leave(ctx)
 }
 
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,9 +12,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollencart/pollencart/internal/caller"
+	"github.com/pollencart/pollencart/internal/config"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/standin/backend"
 	"github.com/pollencart/pollencart/internal/standin/load"
+	"github.com/pollencart/pollencart/pkg/settings"
 )
 
 // callersExcept returns the caller addresses of all hosts but one.
@@ -160,3 +165,95 @@
 		})
 	})
 }
+
+// A sweep hangs at a backend server whose node is stopped. The stop waited for it until
+// its time was over, and went on taking uploads as their home meanwhile; those under way
+// then ended with 503 or 504 and "unknown". The log has 102 of the node, 303 exactly one
+// DrainTimeout later, and a 403 of another node within 100 ms.
+func TestACallThatHangsCutsNoOthersOff(t *testing.T) {
+	t.Parallel()
+
+	f := startFleet(t, func(c *config.Config) { c.DrainTimeout = settings.Duration(6 * time.Second) })
+	f.accept()
+
+	upload := func(i int, key string) reply {
+		return f.send(i, http.MethodPost, "/uploads/1", "a", map[string]string{caller.HeaderKey: key, backend.HeaderWorkMs: "300"})
+	}
+
+	f.wait("homes of all keys", func() bool {
+		const keys = 100
+
+		var (
+			answered atomic.Int32
+			wg       sync.WaitGroup
+		)
+
+		for n := range keys {
+			wg.Go(func() {
+				if upload(n%len(f.hosts), fmt.Sprintf("early-%d-%s", n, time.Now())).status == http.StatusOK {
+					answered.Add(1)
+				}
+			})
+		}
+
+		wg.Wait()
+
+		return answered.Load() == keys
+	})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+
+	for i := range f.hosts {
+		go f.hang(ctx, i)
+	}
+
+	var h *host
+
+	f.wait("a sweep that hangs", func() bool {
+		for _, x := range f.hosts {
+			if x.Service.Name == "finder" && x.backend.InFlight() > 0 {
+				h = x
+			}
+		}
+
+		return h != nil
+	})
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() {
+		h.stop()
+		assert.Check(t, <-h.done)
+	})
+
+	// Keys that name no home, so that some have theirs at the node that stops.
+	for n := range 800 {
+		i := n % len(f.hosts)
+		if f.hosts[i] == h {
+			continue
+		}
+
+		wg.Go(func() {
+			r := upload(i, fmt.Sprintf("key-%d", n))
+			assert.Check(t, r.status == http.StatusOK, "through %s: %d %v", f.hosts[i].ID, r.status, r.away)
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	wg.Wait()
+}
+
+// hang sends a sweep that takes longer than any stop.
+func (f *fleet) hang(ctx context.Context, i int) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.hosts[i].Caller+"/archive/1", nil)
+	if err != nil {
+		panic(err) // the address is the harness's own
+	}
+
+	req.Header.Set(backend.HeaderWorkMs, "60000")
+
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -84,5 +84,6 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
+	n.home.Close()
 	n.home.HandOver(ctx, n.shards, n.client)
 }
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -57,6 +57,7 @@
 	table    *record.Table
 	sequence *attempt.Sequence
 	running  atomic.Int64
+	closed   atomic.Bool
 }
 
 // New returns the home of a node's life, which key.NewLife made.
@@ -80,6 +81,10 @@
 // Running returns how many keys have not ended.
 func (h *Home) Running() int64 { return h.running.Load() }
 
+// Close starts no key from now on; repeats of those that were started get their outcome.
+// A key that is started while the process ends would be cut off with it.
+func (h *Home) Close() { h.closed.Store(true) }
+
 // Size returns the number of records and the bytes of their answers.
 func (h *Home) Size() (records, bytes int) { return h.table.Size() }
 
@@ -105,6 +110,10 @@
 		return call.Answer{}, refuse(c, err, call.RanUnknown, 0)
 	}
 
+	if h.closed.Load() && !h.table.Has(k) {
+		return call.Answer{}, refuse(c, ErrLeaving.With("%s", h.node), call.RanUnknown, time.Second).WithNotForwarded()
+	}
+
 	r, fresh, err := h.table.Open(k, digestOf(c))
 	if err != nil {
 		return call.Answer{}, refuse(c, err, call.RanUnknown, max(k.Wait, time.Second))
@@ -227,7 +236,7 @@
 	return a, nil
 }
 
-func refuse(c call.Call, err error, ran call.Ran, after time.Duration) error {
+func refuse(c call.Call, err error, ran call.Ran, after time.Duration) *call.Refusal {
 	return call.Refuse(err, ran, after).WithKey(c.Key)
 }
 
--- a/internal/once/record/table.go
+++ b/internal/once/record/table.go
@@ -109,6 +109,14 @@
 	return len(t.records), t.answers
 }
 
+// Has reports whether the key was opened before.
+func (t *Table) Has(k Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.records[k.ID] != nil
+}
+
 // Open returns the record of a key and whether it was made now. Only who made it
 // may run the call.
 func (t *Table) Open(k Key, d Digest) (r *Record, fresh bool, err error) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -52,3 +52,15 @@
 
 	return err
 }
+
+// flush sends what was written. The last of several writers does so by itself; on a busy
+// host it may not have run yet when the connection is closed, and the answer of the one
+// before it would be cut off though it counts as sent.
+func (w *writer) flush() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) == nil {
+		_ = w.buf.Flush() // a peer that is gone misses nothing
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,7 +34,7 @@
 	handlers map[string]Handler
 
 	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	conns map[net.Conn]*writer // nil until both ends have proved themselves
 	done  bool
 
 	Received atomic.Int64
@@ -45,7 +45,7 @@
 
 // NewServer returns a server without methods.
 func NewServer(opts ...Option) *Server {
-	return &Server{options: newOptions(opts...), handlers: map[string]Handler{}, conns: map[net.Conn]struct{}{}}
+	return &Server{options: newOptions(opts...), handlers: map[string]Handler{}, conns: map[net.Conn]*writer{}}
 }
 
 // Handle adds a method; all are added before Serve.
@@ -79,7 +79,7 @@
 		return false
 	}
 
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = nil
 
 	return true
 }
@@ -88,15 +88,34 @@
 // connection. A server that is closed before they are none cuts answers off.
 func (s *Server) Running() int64 { return s.running.Load() }
 
-// Close ends all connections.
+// Close ends all connections, after the answers that were handed to them.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	s.done = true
-	for conn := range s.conns {
-		_ = conn.Close()
+
+	var wg sync.WaitGroup
+
+	for conn, out := range s.conns {
+		wg.Go(func() {
+			if out != nil {
+				out.flush()
+			}
+
+			_ = conn.Close()
+		})
 	}
+
+	wg.Wait()
+}
+
+// writes sets who writes on a connection.
+func (s *Server) writes(conn net.Conn, out *writer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.conns[conn] = out
 }
 
 func (s *Server) serveConn(raw net.Conn) {
@@ -121,6 +140,8 @@
 		slots:   make(chan struct{}, s.options.MaxInFlight),
 		running: map[uint64]context.CancelFunc{},
 	}
+	s.writes(raw, sc.out)
+
 	in := bufio.NewReaderSize(conn, readBuffer)
 
 	for n := 0; ; n++ {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 	mu      sync.Mutex
 	number  uint64 // of the crashes seen here
 	service string // of the calls that come here
-	broken  []*run // broke off at a backend server that went on listening
+	broken  []*run // of which nobody knows yet whether they ran in a crash
 }
 
 // NewWatch returns a watch that has seen nothing.
@@ -171,7 +172,9 @@
 	case Finished:
 		r.finished()
 	case Crashed:
-		return r.crashed(ctx)
+		return r.watch.crashed(ctx, append([]*run{r}, r.watch.takeBroken()...)...)
+	case Down:
+		r.watch.Restarted(ctx)
 	}
 
 	return nil
@@ -186,23 +189,34 @@
 	}
 }
 
-func (r *run) crashed(ctx context.Context) []Crash {
-	w := r.watch
-	s, c := Of(r.call), w.crash(r.number)
+// crashed notes the crash that runs were in, warns the other gates, and returns the
+// crashes that the first of the requests is known to have been in.
+func (w *Watch) crashed(ctx context.Context, runs ...*run) []Crash {
+	if len(runs) == 0 {
+		return nil
+	}
 
-	w.table.Saw(s, c, r.began)
-	w.recorder.Record(event.PoisonSuspected, timeline.Entry{
-		Call: r.call.ID, Key: r.call.Key, Detail: describe(r.call, c, len(w.table.Crashes(s.Digest))),
-	})
-	w.warn(ctx, r.call.Service)
+	for _, r := range runs {
+		s, c := Of(r.call), w.crash(r.number)
+
+		w.table.Saw(s, c, r.began)
+		w.recorder.Record(event.PoisonSuspected, timeline.Entry{
+			Call: r.call.ID, Key: r.call.Key, Detail: describe(r.call, c, len(w.table.Crashes(s.Digest))),
+		})
+	}
+
+	service := runs[0].call.Service
+	w.warn(ctx, service)
 
-	if w.recent.has(s.Whole, time.Since(r.began)) {
-		w.table.Finished(s)
+	for _, r := range runs {
+		if s := Of(r.call); w.recent.has(s.Whole, time.Since(r.began)) {
+			w.table.Finished(s)
+		}
 	}
 
-	w.nudge(r.call.Service)
+	w.nudge(service)
 
-	return w.table.Crashes(s.Digest)
+	return w.table.Crashes(Of(runs[0].call).Digest)
 }
 
 func describe(c call.Call, crash Crash, count int) string {
@@ -220,9 +234,12 @@
 	Finished
 	// Crashed means that the backend server ended while it ran the call.
 	Crashed
-	// BrokenOff means that the connection ended without an answer, and somebody listens
-	// at the address: the backend server, or one that was started in its place.
+	// BrokenOff means that nobody knows yet: the call was given up while it ran, or its
+	// connection ended without an answer and somebody listens at the address, the backend
+	// server or one that was started in its place.
 	BrokenOff
+	// Down means that the call found nobody who listens, and did not run.
+	Down
 )
 
 func (w *Watch) refuse(c call.Call, fault error, after time.Duration) error {
@@ -275,19 +292,20 @@
 	w.broken = w.broken[max(0, len(w.broken)-maxBroken):]
 }
 
-// Restarted tells that the backend server is another process than before. What broke
-// off a moment ago was running when the one before ended: on a busy host that one was
-// started again before the gate looked whether its address still took connections, and
-// the crash was taken for a lost answer.
-func (w *Watch) Restarted(ctx context.Context) {
+// Restarted tells that the backend server ended, or is another process than before. What
+// broke off a moment ago was running when it did. On a busy host it was started again
+// before the gate looked whether its address still took connections, and the crash was
+// taken for a lost answer; and where the entry of the call ended in the same moment, the
+// gate did not look.
+func (w *Watch) Restarted(ctx context.Context) { w.crashed(ctx, w.takeBroken()...) }
+
+// takeBroken returns the runs of which it was not known, and keeps them no longer.
+func (w *Watch) takeBroken() []*run {
 	w.mu.Lock()
-	broken := w.broken
+	defer w.mu.Unlock()
+
+	out := slices.DeleteFunc(w.broken, func(r *run) bool { return time.Since(r.ended) >= brokenTime })
 	w.broken = nil
-	w.mu.Unlock()
 
-	for _, r := range broken {
-		if time.Since(r.ended) < brokenTime {
-			r.crashed(ctx)
-		}
-	}
+	return out
 }
--- a/internal/poison/watch_test.go
+++ b/internal/poison/watch_test.go
@@ -268,6 +268,30 @@
 	})
 }
 
+// The entry of the call is killed in the moment in which the call ends the backend server.
+// The gate's line was a 406 with "context canceled" and no 520 followed: the crash was not
+// counted, and the request ended three in a run beside load.
+func TestACrashOfACallThatWasGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, sign := range []poison.Result{poison.Down, poison.Crashed} {
+			m := newMesh(t, "a", "b")
+
+			for range 2 {
+				end, err := m.gates["a"].begin("/folders/broken")
+				assert.NilError(t, err)
+				end(poison.BrokenOff)
+
+				end, err = m.gates["a"].begin("/folders/next")
+				assert.NilError(t, err)
+				end(sign)
+			}
+
+			assert.ErrorIs(t, m.press("a"), poison.ErrRefused)
+			assert.ErrorIs(t, m.press("b"), poison.ErrRefused)
+		}
+	})
+}
+
 // A handler panics now and then, and the connection ends without an answer. Nothing was
 // started again: the request is no suspect.
 func TestAConnectionThatBreaksOffIsNoCrash(t *testing.T) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -212,7 +212,7 @@
 	case errors.Is(err, backend.ErrDown):
 		r.options.Host.Down(s.Instance)
 
-		return refused(forward.ReasonNone, downRetry), poison.Lost
+		return refused(forward.ReasonNone, downRetry), poison.Down
 	case errors.Is(err, backend.ErrBusy):
 		return refused(err.Error(), downRetry), poison.Lost
 	case err != nil:
@@ -229,13 +229,19 @@
 	return forward.Reply{Result: forward.Answered, Status: a.Status, Header: a.Header, Body: a.Body}, poison.Finished
 }
 
-// lost finds out whether the backend server ended while it ran the call. Its
-// process is gone if nobody listens any more.
+// lost finds out whether the backend server ended while it ran the call. Its process is
+// gone if nobody listens any more. Of a call that was given up, and of one whose
+// connection broke while somebody listens, that shows later.
 func (r *Runner) lost(ctx context.Context, s announce.State, err error) (forward.Reply, poison.Result) {
 	reply := forward.Reply{Result: forward.Lost, Reason: err.Error()}
 
-	if ctx.Err() != nil || r.options.Pool.Listens(ctx) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return reply, poison.BrokenOff
+	case ctx.Err() != nil:
 		return reply, poison.Lost
+	case r.options.Pool.Listens(ctx):
+		return reply, poison.BrokenOff
 	}
 
 	r.options.Host.Down(s.Instance)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -239,6 +239,8 @@
 	if start := (departures.Instance{ID: s.Instance, Started: s.Started}); start != n.instance {
 		n.instance = start
 		n.pool.Forget()
+
+		go n.watch.Restarted(context.Background())
 	}
 
 	n.queue.Resize(open)
--- a/internal/upstream/crash.go
+++ b/internal/upstream/crash.go
@@ -76,9 +76,17 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// brokeOff tells what became of a call whose connection ended without an answer, and
-// returns the error that says so.
+// brokeOff tells what became of a call that ended without an answer, and returns the error
+// that says so.
 func (h *Host) brokeOff(ctx context.Context, c call.Call, a Announcement, err error) error {
+	// Nobody waits any more; the entry may have ended itself. Whether the call ended the
+	// backend server shows later: taken for no crash because of it, a request ended three.
+	if errors.Is(ctx.Err(), context.Canceled) {
+		h.recorder.Record(event.UpstreamBroke, timeline.Entry{Call: c.ID, Key: c.Key, Detail: "given up: " + err.Error()})
+
+		return call.Refuse(ErrNoAnswer.Wrap(ErrBrokenOff.Wrap(err)), call.RanUnknown, time.Second)
+	}
+
 	if ctx.Err() != nil || !broken(err) {
 		return err
 	}
--- a/internal/upstream/run_test.go
+++ b/internal/upstream/run_test.go
@@ -250,3 +250,19 @@
 		assert.Equal(t, restarts, i)
 	}
 }
+
+// The entry of a call is killed while the call runs, and with it the wait for the answer.
+// Whether the call ended the backend server is still to be found out.
+func TestACallThatWasGivenUpMayHaveEndedTheBackendServer(t *testing.T) {
+	s := serve(t, func(*server, net.Conn) { time.Sleep(time.Second) })
+	h := hostOf(t, s)
+
+	_, err := h.Run(t.Context(), upload("1", "x"))
+	assert.NilError(t, err)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+
+	_, err = h.Run(ctx, upload("2", "x"))
+	assert.ErrorIs(t, err, upstream.ErrBrokenOff)
+}
