A suspicion of others does not end the wait for a key's home; soak: open connections, stops in a series

Ruled out: the link between entry and home (the answer came back on it), the stop itself (the home was not stopped).

Change: the wait ends when the home is held for dead; a link that says nothing is given up by the peer client by what the node sees itself, in 1.15 s.

--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -33,6 +33,7 @@
 	c.Flag("random", "Length of a random phase.").Default("20s").DurationVar(&o.Lengths.Random)
 	c.Flag("planned", "Length of a phase of planned stops.").Default("12s").DurationVar(&o.Lengths.Planned)
 	c.Flag("gap", "Mean time between two faults.").Default("700ms").DurationVar(&o.Lengths.Gap)
+	c.Flag("stops", "Nodes and backend servers that are stopped in a planned phase.").Default("4").IntVar(&o.Lengths.Stops)
 	c.Flag("kind", "A kind of fault to draw, as often as it is named; all kinds if none is.").EnumsVar(&kinds, soak.Kinds()...)
 	c.Flag("log-level", "Log level of the nodes.").Default("Info").StringVar(&o.LogLevel)
 	c.Flag("repair", "Longest time until the fleet has repaired itself.").Default("20s").DurationVar(&o.Repair)
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -220,10 +220,12 @@
 	return *reply.Answer, nil
 }
 
-// watch ends the wait for a home that froze or was cut off: its connection
-// stays open and its caller would wait until the deadline. A home that left by itself
-// answers what it has started before it closes its connections; given up at once, uploads
-// that had run ended in unknown.
+// watch ends the wait for a home that is held for dead: its connection may stay open, and
+// its caller would wait until the deadline. A link that says nothing is given up by the
+// peer client, by what this node sees itself; that another one suspects the home is no
+// reason: just after a cut the word of one node that had not reached it went round, and
+// all entries gave up uploads that the home ran, and told their callers unknown. A home that
+// left by itself answers what it has started before it closes its connections.
 func (e *Entry) watch(ctx context.Context, cancel context.CancelFunc, node string) {
 	const pause = 100 * time.Millisecond
 
@@ -234,8 +236,7 @@
 		case <-time.After(pause):
 		}
 
-		r, ok := e.options.Nodes.Find(node)
-		if !ok || (r.State != membership.StateAlive && r.State != membership.StateLeft) {
+		if r, ok := e.options.Nodes.Find(node); !ok || r.State == membership.StateDead {
 			cancel()
 
 			return
--- a/internal/caller/path_test.go
+++ b/internal/caller/path_test.go
@@ -82,7 +82,13 @@
 func newSnapshot(tb testing.TB) *settings.Snapshot {
 	tb.Helper()
 
-	parsed, err := settings.Parse("tree.jsonc", []byte(tree))
+	return snapshotOf(tb, tree)
+}
+
+func snapshotOf(tb testing.TB, text string) *settings.Snapshot {
+	tb.Helper()
+
+	parsed, err := settings.Parse("tree.jsonc", []byte(text))
 	assert.NilError(tb, err)
 
 	records, err := parsed.Records()
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// played is when what happened in a stop, from its start.
+type played struct {
+	handedOver, left, ended time.Duration
+}
+
+// playStop plays a stop of 15 s with calls that end after some time, and with keys that
+// end after some time from when no more are started.
+func playStop(calls, keys time.Duration) played {
+	var out played
+
+	start := time.Now()
+	since := func() time.Duration { return time.Since(start) }
+
+	stop{
+		timeout: 15 * time.Second,
+		shut:    func(context.Context) {},
+		inside: func() int64 {
+			if since() < calls {
+				return 1
+			}
+
+			return 0
+		},
+		handOver: func(ctx context.Context) {
+			if ctx.Err() == nil {
+				out.handedOver = since()
+			}
+		},
+		keys: func() int64 {
+			if since() < out.handedOver+keys {
+				return 1
+			}
+
+			return 0
+		},
+		leave: func(ctx context.Context) {
+			if ctx.Err() == nil {
+				out.left = since()
+			}
+		},
+	}.run(context.Background())
+
+	out.ended = since()
+
+	return out
+}
+
+// A call hangs at the backend server for longer than the stop may take. Without a part of
+// the time that is kept, nothing is handed over, and who waits for keys is cut off.
+func TestAStopKeepsTimeToHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := playStop(time.Minute, 2*time.Second)
+		assert.Equal(t, p.handedOver, 11*time.Second)
+		assert.Equal(t, p.left, 13*time.Second)
+
+		p = playStop(time.Minute, time.Minute)
+		assert.Equal(t, p.left, 15*time.Second)
+	})
+}
+
+// Nothing hangs, and the stop ends with its last call.
+func TestAStopEndsWithItsLastCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := playStop(3*time.Second, 0)
+		assert.Equal(t, p.handedOver, 3*time.Second)
+		assert.Equal(t, p.ended, 3*time.Second)
+	})
+}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -22,6 +22,7 @@
 	PromiseRan             Promise = "RanIsTrue"
 	PromiseLeaving         Promise = "LeavingGetsNothingNew"
 	PromisePlannedStop     Promise = "PlannedStopCutsNothing"
+	PromiseOpenConnections Promise = "OpenConnectionsAreAnswered"
 	PromiseNoHang          Promise = "NoCallWaitsPastItsDeadline"
 	PromisePoison          Promise = "PoisonCrashesAtMostTwo"
 	PromisePoisonInTouch   Promise = "PoisonCrashesAtMostTwoInTouch"
@@ -37,7 +38,7 @@
 func Promises() []Promise {
 	return []Promise{
 		PromiseVersionsGoUp, PromiseVersionsWhole, PromiseAnswersMatch, PromiseKeyOnce, PromiseNotRun, PromiseRan,
-		PromiseLeaving, PromisePlannedStop, PromiseNoHang, PromisePoison, PromisePoisonInTouch, PromiseInvariants, PromiseAcceptedOnce,
+		PromiseLeaving, PromisePlannedStop, PromiseOpenConnections, PromiseNoHang, PromisePoison, PromisePoisonInTouch, PromiseInvariants, PromiseAcceptedOnce,
 		PromiseNoLostUpdate, PromiseRepairs, PromiseNodeStays, PromiseServesAfterHeal,
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -107,8 +107,13 @@
 	// Kinds are drawn in the random phase instead of the usual mix, each as often as
 	// it stands here.
 	Kinds []Kind
+	// Stops is how many nodes and backend servers are stopped in a planned phase, one
+	// after the other and, the more there are, beside each other; usualStops if 0.
+	Stops int
 }
 
+const usualStops = 4
+
 // Schedule makes the rounds from the seed alone, so that a seed that found a
 // fault plays the same faults again.
 func Schedule(seed uint64, rounds int, l Lengths, d harness.Deployment, hosts []harness.Host) []Round {
@@ -215,11 +220,14 @@
 
 // planned stops each chosen node and backend server after the other.
 func (g *generator) planned() []Step {
-	const stops = 4
+	stops := g.lengths.Stops
+	if stops == 0 {
+		stops = usualStops
+	}
 
 	var steps []Step
 
-	gap := g.lengths.Planned / (stops + 1)
+	gap := g.lengths.Planned / time.Duration(stops+1)
 
 	for i, host := range g.some(min(stops, g.hosts)) {
 		kind := KindDrainNode
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -164,6 +164,11 @@
 
 	wg.Go(func() { s.callers.run(ctx, s.options.Rate) })
 	wg.Go(func() { s.watch.run(ctx) })
+
+	for _, h := range s.fleet.Hosts {
+		wg.Go(func() { s.callers.keep(ctx, h) })
+	}
+
 	wg.Go(func() { s.injector.restartCrashed(ctx) })
 
 	for i, r := range rounds {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,13 +45,19 @@
 // short plays a short schedule on real processes and judges by counts.
 func short(t *testing.T, seed uint64) {
 	t.Helper()
+
+	play(t, seed, soak.Lengths{Random: 8 * time.Second, Planned: 5 * time.Second, Gap: 400 * time.Millisecond}, timed)
+}
+
+// play plays a schedule and judges all promises but some.
+func play(t *testing.T, seed uint64, lengths soak.Lengths, but map[soak.Promise]bool) {
+	t.Helper()
 	t.Parallel()
 
 	const patience = time.Minute // it must come; how fast is not judged here
 
 	report, err := soak.Run(t.Context(), soak.Options{
-		Seed: seed, Rounds: 1, Rate: 60, Repair: patience, Log: t.Output(),
-		Lengths:    soak.Lengths{Random: 8 * time.Second, Planned: 5 * time.Second, Gap: 400 * time.Millisecond},
+		Seed: seed, Rounds: 1, Rate: 60, Repair: patience, Log: t.Output(), Lengths: lengths,
 		Deployment: "../../examples/midlands", Binaries: binaries, Dir: t.TempDir(),
 	})
 	assert.NilError(t, err)
@@ -59,7 +65,7 @@
 	report.Print(t.Output())
 
 	for p, result := range report.Results {
-		assert.Check(t, result.Broken == 0 || timed[p], "%s: %s", p, result.First)
+		assert.Check(t, result.Broken == 0 || but[p], "%s: %s", p, result.First)
 	}
 }
 
@@ -73,3 +79,29 @@
 // again, just after a failure domain came back and while backend servers of its
 // service are down. Users would notice a service without backend servers.
 func TestShortSoakOfAPoisonRequestAfterACut(t *testing.T) { short(t, 6) }
+
+// Many poison requests, and around them hosts that die, freeze, stop and are cut off.
+// Seed 3 showed one request that ended four backend servers: one host was ended twice by
+// presses 0.4 s apart, and one call ended two within 4 ms. Failure domains that can't
+// reach each other lose two each, so crashes are counted that a gate could know of.
+func TestAStormOfPoisonRequests(t *testing.T) {
+	kinds := []soak.Kind{
+		soak.KindPoison, soak.KindPoison, soak.KindPoison, soak.KindPoison, soak.KindKillBackend, soak.KindKillNodes,
+		soak.KindFreezeNode, soak.KindFreezeNode, soak.KindCutDomain, soak.KindCutOneWay, soak.KindDrainNode,
+	}
+
+	play(t, 3, soak.Lengths{Random: 15 * time.Second, Planned: time.Second, Gap: 250 * time.Millisecond, Kinds: kinds},
+		map[soak.Promise]bool{soak.PromiseNoHang: true, soak.PromiseLeaving: true, soak.PromisePoison: true})
+}
+
+// Eight hosts are stopped in a series that overlaps, after a phase in which calls hang at
+// backend servers, while callers go on using the connections that they have. Seed 212
+// showed an upload whose home was stopped, took new keys until its time was over, and left
+// with the upload unanswered.
+func TestStopsInASeries(t *testing.T) {
+	kinds := []soak.Kind{soak.KindHangBackend, soak.KindKillNodes, soak.KindFreezeNode, soak.KindSlowBackend, soak.KindAccept}
+
+	play(t, 212, soak.Lengths{
+		Random: 3 * time.Second, Planned: 8 * time.Second, Gap: 400 * time.Millisecond, Kinds: kinds, Stops: 8,
+	}, timed)
+}
