--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -17,9 +17,14 @@
 
 // leavePart is the part of the DrainTimeout that is kept for handing over what others
 // depend on, and leaveTime the most of it: the calls of most routes end within it.
+//
+// lingerTime is how long the node answers others after it has told that it leaves. Those
+// who have not heard yet are refused by word; on a connection that is just being closed
+// a call can't be told from one that ran. It is some rounds of gossip.
 const (
-	leavePart = 3
-	leaveTime = 4 * time.Second
+	leavePart  = 3
+	leaveTime  = 4 * time.Second
+	lingerTime = 500 * time.Millisecond
 )
 
 // stop is the planned stop of a node in its order, apart from what is stopped.
@@ -45,7 +50,7 @@
 // run returns when nothing is inside any more, or the time is over. A call that does not
 // end takes no more than its own answer with it.
 func (s stop) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(ctx, max(s.timeout-lingerTime, s.timeout/2))
 	defer cancel()
 
 	early, stopEarly := context.WithTimeout(ctx, s.timeout-min(leaveTime, s.timeout/leavePart))
@@ -57,6 +62,7 @@
 	s.handOver(ctx)
 	until(ctx, s.keys)
 	s.leave(context.WithoutCancel(ctx))
+	idle.For(context.WithoutCancel(ctx), lingerTime)
 }
 
 // until waits until nothing is counted or ctx ends.
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -53,7 +53,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		planned := k.callers.planned.Load()
 		start := time.Now()
-		cut, reason := k.call(n)
+		cut, reason := k.call(ctx, n)
 
 		if planned && k.callers.planned.Load() && !k.callers.wasFrozen(k.host.ID, start) {
 			k.callers.recorder.check(PromiseOpenConnections, !cut, "%s through %s: %s after %s", k.route.Path, k.host.ID, reason, time.Since(start))
@@ -72,11 +72,11 @@
 
 // call sends one request and reports whether it was cut off: read by the node, and not
 // answered, or with nobody knowing whether it ran.
-func (k *kept) call(n int) (cut bool, reason string) {
+func (k *kept) call(ctx context.Context, n int) (cut bool, reason string) {
 	limit := time.Duration(k.route.Values.Deadline) + hangBound
 
 	if k.conn == nil {
-		conn, err := net.DialTimeout("tcp", k.host.Caller, limit)
+		conn, err := (&net.Dialer{Timeout: limit}).DialContext(ctx, "tcp", k.host.Caller)
 		if err != nil {
 			return false, "" // nobody listens
 		}
@@ -96,9 +96,10 @@
 	written := time.Now()
 	k.sent++
 
-	resp, err := http.ReadResponse(k.reader, nil)
+	resp, err := http.ReadResponse(k.reader, nil) //nolint:bodyclose // closed below if there is one
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
 	}
 
 	if err != nil {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -38,7 +38,8 @@
 func Promises() []Promise {
 	return []Promise{
 		PromiseVersionsGoUp, PromiseVersionsWhole, PromiseAnswersMatch, PromiseKeyOnce, PromiseNotRun, PromiseRan,
-		PromiseLeaving, PromisePlannedStop, PromiseOpenConnections, PromiseNoHang, PromisePoison, PromisePoisonInTouch, PromiseInvariants, PromiseAcceptedOnce,
+		PromiseLeaving, PromisePlannedStop, PromiseOpenConnections, PromiseNoHang, PromisePoison, PromisePoisonInTouch,
+		PromiseInvariants, PromiseAcceptedOnce,
 		PromiseNoLostUpdate, PromiseRepairs, PromiseNodeStays, PromiseServesAfterHeal,
 	}
 }
