Sidecar: a test of copies of a suspect across nodes

Cause: permission to run a suspect was asked at the port of the backend server of the node that permits, which gave no answer, and without an answer the copy ran.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -34,6 +34,7 @@
 type host struct {
 	config  config.Config
 	backend *standin.Backend
+	server  *httptest.Server
 	stop    context.CancelFunc
 	ended   chan struct{}
 	node    *sidecar.Sidecar
@@ -48,6 +49,7 @@
 	for i, service := range services {
 		h := &host{backend: &standin.Backend{Instance: fmt.Sprintf("i-%d", i), Service: service, Slots: 4}}
 		b := httptest.NewServer(h.backend)
+		h.server = b
 		t.Cleanup(b.Close)
 
 		h.config = config.Config{
