Poison: who is told tells what it knows

Cause, from the lines: nottm-b-2 lost its backend server while it could send nothing; its link was whole again at 47.703, and its next try to tell the others had not begun when leic-4 lost its own at 47.939. leic-4 told nottm-b-2, permitted the second run at nottm-a-1 at 47.940, and that one ended the third at 47.945: the gate that was told knew of a crash that the teller did not.

Change: the answer to a report has what is known of the same requests. A gate that is not permitted since two crashes count is told so and refuses for good.

Measured: TestWhoIsToldTellsWhatItKnows fails without and passes with it; all tests of gates without processes pass 10 times with the race detector.

--- a/internal/poison/serve.go
+++ b/internal/poison/serve.go
@@ -25,6 +25,9 @@
 	// Finished are the suspects that ran to their end at the gate that was told since
 	// the crashed calls began.
 	Finished []Suspect `msgpack:"Finished"`
+	// Known is what the gate that was told knew of the same requests. It may have seen a
+	// crash while it was cut off.
+	Known []Report `msgpack:"Known"`
 }
 
 // Permit names the run that a permit is asked for.
@@ -74,12 +77,12 @@
 	}
 }
 
-// serveTell takes what another gate saw, and says which of the requests finished here
-// since their crashed calls began.
+// serveTell takes what another gate saw, and says what is known of the requests here, and
+// which of them finished since their crashed calls began.
 func (w *Watch) serveTell(_ context.Context, n News) (Heard, error) {
-	w.table.Merge(n.Reports)
+	out := Heard{Known: w.table.Known(n.Reports)}
 
-	var out Heard
+	w.table.Merge(n.Reports)
 
 	for _, r := range n.Reports {
 		if len(r.Crashes) > 0 && r.Age > 0 && w.recent.has(r.Suspect.Whole, r.Age) {
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -381,6 +381,18 @@
 	return out
 }
 
+// Known returns what is known of the requests that others report.
+func (t *Table) Known(reports []Report) []Report {
+	asked := map[Digest]bool{}
+	for _, r := range reports {
+		asked[r.Suspect.Digest] = true
+	}
+
+	out, _ := t.reports(func(e *entry) bool { return asked[e.suspect.Digest] })
+
+	return out
+}
+
 // Since returns what this gate saw by itself after a revision, and the revision now.
 func (t *Table) Since(revision uint64) ([]Report, uint64) {
 	return t.reports(func(e *entry) bool { return e.revision > revision })
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -152,6 +152,8 @@
 		})
 	}
 
+	w.table.Merge(out.Known)
+
 	for _, s := range out.Finished {
 		w.table.Finished(s)
 	}
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -130,19 +130,23 @@
 	p := Permit{Service: r.call.Service, Suspect: s, Crashes: w.table.Crashes(s.Digest)}
 
 	giver, err := w.take(ctx, v.Crash, p)
-	if err != nil {
-		w.recorder.Record(event.PoisonJudged, timeline.Entry{Call: r.call.ID, Peer: giver.node, Detail: "not permitted: " + err.Error()})
 
-		return nil, w.refuse(r.call, ErrWaiting, waitingRetry)
-	}
-
-	// Another one may have crashed while this one waited for its permit.
+	// Another one may have crashed while this one waited for its permit, or who permits
+	// knows of one that was not known here.
 	if v := w.table.Judge(s.Digest); v.Refused {
-		w.give(ctx, giver, p)
+		if err == nil {
+			w.give(ctx, giver, p)
+		}
 
 		return nil, w.refuse(r.call, ErrRefused, v.Left)
 	}
 
+	if err != nil {
+		w.recorder.Record(event.PoisonJudged, timeline.Entry{Call: r.call.ID, Peer: giver.node, Detail: "not permitted: " + err.Error()})
+
+		return nil, w.refuse(r.call, ErrWaiting, waitingRetry)
+	}
+
 	w.recorder.Record(event.PoisonJudged, timeline.Entry{Call: r.call.ID, Peer: giver.node, Detail: "permitted after " + v.Crash.Gate})
 
 	r.began, r.number = time.Now(), w.seen()
--- a/internal/poison/watch_test.go
+++ b/internal/poison/watch_test.go
@@ -208,6 +208,24 @@
 	})
 }
 
+// A gate lost its backend server while it was cut off. It is back, and has not come to tell
+// the others again when the next press ends another one. Who tells of that one is told of
+// the first; else the third press finds gates that know of one crash, and ends the third.
+func TestWhoIsToldTellsWhatItKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.cutOff("a", true)
+		_ = m.press("a")
+		m.gates["a"].stop() // tells nothing any more by itself
+		time.Sleep(time.Second)
+		m.cutOff("a", false)
+
+		_ = m.press("b")
+		assert.Equal(t, m.crashes(), 2)
+		assert.ErrorIs(t, m.press("c"), poison.ErrRefused)
+	})
+}
+
 // The gate whose backend server ended can send nothing, but its answers arrive. So it
 // warns nobody, and the entry sends the call on to the next gate, which has not heard of
 // it: one call took down two within 4 ms, in a run that had lost two before. The call
