--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -8,21 +8,29 @@
 // A request is told by a digest of method, URI and body; not by its key, since a
 // caller that tries again may take a new one. What was in flight when a backend
 // server crashed is suspected, and every gate of the service is told before the
-// callers are, so that a repeat finds them warned. After the second crash the
-// request is refused for a while, finally and at once.
+// callers are, so that a repeat finds them warned; one that can't be reached is told
+// again until it answers, and the call itself brings the word to the next gate. After
+// the second crash the request is refused for a while, finally and at once.
 //
-// Most suspects are innocent: calls that ran beside the bad one. A suspect that
-// finished anywhere since shortly before the crashed call began is cleared, everywhere. Until then it runs in one place at a
-// time, by permission of the gate that saw the crash, so that copies sent through
-// many nodes at once can't each take down a backend server.
+// Most suspects are innocent: calls that ran beside the bad one. A suspect that finished
+// anywhere since shortly before the crashed call began is cleared, everywhere. Until then
+// it runs in one place at a time, by permission of the gate that saw the crash, and only
+// once all gates that are thought to run know of it: copies that are sent through many
+// nodes at once, or on both sides of a cut, can't each take down a backend server.
 //
 // Thresholds: two crashes, since after one nobody can tell the guilty from the
 // others, and a third would tell nothing new. A timeout, a broken connection to a
-// backend server that still listens, and a drain are no crashes.
+// backend server that goes on, and a drain are no crashes.
 //
-//	t := poison.NewTable()
-//	t.Crashed(suspect, crash, reporter)
-//	verdict := t.Judge(suspect.Digest)
+// # Usage
+//
+//	w := poison.NewWatch(self, members, peers, recorder)
+//	go w.Run(ctx)
+//	end, err := w.Begin(ctx, c) // before the call runs
+//	crashes := end(poison.Crashed)
+//
+// Table is what a gate knows, Watch what it does about it, with the parts ask, tell and
+// permission for what it asks of the others.
 package poison
 
 import (
