--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,7 +62,8 @@
 	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The backend server on this host announced itself.")
 	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The backend server on this host changed its state.")
 	UpstreamBroke  = add(318, "UpstreamBroke", slog.LevelWarn,
-		"The connection of a call to the backend server ended without an answer; the detail says whether its address still takes connections.")
+		"A call ended without an answer of the backend server: it was given up, or its connection broke; "+
+			"the detail says which, and whether the address takes connections.")
 	UpstreamLost = add(312, "UpstreamLost", slog.LevelWarn, "The backend server on this host did not renew its announcement.")
 )
 
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// keptPause is the pause between two requests on an open connection.
-	keptPause = 50 * time.Millisecond
+	// keptPause is the pause between two requests on an open connection: five of a node in
+	// a second are as many calls as the others make in the short runs.
+	keptPause = 200 * time.Millisecond
 	// closingSlack is how long after its last byte was sent a request may find that its
 	// connection was being closed while it was on its way. No server can prevent that: an
 	// idle connection is closed at some time, and with the listener the kernel ends those
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,6 +45,7 @@
 // short plays a short schedule on real processes and judges by counts.
 func short(t *testing.T, seed uint64) {
 	t.Helper()
+	t.Parallel()
 
 	play(t, seed, soak.Lengths{Random: 8 * time.Second, Planned: 5 * time.Second, Gap: 400 * time.Millisecond}, timed)
 }
@@ -52,7 +53,6 @@
 // play plays a schedule and judges all promises but some.
 func play(t *testing.T, seed uint64, lengths soak.Lengths, but map[soak.Promise]bool) {
 	t.Helper()
-	t.Parallel()
 
 	const patience = time.Minute // it must come; how fast is not judged here
 
