--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -35,7 +35,6 @@
 
 import (
 	"crypto/sha256"
-	"slices"
 	"sync"
 	"time"
 
@@ -115,66 +114,6 @@
 	Crash Crash
 }
 
-// known is a crash that the request was in flight in. A crash that the request was
-// cleared of stays known as that: a gate that missed the word would otherwise tell of it
-// again, and a popular request would be refused for what another one did.
-type known struct {
-	crash   Crash
-	cleared bool
-}
-
-type entry struct {
-	suspect Suspect
-	crashes []known
-	until   time.Time
-	// began is when the call that crashed here began, zero if it crashed elsewhere.
-	began time.Time
-	// revision counts what this gate saw by itself and tells the others; 0 if it only
-	// heard of the request.
-	revision uint64
-}
-
-// counted returns the crashes that the request was not cleared of.
-func (e *entry) counted() []Crash {
-	var out []Crash
-
-	for _, k := range e.crashes {
-		if !k.cleared {
-			out = append(out, k.crash)
-		}
-	}
-
-	return out
-}
-
-// maxKnown bounds the crashes that are kept of one request. One that is refused has
-// two that count; the others are a popular request's, cleared of each.
-const maxKnown = 8
-
-// add notes a crash and reports whether it was news.
-func (e *entry) add(n known) bool {
-	i := slices.IndexFunc(e.crashes, func(k known) bool { return k.crash == n.crash })
-	if i >= 0 {
-		news := n.cleared && !e.crashes[i].cleared
-		e.crashes[i].cleared = e.crashes[i].cleared || n.cleared
-
-		return news
-	}
-
-	if len(e.crashes) >= maxKnown {
-		i = slices.IndexFunc(e.crashes, func(k known) bool { return k.cleared })
-		if i < 0 {
-			return false // refused many times over
-		}
-
-		e.crashes = slices.Delete(e.crashes, i, i+1)
-	}
-
-	e.crashes = append(e.crashes, n)
-
-	return true
-}
-
 // Table is what one gate knows of suspects.
 type Table struct {
 	mu       sync.Mutex
@@ -279,14 +218,6 @@
 	}
 }
 
-func before(a, b *entry) bool {
-	if x, y := min(len(a.counted()), Limit), min(len(b.counted()), Limit); x != y {
-		return x < y
-	}
-
-	return a.until.Before(b.until)
-}
-
 // Finished clears a suspect that ran to its end of all crashes that are known here, and
 // reports whether it was one. A request that crashes each backend server which runs it
 // never does.
@@ -352,101 +283,3 @@
 
 	return len(t.entries)
 }
-
-// Report is what one gate tells another of one suspect.
-type Report struct {
-	// Age is how long ago the call began that crashed at the gate that tells, 0 if it
-	// only heard of it.
-	Age     time.Duration `msgpack:"Age"`
-	Suspect Suspect       `msgpack:"Suspect"`
-	Crashes []Crash       `msgpack:"Crashes"`
-	// Cleared are crashes that the request was cleared of.
-	Cleared []Crash `msgpack:"Cleared"`
-	// Left is how long the suspicion lasts.
-	Left time.Duration `msgpack:"Left"`
-}
-
-func (e *entry) report(now time.Time) Report {
-	r := Report{Suspect: e.suspect, Crashes: e.counted(), Left: e.until.Sub(now)}
-
-	for _, k := range e.crashes {
-		if k.cleared {
-			r.Cleared = append(r.Cleared, k.crash)
-		}
-	}
-
-	if !e.began.IsZero() {
-		r.Age = now.Sub(e.began)
-	}
-
-	return r
-}
-
-// Reports returns all that is known, for a gate that starts afresh.
-func (t *Table) Reports() []Report {
-	out, _ := t.reports(func(*entry) bool { return true })
-
-	return out
-}
-
-// Known returns what is known of the requests that others report.
-func (t *Table) Known(reports []Report) []Report {
-	asked := map[Digest]bool{}
-	for _, r := range reports {
-		asked[r.Suspect.Digest] = true
-	}
-
-	out, _ := t.reports(func(e *entry) bool { return asked[e.suspect.Digest] })
-
-	return out
-}
-
-// Since returns what this gate saw by itself after a revision, and the revision now.
-func (t *Table) Since(revision uint64) ([]Report, uint64) {
-	return t.reports(func(e *entry) bool { return e.revision > revision })
-}
-
-func (t *Table) reports(takes func(*entry) bool) ([]Report, uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	now := time.Now()
-
-	var out []Report
-
-	for _, e := range t.entries {
-		if takes(e) && now.Before(e.until) {
-			out = append(out, e.report(now))
-		}
-	}
-
-	return out, t.revision
-}
-
-// Revision returns up to which revision others have to be told of a request.
-func (t *Table) Revision(d Digest) uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	if e := t.entries[d]; e != nil {
-		return e.revision
-	}
-
-	return 0
-}
-
-// Merge takes reports of another gate.
-func (t *Table) Merge(reports []Report) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	for _, r := range reports {
-		for _, c := range r.Crashes {
-			t.note(r.Suspect, known{crash: c}, r.Left)
-		}
-
-		for _, c := range r.Cleared {
-			t.note(r.Suspect, known{crash: c, cleared: true}, r.Left)
-		}
-	}
-}
