Poison: a gate that knows nobody yet waits until it has met somebody

Cause, from the lines: derby-browse-3 has 100 NodeStarted at 43.528 and 520 at 43.770 with no 524 between them. The nodes that it meets first (hosts 0 and 6) were killed and the platform was down, so it knew no other gate, had nobody to ask, and counted that as asked; the others were met at 43.929.

Change: a gate asks until somebody answers; in its first second, while it knows no other node at all, calls wait for that. A gate with suspects looks four times a second for gates that came.

Measured: TestAGateThatKnowsNobodyYetWaits fails without and passes with it.

--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -16,6 +16,16 @@
 // a gate that is alone serves on with what it knows, and Run goes on asking.
 const askAgain = time.Second
 
+// meetTime is how long after its start a gate that knows no other node at all lets no call
+// run, and meetAgain how often it looks. Nodes that start meet each other in a tenth of a
+// second; with all seeds down it took 0.4 s, and the poison request that had ended two
+// backend servers ended a third at a gate that had nobody to ask. A node that is alone
+// serves on after that.
+const (
+	meetTime  = time.Second
+	meetAgain = 20 * time.Millisecond
+)
+
 // asking is what a gate does to learn what it may have missed.
 type asking struct {
 	changed atomic.Uint64 // counts the times since which something may have been missed
@@ -66,6 +76,8 @@
 }
 
 func (w *Watch) askRound(ctx context.Context, service string, done chan struct{}) {
+	w.meet()
+
 	began := time.Now()
 	ok := w.ask(ctx, service)
 
@@ -85,6 +97,13 @@
 	}
 }
 
+// meet waits until this node knows another one, or has run for a while.
+func (w *Watch) meet() {
+	for w.members.CountLive() < 2 && time.Since(w.began) < meetTime {
+		time.Sleep(meetAgain)
+	}
+}
+
 // ask asks the gates that are thought to run for all that they know. It waits for all,
 // up to tellTime: those that answer first may have started anew as well and know
 // nothing. It reports whether one answered: a
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -65,7 +65,10 @@
 		m.gates[id].start()
 	}
 
-	// A gate that just started has nobody to ask about the time before.
+	// A gate that just started asks about the time before, and one that is alone waits for
+	// somebody to ask.
+	time.Sleep(time.Second)
+
 	for _, id := range ids {
 		m.finish(id, "/folders/first")
 	}
@@ -101,6 +104,16 @@
 	return g.watch, g.lives
 }
 
+// meets sets that the gate's node has met others.
+func (g *gate) meets(ids ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	for _, id := range ids {
+		delete(g.held, id)
+	}
+}
+
 // OfService is the nodes that the gate's node knows.
 func (g *gate) OfService(string) []membership.Record {
 	g.mu.Lock()
@@ -123,6 +136,19 @@
 	return out
 }
 
+// CountLive counts the nodes that the gate's node thinks run.
+func (g *gate) CountLive() int {
+	n := 0
+
+	for _, r := range g.OfService(service) {
+		if r.Live() {
+			n++
+		}
+	}
+
+	return n
+}
+
 // standstills counts how often the gate's process stood still.
 type standstills struct{ n atomic.Int64 }
 
--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -34,8 +34,8 @@
 // permits has told all of them of the crash before. So the second run that crashes finds
 // everybody warned, whoever is cut off from whom, and copies run one after the other.
 //
-// A gate that is thought to run and can't be reached is waited for, up to the six
-// seconds after which it is held for dead: the callers of innocent requests that were
+// A gate that is thought to run and can't be reached is waited for, two to six seconds
+// until it is held for dead: the callers of innocent requests that were
 // running in a crash are refused as not run in that time, with a time to come back. Let
 // through without an answer, copies on both sides of a cut ended three and four.
 func (w *Watch) take(ctx context.Context, c Crash, p Permit) (giver, error) {
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -26,7 +26,7 @@
 	tellAgain = 100 * time.Millisecond
 	// lookAgain is how often a gate that has something to tell looks for gates that
 	// came since.
-	lookAgain = time.Second
+	lookAgain = 250 * time.Millisecond
 )
 
 // told is which of the other gates know what this one saw.
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -26,6 +26,8 @@
 // for dead: they may be back, and take calls, before this node knows.
 type Members interface {
 	OfService(service string) []membership.Record
+	// CountLive counts the nodes that are thought to run, this one too.
+	CountLive() int
 }
 
 // Peers sends messages to other nodes.
@@ -61,6 +63,7 @@
 	recent      recent
 	told        told
 	asking      asking
+	began       time.Time
 	wake        chan struct{} // wakes Run
 
 	mu      sync.Mutex
@@ -73,7 +76,7 @@
 func NewWatch(self Self, m Members, p Peers, r *timeline.Recorder) *Watch {
 	w := &Watch{
 		self: self, members: m, peers: p, recorder: r, standstills: neverStands{}, table: NewTable(), permits: NewPermits(),
-		wake: make(chan struct{}, 1),
+		began: time.Now(), wake: make(chan struct{}, 1),
 	}
 	w.told.acks = map[string]ack{}
 	w.Stale()
--- a/internal/poison/watch_test.go
+++ b/internal/poison/watch_test.go
@@ -134,6 +134,39 @@
 	})
 }
 
+// A gate starts anew while the nodes that it should meet first are down as well. For some
+// tenths of a second it knows nobody, and the call that it had was the poison request: a
+// 520 without a 524 before it, 0.24 s after 100. It waits until it has met somebody.
+func TestAGateThatKnowsNobodyYetWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		_ = m.press("a")
+		_ = m.press("b")
+		assert.Equal(t, m.crashes(), 2)
+
+		c := m.gates["c"]
+		c.holdsForDead("a")
+		c.holdsForDead("b")
+		c.start()
+		time.AfterFunc(400*time.Millisecond, func() { c.meets("a", "b") })
+
+		assert.ErrorIs(t, m.press("c"), poison.ErrRefused)
+	})
+}
+
+// A node that is alone serves on.
+func TestAGateThatStaysAloneServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a")
+		start := time.Now()
+
+		m.gates["a"].start()
+		time.Sleep(700 * time.Millisecond)
+		m.finish("a", "/folders/1")
+		assert.Equal(t, time.Since(start), time.Second)
+	})
+}
+
 // The gates that are asked first started anew as well and know nothing; the one that
 // knows stands behind them in the list.
 func TestAGateAsksMoreThanTheFirstOfTheList(t *testing.T) {
