A call waits for what other gates know before it takes a slot

Cause: calls of a node that had just started waited up to a second for somebody to ask while they held a slot, and the queue took that for the time that its backend server needs.

Change: the wait comes before the queue, in both commands, not at a gate that is leaving; the sidecar's queue learns from the time at the backend server alone.

--- a/internal/gate/poison.go
+++ b/internal/gate/poison.go
@@ -11,6 +11,7 @@
 
 // Suspects judges requests that were running when a backend server crashed.
 type Suspects interface {
+	Freshen(ctx context.Context, service string)
 	Begin(ctx context.Context, c call.Call) (end func(poison.Result) []poison.Crash, err error)
 }
 
@@ -24,10 +25,24 @@
 // noSuspects lets every request through.
 type noSuspects struct{}
 
+func (noSuspects) Freshen(context.Context, string) {}
+
 func (noSuspects) Begin(context.Context, call.Call) (func(poison.Result) []poison.Crash, error) {
 	return func(poison.Result) []poison.Crash { return nil }, nil
 }
 
+// freshen comes before the queue, so that no slot is held by a call that waits for what
+// other gates know. What is refused in any case does not wait.
+func (g *Gate) freshen(next call.Handler) call.Handler {
+	return func(ctx context.Context, c call.Call) (call.Answer, error) {
+		if !g.queue.Load().Leaving {
+			g.suspects.Freshen(ctx, c.Service)
+		}
+
+		return next(ctx, c)
+	}
+}
+
 // judge comes after the queue, so that what was learned while the call waited
 // counts, and before the start of a keyed attempt, which can't be taken back.
 func (g *Gate) judge(next call.Handler) call.Handler {
--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -38,10 +38,12 @@
 	last  time.Time     // when the last round that got no answer began
 }
 
-// freshen asks the other gates if something may have been missed here, and waits for
+// Freshen asks the other gates if something may have been missed here, and waits for
 // what they know. A gate that starts afresh, or wakes, would let a refused request
-// through; so would calls beside the first one that did not wait.
-func (w *Watch) freshen(ctx context.Context, service string) {
+// through; so would calls beside the first one that did not wait. It comes before a call
+// takes a slot: held in one, calls of a node that had just started took its backend server
+// for a second slower than it was, and were turned away for it.
+func (w *Watch) Freshen(ctx context.Context, service string) {
 	a := &w.asking
 
 	if woke := int64(w.standstills.Woke()); a.stood.Load() != woke && a.stood.Swap(woke) != woke {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -104,7 +104,7 @@
 // its end with what came of it; it returns the crashes that the request is known to have
 // been running in.
 func (w *Watch) Begin(ctx context.Context, c call.Call) (func(Result) []Crash, error) {
-	w.freshen(ctx, c.Service)
+	w.Freshen(ctx, c.Service) // something may have been missed while the call waited for its slot
 
 	r := &run{watch: w, call: c, began: time.Now(), number: w.seen()}
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,6 +37,7 @@
 
 // Suspects judges requests that were running when a backend server crashed.
 type Suspects interface {
+	Freshen(ctx context.Context, service string)
 	Begin(ctx context.Context, c call.Call) (end func(poison.Result) []poison.Crash, err error)
 }
 
@@ -126,14 +127,15 @@
 		return refused(forward.ReasonNone, downRetry)
 	}
 
+	r.options.Suspects.Freshen(ctx, in.Service)
+
 	slot, err := r.options.Queue.Enter(ctx, w)
 	if err != nil {
 		return r.turnedAway(err, w)
 	}
 
-	began := time.Now()
-	reply := r.run(ctx, in)
-	slot.Leave(taken(reply, time.Since(began)))
+	reply, held := r.run(ctx, in)
+	slot.Leave(taken(reply, held))
 
 	return reply
 }
@@ -159,18 +161,20 @@
 }
 
 // run sends the call, unless the backend server began to leave while it waited or
-// the call is suspected of crashing backend servers.
-func (r *Runner) run(ctx context.Context, in *forward.Request) forward.Reply {
+// the call is suspected of crashing backend servers. It also returns how long the backend
+// server had it. What is waited for until the call may run is left out: a node that has
+// just started waits for others to ask, and would take its backend server for as slow.
+func (r *Runner) run(ctx context.Context, in *forward.Request) (forward.Reply, time.Duration) {
 	end, err := r.options.Suspects.Begin(ctx, asCall(in))
 	if err != nil {
-		return suspected(err)
+		return suspected(err), 0
 	}
 
 	state := r.options.Host.State()
 	if !state.Takes {
 		end(poison.Lost)
 
-		return refused(forward.ReasonNone, downRetry)
+		return refused(forward.ReasonNone, downRetry), 0
 	}
 
 	began := time.Now()
@@ -178,11 +182,12 @@
 		ID: in.ID, Origin: in.Origin, Instance: state.Instance, Method: in.Method, Host: in.Host, URI: in.URI, Header: in.Header,
 		Body: in.Body, Idempotent: in.Idempotent,
 	})
+	held := time.Since(began)
 	reply, result := r.judge(ctx, state, a, err)
 	reply.Crashes = end(result)
-	reply.HeldMs = time.Since(began).Milliseconds()
+	reply.HeldMs = held.Milliseconds()
 
-	return reply
+	return reply, held
 }
 
 // suspected is the reply to a call that is suspected of crashing backend servers, with
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -29,6 +29,8 @@
 // innocent suspects no request.
 type innocent struct{}
 
+func (innocent) Freshen(context.Context, string) {}
+
 func (innocent) Begin(context.Context, call.Call) (func(poison.Result) []poison.Crash, error) {
 	return func(poison.Result) []poison.Crash { return nil }, nil
 }
