--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,7 @@
 	nodes    []sync.Mutex
 	backends []sync.Mutex
 
+	telling  sync.Mutex // held while the platform is told
 	mu       sync.Mutex
 	platform platform.Faults
 	down     int                     // steps that hold the platform down
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -151,8 +151,13 @@
 	return true
 }
 
-// setPlatform changes the faults of the platform and tells it all of them.
+// setPlatform changes the faults of the platform and tells it all of them. Words go out one
+// after the other: many faults are taken back in the moment in which a phase ends, and an
+// older word that arrived last left a failure domain without its platform for good.
 func (i *injector) setPlatform(change func()) {
+	i.telling.Lock()
+	defer i.telling.Unlock()
+
 	i.mu.Lock()
 	change()
 
