--- a/internal/upstream/crash.go
+++ b/internal/upstream/crash.go
@@ -79,8 +79,9 @@
 // brokeOff tells what became of a call that ended without an answer, and returns the error
 // that says so.
 func (h *Host) brokeOff(ctx context.Context, c call.Call, a Announcement, err error) error {
-	// Nobody waits any more; the entry may have ended itself. Whether the call ended the
-	// backend server shows later: taken for no crash because of it, a request ended three.
+	// Nobody waits any more, perhaps since the entry was killed. Whether the call ended the
+	// backend server shows later. A crash in which only such calls ran was not counted, and
+	// one request ended three backend servers.
 	if errors.Is(ctx.Err(), context.Canceled) {
 		h.recorder.Record(event.UpstreamBroke, timeline.Entry{Call: c.ID, Key: c.Key, Detail: "given up: " + err.Error()})
 
