Poison: a gate asks when it starts or stood still, not at each change of its backend server

Cause: all calls wait while a gate asks the others, up to 250 ms if one of them can't be reached, and a gate asked at each change of its backend server.

Change: what was told while the backend server was away is told to its gate all the same since a gate is told until it knows, so a change is no reason to ask; a start of the process, another service and a standstill are.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -14,11 +14,7 @@
 // calls makes the two ends of a call's path.
 func (n *Node) calls() {
 	n.queue = admission.New()
-	n.host = upstream.New(n.table, n.queue, n.recorder, upstream.Changed(func() {
-		n.suspects.Stale()
-
-		go n.gossip.Tell(context.Background())
-	}), upstream.Restarted(func() {
+	n.host = upstream.New(n.table, n.queue, n.recorder, upstream.Changed(n.announced), upstream.Restarted(func() {
 		go n.suspects.Restarted(context.Background())
 	}))
 	n.gate = gate.New(n.config.ID, n.host, n.queue, gate.Recorder(n.recorder)).WithStarts(n.register).WithSuspects(n.suspects)
@@ -38,6 +34,17 @@
 	)
 }
 
+// announced takes a change of what the backend server says of itself; one comes after the
+// other. What other gates of a service were told before, this one was not told.
+func (n *Node) announced() {
+	if s := n.table.Self().Upstream.Service; s != n.serves {
+		n.serves = s
+		n.suspects.Stale()
+	}
+
+	go n.gossip.Tell(context.Background())
+}
+
 func (n *Node) entryHandler() http.Handler {
 	next := n.entry.Handler()
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	shards   *shard.Keeper
 	register *attempt.Register
 	suspects *poison.Watch
+	serves   string // the service of the backend server that announced itself last
 	// standstill notices when this process stands still.
 	standstill *standstill.Watchdog
 
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -92,9 +92,11 @@
 	return w
 }
 
-// Stale tells that the backend server of this gate changed its state. A gate
-// whose backend server was away may have missed a warning, and asks the others
-// before it lets the next call through.
+// Stale tells that this gate may not have been told what others were: its process has just
+// started, or its host has another service. It asks before it lets the next call through.
+// A backend server that comes and goes is no reason, since its gate is told meanwhile: asked
+// for at each change, calls on 86 hosts waited up to 250 ms for a gate that could not be
+// reached, and one day was worth 0.64 instead of 0.75.
 func (w *Watch) Stale() { w.asking.changed.Add(1) }
 
 // Table returns what is known of suspects.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -244,7 +244,6 @@
 	}
 
 	n.queue.Resize(open)
-	n.watch.Stale()
 	n.table.Update(func(r membership.Record) membership.Record {
 		r.Upstream = membership.Upstream{Service: n.config.Service, State: membership.UpstreamDraining, Slots: s.Slots}
 		if s.Takes && !n.withdrawn.Load() {
