--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -76,6 +76,18 @@
 	return m
 }
 
+// crashedTwice is a mesh in which the poison request ended the backend servers of a and b.
+func crashedTwice(t *testing.T) *mesh {
+	t.Helper()
+
+	m := newMesh(t, "a", "b", "c")
+	_ = m.press("a")
+	_ = m.press("b")
+	assert.Equal(t, m.crashes(), 2)
+
+	return m
+}
+
 // start begins another life of the gate, which knows nothing.
 func (g *gate) start() {
 	m := g.mesh
