Poison: one function for crashes that a call or a permit brings

The same report with the same duration was made in four places; a comment was broken in the middle of a line. No behaviour changes; the tests of poison, runner and upstream pass twice with the race detector.

--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -35,9 +35,9 @@
 // everybody warned, whoever is cut off from whom, and copies run one after the other.
 //
 // A gate that is thought to run and can't be reached is waited for, two to six seconds
-// until it is held for dead: the callers of innocent requests that were
-// running in a crash are refused as not run in that time, with a time to come back. Let
-// through without an answer, copies on both sides of a cut ended three and four.
+// until it is held for dead: the callers of innocent requests that were running in a crash
+// are refused as not run in that time, with a time to come back. Let through without an
+// answer, copies on both sides of a cut ended three and four.
 func (w *Watch) take(ctx context.Context, c Crash, p Permit) (giver, error) {
 	running := w.others(p.Service, live)
 	p.Gate = c.Gate
@@ -84,7 +84,7 @@
 		return errUnreached.With("%s", g.node).Wrap(err)
 	}
 
-	w.table.Merge([]Report{{Suspect: p.Suspect, Crashes: out.Crashes, Left: Hold}})
+	w.table.Heard(p.Suspect, out.Crashes)
 
 	return out.err()
 }
@@ -94,7 +94,7 @@
 func (w *Watch) permit(ctx context.Context, p Permit) error {
 	d := p.Suspect.Digest
 
-	w.table.Merge([]Report{{Suspect: p.Suspect, Crashes: p.Crashes, Left: Hold}})
+	w.table.Heard(p.Suspect, p.Crashes)
 
 	if !w.table.Adopt(d) || !w.allTold(ctx, p) {
 		return errUntold
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -84,6 +84,11 @@
 	return 0
 }
 
+// Heard notes crashes that a call, or a gate that permits, brought the word of.
+func (t *Table) Heard(s Suspect, crashes []Crash) {
+	t.Merge([]Report{{Suspect: s, Crashes: crashes, Left: Hold}})
+}
+
 // Merge takes reports of another gate.
 func (t *Table) Merge(reports []Report) {
 	t.mu.Lock()
--- a/internal/poison/serve.go
+++ b/internal/poison/serve.go
@@ -112,7 +112,7 @@
 
 // serveGive takes a permit back, after what came of the run.
 func (w *Watch) serveGive(_ context.Context, p Permit) (Done, error) {
-	w.table.Merge([]Report{{Suspect: p.Suspect, Crashes: p.Crashes, Left: Hold}})
+	w.table.Heard(p.Suspect, p.Crashes)
 
 	if p.Gate == "" || p.Gate == w.self.Life {
 		w.permits.Give(p.Suspect.Digest)
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -111,7 +111,7 @@
 	r := &run{watch: w, call: c, began: time.Now(), number: w.seen()}
 
 	if len(c.Crashes) > 0 {
-		w.table.Merge([]Report{{Suspect: Of(c), Crashes: c.Crashes, Left: Hold}})
+		w.table.Heard(Of(c), c.Crashes)
 	}
 
 	if w.table.Size() == 0 { // almost always
