--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -25,6 +25,8 @@
 
 	mu    sync.Mutex
 	conns map[connKey]*clientConn
+	// retired are connections that were replaced, with requests that still wait on them.
+	retired map[*clientConn]bool
 	// failed is when a connection could not be made last.
 	failed map[connKey]time.Time
 
@@ -37,9 +39,21 @@
 	lane    Lane
 }
 
+// Exchange is a request and its answer, in bytes of their bodies.
+type Exchange struct {
+	Address   string
+	Method    string
+	Sent, Got int
+}
+
 // NewClient returns a client without connections.
 func NewClient(opts ...Option) *Client {
-	return &Client{options: newOptions(opts...), conns: map[connKey]*clientConn{}, failed: map[connKey]time.Time{}}
+	return &Client{
+		options: newOptions(opts...),
+		conns:   map[connKey]*clientConn{},
+		retired: map[*clientConn]bool{},
+		failed:  map[connKey]time.Time{},
+	}
 }
 
 // Do sends a request and decodes its answer. The error is ErrUnreachable only
@@ -86,6 +100,8 @@
 		return err
 	}
 
+	c.options.Exchanged(Exchange{Address: key.address, Method: method, Sent: len(body), Got: len(answer.Body)})
+
 	if answer.Fault != nil {
 		return answer.Fault
 	}
@@ -113,25 +129,12 @@
 	return max(1, time.Until(deadline).Milliseconds())
 }
 
-func (c *Client) conn(ctx context.Context, key connKey) (*clientConn, error) {
-	c.mu.Lock()
-	cc := c.connect(key)
-	c.mu.Unlock()
-
-	select {
-	case <-cc.ready:
-		return cc, cc.dialErr
-	case <-ctx.Done():
-		return nil, ErrUnreachable.With("%s", key.address).Wrap(ctx.Err())
-	}
-}
-
 // connect returns the connection that is there, or begins to make one; c.mu is
 // held.
 func (c *Client) connect(key connKey) *clientConn {
 	cc := c.conns[key]
 	if cc == nil {
-		cc = &clientConn{client: c, key: key, ready: make(chan struct{}), pending: map[uint64]chan *Frame{}}
+		cc = newClientConn(c, key)
 		c.conns[key] = cc
 
 		go cc.dial()
@@ -156,6 +159,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	delete(c.retired, cc)
+
 	if c.conns[cc.key] == cc {
 		delete(c.conns, cc.key)
 	}
@@ -171,6 +176,10 @@
 			_ = cc.conn.Close()
 		}
 	}
+
+	for cc := range c.retired {
+		_ = cc.conn.Close()
+	}
 }
 
 // open connects and, with keys, has both ends prove themselves. No request was
--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -17,7 +17,7 @@
 			return nil, c.blocked(ctx, key.address)
 		}
 
-		conn, err := c.conn(ctx, key)
+		conn, err := c.conn(ctx, key, p)
 		if err != nil {
 			return nil, err
 		}
@@ -37,11 +37,16 @@
 	conn    net.Conn
 	out     *writer
 
+	spoke chan struct{} // closed once something was heard
+	// replacement is made while the connection is in doubt; the client's lock guards it.
+	replacement *replacement
+
 	mu      sync.Mutex
 	pending map[uint64]chan *Frame
 	lastID  uint64
 	broken  bool
 	idle    bool
+	retired bool   // was replaced
 	lastUse uint64 // the newest ID when idleness was looked at
 
 	silence silence
@@ -50,6 +55,12 @@
 // errIdle is returned for a connection that was closed since nobody used it.
 var errIdle = errors.New("connection was closed for idleness")
 
+func newClientConn(c *Client, key connKey) *clientConn {
+	return &clientConn{
+		client: c, key: key, ready: make(chan struct{}), spoke: make(chan struct{}), pending: map[uint64]chan *Frame{},
+	}
+}
+
 func (cc *clientConn) dial() {
 	defer close(cc.ready)
 
@@ -111,12 +122,16 @@
 func (cc *clientConn) read() {
 	in := bufio.NewReaderSize(cc.conn, readBuffer)
 
-	for {
+	for n := 0; ; n++ {
 		f, size, err := Read(in)
 		if err != nil {
 			break
 		}
 
+		if n == 0 {
+			close(cc.spoke)
+		}
+
 		cc.client.Received.Add(int64(size))
 		cc.client.options.Clock.Observe(f.Clock)
 		cc.silence.heard()
@@ -130,20 +145,38 @@
 }
 
 func (cc *clientConn) deliver(f *Frame) {
+	waiting := cc.take(f.ID)
+	if waiting != nil {
+		waiting <- f
+	}
+}
+
+// take returns who waits for the answer of a request, or nil, and no longer waits for it.
+func (cc *clientConn) take(id uint64) chan *Frame {
 	cc.mu.Lock()
-	waiting := cc.pending[f.ID]
-	delete(cc.pending, f.ID)
+	waiting := cc.pending[id]
+	delete(cc.pending, id)
+	unused := cc.unused()
 	cc.mu.Unlock()
 
-	if waiting != nil {
-		waiting <- f
+	if unused {
+		cc.fail()
 	}
+
+	return waiting
 }
 
+// fail gives the connection up with all requests that wait on it. It is forgotten first, so
+// that new requests find another one, and once more after it is marked, since it may have
+// been taken into use as a replacement in between.
 func (cc *clientConn) fail() {
 	cc.client.forget(cc)
 	_ = cc.conn.Close()
+	cc.markBroken()
+	cc.client.forget(cc)
+}
 
+func (cc *clientConn) markBroken() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 
@@ -154,6 +187,13 @@
 	}
 }
 
+func (cc *clientConn) isBroken() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+
+	return cc.broken
+}
+
 func (cc *clientConn) exchange(ctx context.Context, f *Frame, p patience) (*Frame, error) {
 	waiting := make(chan *Frame, 1)
 
@@ -228,12 +268,10 @@
 
 // abandon tells the peer that nobody waits any more, so that it stops working.
 func (cc *clientConn) abandon(id uint64) {
-	cc.mu.Lock()
-	delete(cc.pending, id)
-	cc.mu.Unlock()
-
 	data, err := Encode(&Frame{Kind: KindCancel, ID: id})
 	if err == nil && !cc.client.options.Links.Blocked(cc.key.address) {
 		_ = cc.out.write(data)
 	}
+
+	cc.take(id)
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -58,6 +58,8 @@
 	IdleTimeout time.Duration
 	// Lost is told of peer addresses that a request could not reach.
 	Lost func(address string)
+	// Exchanged is told of each request that was answered.
+	Exchanged func(Exchange)
 	// Patient reports whether requests wait on connections that say nothing: during a
 	// planned stop nothing may be given up that a peer works at, and the host has little
 	// processor time.
@@ -78,6 +80,7 @@
 
 		HelloTimeout: DefaultHelloTimeout,
 		Lost:         func(string) {},
+		Exchanged:    func(Exchange) {},
 		Patient:      func() bool { return false },
 	}
 	for _, opt := range opts {
@@ -93,6 +96,9 @@
 // Lost sets who is told of peer addresses that a request could not reach.
 func Lost(f func(address string)) Option { return func(o *Options) { o.Lost = f } }
 
+// Exchanged sets who is told of each request that was answered.
+func Exchanged(f func(Exchange)) Option { return func(o *Options) { o.Exchanged = f } }
+
 // Patient sets what reports whether requests wait on connections that say nothing.
 func Patient(f func() bool) Option { return func(o *Options) { o.Patient = f } }
 
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	doubted chan struct{} // closed while the connection is in doubt
+	trusted chan struct{} // closed when it is no longer, made while it is
 	inDoubt bool
 }
 
@@ -61,6 +62,8 @@
 
 	if s.inDoubt {
 		s.inDoubt, s.doubted = false, nil
+
+		close(s.trusted)
 	}
 }
 
@@ -77,7 +80,7 @@
 		s.doubted = make(chan struct{})
 	}
 
-	s.inDoubt = true
+	s.inDoubt, s.trusted = true, make(chan struct{})
 
 	close(s.doubted)
 
@@ -96,7 +99,22 @@
 	return s.doubted
 }
 
-func (s *silence) quiet() bool {
+// trusts is closed once the connection is out of doubt.
+func (s *silence) trusts() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if !s.inDoubt {
+		out := make(chan struct{})
+		close(out)
+
+		return out
+	}
+
+	return s.trusted
+}
+
+func (s *silence) isInDoubt() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -107,7 +125,7 @@
 func (s *silence) watch(cc *clientConn) {
 	if s.watched.CompareAndSwap(false, true) {
 		s.last.Store(steady())
-		time.AfterFunc(askAfter, func() { s.look(cc) })
+		s.lookAfter(cc, askAfter)
 	}
 }
 
@@ -120,34 +138,86 @@
 	go cc.ping()
 
 	if s.watched.CompareAndSwap(false, true) {
-		time.AfterFunc(doubtAfter, func() { s.look(cc) })
+		s.lookAfter(cc, doubtAfter)
 	}
 }
 
-func (s *silence) look(cc *clientConn) {
+func (s *silence) lookAfter(cc *clientConn, pause time.Duration) {
+	due := steady() + int64(pause)
+
+	time.AfterFunc(pause, func() { s.look(cc, steady()-due) })
+}
+
+// look does what is due, and is itself late by so many nanoseconds.
+func (s *silence) look(cc *clientConn, late int64) {
 	if s.done(cc) {
 		return
 	}
 
 	now := steady()
-	asked := s.asked.Load()
+	s.discount(now, late)
 
-	switch {
-	case asked != 0 && now-asked >= int64(giveUpAfter) && !cc.client.options.Patient():
+	switch v := s.judge(now); {
+	case v == lost && !cc.client.options.Patient():
 		cc.fail()
 
 		return
-	case asked != 0 && now-asked >= int64(doubtAfter):
+	case v == lost, v == doubtful:
 		if s.doubt() {
 			cc.client.askAll(cc.key.lane)
 		}
-	case asked == 0 && now-s.last.Load() >= int64(askAfter):
+	case v == quiet:
 		s.asked.Store(now)
 
 		go cc.ping()
 	}
 
-	time.AfterFunc(doubtAfter, func() { s.look(cc) })
+	s.lookAfter(cc, doubtAfter)
+}
+
+// stoodStill is how late a look is if this process did not run: some times what a busy
+// scheduler makes of it.
+const stoodStill = int64(100 * time.Millisecond)
+
+// discount takes the time out in which this process stood still. What the other end said
+// meanwhile waits in the socket; judged by the clock, a host that wakes gives up all its
+// connections with answers on them, and nobody knows what became of those calls. A question
+// asked after waking but before this look counts from now, not from a time to come.
+func (s *silence) discount(now, late int64) {
+	if late < stoodStill {
+		return
+	}
+
+	for _, at := range []*atomic.Int64{&s.last, &s.asked} {
+		if before := at.Load(); before != 0 {
+			at.CompareAndSwap(before, min(before+late, now)) // else the other end was just heard
+		}
+	}
+}
+
+// verdict is what is thought of a connection with requests in flight.
+type verdict uint8
+
+const (
+	heardOf  verdict = iota
+	quiet            // nothing was heard for a while
+	doubtful         // the other end was asked and says nothing
+	lost             // for too long
+)
+
+func (s *silence) judge(now int64) verdict {
+	asked := s.asked.Load()
+
+	switch {
+	case asked != 0 && now-asked >= int64(giveUpAfter):
+		return lost
+	case asked != 0 && now-asked >= int64(doubtAfter):
+		return doubtful
+	case asked == 0 && now-s.last.Load() >= int64(askAfter):
+		return quiet
+	}
+
+	return heardOf
 }
 
 // done reports whether no request waits and no question is open, and ends the watch
@@ -205,7 +275,7 @@
 	c.mu.Unlock()
 
 	switch {
-	case cc.opened() && cc.silence.quiet():
+	case cc.opened() && cc.silence.isInDoubt():
 		return LinkDown
 	case cc.opened():
 		return LinkReady
@@ -224,7 +294,7 @@
 	down := map[string]bool{}
 
 	for key, cc := range c.conns {
-		if cc.opened() && cc.silence.quiet() {
+		if cc.opened() && cc.silence.isInDoubt() {
 			down[key.address] = true
 		}
 	}
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -71,6 +72,16 @@
 	}
 }
 
+// ping sends a request through the pipe.
+func (p *pipe) ping(do func(context.Context, string, peer.Lane, string, any, any) error, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+
+	var out ping
+
+	return do(ctx, p.address, peer.LaneCalls, "Ping", ping{Text: "x"}, &out)
+}
+
 // A connection between two nodes goes silent for good, without a reset, while new ones
 // work. A call that can go elsewhere is given back before its deadline, one that can't
 // waits a little longer, and the next ones find a connection that works.
@@ -80,28 +91,129 @@
 	c := peer.NewClient(peer.WithDialTimeout(patience))
 	t.Cleanup(c.Close)
 
-	call := func(do func(context.Context, string, peer.Lane, string, any, any) error) error {
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		defer cancel()
-
-		var out ping
-
-		return do(ctx, p.address, peer.LaneCalls, "Ping", ping{Text: "x"}, &out)
-	}
-
-	assert.NilError(t, call(c.Do))
+	assert.NilError(t, p.ping(c.Do, patience))
 	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkReady)
 
 	p.silent.Store(p.opened.Load())
 
 	stays := make(chan error, 1)
-	go func() { stays <- call(c.Do) }()
+	go func() { stays <- p.ping(c.Do, patience) }()
 
-	assert.ErrorIs(t, call(c.DoElsewhere), peer.ErrSilent)
+	assert.ErrorIs(t, p.ping(c.DoElsewhere, patience), peer.ErrSilent)
 	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkDown)
 	assert.ErrorIs(t, <-stays, peer.ErrBroken)
-	assert.NilError(t, call(c.Do))
+	assert.NilError(t, p.ping(c.Do, patience))
+	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkReady)
+}
+
+// doubted returns a client whose connection through the pipe is in doubt until giveUp is
+// called, with a request on it that stays.
+func doubted(t *testing.T, p *pipe) (c *peer.Client, stays chan error, giveUp func()) {
+	t.Helper()
+
+	var given atomic.Bool
+
+	c = peer.NewClient(peer.WithDialTimeout(patience), peer.Patient(func() bool { return !given.Load() }))
+	t.Cleanup(c.Close)
+	assert.NilError(t, p.ping(c.Do, patience))
+
+	p.silent.Store(p.opened.Load())
+
+	stays = make(chan error, 1)
+	go func() { stays <- p.ping(c.Do, patience) }()
+
+	untilDown(t, c, p.address)
+
+	return c, stays, func() { given.Store(true) }
+}
+
+func untilDown(t *testing.T, c *peer.Client, address string) {
+	t.Helper()
+
+	for deadline := time.Now().Add(patience); c.Link(address, peer.LaneCalls) != peer.LinkDown; {
+		assert.Assert(t, time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A failure domain was cut off and is back, and the connections from before are about to be
+// given up. An upload that is sent now was put on such a connection, ran, and ended with it a
+// few milliseconds later: its caller got 502 and nobody knew whether it ran.
+func TestANewRequestDoesNotShareTheFateOfAConnectionInDoubt(t *testing.T) {
+	e := newEnd(t)
+	p := newPipe(t, e.address)
+	c, stays, giveUp := doubted(t, p)
+
+	for range 20 {
+		assert.NilError(t, p.ping(c.Do, patience))
+	}
+
 	assert.Equal(t, c.Link(p.address, peer.LaneCalls), peer.LinkReady)
+	assert.Equal(t, p.opened.Load(), int64(2))
+	giveUp()
+	assert.ErrorIs(t, <-stays, peer.ErrBroken)
+	assert.NilError(t, p.ping(c.Do, patience))
+	assert.Equal(t, p.opened.Load(), int64(2))
+}
+
+// The link is still cut. What is put on its connection ends as perhaps run, though nothing
+// of it arrives; not sent at all, its caller can be told that it did not run.
+func TestARequestIsNotSentOverALinkThatIsStillCut(t *testing.T) {
+	e := newEnd(t)
+	p := newPipe(t, e.address)
+	c, stays, giveUp := doubted(t, p)
+
+	p.silent.Store(math.MaxInt64)
+	assert.ErrorIs(t, p.ping(c.Do, patience), peer.ErrUnreachable)
+	giveUp()
+	assert.ErrorIs(t, <-stays, peer.ErrBroken)
+}
+
+// A host stood still for half a second and answers again. A request that was about to leave its
+// connection for a new one goes on with the old, and is not refused.
+func TestAConnectionThatSpeaksAgainIsUsed(t *testing.T) {
+	const address = "client"
+
+	e := newEnd(t)
+	hold := make(chan struct{})
+
+	e.server.Handle("Hold", peer.Typed(func(_ context.Context, in ping) (ping, error) {
+		<-hold
+
+		return in, nil
+	}))
+
+	c := peer.NewClient(peer.WithDialTimeout(patience), peer.Address(address), peer.Patient(func() bool { return true }))
+	t.Cleanup(c.Close)
+
+	do := func(method string) chan error {
+		done := make(chan error, 1)
+
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+
+			var out ping
+
+			done <- c.Do(ctx, e.address, peer.LaneCalls, method, ping{Text: "x"}, &out)
+		}()
+
+		return done
+	}
+
+	assert.NilError(t, <-do("Ping"))
+	e.faults.Block(address)
+
+	held := do("Hold")
+	untilDown(t, c, e.address)
+
+	waits := do("Ping")
+
+	time.Sleep(short)
+	e.faults.Block()
+	close(hold)
+	assert.NilError(t, <-held)
+	assert.NilError(t, <-waits)
 }
 
 // A node is being stopped while calls of its callers run elsewhere, and the node beside
@@ -117,20 +229,11 @@
 	c := peer.NewClient(peer.WithDialTimeout(patience), peer.Patient(stopping.Load))
 	t.Cleanup(c.Close)
 
-	call := func(wait time.Duration) error {
-		ctx, cancel := context.WithTimeout(context.Background(), wait)
-		defer cancel()
-
-		var out ping
-
-		return c.DoElsewhere(ctx, p.address, peer.LaneCalls, "Ping", ping{Text: "x"}, &out)
-	}
-
-	assert.NilError(t, call(patience))
+	assert.NilError(t, p.ping(c.DoElsewhere, patience))
 	p.silent.Store(p.opened.Load())
 	time.AfterFunc(100*time.Millisecond, func() { stopping.Store(true) })
 
-	err := call(2 * time.Second)
+	err := p.ping(c.DoElsewhere, 2*time.Second)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
@@ -142,20 +245,11 @@
 	c := peer.NewClient(peer.WithDialTimeout(patience))
 	t.Cleanup(c.Close)
 
-	call := func(p *pipe) error {
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		defer cancel()
-
-		var out ping
-
-		return c.DoElsewhere(ctx, p.address, peer.LaneCalls, "Ping", ping{Text: "x"}, &out)
-	}
-
-	assert.NilError(t, call(pa))
-	assert.NilError(t, call(pb))
+	assert.NilError(t, pa.ping(c.DoElsewhere, patience))
+	assert.NilError(t, pb.ping(c.DoElsewhere, patience))
 	pa.silent.Store(1)
 	pb.silent.Store(1)
-	assert.ErrorIs(t, call(pa), peer.ErrSilent)
+	assert.ErrorIs(t, pa.ping(c.DoElsewhere, patience), peer.ErrSilent)
 
 	deadline := time.Now().Add(patience)
 	for c.Link(pb.address, peer.LaneCalls) == peer.LinkReady {
