--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -116,12 +116,19 @@
 	q.wake(q.now())
 }
 
-// Close lets nothing new in; what waits or runs goes on.
+// Close lets nothing more in; what runs goes on. What waits is turned away while it has time
+// to run elsewhere: behind calls that hang it would wait until the node ends.
 func (q *Queue) Close() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	q.closed = true
+
+	for i := range q.classes {
+		for q.classes[i].waiting > 0 {
+			q.classes[i].take(q.order).decide(ErrClosed)
+		}
+	}
 }
 
 // Open lets calls in again.
