--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -57,7 +57,7 @@
 // New returns a gate.
 func New(node string, r Runner, q *admission.Queue, opts ...Option) *Gate {
 	g := &Gate{node: node, queue: q, options: newOptions(opts...), suspects: noSuspects{}}
-	g.pipe = call.Chain(r.Run, g.deadline, g.settled, g.freshen, g.admit, g.judge, g.start)
+	g.pipe = call.Chain(r.Run, g.deadline, g.settled, g.refuseSuspects, g.admit, g.judge, g.start)
 
 	return g
 }
--- a/internal/gate/poison.go
+++ b/internal/gate/poison.go
@@ -12,6 +12,7 @@
 // Suspects judges requests that were running when a backend server crashed.
 type Suspects interface {
 	Freshen(ctx context.Context, service string)
+	Refused(c call.Call) error
 	Begin(ctx context.Context, c call.Call) (end func(poison.Result) []poison.Crash, err error)
 }
 
@@ -27,18 +28,24 @@
 
 func (noSuspects) Freshen(context.Context, string) {}
 
+func (noSuspects) Refused(call.Call) error { return nil }
+
 func (noSuspects) Begin(context.Context, call.Call) (func(poison.Result) []poison.Crash, error) {
 	return func(poison.Result) []poison.Crash { return nil }, nil
 }
 
-// freshen comes before the queue, so that no slot is held by a call that waits for what
-// other gates know. What is refused in any case does not wait.
-func (g *Gate) freshen(next call.Handler) call.Handler {
+// refuseSuspects comes before the queue, so that no slot is held by a call that waits for
+// what other gates know, and no request that is refused in any case waits for one.
+func (g *Gate) refuseSuspects(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
 		if !g.queue.Load().Leaving {
 			g.suspects.Freshen(ctx, c.Service)
 		}
 
+		if err := g.suspects.Refused(c); err != nil {
+			return call.Answer{}, err
+		}
+
 		return next(ctx, c)
 	}
 }
--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -1,13 +1,17 @@
 package poison
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -18,9 +22,9 @@
 
 // meetTime is how long after its start a gate that knows no other node at all lets no call
 // run, and meetAgain how often it looks. Nodes that start meet each other in a tenth of a
-// second; with all seeds down it took 0.4 s, and the poison request that had ended two
-// backend servers ended a third at a gate that had nobody to ask. A node that is alone
-// serves on after that.
+// second, some tenths more with all seeds down; a poison request that has ended two backend
+// servers would end a third at a gate that has nobody to ask. A node that is alone serves on
+// after that.
 const (
 	meetTime  = time.Second
 	meetAgain = 20 * time.Millisecond
@@ -106,13 +110,37 @@
 	}
 }
 
-// ask asks the gates that are thought to run for all that they know. It waits for all,
-// up to tellTime: those that answer first may have started anew as well and know
+// askedOldest and askedAnyhow are how many gates are asked: those that have run for
+// longest, which were told of all that happened, and some others, since hosts' clocks may
+// tell wrongly who that is. All of a service would be as many messages at a start of the
+// fleet as the square of it, and each call would wait for the slowest.
+const (
+	askedOldest = 8
+	askedAnyhow = 4
+)
+
+// askable returns the gates to be asked.
+func (w *Watch) askable(service string) []membership.Record {
+	gates := w.others(service, live)
+	slices.SortStableFunc(gates, func(a, b membership.Record) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+
+	if len(gates) <= askedOldest {
+		return gates
+	}
+
+	rest := gates[askedOldest:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+
+	return gates[:min(len(gates), askedOldest+askedAnyhow)]
+}
+
+// ask asks gates that are thought to run for all that they know. It waits for all of
+// these, up to tellTime: those that answer first may have started anew as well and know
 // nothing. It reports whether one answered: a
 // gate that knows nobody yet has just started itself.
 func (w *Watch) ask(ctx context.Context, service string) bool {
 	changed := w.asking.changed.Load()
-	gates := w.others(service, live)
+	gates := w.askable(service)
 
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
--- a/internal/poison/ask_test.go
+++ b/internal/poison/ask_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -95,6 +96,43 @@
 	})
 }
 
+// Half of the gates of a large service start anew at the same moment. If each asked all
+// others, messages would grow with the square of the fleet, and every call would wait for
+// the slowest of them. A few are asked, those that have run for long among them, and a
+// poison request is refused all the same.
+func TestAGateOfALargeServiceAsksAFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			size      = 60
+			most      = 16 // asked by one gate
+			restarted = 40
+		)
+
+		var ids []string
+		for i := range size {
+			ids = append(ids, fmt.Sprintf("gate-%02d", i))
+		}
+
+		m := newMesh(t, ids...)
+		_ = m.press(ids[0])
+		_ = m.press(ids[1])
+		assert.Equal(t, m.crashes(), 2)
+
+		for _, id := range ids[size-restarted:] {
+			m.gates[id].start()
+		}
+
+		before := m.sentOf(poison.MethodPull)
+
+		for _, id := range ids[size-restarted:] {
+			assert.ErrorIs(t, m.press(id), poison.ErrRefused)
+		}
+
+		asked := m.sentOf(poison.MethodPull) - before
+		assert.Assert(t, asked <= restarted*most, "%d messages of %d gates", asked, restarted)
+	})
+}
+
 // A process that was frozen wakes. Calls wait in its sockets beside the warnings, and the
 // first of them is the poison request.
 func TestAGateThatStoodStillAsksFirst(t *testing.T) {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -95,8 +95,7 @@
 // Stale tells that this gate may not have been told what others were: its process has just
 // started, or its host has another service. It asks before it lets the next call through.
 // A backend server that comes and goes is no reason, since its gate is told meanwhile: asked
-// for at each change, calls on 86 hosts waited up to 250 ms for a gate that could not be
-// reached, and one day was worth 0.64 instead of 0.75.
+// at each change, its calls would wait each time for a gate that can't be reached.
 func (w *Watch) Stale() { w.asking.changed.Add(1) }
 
 // Table returns what is known of suspects.
@@ -110,24 +109,44 @@
 
 	r := &run{watch: w, call: c, began: time.Now(), number: w.seen()}
 
+	v, err := w.judge(c)
+
+	switch {
+	case err != nil:
+		return nil, err
+	case !v.Suspected:
+		return func(o Result) []Crash { return r.end(ctx, o) }, nil
+	}
+
+	return w.beginSuspect(ctx, r, v)
+}
+
+// Refused returns the refusal of a request that is known to be refused, nil for all others.
+// It comes before the queue: waiting for a slot in vain takes the place of calls that can be
+// served, and a backend server that takes no calls just now would have its callers try the
+// request elsewhere again and again.
+func (w *Watch) Refused(c call.Call) error {
+	_, err := w.judge(c)
+
+	return err
+}
+
+// judge tells what is held of a call's request, with the refusal if it is refused.
+func (w *Watch) judge(c call.Call) (Verdict, error) {
 	if len(c.Crashes) > 0 {
 		w.table.Heard(Of(c), c.Crashes)
 	}
 
 	if w.table.Size() == 0 { // almost always
-		return func(o Result) []Crash { return r.end(ctx, o) }, nil
+		return Verdict{}, nil
 	}
 
 	v := w.table.Judge(Of(c).Digest)
-
-	switch {
-	case v.Refused:
-		return nil, w.refuse(c, ErrRefused, v.Left)
-	case !v.Suspected:
-		return func(o Result) []Crash { return r.end(ctx, o) }, nil
+	if v.Refused {
+		return v, w.refuse(c, ErrRefused, v.Left)
 	}
 
-	return w.beginSuspect(ctx, r, v)
+	return v, nil
 }
 
 func (w *Watch) beginSuspect(ctx context.Context, r *run, v Verdict) (func(Result) []Crash, error) {
