--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -90,6 +90,18 @@
 	})
 }
 
+func BenchmarkMembershipFirstOf(b *testing.B) {
+	each(b, func(b *testing.B, n int) { //nolint:thelper // the body of the benchmark
+		t, members := table(b, n)
+
+		b.ReportAllocs()
+
+		for b.Loop() {
+			t.FirstOf(members[0].FailureDomain, 2)
+		}
+	})
+}
+
 func BenchmarkMembershipTableEncode(b *testing.B) {
 	each(b, func(b *testing.B, n int) { //nolint:thelper // the body of the benchmark
 		members := bench.Members(n)
--- a/internal/membership/changes.go
+++ b/internal/membership/changes.go
@@ -1,6 +1,9 @@
 package membership
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // changes are the nodes whose records have news that others may not have.
 //
@@ -54,11 +57,13 @@
 }
 
 // take returns up to count nodes whose news went out least, counts them as sent
-// once more, and forgets those that went out limit times.
-func (c *changes) take(count, limit int) []string {
+// once more, and forgets those that went out limit times. Those that the receiver knows
+// stay as they are: an answer with what the question brought would use up the few times
+// that a change goes out, and one node in hundreds would not hear of it.
+func (c *changes) take(count, limit int, known func(id string) bool) []string {
 	var (
-		ids   []string
-		taken []*change
+		ids          []string
+		fresh, again []*change
 	)
 
 	for _, queue := range []*[]*change{&c.fresh, &c.again} {
@@ -66,15 +71,24 @@
 			n := (*queue)[0]
 			*queue = (*queue)[1:]
 
-			if !n.done {
+			switch {
+			case n.done:
+			case !known(n.id):
 				ids = append(ids, n.id)
-				taken = append(taken, n)
+				n.sent++
+				again = append(again, n)
+			case n.sent == 0:
+				fresh = append(fresh, n)
+			default:
+				again = append(again, n)
 			}
 		}
 	}
 
-	for _, n := range taken {
-		if n.sent++; n.sent < limit {
+	c.fresh = append(fresh, c.fresh...)
+
+	for _, n := range again {
+		if n.sent < limit {
 			c.again = append(c.again, n)
 		} else {
 			c.remove(n.id)
@@ -84,9 +98,10 @@
 	return ids
 }
 
-// News takes up to count changes to be sent to a node. What is held of that node
-// itself always goes with them, so that it can refute.
-func (t *Table) News(count int, to string) ([]Record, []Belief) {
+// News takes up to count changes to be sent to a node, without records that it has just
+// sent itself. What is held of that node itself always goes with them, so that it can
+// refute.
+func (t *Table) News(count int, to string, had ...Record) ([]Record, []Belief) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -94,7 +109,7 @@
 
 	beliefs := t.beliefsOf(to)
 
-	for _, id := range t.changes.take(count, transmits(len(t.live.ids))) {
+	for _, id := range t.changes.take(count, transmits(len(t.live.ids)), t.knownTo(had)) {
 		m := t.members[id]
 		if m == nil || id == to {
 			continue
@@ -109,9 +124,43 @@
 		records = append(records, m.record)
 	}
 
+	if t.elsewhere(to) && !slices.ContainsFunc(records, func(r Record) bool { return r.ID == t.self.ID }) {
+		records = append(records, t.self)
+	}
+
 	return records, beliefs
 }
 
+// knownTo returns a function that reports whether a node that sent these records knows all
+// that is held here of another one.
+func (t *Table) knownTo(had []Record) func(id string) bool {
+	return func(id string) bool {
+		m := t.members[id]
+
+		return m != nil && slices.ContainsFunc(had, func(r Record) bool { return r.ID == id && r.Compare(m.record) >= 0 })
+	}
+}
+
+// elsewhere reports whether a node is not one of the own failure domain. Those have no
+// news from here but what few messages bring, so each of these has the own record.
+func (t *Table) elsewhere(id string) bool {
+	m := t.members[id]
+
+	return m == nil || m.record.FailureDomain != t.self.FailureDomain
+}
+
+// TakeUntold reports whether the own record changed since the last time that it was
+// asked.
+func (t *Table) TakeUntold() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	untold := t.untold
+	t.untold = false
+
+	return untold
+}
+
 // Pending reports whether there are changes to be spread.
 func (t *Table) Pending() bool {
 	t.mu.RLock()
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,28 +14,15 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	own := weight(domain, id)
-	before := 0
-	found := false
-
-	var capacity uint32
-	if m := t.members[id]; m != nil {
-		capacity = m.record.Capacity
+	set, m := t.domains[domain], t.members[id]
+	if set == nil || !set.has(id) {
+		return false
 	}
 
-	for _, other := range t.live.ids {
-		o := t.members[other].record
-		if o.FailureDomain != domain {
-			continue
-		}
-
-		if other == id {
-			found = true
-
-			continue
-		}
+	before := 0
 
-		if o.Capacity > capacity || (o.Capacity == capacity && weight(domain, other) > own) {
+	for _, other := range set.ids {
+		if t.members[other].rank().before(m.rank()) {
 			before++
 		}
 
@@ -45,35 +31,59 @@
 		}
 	}
 
-	return found
+	return true
 }
 
+// rank is the node's place among those of its failure domain.
+func (m *member) rank() rank { return rank{m.record.Capacity, m.weight} }
+
 // FirstOf returns up to count live nodes of a failure domain, those with most
 // capacity first, in the order of rendezvous hashing.
 func (t *Table) FirstOf(domain string, count int) []Record {
-	out := t.living(func(r Record) bool { return r.FailureDomain == domain })
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	set := t.domains[domain]
+	if set == nil {
+		return nil
+	}
 
-	slices.SortFunc(out, func(a, b Record) int {
-		if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
-			return c
+	return t.first(set.ids, count, (*member).rank)
+}
+
+// Domains returns the failure domains that have live nodes, in order.
+func (t *Table) Domains() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	out := make([]string, 0, len(t.domains))
+
+	for domain, set := range t.domains {
+		if len(set.ids) > 0 {
+			out = append(out, domain)
 		}
+	}
 
-		return byWeight(domain, a, b)
-	})
+	slices.Sort(out)
 
-	return out[:min(count, len(out))]
+	return out
 }
 
-// living returns the live nodes that are wanted, in no order.
-func (t *Table) living(wanted func(Record) bool) []Record {
+// Neighbours returns the other live nodes of the own failure domain, in no order.
+func (t *Table) Neighbours() []Record {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	var out []Record
+	set := t.domains[t.self.FailureDomain]
+	if set == nil {
+		return nil
+	}
+
+	out := make([]Record, 0, len(set.ids))
 
-	for _, id := range t.live.ids {
-		if r := t.members[id].record; wanted(r) {
-			out = append(out, r)
+	for _, id := range set.ids {
+		if id != t.self.ID {
+			out = append(out, t.members[id].record)
 		}
 	}
 
@@ -83,26 +93,84 @@
 // Ranked returns up to count live nodes but this one, in the order of rendezvous hashing
 // of a key. Nodes that know the same live nodes choose the same ones.
 func (t *Table) Ranked(key string, count int) []Record {
-	return t.ranked(key, count, func(Record) bool { return true })
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+
+	return t.rankedOf(&t.live, key, count)
 }
 
 // RankedIn is Ranked among the nodes of this one's failure domain.
 func (t *Table) RankedIn(key string, count int) []Record {
-	domain := t.Self().FailureDomain
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 
-	return t.ranked(key, count, func(r Record) bool { return r.FailureDomain == domain })
-}
+	set := t.domains[t.self.FailureDomain]
+	if set == nil {
+		return nil
+	}
 
-func (t *Table) ranked(key string, count int, takes func(Record) bool) []Record {
-	self := t.Self().ID
-	out := t.living(func(r Record) bool { return r.ID != self && takes(r) })
+	return t.rankedOf(set, key, count)
+}
 
-	slices.SortFunc(out, func(a, b Record) int { return byWeight(key, a, b) })
+func (t *Table) rankedOf(set *liveSet, key string, count int) []Record {
+	out := t.first(set.ids, count+1, func(m *member) rank { return rank{weight: weight(key, m.record.ID)} })
+	out = slices.DeleteFunc(out, func(r Record) bool { return r.ID == t.self.ID })
 
 	return out[:min(count, len(out))]
 }
 
-// byWeight is the order of rendezvous hashing.
-func byWeight(key string, a, b Record) int { return cmp.Compare(weight(key, b.ID), weight(key, a.ID)) }
+// rank is by what nodes are ordered, the highest first.
+type rank struct {
+	capacity uint32
+	weight   uint64
+}
+
+func (r rank) before(o rank) bool {
+	if r.capacity != o.capacity {
+		return r.capacity > o.capacity
+	}
+
+	return r.weight > o.weight
+}
+
+// first returns the count records of the highest ranks, in their order. It goes over the
+// nodes once: sorted whole, those of a large failure domain cost more than what is asked of
+// the few.
+func (t *Table) first(ids []string, count int, of func(*member) rank) []Record {
+	type ranked struct {
+		rank
+		id string
+	}
+
+	top := make([]ranked, 0, count+1)
+
+	for _, id := range ids {
+		r := ranked{of(t.members[id]), id}
+
+		i := len(top)
+		for i > 0 && r.before(top[i-1].rank) {
+			i--
+		}
+
+		if i == count {
+			continue
+		}
+
+		top = slices.Insert(top, i, r)
+		top = top[:min(len(top), count)]
+	}
+
+	out := make([]Record, 0, len(top))
+	for _, r := range top {
+		out = append(out, t.members[r.id].record)
+	}
+
+	return out
+}
+
+// weight is the order of rendezvous hashing.
+func weight(key, id string) uint64 {
+	var buf [128]byte // most keys and IDs together are shorter, and then nothing is allocated
 
-func weight(domain, id string) uint64 { return xxhash.Sum64String(domain + "\x00" + id) }
+	return xxhash.Sum64(append(append(append(buf[:0], key...), 0), id...))
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -125,13 +125,52 @@
 	}
 }
 
-// Tell sends news to some live nodes at once.
+// Tell sends news to some nodes of the own failure domain at once. A change of the own
+// record goes to one node of each other failure domain, and now and then other news to one
+// of them.
+//
+// Sent to nodes of the whole fleet, most news would cross failure domains, again and
+// again, by as many nodes as there are. A change is brought across by the node that it
+// is about; what others pass on makes up for what that one could not reach. Who does is
+// drawn anew in each round, so that no node is needed for it.
 func (g *Gossip) Tell(ctx context.Context) {
-	for _, target := range g.table.Random(g.options.Fanout) {
+	far := g.table.Elsewhere()
+	if len(far) > 0 && !g.table.TakeUntold() {
+		far = g.relayed(far)
+	}
+
+	for _, target := range append(g.table.Near(g.options.Fanout), far...) {
 		go func() { _ = g.exchange(ctx, target) }()
 	}
 }
 
+// relayed returns one of the nodes, or none if it is not this node's turn to talk to
+// other failure domains.
+func (g *Gossip) relayed(far []Record) []Record {
+	if !g.drawn() {
+		return nil
+	}
+
+	return anyOf(far)
+}
+
+// relays is how many nodes of a failure domain talk to others in a round.
+const relays = 2
+
+// drawn reports by lot whether this node is one of the relays now.
+func (g *Gossip) drawn() bool { return rand.IntN(max(g.table.CountNear(), 1)) < relays }
+
+// anyOf returns one of the records, if there is one.
+func anyOf(records []Record) []Record {
+	if len(records) == 0 {
+		return nil
+	}
+
+	i := rand.IntN(len(records))
+
+	return records[i : i+1]
+}
+
 // Leave tells some live nodes that this one leaves, and returns when they know.
 // The process ends after it, so nobody would pass the news on later.
 func (g *Gossip) Leave(ctx context.Context) {
@@ -139,7 +178,7 @@
 
 	var wg sync.WaitGroup
 
-	for _, target := range g.table.Random(2 * g.options.Fanout) {
+	for _, target := range append(g.table.Near(g.options.Fanout), g.table.Elsewhere()...) {
 		wg.Go(func() { _ = g.exchange(ctx, target) })
 	}
 
@@ -165,7 +204,7 @@
 
 func (g *Gossip) talk(ctx context.Context, id, address string) (Exchange, error) {
 	var reply Exchange
-	if err := g.peers.Do(ctx, address, peer.LaneControl, MethodExchange, g.message(id), &reply); err != nil {
+	if err := g.peers.Do(ctx, address, peer.LaneControl, MethodExchange, g.message(id, nil), &reply); err != nil {
 		return reply, err
 	}
 
@@ -175,9 +214,10 @@
 	return reply, nil
 }
 
-func (g *Gossip) message(to string) Exchange {
+// message is what a node is sent, which has just sent these records itself.
+func (g *Gossip) message(to string, had []Record) Exchange {
 	self := g.table.Self()
-	records, beliefs := g.table.News(maxNews, to)
+	records, beliefs := g.table.News(maxNews, to, had...)
 
 	return Exchange{
 		From: self.ID, Address: self.PeerAddress, Hash: g.table.Hash(), Version: g.options.Version(),
@@ -189,21 +229,35 @@
 	g.table.MergeFrom(e.From, e.Records)
 	g.table.Believe(e.Beliefs)
 
-	if e.Hash != g.table.Hash() {
-		g.differs.Store(&e.Address)
+	if e.Hash != g.table.Hash() && g.repairsWith(e.From) {
+		g.compareWith(e.Address)
+	}
+}
 
-		select {
-		case g.compareNow <- struct{}{}:
-		default:
-		}
+// compareWith has the digests compared with those of the node at an address soon.
+func (g *Gossip) compareWith(address string) {
+	g.differs.Store(&address)
+
+	select {
+	case g.compareNow <- struct{}{}:
+	default:
 	}
 }
 
+// repairsWith reports whether a difference with a node is worth a comparison now. Those
+// with nodes of other failure domains are made by a few at a time: what they bring is
+// then compared at home.
+func (g *Gossip) repairsWith(id string) bool {
+	r, known := g.table.Find(id)
+
+	return !known || r.FailureDomain == g.table.Self().FailureDomain || g.drawn()
+}
+
 // Serve answers a probe.
 func (g *Gossip) Serve(ctx context.Context, in Exchange) (Exchange, error) {
 	g.hear(in)
 
 	go g.options.Hear(context.WithoutCancel(ctx), in.Address, in.Version)
 
-	return g.message(in.From), nil
+	return g.message(in.From, in.Records), nil
 }
--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -172,38 +171,6 @@
 	return len(t.live.ids)
 }
 
-// Random returns up to count different live nodes, without the own one and the
-// given ones.
-func (t *Table) Random(count int, without ...string) []Record {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-
-	// A node that left on its own and knows no other has nobody to choose from.
-	if len(t.live.ids) == 0 {
-		return nil
-	}
-
-	var out []Record
-
-	skip := append([]string{t.self.ID}, without...)
-
-	// More tries than wanted make up for repeats; a small fleet may give fewer than
-	// wanted, which costs a probe its breadth and nothing else.
-	const triesEach = 4
-
-	for tries := triesEach*count + len(skip); tries > 0 && len(out) < count && len(t.live.ids) > 0; tries-- {
-		id := t.live.ids[rand.IntN(len(t.live.ids))]
-		if slices.Contains(skip, id) {
-			continue
-		}
-
-		skip = append(skip, id)
-		out = append(out, t.members[id].record)
-	}
-
-	return out
-}
-
 // Lost returns a random node that is held for dead.
 func (t *Table) Lost() (Record, bool) {
 	t.mu.RLock()
@@ -218,52 +185,3 @@
 
 	return Record{}, false
 }
-
-// liveSet is a set with a random element in constant time.
-type liveSet struct {
-	ids []string
-	at  map[string]int
-}
-
-func newLiveSet() liveSet { return liveSet{at: map[string]int{}} }
-
-func (s *liveSet) set(id string, live bool) {
-	i, in := s.at[id]
-
-	switch {
-	case live && !in:
-		s.at[id] = len(s.ids)
-		s.ids = append(s.ids, id)
-	case !live && in:
-		last := s.ids[len(s.ids)-1]
-		s.ids[i] = last
-		s.at[last] = i
-		s.ids = s.ids[:len(s.ids)-1]
-		delete(s.at, id)
-	}
-}
-
-// At returns the records of the nodes with the peer addresses, also of dead ones.
-func (t *Table) At(addresses []string) []Record {
-	if len(addresses) == 0 {
-		return nil
-	}
-
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-
-	var out []Record
-
-	for _, m := range t.members {
-		if slices.Contains(addresses, m.record.PeerAddress) && m.record.State != StateLeft {
-			out = append(out, m.record)
-		}
-	}
-
-	return out
-}
-
-// LiveAt reports whether a live node has the peer address.
-func (t *Table) LiveAt(address string) bool {
-	return slices.ContainsFunc(t.At([]string{address}), Record.Live)
-}
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -24,6 +24,7 @@
 	cut    func(from, to string) bool
 	frozen map[string]bool
 	sent   map[string]traffic // by sender
+	far    traffic            // between failure domains, of all nodes
 }
 
 type traffic struct{ messages, bytes int }
@@ -111,9 +112,24 @@
 	t.bytes += size
 	n.sent[from] = t
 
+	if n.domain(from) != n.domain(to) {
+		n.far.messages++
+		n.far.bytes += size
+	}
+
 	return n.nodes[to], !n.cut(from, to) && !n.frozen[from] && !n.frozen[to]
 }
 
+// domain returns the failure domain of the node at an address, none if it is gone.
+func (n *network) domain(address string) string {
+	s := n.nodes[address]
+	if s == nil {
+		return ""
+	}
+
+	return s.table.Self().FailureDomain
+}
+
 func (n *network) set(change func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -121,7 +137,21 @@
 	change()
 }
 
-func (n *network) resetTraffic() { n.set(func() { clear(n.sent) }) }
+func (n *network) resetTraffic() {
+	n.set(func() {
+		clear(n.sent)
+
+		n.far = traffic{}
+	})
+}
+
+// between returns the traffic between failure domains.
+func (n *network) between() traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.far
+}
 
 // most returns the largest traffic of one node.
 func (n *network) most() traffic {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -2,17 +2,29 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/peer"
 )
 
-// probeRandom probes one random node. With everyone doing so each node is probed
-// about once a second, and each message is one that the fleet's size does not
-// multiply.
+// farProbes is of how many probes one goes to another failure domain. Those within find
+// nodes that died; the others find failure domains that can't be reached, and bring the
+// digest from which a node learns that its whole failure domain lacks something.
+const farProbes = 8
+
+// probeRandom probes one random node, mostly of the own failure domain. With everyone
+// doing so each node is probed about once a second, and each message is one that the
+// fleet's size does not multiply.
 func (g *Gossip) probeRandom(ctx context.Context) {
-	for _, target := range g.table.Random(1) {
+	targets := g.table.Near(1)
+
+	if far := g.table.Elsewhere(); len(far) > 0 && rand.IntN(farProbes) == 0 {
+		targets = anyOf(far)
+	}
+
+	for _, target := range targets {
 		go g.probe(ctx, target)
 	}
 }
@@ -47,8 +59,17 @@
 	}
 
 	g.table.Suspect(target.ID, err.Error(), append([]string{g.table.Self().ID}, observers...)...)
+
+	for _, r := range g.table.Beside(target, beside) {
+		g.doubts.add(r.PeerAddress)
+	}
 }
 
+// beside is how many nodes of the failure domain of one that does not answer are probed
+// next. A whole failure domain that dies or is cut off is then known within seconds,
+// though it is seldom probed from elsewhere: who finds one finds two more.
+const beside = 2
+
 func (g *Gossip) askOthers(ctx context.Context, target Record) (answered bool, observers []string) {
 	ctx, cancel := context.WithTimeout(ctx, 2*g.health.stretch(g.options.Timeout))
 	defer cancel()
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -168,7 +168,7 @@
 	g.table.Forget(g.options.Forget)
 
 	if r, ok := g.table.Lost(); ok {
-		go func() { _ = g.exchange(ctx, r) }()
+		go g.regain(ctx, r)
 	}
 
 	lost := slices.DeleteFunc(slices.Clone(g.options.Seeds), g.table.LiveAt)
@@ -179,6 +179,14 @@
 	}
 }
 
+// regain tries a node that is held for dead. One that answers was cut off, mostly with
+// its whole failure domain: what happened on the other side is had from it.
+func (g *Gossip) regain(ctx context.Context, r Record) {
+	if g.exchange(ctx, r) == nil {
+		g.compareWith(r.PeerAddress)
+	}
+}
+
 func shuffled(in []byte) []byte {
 	out := slices.Clone(in)
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,15 +19,22 @@
 	replaced bool
 	members  map[string]*member
 	live     liveSet
-	digest   digest
-	changes  changes
-	index    index
+	domains  map[string]*liveSet // the live nodes by failure domain
+	// addresses are the IDs of the records with a peer address: mostly one, more where a
+	// node was replaced under its address.
+	addresses map[string][]string
+	digest    digest
+	changes   changes
+	index     index
+	// untold says that the own record changed and other failure domains were not told.
+	untold bool
 	// news wakes who spreads changes.
 	news chan struct{}
 }
 
 type member struct {
 	record Record
+	weight uint64 // in the order of its failure domain
 	since  time.Time
 	// accusers are the observers that got no answer, the first of them first.
 	accusers []string
@@ -41,8 +48,8 @@
 	}
 
 	t := &Table{
-		recorder: recorder, self: self, members: map[string]*member{}, live: newLiveSet(), changes: newChanges(),
-		news: make(chan struct{}, 1),
+		recorder: recorder, self: self, members: map[string]*member{}, live: newLiveSet(), domains: map[string]*liveSet{},
+		addresses: map[string][]string{}, changes: newChanges(), news: make(chan struct{}, 1),
 	}
 	t.index.init()
 	t.put(self)
@@ -70,155 +77,6 @@
 	t.put(next)
 }
 
-// Merge takes records and returns how many were news.
-func (t *Table) Merge(records []Record) int { return t.MergeFrom("", records) }
-
-// MergeFrom takes records that a node sent and returns how many were news.
-func (t *Table) MergeFrom(from string, records []Record) int {
-	t.mu.Lock()
-	defer t.unlock()
-
-	news := 0
-
-	for _, r := range records {
-		if t.merge(from, r) {
-			news++
-		}
-	}
-
-	return news
-}
-
-// Adopt takes records from a comparison. They are not passed on by gossip: others
-// have had them for long, and a node that joins would send the whole table round.
-func (t *Table) Adopt(from string, records []Record) int {
-	t.mu.Lock()
-	defer t.unlock()
-
-	news := 0
-
-	for _, r := range records {
-		if t.merge(from, r) {
-			news++
-		}
-
-		if m := t.members[r.ID]; m != nil && m.record.State == StateAlive && r.ID != t.self.ID {
-			t.changes.remove(r.ID)
-		}
-	}
-
-	return news
-}
-
-func (t *Table) merge(from string, r Record) bool {
-	if r.ID == t.self.ID {
-		return t.refute(r)
-	}
-
-	m := t.members[r.ID]
-	if m != nil && r.Compare(m.record) <= 0 {
-		return false
-	}
-
-	switch r.State {
-	case StateSuspect, StateDead:
-		return t.mergeDoubted(from, m, r)
-	case StateAlive, StateLeft:
-	}
-
-	if m == nil && r.State == StateLeft {
-		// Nobody needs the record of a node that left before it was known here,
-		// and passing it round would start its time to be forgotten anew.
-		return false
-	}
-
-	t.tell(m, r, "")
-	t.put(r)
-
-	return true
-}
-
-// mergeDoubted takes a record that its sender holds suspect or dead: the record
-// as alive, and the belief as an accusation that the node may still refute.
-func (t *Table) mergeDoubted(from string, m *member, r Record) bool {
-	if m == nil {
-		return false
-	}
-
-	news := false
-
-	if r.compareWritten(m.record) > 0 {
-		r.State = StateAlive
-		t.tell(m, r, "")
-		t.put(r)
-
-		news = true
-	}
-
-	return t.accuse(Belief{ID: r.ID, Epoch: r.Epoch, Seq: r.Seq, State: StateSuspect, By: from}, "") || news
-}
-
-// refute answers what others hold of this node. A pause or a lost frame made
-// them suspect it, or an earlier life on this host left a record with a higher
-// epoch since the clock was set back: without a higher number of its own the
-// node would stay dead, or answer for an address that is gone, for good.
-func (t *Table) refute(r Record) bool {
-	c := r.compareWritten(t.self)
-
-	if r.Incarnation == t.self.Incarnation && (c < 0 || r.State <= t.self.State) {
-		return false
-	}
-
-	if c < 0 {
-		return false
-	}
-
-	// What is suspected at an epoch that this process never had is another one.
-	if t.replacedBy(r) || (r.State == StateSuspect && r.Epoch > t.self.Epoch) {
-		return false
-	}
-
-	if r.Epoch > t.self.Epoch || r.Incarnation != t.self.Incarnation {
-		t.self.Epoch = r.Epoch + 1
-	}
-
-	t.self.Seq = max(t.self.Seq, r.Seq) + 1
-	t.put(t.self)
-	t.recorder.Record(event.MemberRefuted, timeline.Entry{Detail: "believed " + r.State.String()})
-
-	t.retract()
-
-	return true
-}
-
-// replacedBy reports whether a later process has this ID at another address. A
-// host that was frozen is replaced and wakes: if both insisted, entries would send
-// calls now to the one and now to the other. The earlier one gives way for as long
-// as the later one is thought to run.
-func (t *Table) replacedBy(r Record) bool {
-	if r.Incarnation <= t.self.Incarnation || r.PeerAddress == t.self.PeerAddress || !r.Live() {
-		return false
-	}
-
-	if !t.replaced {
-		t.replaced = true
-		t.recorder.Record(event.MemberReplaced, timeline.Entry{Peer: r.ID, Detail: "at " + r.PeerAddress})
-	}
-
-	return true
-}
-
-// retract stops the spread of what is held of others. A node that others could
-// not reach was cut off or frozen, so what it could not reach in that time may be
-// well; who meets it again would suspect its own healthy neighbours.
-func (t *Table) retract() {
-	for id, m := range t.members {
-		if m.record.State == StateDead || m.record.State == StateSuspect {
-			t.changes.remove(id)
-		}
-	}
-}
-
 // put stores a record and notes it as a change to be spread.
 func (t *Table) put(r Record) {
 	now := time.Now()
@@ -232,6 +90,10 @@
 	before := old.record
 	old.record = r
 
+	if before.FailureDomain != r.FailureDomain || before.ID == "" {
+		old.weight = weight(r.FailureDomain, r.ID)
+	}
+
 	if before.State != r.State || r.State == StateAlive {
 		old.since = now
 	}
@@ -240,7 +102,13 @@
 		old.accusers = nil
 	}
 
-	t.live.set(r.ID, r.Live())
+	t.move(r.ID, before.PeerAddress, r.PeerAddress)
+	t.setLive(before, r)
+
+	if r.ID == t.self.ID {
+		t.untold = true
+	}
+
 	t.digest.replace(before, r)
 	t.note(r.ID)
 	t.index.replace(before, r)
@@ -299,6 +167,7 @@
 		if !m.record.Live() && id != t.self.ID && now.Sub(m.since) >= after {
 			delete(t.members, id)
 			t.changes.remove(id)
+			t.move(id, m.record.PeerAddress, "")
 		}
 	}
 }
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,3 +119,64 @@
 	assert.Equal(t, len(table.Random(3)), 0)
 	assert.Equal(t, table.CountLive(), 0)
 }
+
+// A node is replaced under its address by one with another name, in another failure
+// domain. Who asks by address gets both until the old record is forgotten, and no node at
+// an address that nobody has any more.
+func TestNodesAreFoundByTheirAddress(t *testing.T) {
+	table := membership.NewTable(record("a", 1), timeline.New())
+
+	old := record("b", 1)
+	next := record("c", 2)
+	next.PeerAddress, next.FailureDomain = old.PeerAddress, "derby"
+
+	table.Merge([]membership.Record{old, next})
+	assert.Equal(t, len(table.At([]string{old.PeerAddress})), 2)
+	assert.Assert(t, table.NearAt(old.PeerAddress))
+
+	moved := old
+	moved.Seq, moved.PeerAddress = 1, "b:7001"
+	table.Merge([]membership.Record{moved})
+
+	found := table.At([]string{old.PeerAddress})
+	assert.Equal(t, len(found), 1)
+	assert.Equal(t, found[0].ID, "c")
+	assert.Assert(t, !table.NearAt(old.PeerAddress))
+	assert.Assert(t, table.LiveAt("b:7001"))
+}
+
+// A node tells others of a change, and each answers with the same change: as news it is
+// sent a dozen times only, and most of these went back to nodes that had just told it. Of
+// 200 nodes some then never heard that a backend server leaves, and went on sending it calls
+// until a comparison, for more than two seconds once in a hundred changes.
+func TestAnAnswerKeepsWhatTheQuestionBrought(t *testing.T) {
+	table := tableOf("a", "b", "c")
+	for range 100 {
+		table.News(100, "b")
+	}
+
+	assert.Assert(t, !table.Pending())
+
+	changed := record("a", 1)
+	changed.Seq = 1
+	table.Merge([]membership.Record{changed})
+
+	for range 100 {
+		records, _ := table.News(100, "b", changed)
+		assert.Equal(t, len(records), 0)
+	}
+
+	records, _ := table.News(100, "c")
+	assert.Assert(t, slices.Equal(records, []membership.Record{changed}))
+}
+
+// What was sent along is older than what is held here: the answer has to bring the news.
+func TestAnAnswerBringsWhatIsNewerThanTheQuestion(t *testing.T) {
+	table := tableOf("a", "b")
+	changed := record("a", 1)
+	changed.Seq = 1
+	table.Merge([]membership.Record{changed})
+
+	records, _ := table.News(100, "b", record("a", 1))
+	assert.Assert(t, slices.Contains(records, changed))
+}
