--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -125,17 +125,32 @@
 	return errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge)
 }
 
+// closeAgain is the pause before a gate is asked again to close an attempt.
+const closeAgain = 20 * time.Millisecond
+
 // close asks the gate to never start the attempt. Only its word makes not-run of
 // a lost attempt: the attempt may wait in the buffer of a frozen process.
+//
+// What broke the attempt's connection often breaks the one that the question goes on, too,
+// while new ones work. Asked once only, the caller would be told that nobody knows whether
+// its upload ran, though the gate is there and can tell.
 func (g *guard) close(ctx context.Context, address string, t call.Ticket) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.home.options.CloseTimeout)
 	defer cancel()
 
-	var out Closed
+	for {
+		var out Closed
 
-	err := g.next.Do(ctx, address, peer.LaneControl, MethodClose, t, &out)
+		if g.next.Do(ctx, address, peer.LaneControl, MethodClose, t, &out) == nil {
+			return out.Closed
+		}
 
-	return err == nil && out.Closed
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(closeAgain):
+		}
+	}
 }
 
 func (g *guard) epoch(ctx context.Context, address string) (string, error) {
--- /dev/null
+++ b/internal/once/guard_test.go
@@ -0,0 +1,86 @@
+package once_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/once"
+	"github.com/pollencart/pollencart/internal/once/key"
+	"github.com/pollencart/pollencart/internal/peer"
+)
+
+// closingGate is a gate whose connections broke; as many questions about the attempt as
+// are given get no answer on them either.
+type closingGate struct {
+	breaks int
+	asked  int
+}
+
+func (g *closingGate) Do(ctx context.Context, _ string, _ peer.Lane, method string, _, out any) error {
+	switch method {
+	case once.MethodEpoch:
+		*out.(*once.Epoch) = once.Epoch{Epoch: "1"}
+
+		return nil
+	case once.MethodClose:
+		if g.asked++; g.asked <= g.breaks {
+			return peer.ErrBroken
+		}
+
+		*out.(*once.Closed) = once.Closed{Closed: true}
+
+		return ctx.Err()
+	}
+
+	return peer.ErrBroken
+}
+
+// upload sends a call through a home to the gate.
+func (g *closingGate) upload(t *testing.T) call.Ran {
+	t.Helper()
+
+	h := once.New("a", key.NewLife(1))
+	peers := h.Guard(g)
+
+	_, err := h.Run(t.Context(), keyedCall(h, 1), func(ctx context.Context, c call.Call) (call.Answer, error) {
+		var reply gate.Reply
+		if err := peers.Do(ctx, "gate", peer.LaneCalls, gate.MethodRun, c, &reply); err != nil {
+			return call.Answer{}, err
+		}
+
+		return call.Answer{}, reply.Refusal
+	})
+
+	var refusal *call.Refusal
+
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+
+	return refusal.Ran
+}
+
+// The connections to a gate break all at once, that of the upload and the one on which the
+// gate is then asked whether the upload was started. The gate is well and has not seen it;
+// the caller was told that nobody knows, and could not send its upload again. The home's
+// lines have 502 and 403 in one millisecond, the gate's 406 two milliseconds later.
+func TestAGateIsAskedAgainWhetherItStartedAnAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &closingGate{breaks: 2}
+
+		assert.Equal(t, g.upload(t), call.RanNo)
+	})
+}
+
+// A gate that can't be asked at all is given up soon, and nobody knows.
+func TestAGateThatNeverTellsLeavesAnAttemptUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &closingGate{breaks: 1 << 20}
+
+		assert.Equal(t, g.upload(t), call.RanUnknown)
+	})
+}
