--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -191,8 +191,21 @@
 		return s.work.Target.After(o.work.Target)
 	}
 
-	return s.work.Deadline.Add(-s.size).Before(o.work.Deadline.Add(-o.size))
+	return s.last().Before(o.last())
 }
 
 // latest returns the last moment to start to be on time.
 func (s *Slot) latest() time.Time { return s.work.Target.Add(-s.size - s.spare) }
+
+// last returns the last moment to start to end before the deadline.
+func (s *Slot) last() time.Time { return s.work.Deadline.Add(-s.size) }
+
+// untilLook returns after how long a waiting call has lost a prospect: that of being on
+// time, or, if it has not had that one, of being answered at all.
+func (s *Slot) untilLook(now time.Time) time.Duration {
+	if at := s.latest(); at.After(now) {
+		return at.Sub(now)
+	}
+
+	return s.last().Sub(now)
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -179,8 +179,7 @@
 	default:
 	}
 
-	// The first look is when the call can't be on time any more.
-	look := time.NewTimer(time.Until(s.latest()))
+	look := time.NewTimer(s.untilLook(time.Now()))
 	defer look.Stop()
 
 	for {
@@ -196,7 +195,7 @@
 				return nil, q.abandon(s, ErrTooLate)
 			}
 
-			look.Reset(time.Until(s.work.Deadline.Add(-s.size)))
+			look.Reset(time.Until(s.last()))
 		case <-ctx.Done():
 			return nil, q.abandon(s, ErrGone)
 		}
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -14,6 +14,44 @@
 	"github.com/pollencart/pollencart/internal/slots"
 )
 
+// Calls reach busy backend servers when they can't be on time any more, and their callers
+// still want the answers. They wait for a slot, as long as it can be answered at all; a look
+// at once whether it is in vain would find nothing that was not known when they were let in,
+// and many such looks in one bubble end the race detector.
+func TestCallsThatAreLateFromTheStartWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 200
+
+		now := time.Now()
+		late := slots.Work{Target: now.Add(-ms), Deadline: now.Add(time.Minute)}
+		start := make(chan struct{})
+
+		var wg sync.WaitGroup
+
+		for range nodes {
+			q := newQueue(1)
+			running, err := q.Enter(t.Context(), late)
+			assert.NilError(t, err)
+
+			wg.Go(func() {
+				<-start
+
+				waited, err := q.Enter(t.Context(), late)
+				if assert.Check(t, err) {
+					assert.Check(t, time.Since(now) == time.Second)
+					waited.Leave(ms)
+				}
+			})
+
+			time.AfterFunc(time.Second, func() { running.Leave(ms) })
+		}
+
+		synctest.Wait()
+		close(start)
+		wg.Wait()
+	})
+}
+
 // More calls than slots reach a backend server, which then resets connections, and
 // nobody can say what ran.
 func TestNeverMoreThanTheSlotsRun(t *testing.T) {
