--- a/internal/feed/check.go
+++ b/internal/feed/check.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 // checkShare is the mean pause between looks of all watchers at the store's revision.
@@ -18,7 +20,7 @@
 
 	for ctx.Err() == nil {
 		every := checkShare * time.Duration(max(len(f.watchersOfAll()), 1))
-		sleep(ctx, every/2+rand.N(every))
+		idle.For(ctx, every/2+rand.N(every))
 
 		if !f.current.Load() || !f.needsStore() {
 			continue
--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 )
 
@@ -28,7 +29,7 @@
 // store answers will do: this one must not begin behind the others.
 func (f *Feed) fromPeers(ctx context.Context) {
 	if f.options.FirstStart {
-		sleep(ctx, meetFirst)
+		idle.For(ctx, meetFirst)
 
 		return
 	}
@@ -58,7 +59,7 @@
 			go f.pullFirst(ctx, watchers[turn%len(watchers)].PeerAddress, asked)
 		}
 
-		sleep(ctx, peersPause)
+		idle.For(ctx, peersPause)
 	}
 }
 
@@ -91,6 +92,6 @@
 // awaitFirst waits until what was had is decoded.
 func (f *Feed) awaitFirst(ctx context.Context) {
 	for began := time.Now(); f.options.Holder.Number() == 0 && time.Since(began) < peersFirst; {
-		sleep(ctx, peersPause)
+		idle.For(ctx, peersPause)
 	}
 }
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/store"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -88,7 +89,7 @@
 	for ctx.Err() == nil {
 		if !f.needsStore() {
 			f.current.Store(false)
-			sleep(ctx, idlePause)
+			idle.For(ctx, idlePause)
 
 			pause = f.pauseAfter()
 
@@ -108,18 +109,11 @@
 			pause = f.pauseAfter()
 		}
 
-		sleep(ctx, pause/2+rand.N(pause))
+		idle.For(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, lastPause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // errHurry ends a watch that has missed a version.
 var errHurry = errors.New("a newer version was heard of")
 
@@ -143,7 +137,7 @@
 
 		if n := len(changes.Entries); n > 0 && !changes.Entries[n-1].Deleted {
 			f.offer(fromStore, document{data: changes.Entries[n-1].Value})
-			sleep(ctx, settle)
+			idle.For(ctx, settle)
 		}
 	}
 
--- a/internal/feed/tell.go
+++ b/internal/feed/tell.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 )
@@ -102,7 +103,7 @@
 		case <-f.toldOf:
 		}
 
-		sleep(ctx, tellPatience)
+		idle.For(ctx, tellPatience)
 
 		f.mu.Lock()
 		newest := f.newest
@@ -132,7 +133,7 @@
 	}
 	defer f.late.Store(false)
 
-	sleep(ctx, usualDelay)
+	idle.For(ctx, usualDelay)
 
 	switch {
 	case version <= f.options.Holder.Number():
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -11,8 +11,12 @@
 	"time"
 )
 
-// For returns after the time, or as soon as ctx ends.
+// For returns after the time, or as soon as ctx ends; at once if there is no time to wait.
 func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/peer"
 )
 
@@ -77,19 +78,12 @@
 	for ctx.Err() == nil {
 		step(ctx)
 
-		wait(ctx, jitter(pause))
+		idle.For(ctx, jitter(pause))
 	}
 }
 
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // idlePause is the pause between rounds without news.
 const idlePause = 500 * time.Millisecond
 
@@ -107,7 +101,7 @@
 			}
 		}
 
-		wait(ctx, jitter(g.options.Interval))
+		idle.For(ctx, jitter(g.options.Interval))
 	}
 }
 
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/peer"
 )
 
@@ -22,7 +23,7 @@
 	}
 
 	// News may be under way that settles it.
-	wait(ctx, jitter(idlePause))
+	idle.For(ctx, jitter(idlePause))
 
 	address := g.differs.Swap(nil)
 	if address == nil {
@@ -32,7 +33,7 @@
 	err := g.repair(ctx, *address)
 
 	if err == nil && g.table.CountLive() > 1 {
-		wait(ctx, jitter(g.options.Sync))
+		idle.For(ctx, jitter(g.options.Sync))
 	}
 }
 
@@ -112,7 +113,7 @@
 		g.alone = 0
 
 		// Alone again is a matter of minutes, such as after all others died.
-		wait(ctx, g.options.Reconnect)
+		idle.For(ctx, g.options.Reconnect)
 
 		return
 	}
@@ -124,7 +125,7 @@
 	// A herd that starts together meets a few seeds: each node comes back after a
 	// random part of a time that doubles.
 	g.alone = min(g.alone+1, maxAlone)
-	wait(ctx, rand.N(g.options.Interval<<g.alone))
+	idle.For(ctx, rand.N(g.options.Interval<<g.alone))
 }
 
 // maxAlone bounds the pause between tries to join to some six seconds.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/standin/backend"
 	"github.com/pollencart/pollencart/internal/standin/platform"
 )
@@ -85,13 +86,6 @@
 	return true
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // claim locks those of the hosts that no other step works on.
 func claim(locks []sync.Mutex, hosts []int) []int {
 	return slices.DeleteFunc(slices.Clone(hosts), func(h int) bool { return !locks[h].TryLock() })
@@ -104,7 +98,7 @@
 		i.fleet.Process(harness.NodeName(i.fleet.Hosts[h].ID)).Kill()
 	}
 
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 
 	for _, h := range hosts {
 		i.startNode(h)
@@ -139,7 +133,7 @@
 		i.fleet.Process(harness.NodeName(i.fleet.Hosts[h].ID)).Freeze()
 	}
 
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 
 	for _, h := range hosts {
 		i.fleet.Process(harness.NodeName(i.fleet.Hosts[h].ID)).Wake()
@@ -168,7 +162,7 @@
 		i.recorder.check(PromisePlannedStop, clean, "node %s did not end by itself", id)
 		notice.Stop()
 		i.callers.leave(h, id)
-		wait(ctx, s.For/2) // half of the time it is away
+		idle.For(ctx, s.For/2) // half of the time it is away
 		i.startNode(h)
 		i.callers.stopping.Delete(id)
 		i.nodes[h].Unlock()
@@ -186,7 +180,7 @@
 
 		clean := i.fleet.Process(harness.BackendName(name)).Terminate(stopBound)
 		i.recorder.check(PromisePlannedStop, clean, "backend server %s did not end by itself", name)
-		wait(ctx, s.For/2) // half of the time it is away
+		idle.For(ctx, s.For/2) // half of the time it is away
 		i.ledger.stay(name)
 		i.startBackend(h)
 		i.backends[h].Unlock()
@@ -208,7 +202,7 @@
 		i.fleet.Process(harness.BackendName(i.fleet.Hosts[h].ID)).Kill()
 	}
 
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 
 	for _, h := range hosts {
 		i.startBackend(h)
@@ -240,7 +234,7 @@
 		_ = post(i.fleet.Hosts[h].Backend, "/standin/faults", f)
 	}
 
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 
 	for _, h := range hosts {
 		_ = post(i.fleet.Hosts[h].Backend, "/standin/faults", backend.Faults{})
@@ -260,7 +254,7 @@
 			i.restartCrashedOn(h)
 		}
 
-		wait(ctx, pause)
+		idle.For(ctx, pause)
 	}
 }
 
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -12,6 +12,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
 
@@ -62,7 +63,7 @@
 			k.callers.recorder.check(PromiseOpenConnections, !cut, "%s through %s: %s after %s", k.route.Path, k.host.ID, reason, time.Since(start))
 		}
 
-		wait(ctx, keptPause)
+		idle.For(ctx, keptPause)
 	}
 }
 
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 // linkFaults is the body of a node's fault switch.
@@ -22,7 +23,7 @@
 	}
 
 	i.link(s, 1)
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 	i.link(s, -1)
 
 	return true
@@ -118,7 +119,7 @@
 	address := i.fleet.Platform[s.Domain]
 
 	i.setPlatform(func() { i.cuts[address]++ })
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 	i.setPlatform(func() {
 		if i.cuts[address]--; i.cuts[address] == 0 {
 			delete(i.cuts, address)
@@ -130,7 +131,7 @@
 
 func (i *injector) platformDown(ctx context.Context, s Step) bool {
 	i.setPlatform(func() { i.down++ })
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 	i.setPlatform(func() { i.down-- })
 
 	return true
@@ -138,7 +139,7 @@
 
 func (i *injector) platformSlow(ctx context.Context, s Step) bool {
 	i.setPlatform(func() { i.platform.SlowMs += slowPlatformMs })
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 	i.setPlatform(func() { i.platform.SlowMs -= slowPlatformMs })
 
 	return true
@@ -181,7 +182,7 @@
 // restoreOlder plays a platform that comes back from a copy taken a while ago.
 func (i *injector) restoreOlder(ctx context.Context, s Step) bool {
 	_ = post(i.anyPlatform(), "/standin/copy", nil)
-	wait(ctx, s.For)
+	idle.For(ctx, s.For)
 	_ = post(i.anyPlatform(), "/standin/restore", nil)
 
 	return true
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/operator"
 	"github.com/pollencart/pollencart/internal/standin/load"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -196,7 +197,7 @@
 
 	for _, step := range steps {
 		wg.Go(func() {
-			wait(phase, step.At-time.Since(start))
+			idle.For(phase, step.At-time.Since(start))
 
 			if phase.Err() == nil {
 				s.injector.run(phase, step)
@@ -240,7 +241,7 @@
 
 	for _, step := range steps {
 		wg.Go(func() {
-			wait(ctx, step.At-time.Since(start))
+			idle.For(ctx, step.At-time.Since(start))
 			s.injector.run(ctx, step)
 		})
 	}
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/common/model"
 
 	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/operator"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -57,7 +58,7 @@
 			for ctx.Err() == nil {
 				w.metrics(h)
 				w.tree(ctx, h)
-				wait(ctx, pause)
+				idle.For(ctx, pause)
 			}
 		})
 	}
