--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -38,6 +38,9 @@
 	ReadyAddress    string `json:"ReadyAddress"`
 	AnnounceAddress string `json:"AnnounceAddress"`
 	MetricsAddress  string `json:"MetricsAddress"`
+	// Profiles serves profiles of the process on the metrics address, for whoever asks
+	// where its processor time or memory goes. Each costs some of both while it is taken.
+	Profiles bool `json:"Profiles"`
 	// StoreAddress is where the platform's store listens.
 	StoreAddress string `json:"StoreAddress"`
 	// LinkMbps is the bandwidth of the host's link. The nodes of a failure domain that
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -27,7 +28,7 @@
 		{n.config.PeerAddress, n.server.Serve},
 		{n.config.AnnounceAddress, serveHTTP(func(e *echo.Echo) { platform.Register(e, n.host) })},
 		{n.config.ReadyAddress, serveHTTP(func(e *echo.Echo) { platform.RegisterReady(e, n.ready) })},
-		{n.config.MetricsAddress, serveHTTP(func(e *echo.Echo) { e.GET("/metrics", echo.WrapHandler(n.meter.Handler())) })},
+		{n.config.MetricsAddress, serveHTTP(n.registerMetrics)},
 		{n.config.CallerAddress, n.ingress.Serve},
 	} {
 		l, err := net.Listen("tcp", h.address)
@@ -45,6 +46,19 @@
 	return nil
 }
 
+// registerMetrics serves what the process has counted, and profiles of it if its settings
+// say so.
+func (n *Sidecar) registerMetrics(e *echo.Echo) {
+	e.GET("/metrics", echo.WrapHandler(n.meter.Handler()))
+
+	if !n.config.Profiles {
+		return
+	}
+
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+}
+
 func (n *Sidecar) serve(serve func(net.Listener) error, l net.Listener) {
 	if err := serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -27,17 +27,56 @@
 	}
 }
 
+// A node takes more processor time or memory than its operators expect. They ask it for a
+// profile, which it gives only where its settings say so: whoever reaches the address could
+// keep it busy with profiles.
+func TestProfilesAreServedWhereSettingsSaySo(t *testing.T) {
+	const profile = "/debug/pprof/heap"
+
+	f := newFleet(t, "browse")
+	h := f.hosts[0]
+
+	eventually(t, func() bool { return h.metrics(t) != "" })
+	status, _ := h.ask(t, profile)
+	assert.Equal(t, status, http.StatusNotFound)
+
+	h.stop()
+	<-h.ended
+
+	h.config.Profiles = true
+	h.start(t)
+
+	eventually(t, func() bool { return h.metrics(t) != "" })
+	status, body := h.ask(t, profile)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, body != "")
+}
+
 func (h *host) metrics(t *testing.T) string {
 	t.Helper()
 
-	response, err := http.Get("http://" + h.config.MetricsAddress + "/metrics")
+	_, text := h.ask(t, "/metrics")
+
+	return text
+}
+
+// ask gets a page of the metrics address, with status 0 if nobody listens there yet.
+func (h *host) ask(t *testing.T, path string) (status int, body string) {
+	t.Helper()
+
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+h.config.MetricsAddress+path, http.NoBody)
+	assert.NilError(t, err)
+
+	request.Close = true // a kept connection would go on to an ended node of this process
+
+	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return "" // it does not listen yet
+		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 
-	text, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 
-	return string(text)
+	return response.StatusCode, string(data)
 }
