--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -251,7 +251,11 @@
 func (g *Gossip) Serve(ctx context.Context, in Exchange) (Exchange, error) {
 	g.hear(in)
 
-	go g.options.Hear(context.WithoutCancel(ctx), in.Address, in.Version)
+	// Seldom is it news; a goroutine for each message would be a third of those of a fleet
+	// at rest.
+	if in.Version > g.options.Version() {
+		go g.options.Hear(context.WithoutCancel(ctx), in.Address, in.Version)
+	}
 
 	return g.message(in.From, in.Records), nil
 }
--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -156,6 +156,11 @@
 	cc.mu.Lock()
 	waiting := cc.pending[id]
 	delete(cc.pending, id)
+
+	if len(cc.pending) == 0 {
+		cc.silence.rest()
+	}
+
 	unused := cc.unused()
 	cc.mu.Unlock()
 
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -36,6 +36,7 @@
 	last    atomic.Int64 // when something was read, on the steady clock
 	asked   atomic.Int64 // when the open question was sent, or 0
 	watched atomic.Bool
+	next    *time.Timer // the next look; the connection's lock guards it
 
 	mu      sync.Mutex
 	doubted chan struct{} // closed while the connection is in doubt
@@ -121,7 +122,7 @@
 	return s.inDoubt
 }
 
-// watch looks at the connection until no request waits.
+// watch looks at the connection until no request waits. The connection's lock is held.
 func (s *silence) watch(cc *clientConn) {
 	if s.watched.CompareAndSwap(false, true) {
 		s.last.Store(steady())
@@ -129,8 +130,20 @@
 	}
 }
 
+// rest ends the watch if no question is open and no look is under way, which would end it.
+// Most requests are answered long before the first look: left to itself, it would wake an
+// idle process for each of them. The connection's lock is held.
+func (s *silence) rest() {
+	if s.asked.Load() == 0 && s.next != nil && s.next.Stop() {
+		s.watched.Store(false)
+	}
+}
+
 // ask asks now, whether requests wait or not.
 func (s *silence) ask(cc *clientConn) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+
 	if !s.asked.CompareAndSwap(0, steady()) {
 		return
 	}
@@ -142,10 +155,11 @@
 	}
 }
 
+// lookAfter sets the next look. The connection's lock is held.
 func (s *silence) lookAfter(cc *clientConn, pause time.Duration) {
 	due := steady() + int64(pause)
 
-	time.AfterFunc(pause, func() { s.look(cc, steady()-due) })
+	s.next = time.AfterFunc(pause, func() { s.look(cc, steady()-due) })
 }
 
 // look does what is due, and is itself late by so many nanoseconds.
@@ -172,6 +186,9 @@
 		go cc.ping()
 	}
 
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+
 	s.lookAfter(cc, doubtAfter)
 }
 
