--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,7 +17,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,15 +91,8 @@
 	listeners []net.Listener
 }
 
-// collectAt is by how many percent of what is in use the heap may grow before it is
-// collected. Hosts are short of memory; the usual 100 takes a quarter more of it and saves
-// a little processor time.
-const collectAt = 40
-
 // New returns a sidecar that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Sidecar {
-	debug.SetGCPercent(collectAt)
-
 	m := meter.New()
 	n := &Sidecar{
 		config: c, budget: repeats.New(boundOf(c)), meter: m, holder: &route.Holder{}, standstill: standstill.New(),
