--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -251,8 +251,7 @@
 func (g *Gossip) Serve(ctx context.Context, in Exchange) (Exchange, error) {
 	g.hear(in)
 
-	// Seldom is it news; a goroutine for each message would be a third of those of a fleet
-	// at rest.
+	// Hear may wait, and the answer must not; most messages bring no newer version.
 	if in.Version > g.options.Version() {
 		go g.options.Hear(context.WithoutCancel(ctx), in.Address, in.Version)
 	}
--- a/internal/peer/rest_test.go
+++ b/internal/peer/rest_test.go
@@ -11,8 +11,8 @@
 
 // A fleet at rest asks its neighbours many times a second, and each is answered in a moment.
 // Were the connection looked at all the same a quarter of a second later, the process would
-// wake once more for each question, only to find that nothing waits. Nobody but the bill for
-// processor time notices.
+// wake once more for each question, only to find that nothing waits. Callers notice nothing;
+// hosts lose processor time.
 func TestAnAnswerEndsTheLooksAtItsConnection(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
