--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -36,7 +36,8 @@
 	last    atomic.Int64 // when something was read, on the steady clock
 	asked   atomic.Int64 // when the open question was sent, or 0
 	watched atomic.Bool
-	next    *time.Timer // the next look; the connection's lock guards it
+	due     atomic.Int64 // when the next look is due
+	next    *time.Timer  // brings it; the connection's lock guards it
 
 	mu      sync.Mutex
 	doubted chan struct{} // closed while the connection is in doubt
@@ -157,9 +158,15 @@
 
 // lookAfter sets the next look. The connection's lock is held.
 func (s *silence) lookAfter(cc *clientConn, pause time.Duration) {
-	due := steady() + int64(pause)
+	s.due.Store(steady() + int64(pause))
 
-	s.next = time.AfterFunc(pause, func() { s.look(cc, steady()-due) })
+	if s.next != nil {
+		s.next.Reset(pause)
+
+		return
+	}
+
+	s.next = time.AfterFunc(pause, func() { s.look(cc, steady()-s.due.Load()) })
 }
 
 // look does what is due, and is itself late by so many nanoseconds.
