--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,7 +33,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +73,8 @@
 	// FirstOf returns the first nodes of a failure domain in an order that all
 	// nodes agree on.
 	FirstOf(domain string, count int) []membership.Record
+	// Chosen reports whether a node is one of these.
+	Chosen(id, domain string, count int) bool
 }
 
 // Options of a feed.
@@ -158,7 +159,7 @@
 func (f *Feed) isAmong(first int) bool {
 	self := f.options.Members.Self()
 
-	return slices.ContainsFunc(f.options.Members.FirstOf(self.FailureDomain, first), func(r membership.Record) bool { return r.ID == self.ID })
+	return f.options.Members.Chosen(self.ID, self.FailureDomain, first)
 }
 
 // offer leaves a document to be decoded; an older one from the same source that
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -301,6 +301,10 @@
 	return out
 }
 
+func (n *node) Chosen(id, domain string, count int) bool {
+	return slices.ContainsFunc(n.FirstOf(domain, count), func(r membership.Record) bool { return r.ID == id })
+}
+
 func (n *node) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
 	time.Sleep(time.Millisecond)
 
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -6,23 +6,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Chosen reports whether a node is among the first count live nodes of its
-// failure domain, those with most capacity first, in the order of rendezvous hashing. Nodes that disagree on who
-// is live choose too many or too few for a moment; that costs calls to the
-// platform, never correctness.
+// Chosen reports whether a node is among the first count live nodes of its failure
+// domain, those with most capacity first, in the order of rendezvous hashing. Nodes that
+// disagree on who is live choose too many or too few for a moment; that costs calls to
+// the platform, never correctness.
 func (t *Table) Chosen(id, domain string, count int) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	set, m := t.domains[domain], t.members[id]
-	if set == nil || !set.has(id) {
+	set := t.liveIn(domain)
+	if !set.has(id) {
 		return false
 	}
 
-	before := 0
+	own, before := t.members[id].rank(), 0
 
 	for _, other := range set.ids {
-		if t.members[other].rank().before(m.rank()) {
+		if t.members[other].rank().before(own) {
 			before++
 		}
 
@@ -43,12 +43,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	set := t.domains[domain]
-	if set == nil {
-		return nil
-	}
-
-	return t.first(set.ids, count, (*member).rank)
+	return t.first(t.liveIn(domain).ids, count, (*member).rank)
 }
 
 // Domains returns the failure domains that have live nodes, in order.
@@ -74,14 +69,10 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	set := t.domains[t.self.FailureDomain]
-	if set == nil {
-		return nil
-	}
-
-	out := make([]Record, 0, len(set.ids))
+	ids := t.liveIn(t.self.FailureDomain).ids
+	out := make([]Record, 0, len(ids))
 
-	for _, id := range set.ids {
+	for _, id := range ids {
 		if id != t.self.ID {
 			out = append(out, t.members[id].record)
 		}
@@ -104,12 +95,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	set := t.domains[t.self.FailureDomain]
-	if set == nil {
-		return nil
-	}
-
-	return t.rankedOf(set, key, count)
+	return t.rankedOf(t.liveIn(t.self.FailureDomain), key, count)
 }
 
 func (t *Table) rankedOf(set *liveSet, key string, count int) []Record {
@@ -142,7 +128,7 @@
 		id string
 	}
 
-	top := make([]ranked, 0, count+1)
+	top := make([]ranked, 0, min(count, len(ids))+1)
 
 	for _, id := range ids {
 		r := ranked{of(t.members[id]), id}
--- a/internal/membership/random.go
+++ b/internal/membership/random.go
@@ -20,7 +20,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	if own := t.domains[t.self.FailureDomain]; own != nil && own.others(t.self.ID) > 0 {
+	if own := t.liveIn(t.self.FailureDomain); own.others(t.self.ID) > 0 {
 		return t.drawn(own, count, without)
 	}
 
@@ -49,12 +49,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	set := t.domains[r.FailureDomain]
-	if set == nil {
-		return nil
-	}
-
-	return slices.DeleteFunc(t.drawn(set, count, []string{r.ID}), func(o Record) bool { return o.State != StateAlive })
+	return slices.DeleteFunc(t.drawn(t.liveIn(r.FailureDomain), count, []string{r.ID}), func(o Record) bool { return o.State != StateAlive })
 }
 
 // CountNear returns how many nodes of the own failure domain are thought to run, this
@@ -63,11 +58,16 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 
-	if own := t.domains[t.self.FailureDomain]; own != nil {
-		return len(own.ids)
+	return len(t.liveIn(t.self.FailureDomain).ids)
+}
+
+// liveIn returns the live nodes of a failure domain; t.mu is held.
+func (t *Table) liveIn(domain string) *liveSet {
+	if set := t.domains[domain]; set != nil {
+		return set
 	}
 
-	return 0
+	return &liveSet{}
 }
 
 // drawn returns up to count different nodes of a set.
--- a/internal/rendezvous/meet.go
+++ b/internal/rendezvous/meet.go
@@ -6,9 +6,9 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -35,10 +35,7 @@
 // new one, or the first of all would not find each other.
 func (r *Rendezvous) meetEarlier(ctx context.Context) {
 	if r.alone {
-		select {
-		case <-ctx.Done():
-		case <-time.After(rand.N(firstSpread)):
-		}
+		idle.For(ctx, rand.N(firstSpread))
 	}
 
 	m, err := r.meetOthers(ctx, true)
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -15,11 +15,11 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -111,10 +111,7 @@
 			pause = renewPause
 		}
 
-		select {
-		case <-ctx.Done():
-		case <-time.After(next):
-		}
+		idle.For(ctx, next)
 	}
 }
 
@@ -170,9 +167,8 @@
 // many cost calls; with too few, those who start meet nodes of other failure domains.
 func (r *Rendezvous) needsRecord() bool {
 	self := r.table.Self()
-	first := r.table.FirstOf(self.FailureDomain, recordsEach)
 
-	return slices.ContainsFunc(first, func(m membership.Record) bool { return m.ID == self.ID })
+	return r.table.Chosen(self.ID, self.FailureDomain, recordsEach)
 }
 
 func (r *Rendezvous) call(ctx context.Context, f func(context.Context) error) error {
