--- a/internal/peer/rest_test.go
+++ b/internal/peer/rest_test.go
@@ -69,7 +69,11 @@
 	defer c.mu.Unlock()
 
 	for _, cc := range c.conns {
-		if cc.silence.watched.Load() {
+		cc.mu.Lock()
+		on := cc.silence.watched
+		cc.mu.Unlock()
+
+		if on {
 			return true
 		}
 	}
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -35,9 +35,9 @@
 type silence struct {
 	last    atomic.Int64 // when something was read, on the steady clock
 	asked   atomic.Int64 // when the open question was sent, or 0
-	watched atomic.Bool
 	due     atomic.Int64 // when the next look is due
-	next    *time.Timer  // brings it; the connection's lock guards it
+	watched bool         // the connection's lock guards this and the next
+	next    *time.Timer  // brings the next look
 
 	mu      sync.Mutex
 	doubted chan struct{} // closed while the connection is in doubt
@@ -125,7 +125,7 @@
 
 // watch looks at the connection until no request waits. The connection's lock is held.
 func (s *silence) watch(cc *clientConn) {
-	if s.watched.CompareAndSwap(false, true) {
+	if !s.watched {
 		s.last.Store(steady())
 		s.lookAfter(cc, askAfter)
 	}
@@ -136,7 +136,7 @@
 // idle process for each of them. The connection's lock is held.
 func (s *silence) rest() {
 	if s.asked.Load() == 0 && s.next != nil && s.next.Stop() {
-		s.watched.Store(false)
+		s.watched = false
 	}
 }
 
@@ -151,13 +151,14 @@
 
 	go cc.ping()
 
-	if s.watched.CompareAndSwap(false, true) {
+	if !s.watched {
 		s.lookAfter(cc, doubtAfter)
 	}
 }
 
 // lookAfter sets the next look. The connection's lock is held.
 func (s *silence) lookAfter(cc *clientConn, pause time.Duration) {
+	s.watched = true
 	s.due.Store(steady() + int64(pause))
 
 	if s.next != nil {
@@ -254,7 +255,7 @@
 		return false
 	}
 
-	s.watched.Store(false)
+	s.watched = false
 	s.asked.Store(0)
 	s.trust()
 
