--- a/internal/dispatch/reach.go
+++ b/internal/dispatch/reach.go
@@ -67,14 +67,17 @@
 		distance uint64
 	}
 
-	var near, far []placed
+	var (
+		out []place.Candidate // near ones first
+		far []placed
+	)
 
 	for _, m := range records {
 		c := place.Candidate{
 			ID: m.ID, Address: m.PeerAddress, Slots: m.Upstream.Slots, Near: m.FailureDomain == r.failureDomain, Own: m.ID == r.node,
 		}
 		if c.Near {
-			near = append(near, placed{Candidate: c})
+			out = append(out, c)
 		} else {
 			far = append(far, placed{c, r.distance(m.ID)})
 		}
@@ -82,8 +85,7 @@
 
 	slices.SortFunc(far, func(a, b placed) int { return cmp.Compare(a.distance, b.distance) })
 
-	out := make([]place.Candidate, 0, len(near)+maxFar)
-	for _, p := range append(near, far[:min(len(far), maxFar)]...) {
+	for _, p := range far[:min(len(far), maxFar)] {
 		out = append(out, p.Candidate)
 	}
 
--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -177,8 +177,7 @@
 // sooner orders calls of a rank. Those that will be on time go by when they have to
 // start. Of doubtful ones the one with the most time left goes first: when no call is
 // sure to be on time, starting the one that has waited longest makes all of them late
-// (TestNoCallIsSureToBeOnTime). Late ones go by their
-// deadline.
+// (TestNoCallIsSureToBeOnTime). Late ones go by their deadline.
 func (s *Slot) sooner(o *Slot, now time.Time) bool {
 	mine, theirs := s.prospect(now), o.prospect(now)
 
