--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -10,6 +10,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/key"
@@ -76,10 +77,7 @@
 func (e *Entry) moved(ctx context.Context, c call.Call, err error) bool {
 	switch {
 	case errors.Is(err, once.ErrLeaving):
-		select {
-		case <-ctx.Done():
-		case <-time.After(handoverPause):
-		}
+		idle.For(ctx, handoverPause)
 
 		return ctx.Err() == nil
 	case errors.Is(err, once.ErrNotHome), errors.Is(err, once.ErrUnreachable) && notForwarded(err):
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -7,6 +7,7 @@
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/config"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform/etcd"
 	"github.com/pollencart/pollencart/internal/spread"
@@ -115,9 +116,6 @@
 	for ctx.Err() == nil {
 		n.host.Expire()
 
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		idle.For(ctx, pause)
 	}
 }
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -9,6 +9,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/once/attempt"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -138,19 +139,17 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.home.options.CloseTimeout)
 	defer cancel()
 
-	for {
+	for ctx.Err() == nil {
 		var out Closed
 
 		if g.next.Do(ctx, address, peer.LaneControl, MethodClose, t, &out) == nil {
 			return out.Closed
 		}
 
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(closeAgain):
-		}
+		idle.For(ctx, closeAgain)
 	}
+
+	return false
 }
 
 func (g *guard) epoch(ctx context.Context, address string) (string, error) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 // Lane keeps kinds of traffic on connections of their own, so that a large
@@ -112,10 +114,7 @@
 // blocked behaves as a cut network does: nothing comes back until the caller
 // gives up or a connection attempt would have.
 func (c *Client) blocked(ctx context.Context, address string) error {
-	select {
-	case <-ctx.Done():
-	case <-time.After(c.options.DialTimeout):
-	}
+	idle.For(ctx, c.options.DialTimeout)
 
 	return ErrUnreachable.With("%s: link is cut", address)
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -18,6 +18,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/harness"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/standin/backend"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -320,10 +321,7 @@
 
 			const pause = 400 * time.Millisecond
 
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
+			idle.For(ctx, pause)
 		}
 
 		break
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/platform/standin"
 )
 
@@ -119,10 +120,7 @@
 	for ctx.Err() == nil {
 		b.announce(h.config.AnnounceAddress)
 
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceEvery):
-		}
+		idle.For(ctx, announceEvery)
 	}
 }
 
--- a/internal/standin/backend/announce.go
+++ b/internal/standin/backend/announce.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/upstream"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -29,10 +30,7 @@
 
 		s.say(node, address, state)
 
-		select {
-		case <-ctx.Done():
-		case <-time.After(renewal):
-		}
+		idle.For(ctx, renewal)
 	}
 
 	s.drain(node, address)
