Stops and answers: lines that tell who keeps a stop open and where an answer waits

The record of the lost lookup left three questions that no line answered: who kept the stop open, on which connection the late call came, and where its answer was when the connection was closed.

- 111 NodeDrainStep at each step of a stop, and 110 NodeCutsOff at its end, with the connections that are waited for: age, calls without an answer, how many of these are ready.
- A call that comes during a stop tells the age of its connection and how many earlier calls of it had no answer.
- 410 AnswerHeld: an answer that was ready waited 0.1 s or more behind earlier ones.
- 411 AnswerUndelivered and pollencart_undelivered_total: an answer that could not be sent to a caller that waited.
It was dropped without a line.
- A call whose connection this node closes is told as failed (407), no longer as abandoned by its caller.

No change of logic.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -72,6 +73,11 @@
 	Node    string
 	Took    time.Duration
 	Version uint64
+	// Stopping says that the node was being stopped when the call came. Connected is how
+	// old its connection was, Ahead how many earlier calls of it had no answer.
+	Stopping  bool
+	Connected time.Duration
+	Ahead     int
 }
 
 // Serve answers one call.
@@ -81,7 +87,12 @@
 		o.ID = ulid.Make().String()
 	}
 
+	if o.Stopping = d.options.Leaving(); o.Stopping {
+		o.Connected, o.Ahead = r.Arrived.Sub(r.Connected), r.Ahead
+	}
+
 	response := d.serve(ctx, r, &o)
+	response.Call = o.ID
 	o.Status, o.Took = response.Status, time.Since(r.Arrived)
 	d.tell(ctx, o)
 
@@ -187,6 +198,8 @@
 	e := event.CallAnswered
 
 	switch {
+	case errors.Is(context.Cause(ctx), ingress.ErrClosed):
+		e = event.CallFailed
 	case ctx.Err() != nil:
 		e = event.CallAbandoned
 	case o.Reason != "", o.Status >= http.StatusInternalServerError:
@@ -216,6 +229,13 @@
 		b = strconv.AppendInt(b, o.Waited.Milliseconds(), 10)
 	}
 
+	if o.Stopping {
+		b = append(b, " stopping, connected "...)
+		b = strconv.AppendInt(b, o.Connected.Milliseconds(), 10)
+		b = append(b, " ahead "...)
+		b = strconv.AppendInt(b, int64(o.Ahead), 10)
+	}
+
 	if o.Reason != "" {
 		b = append(b, " reason "...)
 		b = append(b, o.Reason...)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -18,13 +18,15 @@
 
 // Node life.
 var (
-	NodeStarted     = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
-	NodeReady       = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
-	NodeDraining    = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
-	NodeStopped     = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
-	NodeFailed      = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
-	NodePaused      = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
-	NodeCutsOff     = add(110, "NodeCutsOff", slog.LevelWarn, "A planned stop ran out of time; the detail says what it leaves unfinished.")
+	NodeStarted   = add(100, "NodeStarted", slog.LevelInfo, "The process listens on its addresses.")
+	NodeReady     = add(101, "NodeReady", slog.LevelInfo, "The node holds a version and takes calls.")
+	NodeDraining  = add(102, "NodeDraining", slog.LevelInfo, "A planned stop began; nothing new is let in.")
+	NodeStopped   = add(103, "NodeStopped", slog.LevelInfo, "The process ends; nothing is in flight.")
+	NodeFailed    = add(104, "NodeFailed", slog.LevelError, "The process could not start or go on.")
+	NodePaused    = add(105, "NodePaused", slog.LevelWarn, "The process stood still, as on a frozen host; those it suspects get their time anew.")
+	NodeCutsOff   = add(110, "NodeCutsOff", slog.LevelWarn, "A planned stop ran out of time; the detail says what it leaves unfinished.")
+	NodeDrainStep = add(111, "NodeDrainStep", slog.LevelInfo,
+		"A planned stop takes its next step; the detail says which, and what it still waits for.")
 	SettingsRead    = add(107, "SettingsRead", slog.LevelInfo, "The settings file was read again; the detail says what changed.")
 	SettingsRefused = add(108, "SettingsRefused", slog.LevelError,
 		"The settings file was read again and is not accepted, or changes what only a restart can; the old settings hold.")
@@ -94,6 +96,10 @@
 	CallRunFailed  = add(408, "CallRunFailed", slog.LevelWarn, "The backend server ran a call and answered that it failed.")
 	CallSentNearby = add(409, "CallSentNearby", slog.LevelDebug,
 		"A call would wait at the node beside a backend server, and looks for a free slot nearby.")
+	AnswerHeld = add(410, "AnswerHeld", slog.LevelDebug,
+		"An answer was ready and waited behind those to earlier calls of its connection.")
+	AnswerUndelivered = add(411, "AnswerUndelivered", slog.LevelWarn,
+		"An answer could not be sent to a caller that waited for it; the detail says why, and how old the connection is.")
 	CallUnknown = add(403, "CallUnknown", slog.LevelWarn, "A call reached a backend server and no answer came; it is not sent again.")
 )
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,30 +33,33 @@
 	limit  *io.LimitedReader
 	in     *bufio.Reader
 	ctx    context.Context //nolint:containedctx // ends with the connection
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	queue  chan *exchange // in the order of arrival
+	made   time.Time
 
 	mu      sync.Mutex
-	open    int  // calls that were taken and not answered
-	waiting bool // nothing of the next call has come
-	closing bool // the answer after which no call is open is the last
-	ended   bool // the last answer goes out; what comes after it is not taken
+	pending []*exchange // calls that were taken and not answered, in the order of arrival
+	waiting bool        // nothing of the next call has come
+	closing bool        // the answer after which no call is open is the last
+	ended   bool        // the last answer goes out; what comes after it is not taken
 }
 
 // exchange is one call and its answer.
 type exchange struct {
 	request  *http.Request
 	response Response
+	taken    time.Time
 	done     chan struct{}
+	ready    time.Time // when the response was there; set before done is closed
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	limit := &io.LimitedReader{R: raw}
 
 	return &conn{
 		server: s, raw: raw, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), ctx: ctx, cancel: cancel,
-		queue: make(chan *exchange, maxPipelined),
+		queue: make(chan *exchange, maxPipelined), made: time.Now(),
 	}
 }
 
@@ -73,7 +76,7 @@
 	}()
 
 	c.read()
-	c.cancel()
+	c.cancel(ErrCallerLeft)
 	close(c.queue)
 	<-written
 
@@ -99,14 +102,15 @@
 			c.retireAfter()
 		}
 
-		if !c.take() {
+		ahead, ok := c.take(e)
+		if !ok {
 			c.linger()
 
 			return
 		}
 
 		if !isClosed(e.done) {
-			go c.handle(e, body, time.Now())
+			go c.handle(e, body, ahead)
 		}
 
 		c.queue <- e
@@ -136,8 +140,8 @@
 	}
 }
 
-func (c *conn) handle(e *exchange, body []byte, arrived time.Time) {
-	defer close(e.done)
+func (c *conn) handle(e *exchange, body []byte, ahead int) {
+	defer e.finish()
 
 	uri := e.request.RequestURI
 	if !strings.HasPrefix(uri, "/") {
@@ -147,23 +151,32 @@
 	path, _, _ := strings.Cut(uri, "?")
 
 	e.response = c.server.handler.Serve(c.ctx, Request{
-		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: body, Arrived: arrived,
+		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: body, Arrived: e.taken,
+		Connected: c.made, Ahead: ahead,
 	})
 }
 
+// finish makes the response the answer.
+func (e *exchange) finish() {
+	e.ready = time.Now()
+	close(e.done)
+}
+
 // take counts a call in, unless the last answer is on its way: a caller takes what
-// it sent behind that for not read, and sends it again.
-func (c *conn) take() bool {
+// it sent behind that for not read, and sends it again. It returns how many calls of the
+// connection have no answer yet.
+func (c *conn) take(e *exchange) (ahead int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	if c.ended {
-		return false
+		return 0, false
 	}
 
-	c.open++
+	e.taken = time.Now()
+	c.pending = append(c.pending, e)
 
-	return true
+	return len(c.pending) - 1, true
 }
 
 // answered counts a call out and reports whether its answer is the last.
@@ -171,8 +184,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.open--
-	c.ended = c.closing && c.open == 0
+	c.pending = c.pending[1:]
+	c.ended = c.closing && len(c.pending) == 0
 
 	return c.ended
 }
@@ -181,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.open == 0
+	return len(c.pending) == 0
 }
 
 // retire ends the connection with the answers to the calls that were taken, or at
@@ -192,7 +205,7 @@
 
 	c.closing = true
 
-	if c.open == 0 && c.waiting {
+	if len(c.pending) == 0 && c.waiting {
 		_ = c.raw.SetReadDeadline(time.Now()) // a closed connection needs no waking
 	}
 }
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -28,13 +28,14 @@
 type Options struct {
 	MaxConns int
 	Limits   func() route.Limits
+	Observer Observer
 }
 
 // Option sets an option.
 type Option func(*Options)
 
 func newOptions(opts ...Option) Options {
-	o := Options{MaxConns: DefaultMaxConns, Limits: DefaultLimits}
+	o := Options{MaxConns: DefaultMaxConns, Limits: DefaultLimits, Observer: unobserved{}}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -65,3 +66,6 @@
 
 // MaxConns bounds the connections.
 func MaxConns(n int) Option { return func(o *Options) { o.MaxConns = n } }
+
+// WithObserver sets who is told how answers were delivered.
+func WithObserver(to Observer) Option { return func(o *Options) { o.Observer = to } }
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -72,7 +72,7 @@
 	switch {
 	case c.ended:
 		return errEnded
-	case c.closing && c.open == 0:
+	case c.closing && len(c.pending) == 0:
 		return net.ErrClosed
 	}
 
@@ -116,7 +116,7 @@
 func (e *exchange) refuse(status int) {
 	e.request.Close = true
 	e.response.Status = status
-	close(e.done)
+	e.finish()
 }
 
 func (c *conn) readBody(e *exchange, limits route.Limits) ([]byte, error) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -33,12 +33,17 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Arrived is when the whole request had been read.
-	Arrived time.Time
+	// Arrived is when the whole request had been read, Connected when its connection was
+	// made.
+	Arrived, Connected time.Time
+	// Ahead is how many earlier calls of the connection had no answer then.
+	Ahead int
 }
 
 // Response is the final answer to a call.
 type Response struct {
+	// Call is the call's ID, for the log.
+	Call   string
 	Status int
 	Header []call.Field
 	Body   []byte
@@ -133,6 +138,7 @@
 	defer s.mu.Unlock()
 
 	for c := range s.conns {
+		c.cancel(ErrClosed)
 		_ = c.raw.Close()
 	}
 }
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -2,34 +2,58 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 )
 
+// heldLong is how long an answer waits behind those to earlier calls of its connection
+// until that is told.
+const heldLong = 100 * time.Millisecond
+
 // write sends the answers in the order of the calls.
 func (c *conn) write() {
-	var failed bool
+	var failed error
 
 	for e := range c.queue {
 		<-e.done
 
 		last := c.answered()
 
-		if failed {
-			continue
+		if failed == nil {
+			failed = c.send(e, last)
 		}
 
-		if c.send(e, last) != nil {
-			// The caller does not read; what it still waits for is of no use.
-			failed = true
-
-			c.cancel()
+		switch {
+		case failed != nil:
+			// What the caller still waits for is of no use to it.
+			c.cancel(ErrNotRead)
+			c.undelivered(e, failed)
+		case time.Since(e.ready) > heldLong:
+			c.server.options.Observer.Held(c.delivery(e, nil))
 		}
 	}
 }
 
+// undelivered tells of an answer that its caller did not get, unless the caller left.
+func (c *conn) undelivered(e *exchange, why error) {
+	if !errors.Is(context.Cause(c.ctx), ErrCallerLeft) {
+		c.server.options.Observer.Undelivered(c.delivery(e, why))
+	}
+}
+
+func (c *conn) delivery(e *exchange, err error) Delivery {
+	now := time.Now()
+
+	return Delivery{
+		Call: e.response.Call, Status: e.response.Status, Err: err,
+		Took: e.ready.Sub(e.taken), Held: now.Sub(e.ready), Connected: now.Sub(c.made),
+	}
+}
+
 func (c *conn) send(e *exchange, last bool) error {
 	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
@@ -42,6 +43,8 @@
 	// retire ends the connections of callers with the answers that they wait for,
 	// withdraw tells other nodes to send nothing, shut takes no calls of theirs.
 	retire, withdraw, shut func()
+	// tell says which step comes next.
+	tell func(step string)
 }
 
 // left is what a stop leaves unfinished.
@@ -55,10 +58,13 @@
 	deadline := began.Add(s.grace - beforeGrace)
 
 	time.Sleep(noticeTime)
+	s.tell("callers' connections are retired")
 	s.retire()
 	until(began.Add(lendTime), func() bool { return s.callers() == 0 })
+	s.tell("other nodes are told to send no calls")
 	s.withdraw()
 	time.Sleep(withdrawTime)
+	s.tell("calls of other nodes are turned away")
 	s.shut()
 	until(deadline, func() bool { return s.callers() == 0 && s.inside() == 0 })
 
@@ -82,17 +88,40 @@
 		callers: n.ingress.Connections,
 		inside:  func() int { return int(n.runner.Busy() + n.server.Running()) },
 		retire:  n.ingress.Retire, withdraw: n.withdraw, shut: n.runner.Close,
+		tell: func(step string) {
+			n.recorder.Record(event.NodeDrainStep, timeline.Entry{Detail: step + ": " + n.unfinished()})
+		},
 	}.run()
 
 	if unfinished != (left{}) {
 		n.recorder.Record(event.NodeCutsOff, timeline.Entry{
-			Detail: fmt.Sprintf("%d connections of callers, %d calls", unfinished.callers, unfinished.inside),
+			Detail: fmt.Sprintf("%d connections of callers, %d calls: %s", unfinished.callers, unfinished.inside, n.unfinished()),
 		})
 	}
 
 	n.say()
 }
 
+// named bounds the connections that a line about a stop describes.
+const named = 4
+
+// unfinished says what a stop has to wait for.
+func (n *Sidecar) unfinished() string {
+	pending := n.ingress.Pending()
+
+	var b strings.Builder
+
+	fmt.Fprintf(&b, "%d connections, %d with calls, %d calls at the gate, %d messages of other nodes",
+		n.ingress.Connections(), len(pending), n.runner.Busy(), n.server.Running())
+
+	for _, p := range pending[:min(named, len(pending))] {
+		b.WriteString("; ")
+		b.WriteString(p.String())
+	}
+
+	return b.String()
+}
+
 // withdraw tells the other nodes to send no calls here, while the backend server
 // goes on with those it has.
 func (n *Sidecar) withdraw() {
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -26,7 +26,7 @@
 		grace:   6 * time.Second,
 		callers: func() int { return within(callers) },
 		inside:  func() int { return within(shut + inside) },
-		retire:  func() {}, withdraw: func() {},
+		retire:  func() {}, withdraw: func() {}, tell: func(string) {},
 		shut: func() { shut = time.Since(start) },
 	}.run()
 
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -33,13 +33,15 @@
 	latency  *prometheus.HistogramVec
 	sent     prometheus.Counter
 	asked    prometheus.Counter
-	ran      *prometheus.CounterVec
-	waited   prometheus.Histogram
-	held     *prometheus.HistogramVec
-	store    *prometheus.HistogramVec
-	repeats  *prometheus.CounterVec
-	messages *prometheus.CounterVec
-	bytes    *prometheus.CounterVec
+	// undelivered counts answers that callers waited for and did not get.
+	undelivered prometheus.Counter
+	ran         *prometheus.CounterVec
+	waited      prometheus.Histogram
+	held        *prometheus.HistogramVec
+	store       *prometheus.HistogramVec
+	repeats     *prometheus.CounterVec
+	messages    *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
 }
 
 // New returns a meter that has counted nothing.
@@ -54,6 +56,9 @@
 		}, []string{"Route"}),
 		sent:  prometheus.NewCounter(prometheus.CounterOpts{Name: "pollencart_sends_total", Help: "Times calls reached a backend server."}),
 		asked: prometheus.NewCounter(prometheus.CounterOpts{Name: "pollencart_asks_total", Help: "Times a node was asked to run a call."}),
+		undelivered: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollencart_undelivered_total", Help: "Answers that could not be sent to callers that waited for them.",
+		}),
 		ran: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollencart_runs_total", Help: "Calls of any node for the backend server here, by result.",
 		}, []string{"Result"}),
@@ -76,7 +81,7 @@
 			Name: "pollencart_message_bytes_total", Help: "Bytes of the bodies of these requests and their answers, both ways.",
 		}, []string{"Method", "Near"}),
 	}
-	m.registry.MustRegister(m.calls, m.latency, m.sent, m.asked, m.ran, m.waited, m.held, m.store, m.repeats, m.messages, m.bytes,
+	m.registry.MustRegister(m.calls, m.latency, m.sent, m.asked, m.undelivered, m.ran, m.waited, m.held, m.store, m.repeats, m.messages, m.bytes,
 		invariant.Collector{}, collectors.NewGoCollector())
 
 	return m
@@ -95,6 +100,9 @@
 	m.asked.Add(float64(o.Asked))
 }
 
+// Undelivered counts an answer that a caller waited for and did not get.
+func (m *Meter) Undelivered() { m.undelivered.Inc() }
+
 // Ran counts a call for the backend server of this host.
 func (m *Meter) Ran(route string, r forward.Result, waited, held time.Duration) {
 	m.ran.WithLabelValues(r.String()).Inc()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -156,7 +156,7 @@
 		Members: n.table, Peers: n.client, Own: n.runner, Placer: place.New(), Recorder: n.recorder, Meter: n.meter,
 		Budget: n.budget, Leaving: n.leaving.Load,
 	})
-	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder))
+	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder), ingress.WithObserver(deliveries{n.recorder, n.meter}))
 }
 
 // methods adds what other nodes may ask of this one.
