--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -263,3 +263,54 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.DeepEqual(t, ran, []string{"/last"})
 }
+
+// A caller that keeps a call open at any time must not hold a retired connection open.
+func TestARetiredConnectionTakesNoMoreCalls(t *testing.T) {
+	release := make(chan struct{})
+	began := make(chan string, 3)
+	s, c, in := serve(t, func(ctx context.Context, r ingress.Request) ingress.Response {
+		began <- r.Path
+
+		<-release
+
+		return echo(ctx, r)
+	})
+
+	get(t, c, "/taken")
+	assert.Equal(t, <-began, "/taken")
+	s.Retire()
+	get(t, c, "/behind")
+
+	select {
+	case path := <-began:
+		t.Errorf("%s runs on a retired connection", path)
+	case <-time.After(short):
+	}
+
+	close(release)
+
+	r, body := answer(t, in)
+	assert.Equal(t, body, "/taken ")
+	assert.Assert(t, r.Close)
+
+	_, err := in.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// A caller that connects to a node which is being stopped must not be reset.
+func TestACallOnANewConnectionIsAnsweredAfterRetire(t *testing.T) {
+	s, c, _ := serve(t, echo)
+	s.Retire()
+
+	late, err := net.Dial("tcp", c.RemoteAddr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, late.SetDeadline(time.Now().Add(patience)))
+
+	defer func() { _ = late.Close() }()
+
+	get(t, late, "/late")
+
+	r, body := answer(t, bufio.NewReader(late))
+	assert.Equal(t, body, "/late ")
+	assert.Assert(t, r.Close)
+}
