Ingress: a retired connection takes no call behind one that has no answer

What callers saw: a lookup that was sent 4.9 s after SIGTERM ran and got no answer; its connection was closed at the end of the grace time.

Cause: a retired connection ended with the answer after which no call was open, and took calls until then. A caller that sends its next call before all answers are there keeps one open at any time, so that the connection never ended, the stop lasted until its own deadline (grace time less 0.4 s), and whatever was under way then was cut off.

Why this works: the calls that a connection has when it is retired are the last; the answer to the last of them says Connection: close, and a caller takes what it sent behind that for not read. So a stop depends on calls that are there, and no longer on callers pausing.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -98,11 +98,7 @@
 			return
 		}
 
-		if e.request.Close || isClosed(e.done) {
-			c.retireAfter()
-		}
-
-		ahead, ok := c.take(e)
+		ahead, ok := c.take(e, e.request.Close || isClosed(e.done))
 		if !ok {
 			c.linger()
 
@@ -162,17 +158,19 @@
 	close(e.done)
 }
 
-// take counts a call in, unless the last answer is on its way: a caller takes what
-// it sent behind that for not read, and sends it again. It returns how many calls of the
+// take counts a call in, unless the last one was taken: a caller takes what it sent behind
+// the last answer for not read, and sends it again. It returns how many calls of the
 // connection have no answer yet.
-func (c *conn) take(e *exchange) (ahead int, ok bool) {
+func (c *conn) take(e *exchange, last bool) (ahead int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.ended {
+	if c.ended || c.closing && len(c.pending) > 0 {
 		return 0, false
 	}
 
+	c.closing = c.closing || last
+
 	e.taken = time.Now()
 	c.pending = append(c.pending, e)
 
@@ -209,10 +207,3 @@
 		_ = c.raw.SetReadDeadline(time.Now()) // a closed connection needs no waking
 	}
 }
-
-func (c *conn) retireAfter() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	c.closing = true
-}
