Stops: callers that connect late are served, and from a moment on refused by word

What callers saw: who connected to a node after its callers' connections were retired (2.5 s after SIGTERM) was reset before its call was read, until the process had ended. That meets callers whose host isn't taken out, and the backend server's own calls while it still runs what other nodes sent it.

Cause: a retired connection without calls is closed, and a new one was retired when it was made. And a stop knew no moment from which on it takes no call: what came was taken for as long as the process lived, whatever was left of the grace time.

Now the first call of a new connection is taken. Package intake says until when: once calls of other nodes are turned away, only calls whose time limit is before the end of the process, so that the backend server's own calls go on; once it runs none, no call at all: 503, not run, come back in 0.1 s. Connections that are made from then on aren't waited for. The notice is at most half of a short grace time.

That check moved to TestAStopRefusesByWordWhatItCannotEnd, which asks for all ten late calls: 503 within half a second, a time to come back, none run; before, they were reset.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,6 +39,9 @@
 	// noNodeRetry is when to come back if nobody serves the service; who does is
 	// known within half a second of a restart.
 	noNodeRetry = 250 * time.Millisecond
+	// stoppingRetry is when to come back after a refusal by a node that is being stopped:
+	// other nodes take the call at once.
+	stoppingRetry = 100 * time.Millisecond
 	// maxAsked bounds the nodes that are asked for one call. After that a busy
 	// service is not made busier by asking around.
 	maxAsked = 4
@@ -87,7 +90,7 @@
 		o.ID = ulid.Make().String()
 	}
 
-	if o.Stopping = d.options.Leaving(); o.Stopping {
+	if o.Stopping = d.options.Intake.Leaving(); o.Stopping {
 		o.Connected, o.Ahead = r.Arrived.Sub(r.Connected), r.Ahead
 	}
 
@@ -126,7 +129,12 @@
 		o.Waited = r.Arrived.Sub(c.first)
 	}
 
-	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(patience))
+	limit := r.Arrived.Add(patience)
+	if !d.options.Intake.Takes(limit) {
+		return d.refuse(o, "not run: this node is being stopped", stoppingRetry)
+	}
+
+	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 
 	c.service = d.splitter.pick(found, c.service)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -303,7 +303,10 @@
 			want    int
 		}{{3, false, "/safe/x", 1}, {3, true, "/safe/x", 0}, {1, false, "/safe/x", 0}, {3, false, "/once/x", 0}} {
 			f := newFleet(c.nodes)
-			f.leaving = c.leaving
+			if c.leaving {
+				f.intake.Leave()
+			}
+
 			send(newDispatcher(f, holder(t)), c.path)
 			assert.Equal(t, f.elsewhere, c.want, "%v", c)
 		}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/header"
 	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/intake"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/place"
@@ -30,7 +31,7 @@
 	opened  []string
 	// elsewhere counts calls that are given up when their link is in doubt.
 	elsewhere int
-	leaving   bool
+	intake    *intake.Intake
 	asked     []string
 	seen      []forward.Request
 	reply     func(ctx context.Context, address string, in forward.Request) (forward.Reply, error)
@@ -87,7 +88,7 @@
 }
 
 func newFleet(nodes int) *fleet {
-	f := &fleet{dead: map[string]bool{}, reply: answered}
+	f := &fleet{dead: map[string]bool{}, intake: intake.New(), reply: answered}
 	for i := range nodes {
 		f.records = append(f.records, membership.Record{
 			ID: "n" + strconv.Itoa(i), PeerAddress: "a" + strconv.Itoa(i), FailureDomain: "derby",
@@ -132,7 +133,7 @@
 	return dispatch.New(dispatch.Options{
 		Node: "me", FailureDomain: "derby", Service: "finder", Names: header.Default(), Tables: h, Members: f, Peers: f, Own: nil,
 		Placer: place.New(), Budget: repeats.New(repeats.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}), Recorder: r,
-		Leaving: func() bool { return f.leaving },
+		Intake: f.intake,
 	})
 }
 
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/header"
@@ -47,6 +48,14 @@
 	Repeated(service string, allowed bool)
 }
 
+// Intake says what a node that is being stopped still takes.
+type Intake interface {
+	// Leaving reports whether a planned stop of this node began.
+	Leaving() bool
+	// Takes reports whether a call is taken that may last until its time limit.
+	Takes(limit time.Time) bool
+}
+
 // Options of a dispatcher.
 type Options struct {
 	Node          string
@@ -61,7 +70,6 @@
 	Placer   *place.Placer
 	Budget   *repeats.Budget
 	Recorder *timeline.Recorder
-	// Leaving reports whether a planned stop of this node began.
-	Leaving func() bool
-	Meter   Meter
+	Intake   Intake
+	Meter    Meter
 }
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -147,7 +147,7 @@
 func (t *try) mayLeave() bool {
 	d := t.dispatcher
 
-	return t.request.Idempotent && t.others > 0 && t.outcome.Sent+1 < t.route.Attempts && !d.options.Leaving()
+	return t.request.Idempotent && t.others > 0 && t.outcome.Sent+1 < t.route.Attempts && !d.options.Intake.Leaving()
 }
 
 // resultOf says what the reply tells of the node.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -36,10 +36,12 @@
 	cancel context.CancelCauseFunc
 	queue  chan *exchange // in the order of arrival
 	made   time.Time
+	late   bool // made when the server had settled
 
 	mu      sync.Mutex
 	pending []*exchange // calls that were taken and not answered, in the order of arrival
 	waiting bool        // nothing of the next call has come
+	used    bool        // a call was taken
 	closing bool        // the answer after which no call is open is the last
 	ended   bool        // the last answer goes out; what comes after it is not taken
 }
@@ -170,6 +172,7 @@
 	}
 
 	c.closing = c.closing || last
+	c.used = true
 
 	e.taken = time.Now()
 	c.pending = append(c.pending, e)
@@ -196,14 +199,14 @@
 }
 
 // retire ends the connection with the answers to the calls that were taken, or at
-// once if there are none.
+// once if there are none. A caller that has just connected still has its first call taken.
 func (c *conn) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	c.closing = true
 
-	if len(c.pending) == 0 && c.waiting {
+	if len(c.pending) == 0 && c.waiting && c.used {
 		_ = c.raw.SetReadDeadline(time.Now()) // a closed connection needs no waking
 	}
 }
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -45,6 +45,8 @@
 	Age, Oldest time.Duration
 	// Calls without an answer, and how many of them only wait for earlier ones.
 	Calls, Ready int
+	// Late says that the connection was made after Settle.
+	Late bool
 	// Ended says that the last answer has gone out, and the caller has not closed yet.
 	Ended bool
 }
@@ -92,7 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	p := Pending{Age: now.Sub(c.made), Calls: len(c.pending), Ended: c.ended}
+	p := Pending{Age: now.Sub(c.made), Calls: len(c.pending), Ended: c.ended, Late: c.late}
 
 	if len(c.pending) == 0 {
 		return p, c.ended
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -72,7 +72,7 @@
 	switch {
 	case c.ended:
 		return errEnded
-	case c.closing && len(c.pending) == 0:
+	case c.closing && c.used && len(c.pending) == 0:
 		return net.ErrClosed
 	}
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -62,6 +62,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	retiring bool
+	settling bool
 }
 
 // New returns a server that does not listen.
@@ -97,6 +98,7 @@
 	}
 
 	s.conns[c] = struct{}{}
+	c.late = s.settling
 
 	if s.retiring {
 		c.retire()
@@ -124,6 +126,28 @@
 	}
 }
 
+// Settle leaves connections that are made from now on out of Busy.
+func (s *Server) Settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.settling = true
+}
+
+// Busy returns how many connections have calls without an answer, or a last answer that
+// went out and whose caller has not closed yet.
+func (s *Server) Busy() int {
+	n := 0
+
+	for _, p := range s.Pending() {
+		if !p.Late {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Connections returns how many connections there are.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,30 @@
+package intake_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/intake"
+)
+
+func TestCallsAreTakenByTheirTimeLimit(t *testing.T) {
+	i := intake.New()
+	now := time.Now()
+	end := now.Add(time.Second)
+
+	assert.Assert(t, i.Takes(now.Add(time.Hour)))
+	assert.Assert(t, !i.Leaving())
+
+	i.Leave()
+	assert.Assert(t, i.Leaving())
+	assert.Assert(t, i.Takes(now.Add(time.Hour)))
+
+	i.Finish(end)
+	assert.Assert(t, i.Takes(end))
+	assert.Assert(t, !i.Takes(end.Add(time.Nanosecond)))
+
+	i.Close()
+	assert.Assert(t, !i.Takes(now))
+}
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -17,13 +17,12 @@
 	// ready: it is asked once a second and taken out after two misses. Connections
 	// that are closed before are opened again here.
 	noticeTime = 2500 * time.Millisecond
-	// lendTime is how long calls of other nodes are taken, from the start of the stop,
-	// while callers of this one wait for their last answers: what starts by then ends
-	// within the grace time. The backend server runs on, and the process has to wait for
-	// those answers in any case. With the others told at the start, each stop took a
-	// backend server out of use for 3.4 s; with one of three stopped after the other, 390
-	// of 473 calls of its service were refused in four seconds.
-	lendTime = 2900 * time.Millisecond
+	// noticePart bounds it to a part of a short grace time.
+	noticePart = 2
+	// lendTime is how long after that calls of other nodes are taken while callers of this
+	// one wait for their last answers. The backend server runs on, and the process has to
+	// wait for those answers in any case.
+	lendTime = 400 * time.Millisecond
 	// withdrawTime is how long it takes until most nodes know that they are to send no
 	// calls here: a gossip round or two. Who does not know it is turned away in one round
 	// trip.
@@ -33,16 +32,24 @@
 	beforeGrace = 400 * time.Millisecond
 	// lookEvery is how often it is looked whether anything is left inside.
 	lookEvery = 20 * time.Millisecond
+	// lastAnswers is how long the answers to calls that the stop gives up, and refusals,
+	// have to go out: some ways to a caller and back.
+	lastAnswers = 150 * time.Millisecond
 )
 
 // stop is a planned stop in its order, apart from what is stopped.
 type stop struct {
 	grace time.Duration
-	// callers counts connections of callers, inside all calls that run here.
-	callers, inside func() int
+	// callers counts connections of callers that wait for answers, runs the calls at the
+	// backend server here, inside all that run here.
+	callers, runs, inside func() int
 	// retire ends the connections of callers with the answers that they wait for,
-	// withdraw tells other nodes to send nothing, shut takes no calls of theirs.
-	retire, withdraw, shut func()
+	// withdraw tells other nodes to send nothing.
+	retire, withdraw func()
+	// shut takes no calls of other nodes, and of callers only what is over by the end.
+	shut func(end time.Time)
+	// close takes no calls of callers any more, and abandon answers those under way.
+	close, abandon func()
 	// tell says which step comes next.
 	tell func(step string)
 }
@@ -52,23 +59,30 @@
 
 // run returns once nothing is inside, or the grace time is nearly over, with what is left
 // then. Callers are kept as before until they know; calls of other nodes are taken until the
-// last callers are gone.
+// last callers are gone. Then calls are refused by word, so that the end depends only on those
+// that were taken.
 func (s stop) run() left {
 	began := time.Now()
 	deadline := began.Add(s.grace - beforeGrace)
 
-	time.Sleep(noticeTime)
+	time.Sleep(min(noticeTime, s.grace/noticePart))
 	s.tell("callers' connections are retired")
 	s.retire()
-	until(began.Add(lendTime), func() bool { return s.callers() == 0 })
+	until(time.Now().Add(lendTime), func() bool { return s.callers() == 0 })
 	s.tell("other nodes are told to send no calls")
 	s.withdraw()
 	time.Sleep(withdrawTime)
 	s.tell("calls of other nodes are turned away")
-	s.shut()
+	s.shut(deadline)
+	until(deadline, func() bool { return s.runs() == 0 })
+	s.tell("calls of callers are refused")
+	s.close()
 	until(deadline, func() bool { return s.callers() == 0 && s.inside() == 0 })
 
-	return left{s.callers(), s.inside()}
+	unfinished := left{s.callers(), s.inside()}
+	s.abandon()
+
+	return unfinished
 }
 
 // until waits for something to hold, but no longer than a moment.
@@ -80,14 +94,15 @@
 
 // drain ends the service without cutting a call off.
 func (n *Sidecar) drain() {
-	n.leaving.Store(true)
+	n.intake.Leave()
 	n.recorder.Record(event.NodeDraining, timeline.Entry{})
 
 	unfinished := stop{
 		grace:   config.Seconds(n.settings.Load().Bounds.GraceSeconds),
-		callers: n.ingress.Connections,
+		callers: n.ingress.Busy,
+		runs:    func() int { return int(n.runner.Busy()) },
 		inside:  func() int { return int(n.runner.Busy() + n.server.Running()) },
-		retire:  n.ingress.Retire, withdraw: n.withdraw, shut: n.runner.Close,
+		retire:  n.ingress.Retire, withdraw: n.withdraw, shut: n.shut, close: n.closeIntake, abandon: n.abandon,
 		tell: func(step string) {
 			n.recorder.Record(event.NodeDrainStep, timeline.Entry{Detail: step + ": " + n.unfinished()})
 		},
@@ -122,6 +137,26 @@
 	return b.String()
 }
 
+// shut turns calls of other nodes away, and takes only calls of callers that are over by the
+// end.
+func (n *Sidecar) shut(end time.Time) {
+	n.runner.Close()
+	n.intake.Finish(end)
+}
+
+// closeIntake refuses calls of callers. Who connects now is not waited for.
+func (n *Sidecar) closeIntake() {
+	n.intake.Close()
+	n.ingress.Settle()
+}
+
+// abandon takes no more connections, and gives last answers the time to go out.
+func (n *Sidecar) abandon() {
+	_ = n.callers.Close() // it was open until now
+
+	until(time.Now().Add(lastAnswers), func() bool { return len(n.ingress.Pending()) == 0 })
+}
+
 // withdraw tells the other nodes to send no calls here, while the backend server
 // goes on with those it has.
 func (n *Sidecar) withdraw() {
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -25,9 +25,10 @@
 	unfinished = stop{
 		grace:   6 * time.Second,
 		callers: func() int { return within(callers) },
+		runs:    func() int { return 0 },
 		inside:  func() int { return within(shut + inside) },
-		retire:  func() {}, withdraw: func() {}, tell: func(string) {},
-		shut: func() { shut = time.Since(start) },
+		retire:  func() {}, withdraw: func() {}, tell: func(string) {}, close: func() {}, abandon: func() {},
+		shut: func(time.Time) { shut = time.Since(start) },
 	}.run()
 
 	return shut, time.Since(start), unfinished
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -18,7 +18,7 @@
 // ErrListen is returned if an address can't be listened on.
 var ErrListen = errs.New("sidecar.listen", http.StatusServiceUnavailable, "can't listen")
 
-func (n *Sidecar) ready() bool { return n.holder.Number() > 0 && !n.leaving.Load() }
+func (n *Sidecar) ready() bool { return n.holder.Number() > 0 && !n.intake.Leaving() }
 
 func (n *Sidecar) listen() error {
 	for _, h := range []struct {
@@ -40,6 +40,10 @@
 
 		n.listeners = append(n.listeners, l)
 
+		if h.address == n.config.CallerAddress {
+			n.callers = l
+		}
+
 		go n.serve(h.serve, l)
 	}
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,6 +31,7 @@
 	"github.com/pollencart/pollencart/internal/feed"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/intake"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/place"
@@ -61,7 +62,7 @@
 	budget   *repeats.Budget
 	recorder *timeline.Recorder
 	meter    *meter.Meter
-	leaving  atomic.Bool // a planned stop began
+	intake   *intake.Intake
 	// withdrawn is set once other nodes are to send no calls here.
 	withdrawn atomic.Bool
 
@@ -89,20 +90,21 @@
 	mu        sync.Mutex
 	instance  departures.Instance // that the connections of the pool lead to
 	listeners []net.Listener
+	callers   net.Listener // that of the callers, one of these
 }
 
 // New returns a sidecar that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Sidecar {
 	m := meter.New()
 	n := &Sidecar{
-		config: c, budget: repeats.New(boundOf(c)), meter: m, holder: &route.Holder{}, standstill: standstill.New(),
+		config: c, budget: repeats.New(boundOf(c)), meter: m, holder: &route.Holder{}, intake: intake.New(), standstill: standstill.New(),
 	}
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
 	n.store = platform.NewStore(c.StoreAddress, m.Called, n.unreadable)
 	n.fleet()
 	n.backend()
-	n.calls()
+	n.entries()
 	n.methods()
 	n.gauges()
 
@@ -114,7 +116,7 @@
 	c := n.config
 	links := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress), peer.WithDialTimeout(dialTimeout),
-		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.leaving.Load),
+		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.intake.Leaving),
 		peer.Exchanged(func(e peer.Exchange) { n.meter.Exchanged(e, n.table.NearAt(e.Address)) }),
 	}
 	n.server = peer.NewServer(links...)
@@ -148,13 +150,13 @@
 	})
 }
 
-// calls makes what takes calls of callers.
-func (n *Sidecar) calls() {
+// entries makes what takes calls of callers.
+func (n *Sidecar) entries() {
 	c := n.config
 	n.entry = dispatch.New(dispatch.Options{
 		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
 		Members: n.table, Peers: n.client, Own: n.runner, Placer: place.New(), Recorder: n.recorder, Meter: n.meter,
-		Budget: n.budget, Leaving: n.leaving.Load,
+		Budget: n.budget, Intake: n.intake,
 	})
 	n.ingress = ingress.New(n.entry, ingress.Limits(n.holder), ingress.WithObserver(deliveries{n.recorder, n.meter}))
 }
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -228,7 +228,42 @@
 	assert.Check(t, len(s.ranWithoutAnswer(f)) == 0, "%v", s.ranWithoutAnswer(f))
 	assert.Check(t, s.unnamed == 0)
 	assert.Check(t, s.statuses[http.StatusOK] > 0)
-	assert.Check(t, s.turned > 0, "none was refused by word: %v", s.statuses)
+}
+
+// A call that comes once a stop takes none must be refused by word, at once, and not run.
+func TestAStopRefusesByWordWhatItCannotEnd(t *testing.T) {
+	f := newFleet(t, "ledger", "browse")
+	f.store.Write(platform.ConfigurationKey, slowDocument(1, "ledger"))
+	f.announced(t)
+
+	stopping := f.hosts[1]
+	eventually(t, stopping.serves)
+	f.hosts[0].backend.Work = 4500 * time.Millisecond
+
+	taken := newStayers(stopping, 20*time.Second)
+	taken.calling.Go(taken.alone)
+	eventually(t, func() bool { return len(f.hosts[0].backend.Calls()) > 1 })
+	stopping.stop()
+	time.Sleep(3500 * time.Millisecond) // other nodes' calls are turned away by then
+
+	before := len(f.hosts[0].backend.Calls())
+	late := newStayers(stopping, 2*time.Second)
+
+	for range 10 {
+		began := time.Now()
+
+		late.alone()
+		assert.Check(t, time.Since(began) < 500*time.Millisecond)
+	}
+
+	<-stopping.ended
+	taken.calling.Wait()
+
+	assert.DeepEqual(t, taken.statuses, map[int]int{http.StatusOK: 1})
+	assert.DeepEqual(t, late.statuses, map[int]int{http.StatusServiceUnavailable: 10})
+	assert.Equal(t, late.turned, 10)
+	assert.Equal(t, late.unnamed, 0)
+	assert.Equal(t, len(f.hosts[0].backend.Calls()), before)
 }
 
 // A call that does not end in the grace time gets an answer, not the end of its connection.
