Stops: a call that is given up at the end of the grace time is answered

What callers saw: a call that had not ended when the grace time was nearly over lost its connection without a word, and so did every answer that was ready behind it.

Cause: the stop closed connections with whatever was on them.

TestAStopAnswersTheCallsThatItGivesUp failed before: the connection ended without an answer.

--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -255,7 +255,7 @@
 	case t.lost:
 		t.outcome.Reason = "no answer, it may have run: " + t.last.Reason
 
-		if t.ctx.Err() != nil {
+		if errors.Is(t.ctx.Err(), context.DeadlineExceeded) {
 			return d.own(t.outcome, http.StatusGatewayTimeout)
 		}
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -134,6 +134,16 @@
 	s.settling = true
 }
 
+// Abandon ends the work on the calls that were taken; they are still answered.
+func (s *Server) Abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for c := range s.conns {
+		c.cancel(ErrClosed)
+	}
+}
+
 // Busy returns how many connections have calls without an answer, or a last answer that
 // went out and whose caller has not closed yet.
 func (s *Server) Busy() int {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -150,10 +150,12 @@
 	n.ingress.Settle()
 }
 
-// abandon takes no more connections, and gives last answers the time to go out.
+// abandon takes no more connections, ends the calls of callers that are under way, and gives
+// their last answers the time to go out.
 func (n *Sidecar) abandon() {
 	_ = n.callers.Close() // it was open until now
 
+	n.ingress.Abandon()
 	until(time.Now().Add(lastAnswers), func() bool { return len(n.ingress.Pending()) == 0 })
 }
 
