Runner: a gate that closes turns away what waits, and stays closed

A heartbeat of the backend server gave the queue its slots back.

A closed gate turns away at once what waits, as not run, so that it goes to another node; a call that waits for its permit as a suspect is asked again whether the gate is closed. The queue stays closed whatever the backend server says.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -69,8 +69,12 @@
 // New returns a runner.
 func New(o Options) *Runner { return &Runner{options: o, nested: nested.New()} }
 
-// Close turns away what comes from now on; what is inside goes on.
-func (r *Runner) Close() { r.closed.Store(true) }
+// Close turns away what waits and what comes from now on; what the backend server runs
+// goes on.
+func (r *Runner) Close() {
+	r.closed.Store(true)
+	r.options.Queue.Close()
+}
 
 // Busy returns how many calls are inside.
 func (r *Runner) Busy() int64 { return r.busy.Load() }
@@ -180,7 +184,7 @@
 	}
 
 	state := r.options.Host.State()
-	if !state.Takes {
+	if !state.Takes || r.closed.Load() {
 		end(poison.Lost)
 
 		return refused(forward.ReasonNone, downRetry), 0
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -282,3 +282,53 @@
 	assert.Equal(t, told[0].Name, event.CallRunFailed.Name)
 	assert.Equal(t, event.CallRunFailed.Level, slog.LevelWarn)
 }
+
+// A node that is being stopped must not start calls that wait until they can't end in time.
+func TestAClosedRunnerTurnsAwayWhatWaits(t *testing.T) {
+	const full = 4
+
+	busy := make(chan struct{})
+	began := make(chan struct{}, full)
+	queue := slots.New()
+	r := queued(t, func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+
+		<-busy
+	}, timeline.New(), innocent{}, queue)
+
+	t.Cleanup(func() { close(busy) })
+
+	for range full {
+		go func() { _, _ = r.Serve(context.Background(), request()) }()
+	}
+
+	for range full {
+		<-began
+	}
+
+	waiting := make(chan forward.Reply)
+
+	go func() {
+		reply, _ := r.Serve(context.Background(), request())
+		waiting <- reply
+	}()
+
+	for queue.Load().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	r.Close()
+	queue.Resize(full) // the backend server says that it is ready
+
+	select {
+	case reply := <-waiting:
+		assert.Equal(t, reply.Result, forward.Refused)
+		assert.Equal(t, reply.Reason, forward.ReasonNone)
+	case <-time.After(time.Second):
+		t.Fatal("the call still waits")
+	}
+
+	reply, err := r.Serve(t.Context(), request())
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Result, forward.Refused)
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -126,6 +126,7 @@
 type Queue struct {
 	mu      sync.Mutex
 	slots   int
+	closed  bool
 	running map[*Slot]struct{}
 	waiting []*Slot
 	since   time.Time // when the first of those that wait found nobody waiting
@@ -160,10 +161,23 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	if q.closed {
+		return
+	}
+
 	q.slots = slots
 	q.start(time.Now())
 }
 
+// Close turns away what waits and what comes from now on; what runs goes on.
+func (q *Queue) Close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.closed, q.slots = true, 0
+	q.turnAway()
+}
+
 // Enter returns when the call may run. The error says why it may not.
 func (q *Queue) Enter(ctx context.Context, w Work) (*Slot, error) {
 	s := &Slot{queue: q, work: w, granted: make(chan error, 1)}
