Ingress: an answer that is being written is waited for

TestAnAnswerThatIsBeingWrittenIsWaitedFor failed before: no connection was counted while 32 MB went out.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -39,7 +39,7 @@
 	late   bool // made when the server had settled
 
 	mu      sync.Mutex
-	pending []*exchange // calls that were taken and not answered, in the order of arrival
+	pending []*exchange // calls that were taken and whose answer is not written, in the order of arrival
 	waiting bool        // nothing of the next call has come
 	used    bool        // a call was taken
 	closing bool        // the answer after which no call is open is the last
@@ -180,17 +180,29 @@
 	return len(c.pending) - 1, true
 }
 
-// answered counts a call out and reports whether its answer is the last.
-func (c *conn) answered() bool {
+// last reports whether the answer that is to be written ends the connection.
+func (c *conn) last() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.pending = c.pending[1:]
-	c.ended = c.closing && len(c.pending) == 0
+	c.ended = c.closing && len(c.pending) == 1
 
 	return c.ended
 }
 
+// written counts a call out. A connection that was retired while its answer was written
+// without saying so ends like an idle one.
+func (c *conn) written() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.pending = c.pending[1:]
+
+	if !c.ended {
+		c.endIdle()
+	}
+}
+
 func (c *conn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -205,8 +217,12 @@
 	defer c.mu.Unlock()
 
 	c.closing = true
+	c.endIdle()
+}
 
-	if len(c.pending) == 0 && c.waiting && c.used {
+// endIdle ends the wait for the next call on a connection that takes none. Its lock is held.
+func (c *conn) endIdle() {
+	if c.closing && c.used && c.waiting && len(c.pending) == 0 {
 		_ = c.raw.SetReadDeadline(time.Now()) // a closed connection needs no waking
 	}
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -314,3 +315,31 @@
 	assert.Equal(t, body, "/late ")
 	assert.Assert(t, r.Close)
 }
+
+// A stop must not take a connection for done while its answer is still being written.
+func TestAnAnswerThatIsBeingWrittenIsWaitedFor(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 32<<20) // more than sockets hold
+	s, c, in := serve(t, func(context.Context, ingress.Request) ingress.Response {
+		return ingress.Response{Status: http.StatusOK, Body: body}
+	})
+
+	get(t, c, "/large")
+
+	_, err := in.Peek(1) // the answer is on its way
+	assert.NilError(t, err)
+	time.Sleep(short)
+
+	s.Retire()
+	time.Sleep(short)
+	assert.Equal(t, s.Busy(), 1)
+
+	_, read := answer(t, in)
+	assert.Equal(t, len(read), len(body))
+
+	for s.Busy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	_, err = in.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -21,12 +21,14 @@
 	for e := range c.queue {
 		<-e.done
 
-		last := c.answered()
+		last := c.last()
 
 		if failed == nil {
 			failed = c.send(e, last)
 		}
 
+		c.written()
+
 		switch {
 		case failed != nil:
 			// What the caller still waits for is of no use to it.
