--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -196,7 +197,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.pending = c.pending[1:]
+	c.pending = slices.Delete(c.pending, 0, 1)
 
 	if !c.ended {
 		c.endIdle()
