Ingress: a connection that was retired ends after what it has, whatever comes in

- A call that comes in while the last answer goes out set the bound on reading anew: the connection counted as waited for until its caller closed, so a caller could still hold a stop to its deadline.
The bound of the last answer stays now.
An answer that is being written has a state of its own, so that a caller that waits with its body is still invited.
- An answer that this node cuts off was taken for one whose caller had left, and not told (TestAnAnswerThatIsCutOffIsTold).
The cause follows from how reading ended.
- A head or body that comes in too slowly ended the calls before it on its connection (TestACallThatComesInTooSlowlyDoesNotCutOffTheOneBefore).
They are answered now.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,7 +42,8 @@
 	late   bool // made when the server had settled
 
 	mu      sync.Mutex
-	pending []*exchange // calls that were taken and whose answer is not written, in the order of arrival
+	pending []*exchange // calls that were taken and not answered, in the order of arrival
+	sending bool        // an answer is being written
 	waiting bool        // nothing of the next call has come
 	used    bool        // a call was taken
 	closing bool        // the answer after which no call is open is the last
@@ -78,34 +81,38 @@
 		c.write()
 	}()
 
-	c.read()
-	c.cancel(ErrCallerLeft)
+	c.cancel(causeOf(c.read()))
 	close(c.queue)
 	<-written
 
 	_ = c.raw.Close()
 }
 
+// causeOf says why a connection whose reading ended is done with.
+func causeOf(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+		return ErrCallerLeft
+	}
+
+	return ErrClosed
+}
+
 // read takes calls until the connection ends. It goes on reading while calls run,
 // which is how it sees that the caller went away.
-func (c *conn) read() {
+func (c *conn) read() error {
 	for {
 		e, body, err := c.next()
 
 		switch {
-		case errors.Is(err, errEnded):
-			c.linger()
-
-			return
+		case errors.Is(err, errEnded), errors.Is(err, os.ErrDeadlineExceeded) && c.finishes():
+			return c.linger()
 		case err != nil:
-			return
+			return err
 		}
 
 		ahead, ok := c.take(e, e.request.Close || isClosed(e.done))
 		if !ok {
-			c.linger()
-
-			return
+			return c.linger()
 		}
 
 		if !isClosed(e.done) {
@@ -115,21 +122,40 @@
 		c.queue <- e
 
 		if e.request.Close {
-			c.linger()
-
-			return
+			return c.linger()
 		}
 	}
 }
 
 // linger reads on without taking calls, until the caller closes or the time after
 // the last answer is over.
-func (c *conn) linger() {
+func (c *conn) linger() error {
 	c.limit.N = DefaultBodyBytes
 
-	_, _ = io.Copy(io.Discard, c.in) // however it ends, the connection is done with
+	if _, err := io.Copy(io.Discard, c.in); err != nil {
+		return err
+	}
+
+	return io.EOF
+}
+
+// finishes takes no more calls and reports whether earlier ones have no answer yet.
+func (c *conn) finishes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.closing = true
+
+	if c.ended {
+		return true
+	}
+
+	return c.busy() && c.raw.SetReadDeadline(time.Time{}) == nil
 }
 
+// busy reports whether an answer is due or being written. The lock is held.
+func (c *conn) busy() bool { return len(c.pending) > 0 || c.sending }
+
 func isClosed(done chan struct{}) bool {
 	select {
 	case <-done:
@@ -168,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.ended || c.closing && len(c.pending) > 0 {
+	if c.ended || c.closing && c.busy() {
 		return 0, false
 	}
 
@@ -181,27 +207,34 @@
 	return len(c.pending) - 1, true
 }
 
-// last reports whether the answer that is to be written ends the connection.
-func (c *conn) last() bool {
+// answered counts a call out whose answer is to be written, and reports whether that is the
+// last.
+func (c *conn) answered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.ended = c.closing && len(c.pending) == 1
+	c.pending = slices.Delete(c.pending, 0, 1)
+	c.sending = true
+	c.ended = c.closing && len(c.pending) == 0
 
 	return c.ended
 }
 
-// written counts a call out. A connection that was retired while its answer was written
-// without saying so ends like an idle one.
-func (c *conn) written() {
+// written notes that an answer has gone out. It reports whether the connection was retired
+// meanwhile and has to end though the answer did not say so.
+func (c *conn) written() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.pending = slices.Delete(c.pending, 0, 1)
+	c.sending = false
 
-	if !c.ended {
-		c.endIdle()
+	if c.ended || !c.closing || len(c.pending) > 0 {
+		return false
 	}
+
+	c.ended = true
+
+	return true
 }
 
 func (c *conn) idle() bool {
@@ -218,12 +251,8 @@
 	defer c.mu.Unlock()
 
 	c.closing = true
-	c.endIdle()
-}
 
-// endIdle ends the wait for the next call on a connection that takes none. Its lock is held.
-func (c *conn) endIdle() {
-	if c.closing && c.used && c.waiting && len(c.pending) == 0 {
+	if c.used && c.waiting && !c.busy() {
 		_ = c.raw.SetReadDeadline(time.Now()) // a closed connection needs no waking
 	}
 }
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -47,8 +47,9 @@
 	Calls, Ready int
 	// Late says that the connection was made after Settle.
 	Late bool
-	// Ended says that the last answer has gone out, and the caller has not closed yet.
-	Ended bool
+	// Sending says that an answer is being written, Ended that the last one was and the
+	// caller has not closed yet.
+	Sending, Ended bool
 }
 
 // String describes it for the log.
@@ -59,7 +60,10 @@
 	b = append(b, "age "...)
 	b = append(b, p.Age.Round(time.Millisecond).String()...)
 
-	if p.Ended {
+	switch {
+	case p.Sending && p.Calls == 0:
+		return string(append(b, " answer being written"...))
+	case p.Ended:
 		return string(append(b, " last answer sent"...))
 	}
 
@@ -94,10 +98,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	p := Pending{Age: now.Sub(c.made), Calls: len(c.pending), Ended: c.ended, Late: c.late}
+	p := Pending{Age: now.Sub(c.made), Calls: len(c.pending), Sending: c.sending, Ended: c.ended, Late: c.late}
 
 	if len(c.pending) == 0 {
-		return p, c.ended
+		return p, c.ended || c.sending
 	}
 
 	p.Oldest = now.Sub(c.pending[0].taken)
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -20,7 +20,7 @@
 		return nil, nil, err
 	}
 
-	if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	if err := c.readUntil(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, nil, err
 	}
 
@@ -61,6 +61,18 @@
 	return err
 }
 
+// readUntil bounds what is read next, unless the last answer has: its bound is to stay.
+func (c *conn) readUntil(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.ended {
+		return errEnded
+	}
+
+	return c.raw.SetReadDeadline(t)
+}
+
 // errEnded means that the last answer has gone out.
 var errEnded = errors.New("connection has had its last answer")
 
@@ -72,7 +84,7 @@
 	switch {
 	case c.ended:
 		return errEnded
-	case c.closing && c.used && len(c.pending) == 0:
+	case c.closing && c.used && !c.busy():
 		return net.ErrClosed
 	}
 
@@ -87,22 +99,27 @@
 	switch {
 	case c.limit.N <= 0:
 		return refusal(http.StatusRequestHeaderFieldsTooLarge), nil
-	case c.broken(), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, err
 	}
 
+	if broken := c.broken(); broken != nil {
+		return nil, broken
+	}
+
 	return refusal(http.StatusBadRequest), nil
 }
 
-// broken reports whether the connection can't be read any more. The reader of
-// requests tells a part of a line that came in time from one that did not only by
-// its text.
-func (c *conn) broken() bool {
-	var timeout net.Error
+// broken says why the connection can't be read any more, if so. The reader of requests
+// tells a part of a line that came in time from one that did not only by its text.
+func (c *conn) broken() error {
+	var fault net.Error
 
-	_, err := c.in.Peek(1)
+	if _, err := c.in.Peek(1); errors.As(err, &fault) {
+		return err
+	}
 
-	return errors.As(err, &timeout)
+	return nil
 }
 
 // refusal is an exchange whose answer is known; its connection ends with it.
@@ -127,12 +144,12 @@
 	}
 
 	if e.request.ContentLength == 0 {
-		return nil, c.raw.SetReadDeadline(time.Time{})
+		return nil, c.readUntil(time.Time{})
 	}
 
 	c.limit.N = int64(limits.BodyBytes) + readBuffer
 
-	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := c.readUntil(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
 
@@ -149,7 +166,7 @@
 		e.refuse(http.StatusRequestEntityTooLarge)
 	}
 
-	return body, c.raw.SetReadDeadline(time.Time{})
+	return body, c.readUntil(time.Time{})
 }
 
 // invite tells a caller that waits for it to send the body.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// Busy returns how many connections have calls without an answer, or a last answer that
-// went out and whose caller has not closed yet.
+// Busy returns how many connections have calls without an answer or one that is being
+// written, or a last answer that went out and whose caller has not closed yet.
 func (s *Server) Busy() int {
 	n := 0
 
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -21,13 +21,15 @@
 	for e := range c.queue {
 		<-e.done
 
-		last := c.last()
+		last := c.answered()
 
 		if failed == nil {
 			failed = c.send(e, last)
 		}
 
-		c.written()
+		if c.written() && failed == nil {
+			failed = c.finish()
+		}
 
 		switch {
 		case failed != nil:
