Stops: the steps fit the grace time, whatever it is

- Answers to calls that are given up and the word that the node leaves came one after the other, 5.97 to 5.98 s of a grace time of 6: on a busy host the process is killed first, with the last lines.
They go side by side now (TestAStopIsOverBeforeTheProcessIsKilled, 5.9 s).
- Calls that may last beyond the end were taken until 3.05 s after SIGTERM; now until other nodes are told, 2.9 s (TestCallsPastTheEndAreTakenForAtMostThreeSeconds).
- With a grace time of 1 s a stop took 1.2 s.
The steps are shorter in proportion (TestAStopWithAShortGraceTimeEndsWithinIt, grace times of 1 to 10 s).

The test of refusals waits for the step rather than for a time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,7 +40,8 @@
 	// known within half a second of a restart.
 	noNodeRetry = 250 * time.Millisecond
 	// stoppingRetry is when to come back after a refusal by a node that is being stopped:
-	// other nodes take the call at once.
+	// callers who are led elsewhere are served there at once, and nobody knows when the next
+	// process is ready.
 	stoppingRetry = 100 * time.Millisecond
 	// maxAsked bounds the nodes that are asked for one call. After that a busy
 	// service is not made busier by asking around.
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
@@ -12,13 +13,13 @@
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
+// The steps of a stop, for a grace time of usualGrace or more; they are shorter in a shorter one.
 const (
+	usualGrace = 6 * time.Second
 	// noticeTime is how long callers still come after the node says that it is not
 	// ready: it is asked once a second and taken out after two misses. Connections
 	// that are closed before are opened again here.
 	noticeTime = 2500 * time.Millisecond
-	// noticePart bounds it to a part of a short grace time.
-	noticePart = 2
 	// lendTime is how long after that calls of other nodes are taken while callers of this
 	// one wait for their last answers. The backend server runs on, and the process has to
 	// wait for those answers in any case.
@@ -27,14 +28,16 @@
 	// calls here: a gossip round or two. Who does not know it is turned away in one round
 	// trip.
 	withdrawTime = 150 * time.Millisecond
-	// beforeGrace is how long before the platform kills the process it ends by
-	// itself, so that what is left is closed in order.
+	// beforeGrace is how long before the platform kills the process it gives up what is
+	// left, so that it is answered and closed in order.
 	beforeGrace = 400 * time.Millisecond
 	// lookEvery is how often it is looked whether anything is left inside.
 	lookEvery = 20 * time.Millisecond
 	// lastAnswers is how long the answers to calls that the stop gives up, and refusals,
 	// have to go out: some ways to a caller and back.
 	lastAnswers = 150 * time.Millisecond
+	// leaveTime bounds the word to the fleet and the store that this node leaves.
+	leaveTime = 200 * time.Millisecond
 )
 
 // stop is a planned stop in its order, apart from what is stopped.
@@ -46,43 +49,46 @@
 	// retire ends the connections of callers with the answers that they wait for,
 	// withdraw tells other nodes to send nothing.
 	retire, withdraw func()
-	// shut takes no calls of other nodes, and of callers only what is over by the end.
-	shut func(end time.Time)
-	// close takes no calls of callers any more, and abandon answers those under way.
-	close, abandon func()
+	// finish takes only calls of callers that are over by the end, shut none of other nodes,
+	// close none of callers.
+	finish      func(end time.Time)
+	shut, close func()
 	// tell says which step comes next.
 	tell func(step string)
 }
 
+// lasts is how long a step takes of this stop's grace time.
+func (s stop) lasts(usual time.Duration) time.Duration {
+	return min(usual, time.Duration(float64(usual)*float64(s.grace)/float64(usualGrace)))
+}
+
 // left is what a stop leaves unfinished.
 type left struct{ callers, inside int }
 
 // run returns once nothing is inside, or the grace time is nearly over, with what is left
 // then. Callers are kept as before until they know; calls of other nodes are taken until the
-// last callers are gone. Then calls are refused by word, so that the end depends only on those
-// that were taken.
+// last callers are gone. Then calls are refused, so that the end depends only on those that
+// were taken.
 func (s stop) run() left {
 	began := time.Now()
-	deadline := began.Add(s.grace - beforeGrace)
+	deadline := began.Add(s.grace - s.lasts(beforeGrace))
 
-	time.Sleep(min(noticeTime, s.grace/noticePart))
+	time.Sleep(s.lasts(noticeTime))
 	s.tell("callers' connections are retired")
 	s.retire()
-	until(time.Now().Add(lendTime), func() bool { return s.callers() == 0 })
+	until(time.Now().Add(s.lasts(lendTime)), func() bool { return s.callers() == 0 })
 	s.tell("other nodes are told to send no calls")
+	s.finish(deadline)
 	s.withdraw()
-	time.Sleep(withdrawTime)
+	time.Sleep(s.lasts(withdrawTime))
 	s.tell("calls of other nodes are turned away")
-	s.shut(deadline)
+	s.shut()
 	until(deadline, func() bool { return s.runs() == 0 })
 	s.tell("calls of callers are refused")
 	s.close()
 	until(deadline, func() bool { return s.callers() == 0 && s.inside() == 0 })
 
-	unfinished := left{s.callers(), s.inside()}
-	s.abandon()
-
-	return unfinished
+	return left{s.callers(), s.inside()}
 }
 
 // until waits for something to hold, but no longer than a moment.
@@ -97,24 +103,28 @@
 	n.intake.Leave()
 	n.recorder.Record(event.NodeDraining, timeline.Entry{})
 
-	unfinished := stop{
+	s := stop{
 		grace:   config.Seconds(n.settings.Load().Bounds.GraceSeconds),
 		callers: n.ingress.Busy,
 		runs:    func() int { return int(n.runner.Busy()) },
 		inside:  func() int { return int(n.runner.Busy() + n.server.Running()) },
-		retire:  n.ingress.Retire, withdraw: n.withdraw, shut: n.shut, close: n.closeIntake, abandon: n.abandon,
+		retire:  n.ingress.Retire, withdraw: n.withdraw, finish: n.intake.Finish, shut: n.runner.Close, close: n.closeIntake,
 		tell: func(step string) {
 			n.recorder.Record(event.NodeDrainStep, timeline.Entry{Detail: step + ": " + n.unfinished()})
 		},
-	}.run()
+	}
 
-	if unfinished != (left{}) {
+	if unfinished := s.run(); unfinished != (left{}) {
 		n.recorder.Record(event.NodeCutsOff, timeline.Entry{
 			Detail: fmt.Sprintf("%d connections of callers, %d calls: %s", unfinished.callers, unfinished.inside, n.unfinished()),
 		})
 	}
 
-	n.say()
+	var ending sync.WaitGroup
+
+	ending.Go(func() { n.leave(s.lasts(leaveTime)) })
+	ending.Go(func() { n.abandon(s.lasts(lastAnswers)) })
+	ending.Wait()
 }
 
 // named bounds the connections that a line about a stop describes.
@@ -137,13 +147,6 @@
 	return b.String()
 }
 
-// shut turns calls of other nodes away, and takes only calls of callers that are over by the
-// end.
-func (n *Sidecar) shut(end time.Time) {
-	n.runner.Close()
-	n.intake.Finish(end)
-}
-
 // closeIntake refuses calls of callers. Who connects now is not waited for.
 func (n *Sidecar) closeIntake() {
 	n.intake.Close()
@@ -151,12 +154,12 @@
 }
 
 // abandon takes no more connections, ends the calls of callers that are under way, and gives
-// their last answers the time to go out.
-func (n *Sidecar) abandon() {
+// their last answers a time to go out.
+func (n *Sidecar) abandon(patience time.Duration) {
 	_ = n.callers.Close() // it was open until now
 
 	n.ingress.Abandon()
-	until(time.Now().Add(lastAnswers), func() bool { return len(n.ingress.Pending()) == 0 })
+	until(time.Now().Add(patience), func() bool { return len(n.ingress.Pending()) == 0 })
 }
 
 // withdraw tells the other nodes to send no calls here, while the backend server
@@ -174,10 +177,8 @@
 	n.gossip.Tell(context.Background())
 }
 
-// say leaves the fleet.
-func (n *Sidecar) say() {
-	const patience = 200 * time.Millisecond
-
+// leave tells the fleet and the store that this node leaves.
+func (n *Sidecar) leave(patience time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -27,8 +27,8 @@
 		callers: func() int { return within(callers) },
 		runs:    func() int { return 0 },
 		inside:  func() int { return within(shut + inside) },
-		retire:  func() {}, withdraw: func() {}, tell: func(string) {}, close: func() {}, abandon: func() {},
-		shut: func(time.Time) { shut = time.Since(start) },
+		retire:  func() {}, withdraw: func() {}, tell: func(string) {}, close: func() {}, finish: func(time.Time) {},
+		shut: func() { shut = time.Since(start) },
 	}.run()
 
 	return shut, time.Since(start), unfinished
@@ -65,3 +65,39 @@
 		assert.Equal(t, unfinished, left{callers: 1, inside: 1})
 	})
 }
+
+// stepsOf plays a stop that nothing ends, and returns when calls were first taken by their
+// time limit, when it was over, and that end of the process.
+func stepsOf(grace time.Duration) (bounded, ended, end time.Duration) {
+	start := time.Now()
+	nothing := func() {}
+
+	stop{
+		grace: grace, callers: func() int { return 1 }, runs: func() int { return 1 }, inside: func() int { return 1 },
+		retire: nothing, withdraw: nothing, shut: nothing, close: nothing, tell: func(string) {},
+		finish: func(at time.Time) { bounded, end = time.Since(start), at.Sub(start) },
+	}.run()
+
+	return bounded, time.Since(start), end
+}
+
+// A stop with a short grace time must be over before the process is killed.
+func TestAStopWithAShortGraceTimeEndsWithinIt(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 6 * time.Second, 10 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			_, ended, end := stepsOf(grace)
+			after := stop{grace: grace}.lasts(max(leaveTime, lastAnswers))
+
+			assert.Check(t, ended-end <= lookEvery, "%s", ended)
+			assert.Check(t, ended+after < grace, "%s", ended)
+		})
+	}
+}
+
+// A call that may last beyond the stop must not be taken late in it.
+func TestCallsPastTheEndAreTakenForAtMostThreeSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bounded, _, _ := stepsOf(6 * time.Second)
+		assert.Check(t, bounded <= 3*time.Second, "%s", bounded)
+	})
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -38,6 +38,7 @@
 	stop    context.CancelFunc
 	ended   chan struct{}
 	node    *sidecar.Sidecar
+	steps   steps
 }
 
 func newFleet(t *testing.T, services ...string) *fleet {
@@ -47,7 +48,7 @@
 	server := httptest.NewServer(f.store.Handler())
 
 	for i, service := range services {
-		h := &host{backend: &standin.Backend{Instance: fmt.Sprintf("i-%d", i), Service: service, Slots: 4}}
+		h := &host{steps: make(steps, 16), backend: &standin.Backend{Instance: fmt.Sprintf("i-%d", i), Service: service, Slots: 4}}
 		b := httptest.NewServer(h.backend)
 		h.server = b
 		t.Cleanup(b.Close)
@@ -85,7 +86,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.ended = cancel, make(chan struct{})
-	h.node = sidecar.New(h.config, slog.New(slog.DiscardHandler))
+	h.node = sidecar.New(h.config, slog.New(h.steps))
 
 	go func() {
 		defer close(h.ended)
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,180 +17,6 @@
 	"github.com/pollencart/pollencart/platform/standin"
 )
 
-// stayers are callers of one host that nobody takes out of use: they go on until its
-// process has ended.
-type stayers struct {
-	address  string
-	patience time.Duration
-	calling  sync.WaitGroup
-
-	mu       sync.Mutex
-	sent     int
-	statuses map[int]int
-	turned   int      // refusals that name the stop
-	unnamed  int      // refusals without a time to come back
-	cut      []string // calls whose connection ended without their answer
-}
-
-func newStayers(h *host, patience time.Duration) *stayers {
-	return &stayers{address: h.config.CallerAddress, patience: patience, statuses: map[int]int{}}
-}
-
-func (s *stayers) name() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.sent++
-
-	return fmt.Sprintf("stayer-%d", s.sent)
-}
-
-func (s *stayers) answered(r *http.Response, body string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.statuses[r.StatusCode]++
-
-	if strings.Contains(body, "this node is being stopped") {
-		s.turned++
-	}
-
-	if r.StatusCode == http.StatusServiceUnavailable && r.Header.Get("Retry-After") == "" {
-		s.unnamed++
-	}
-}
-
-func (s *stayers) lost(ids ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.cut = append(s.cut, ids...)
-}
-
-func (s *stayers) request(id string) string {
-	names := platform.Headers()
-
-	return fmt.Sprintf("GET /safe/%s HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: %s\r\n%s: %d\r\n\r\n", id, names.Call, id, names.Deadline,
-		s.patience.Milliseconds())
-}
-
-// alone sends one call on a connection of its own.
-func (s *stayers) alone() {
-	c, err := net.Dial("tcp", s.address)
-	if err != nil {
-		return // refused before anything was sent
-	}
-	defer func() { _ = c.Close() }()
-
-	id := s.name()
-
-	if _, err := io.WriteString(c, s.request(id)); err != nil {
-		s.lost(id)
-
-		return
-	}
-
-	if !s.read(bufio.NewReader(c)) {
-		s.lost(id)
-	}
-}
-
-// read reads one whole answer.
-func (s *stayers) read(in *bufio.Reader) bool {
-	r, err := http.ReadResponse(in, nil)
-	if err != nil {
-		return false
-	}
-
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return false
-	}
-
-	s.answered(r, string(body))
-
-	return true
-}
-
-// ahead sends calls on one connection, the next one always before the last is answered,
-// until the connection ends.
-func (s *stayers) ahead(ctx context.Context, pause time.Duration) {
-	c, err := net.Dial("tcp", s.address)
-	if err != nil {
-		return
-	}
-	defer func() { _ = c.Close() }()
-
-	var (
-		mu      sync.Mutex
-		waiting []string
-	)
-
-	go func() {
-		for ctx.Err() == nil {
-			id := s.name()
-
-			mu.Lock()
-			waiting = append(waiting, id)
-			mu.Unlock()
-
-			if _, err := io.WriteString(c, s.request(id)); err != nil {
-				return
-			}
-
-			time.Sleep(pause)
-		}
-	}()
-
-	for in := bufio.NewReader(c); s.read(in); {
-		mu.Lock()
-		waiting = waiting[1:]
-		mu.Unlock()
-	}
-
-	mu.Lock()
-	defer mu.Unlock()
-
-	s.lost(waiting...)
-}
-
-// until keeps calls coming until ctx ends: some on connections of their own, some ahead.
-func (s *stayers) until(ctx context.Context, pause time.Duration) {
-	for range 3 {
-		s.calling.Go(func() {
-			for ctx.Err() == nil {
-				s.ahead(ctx, pause)
-				time.Sleep(pause)
-			}
-		})
-	}
-
-	s.calling.Go(func() {
-		for ctx.Err() == nil {
-			s.calling.Go(s.alone)
-			time.Sleep(pause)
-		}
-	})
-}
-
-// ranWithoutAnswer returns the calls that a backend server ran and whose caller got none.
-func (s *stayers) ranWithoutAnswer(f *fleet) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	var out []string
-
-	for _, h := range f.hosts {
-		for _, id := range h.backend.Calls() {
-			if slices.Contains(s.cut, id) {
-				out = append(out, id)
-			}
-		}
-	}
-
-	return out
-}
-
 // Callers that nobody takes out of use must not keep a stop open until calls are cut off.
 func TestAStopEndsWhileItsCallersGoOn(t *testing.T) {
 	const lastSixth = 5 * time.Second // of the grace time, for what may still run then
@@ -233,7 +57,7 @@
 // A call that comes once a stop takes none must be refused by word, at once, and not run.
 func TestAStopRefusesByWordWhatItCannotEnd(t *testing.T) {
 	f := newFleet(t, "ledger", "browse")
-	f.store.Write(platform.ConfigurationKey, slowDocument(1, "ledger"))
+	f.store.Write(platform.ConfigurationKey, slowDocument("ledger"))
 	f.announced(t)
 
 	stopping := f.hosts[1]
@@ -244,7 +68,8 @@
 	taken.calling.Go(taken.alone)
 	eventually(t, func() bool { return len(f.hosts[0].backend.Calls()) > 1 })
 	stopping.stop()
-	time.Sleep(3500 * time.Millisecond) // other nodes' calls are turned away by then
+	stopping.steps.await(t, "calls of callers are refused")
+	time.Sleep(50 * time.Millisecond) // the line comes first
 
 	before := len(f.hosts[0].backend.Calls())
 	late := newStayers(stopping, 2*time.Second)
@@ -269,7 +94,7 @@
 // A call that does not end in the grace time gets an answer, not the end of its connection.
 func TestAStopAnswersTheCallsThatItGivesUp(t *testing.T) {
 	f := newFleet(t, "ledger", "browse")
-	f.store.Write(platform.ConfigurationKey, slowDocument(1, "ledger"))
+	f.store.Write(platform.ConfigurationKey, slowDocument("ledger"))
 	f.announced(t)
 
 	stopping := f.hosts[1]
@@ -287,7 +112,100 @@
 	assert.DeepEqual(t, s.statuses, map[int]int{http.StatusBadGateway: 1})
 }
 
-// slowDocument is a configuration whose calls may take longer than a grace time.
-func slowDocument(version int, services ...string) []byte {
-	return []byte(strings.ReplaceAll(string(standin.Document(version, services...)), `"safe",2,1,1`, `"safe",30,30,1`))
+// A caller that reads a large answer slowly gets all of it, if it is read in the grace time.
+func TestAStopWaitsForAnAnswerThatIsBeingWritten(t *testing.T) {
+	const size = 24 << 20
+
+	f := newFleet(t, "ledger")
+	f.store.Write(platform.ConfigurationKey, []byte(strings.ReplaceAll(string(standin.Document(1, "ledger")), "1000000", "64000000")))
+	f.announced(t)
+
+	h := f.hosts[0]
+	eventually(t, h.serves)
+
+	c, err := net.Dial("tcp", h.config.CallerAddress)
+	assert.NilError(t, err)
+
+	defer func() { _ = c.Close() }()
+
+	names := platform.Headers()
+	_, err = fmt.Fprintf(c, "POST /safe/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: large\r\n%s: 2000\r\nContent-Length: %d\r\n\r\n%s",
+		names.Call, names.Deadline, size, strings.Repeat("a", size))
+	assert.NilError(t, err)
+
+	in := bufio.NewReader(c)
+	r, err := http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+
+	began := time.Now()
+	h.stop()
+	time.Sleep(4 * time.Second)
+
+	n, err := io.Copy(io.Discard, r.Body)
+	<-h.ended
+	t.Logf("%d of %d bytes, stop took %s", n, size, time.Since(began))
+	assert.NilError(t, err)
+}
+
+// A call of another node that waits for a slot when the stop gives up has not run, and its
+// caller must be told so.
+func TestAStopTurnsAwayWhatStillWaitsAtItsGate(t *testing.T) {
+	f := newFleet(t, "ledger", "browse")
+	f.store.Write(platform.ConfigurationKey, slowDocument("ledger"))
+	f.announced(t)
+
+	eventually(t, f.hosts[1].serves)
+	stopping := f.hosts[0]
+	stopping.backend.Work = time.Minute
+
+	s := newStayers(f.hosts[1], 20*time.Second)
+	for range 6 {
+		s.calling.Go(s.alone)
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	before := len(stopping.backend.Calls())
+	stopping.stop()
+	<-stopping.ended
+	t.Logf("ran %d", before)
+	s.calling.Wait()
+	t.Logf("%v, cut %v", s.statuses, s.cut)
+	assert.DeepEqual(t, s.statuses, map[int]int{
+		http.StatusBadGateway: stopping.backend.Slots, http.StatusServiceUnavailable: 6 - stopping.backend.Slots,
+	})
+}
+
+// The whole stop, with a store that does not answer and a caller that does not close.
+func TestAStopIsOverBeforeTheProcessIsKilled(t *testing.T) {
+	f := newFleet(t, "ledger", "browse")
+	f.store.Write(platform.ConfigurationKey, slowDocument("ledger"))
+	f.announced(t)
+
+	stopping := f.hosts[1]
+	eventually(t, stopping.serves)
+	f.hosts[0].backend.Work = time.Minute
+
+	c, err := net.Dial("tcp", stopping.config.CallerAddress)
+	assert.NilError(t, err)
+
+	defer func() { _ = c.Close() }()
+
+	names := platform.Headers()
+	_, err = fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: x\r\n%s: 20000\r\n\r\n", names.Call, names.Deadline)
+	assert.NilError(t, err)
+	eventually(t, func() bool { return len(f.hosts[0].backend.Calls()) > 1 })
+
+	began := time.Now()
+	stopping.stop()
+	time.Sleep(5 * time.Second)
+	f.store.Fault(func(string) int {
+		time.Sleep(2 * time.Second)
+
+		return 0
+	})
+	<-stopping.ended
+
+	took := time.Since(began)
+	assert.Check(t, took < 5900*time.Millisecond, "%s", took)
 }
