Sidecar: a word of the backend server that is being answered outlives the stop

A leaving that was being kept in the last moment lost its confirmation, and the backend server waits for it or exits without one.

These servers are shut down at the end of a stop, beside the last answers: what is under way is answered, for at most a second and within the grace time.

--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -38,6 +38,8 @@
 	lastAnswers = 150 * time.Millisecond
 	// leaveTime bounds the word to the fleet and the store that this node leaves.
 	leaveTime = 200 * time.Millisecond
+	// confirmTime is how long the backend server waits for an answer to its last word.
+	confirmTime = time.Second
 )
 
 // stop is a planned stop in its order, apart from what is stopped.
@@ -103,6 +105,7 @@
 	n.intake.Leave()
 	n.recorder.Record(event.NodeDraining, timeline.Entry{})
 
+	began := time.Now()
 	s := stop{
 		grace:   config.Seconds(n.settings.Load().Bounds.GraceSeconds),
 		callers: n.ingress.Busy,
@@ -124,6 +127,12 @@
 
 	ending.Go(func() { n.leave(s.lasts(leaveTime)) })
 	ending.Go(func() { n.abandon(s.lasts(lastAnswers)) })
+	ending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), min(confirmTime, time.Until(began.Add(s.grace-s.lasts(leaveTime)))))
+		defer cancel()
+
+		n.shutdown(ctx)
+	})
 	ending.Wait()
 }
 
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -26,9 +28,9 @@
 		serve   func(net.Listener) error
 	}{
 		{n.config.PeerAddress, n.server.Serve},
-		{n.config.AnnounceAddress, serveHTTP(func(e *echo.Echo) { platform.Register(e, n.host) })},
-		{n.config.ReadyAddress, serveHTTP(func(e *echo.Echo) { platform.RegisterReady(e, n.ready) })},
-		{n.config.MetricsAddress, serveHTTP(n.registerMetrics)},
+		{n.config.AnnounceAddress, n.serveHTTP(func(e *echo.Echo) { platform.Register(e, n.host) })},
+		{n.config.ReadyAddress, n.serveHTTP(func(e *echo.Echo) { platform.RegisterReady(e, n.ready) })},
+		{n.config.MetricsAddress, n.serveHTTP(n.registerMetrics)},
 		{n.config.CallerAddress, n.ingress.Serve},
 	} {
 		l, err := net.Listen("tcp", h.address)
@@ -64,7 +66,7 @@
 }
 
 func (n *Sidecar) serve(serve func(net.Listener) error, l net.Listener) {
-	if err := serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := serve(l); err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
 	}
 }
@@ -72,16 +74,29 @@
 // headTime bounds how long a connection may take over its request's head.
 const headTime = 5 * time.Second
 
-func serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
+func (n *Sidecar) serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
 	e := echo.New()
 	e.HideBanner = true
 	register(e)
 
 	s := &http.Server{Handler: e, ReadHeaderTimeout: headTime}
+	n.servers = append(n.servers, s)
 
 	return s.Serve
 }
 
+// shutdown takes no more words of the backend server, questions of the platform and scrapes,
+// and answers those under way.
+func (n *Sidecar) shutdown(ctx context.Context) {
+	var ending sync.WaitGroup
+
+	for _, s := range n.servers {
+		ending.Go(func() { _ = s.Shutdown(ctx) }) // what is left then ends with the process
+	}
+
+	ending.Wait()
+}
+
 func (n *Sidecar) close() {
 	for _, l := range n.listeners {
 		_ = l.Close()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,7 @@
 	instance  departures.Instance // that the connections of the pool lead to
 	listeners []net.Listener
 	callers   net.Listener // that of the callers, one of these
+	servers   []*http.Server
 }
 
 // New returns a sidecar that does not listen yet.
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,3 +210,39 @@
 	took := time.Since(began)
 	assert.Check(t, took < 5900*time.Millisecond, "%s", took)
 }
+
+// A leaving that is being kept when the process ends must still be confirmed.
+func TestALeavingInTheLastMomentOfAStopIsConfirmed(t *testing.T) {
+	f := newFleet(t, "ledger", "ledger")
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
+	f.announced(t)
+
+	stopping := f.hosts[0]
+	eventually(t, stopping.serves)
+
+	stopping.stop()
+	stopping.steps.await(t, "other nodes are told to send no calls")
+
+	var first atomic.Bool // the first write is that of the leaving
+
+	f.store.Fault(func(path string) int {
+		if strings.Contains(path, "txn") && !first.Swap(true) {
+			time.Sleep(280 * time.Millisecond)
+		}
+
+		return 0
+	})
+
+	answered := make(chan int, 1)
+
+	go func() { answered <- stopping.announce(true) }()
+
+	<-stopping.ended
+
+	select {
+	case status := <-answered:
+		assert.Equal(t, status, http.StatusOK)
+	case <-time.After(20 * time.Millisecond): // for the answer to be read
+		t.Error("the process ended before it confirmed the leaving")
+	}
+}
