Node: callers that come late in a stop are refused by word

What callers of `pollencart node` saw: from a second after SIGTERM on a new connection was refused, and a call on one that was made before, and had sent nothing yet, ended without an answer. That meets the backend server's own calls too, so that what it still ran for other nodes failed.

Cause: the stop used net/http's Shutdown, which closes the listener at once, answers nothing that it reads from then on, and waits up to 5 s for connections that say nothing.

Now the listener stays open until half a second before the end, and package intake says what is taken, as for the sidecar: as before for the notice, then only calls whose time limit is before the end, and none once the backend server runs no call: 503, not run, come back.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -60,6 +60,10 @@
 	HeaderHome     = "Pollencart-Home"
 )
 
+// leavingRetry is when to come back after a refusal by a node that is being stopped:
+// other nodes take the call at once.
+const leavingRetry = 100 * time.Millisecond
+
 // Entry takes calls of callers.
 type Entry struct {
 	options Options
@@ -120,10 +124,6 @@
 }
 
 func (e *Entry) run(r *http.Request, id string, snapshot *settings.Snapshot) (call.Answer, error) {
-	if e.options.Leaving() {
-		return call.Answer{}, call.Refuse(ErrLeaving, call.RanNo, time.Second)
-	}
-
 	if snapshot == nil {
 		return call.Answer{}, call.Refuse(ErrNoSettings, call.RanNo, time.Second)
 	}
@@ -138,7 +138,12 @@
 		return call.Answer{}, call.Refuse(err, call.RanNo, 0)
 	}
 
-	return e.pipe(r.Context(), c.WithRoute(route, snapshot.Version().Number))
+	c = c.WithRoute(route, snapshot.Version().Number)
+	if !e.options.Intake.Takes(time.Now().Add(timeLimit(c))) {
+		return call.Answer{}, call.Refuse(ErrLeaving, call.RanNo, leavingRetry)
+	}
+
+	return e.pipe(r.Context(), c)
 }
 
 func decode(r *http.Request, id string, limit int) (call.Call, error) {
@@ -227,18 +232,22 @@
 // is left, whichever is less.
 func (e *Entry) deadline(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
-		limit := c.Values.Deadline
-		if c.Remaining > 0 {
-			limit = min(limit, c.Remaining)
-		}
-
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(limit))
+		ctx, cancel := context.WithTimeout(ctx, timeLimit(c))
 		defer cancel()
 
 		return next(ctx, c)
 	}
 }
 
+func timeLimit(c call.Call) time.Duration {
+	limit := c.Values.Deadline
+	if c.Remaining > 0 {
+		limit = min(limit, c.Remaining)
+	}
+
+	return time.Duration(limit)
+}
+
 func writeAnswer(c echo.Context, a call.Answer) error {
 	h := c.Response().Header()
 	for _, f := range a.Header {
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/pollencart/pollencart/internal/intake"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/key"
@@ -55,6 +57,12 @@
 	Do(ctx context.Context, address string, lane peer.Lane, method string, in, out any) error
 }
 
+// Intake says what a node that is being stopped still takes.
+type Intake interface {
+	// Takes reports whether a call is taken that may last until its time limit.
+	Takes(limit time.Time) bool
+}
+
 // Options of an entry.
 type Options struct {
 	Node     string
@@ -63,7 +71,7 @@
 	Peers    Peers
 	Selector *selection.Selector
 	Recorder *timeline.Recorder
-	Leaving  func() bool
+	Intake   Intake
 	Home     *once.Home
 	Nodes    Finder
 	Shards   Owners
@@ -78,7 +86,7 @@
 	o := Options{
 		Selector: selection.New(),
 		Recorder: timeline.New(),
-		Leaving:  func() bool { return false },
+		Intake:   intake.New(),
 		Shards:   noOwners{},
 
 		Standstill: standstill.New(),
@@ -112,8 +120,8 @@
 // Recorder sets where events go.
 func Recorder(r *timeline.Recorder) Option { return func(o *Options) { o.Recorder = r } }
 
-// Leaving sets what tells that this node takes no more calls.
-func Leaving(f func() bool) Option { return func(o *Options) { o.Leaving = f } }
+// WithIntake sets what says which calls are taken.
+func WithIntake(i Intake) Option { return func(o *Options) { o.Intake = i } }
 
 // Home sets the home of the keys that this process starts.
 func Home(h *once.Home) Option { return func(o *Options) { o.Home = h } }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -26,7 +26,7 @@
 		caller.WithPeers(n.client),
 		caller.Selector(n.selector),
 		caller.Recorder(n.recorder),
-		caller.Leaving(n.closed.Load),
+		caller.WithIntake(n.intake),
 		caller.Home(n.home),
 		caller.Nodes(n.table),
 		caller.Shards(n.shards),
@@ -52,7 +52,7 @@
 		n.inFlight.Add(1)
 		defer n.inFlight.Add(-1)
 
-		if n.leaving.Load() {
+		if n.intake.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -35,33 +35,44 @@
 // callers get 503 or 504 and unknown, and the keys of the shards have no home.
 type stop struct {
 	timeout time.Duration
-	// shut takes no more callers and returns when those that are there have their
-	// answers; inside counts all that has not ended here.
-	shut   func(context.Context)
-	inside func() int64
+	// retire ends callers' connections with the answers that they wait for, and takes of
+	// them only calls that are over by the end.
+	retire func(end time.Time)
+	// runs counts calls of other nodes that run here, inside all that has not ended here.
+	runs, inside func() int64
+	// close takes no calls of callers any more.
+	close func()
 	// handOver starts no more keys and gives those of others away; keys counts those
 	// that have not ended.
 	handOver func(context.Context)
 	keys     func() int64
-	// leave tells the others.
-	leave func(context.Context)
+	// leave tells the others, and settle takes no more connections of callers.
+	leave  func(context.Context)
+	settle func()
 }
 
 // run returns when nothing is inside any more, or the time is over. A call that does not
-// end takes no more than its own answer with it.
+// end takes no more than its own answer with it. Callers are taken for as long as the backend
+// server runs calls, which may depend on calls that it makes itself, and then refused by
+// word, so that the end depends only on what was taken.
 func (s stop) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, max(s.timeout-lingerTime, s.timeout/2))
+	end := time.Now().Add(max(s.timeout-lingerTime, s.timeout/2))
+
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 
 	early, stopEarly := context.WithTimeout(ctx, s.timeout-min(leaveTime, s.timeout/leavePart))
 	defer stopEarly()
 
 	idle.For(early, notice)
-	s.shut(early)
+	s.retire(end)
+	until(early, s.runs)
+	s.close()
 	until(early, s.inside)
 	s.handOver(ctx)
 	until(ctx, s.keys)
 	s.leave(context.WithoutCancel(ctx))
+	s.settle()
 	idle.For(context.WithoutCancel(ctx), lingerTime)
 }
 
@@ -80,22 +91,26 @@
 // nothing new is let in, and what is inside is finished.
 func (n *Node) drain() {
 	n.recorder.Record(event.NodeDraining, timeline.Entry{Detail: "within " + time.Duration(n.config.DrainTimeout).String()})
-	n.leaving.Store(true)
+	n.intake.Leave()
 	n.host.Leave()
 
 	stop{
 		timeout: time.Duration(n.config.DrainTimeout),
-		shut:    n.shut, inside: n.running, handOver: n.handOver, keys: n.home.Running, leave: n.leave,
+		retire:  n.retire, runs: n.gate.Running, inside: n.running, close: n.intake.Close,
+		handOver: n.handOver, keys: n.home.Running, leave: n.leave, settle: n.settle,
 	}.run(context.Background())
 }
 
-// shut takes no more requests of callers.
-func (n *Node) shut(ctx context.Context) {
-	// Ends when all callers have their answers, or with ctx; what is left is told by leave.
-	_ = n.callers.Shutdown(ctx)
-	n.closed.Store(true)
+// retire goes on listening: who connects is told that this node leaves.
+func (n *Node) retire(end time.Time) {
+	n.intake.Finish(end)
+	n.callers.SetKeepAlivesEnabled(false)
 }
 
+// settle stops listening before connections are closed: a request that comes in while net/http
+// shuts down gets no answer.
+func (n *Node) settle() { _ = n.callerListener.Close() } // it was open until now
+
 // leave tells others that this node leaves, and says what it leaves unfinished.
 func (n *Node) leave(ctx context.Context) {
 	if left := n.running(); left > 0 {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -24,7 +24,10 @@
 
 	stop{
 		timeout: 15 * time.Second,
-		shut:    func(context.Context) {},
+		retire:  func(time.Time) {},
+		runs:    func() int64 { return 0 },
+		close:   func() {},
+		settle:  func() {},
 		inside: func() int64 {
 			if since() < calls {
 				return 1
@@ -70,6 +73,33 @@
 	})
 }
 
+// Callers are refused only once the backend server, which may call others, runs no call.
+func TestCallersAreTakenWhileTheBackendServerRunsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct{ runs, closed time.Duration }{
+			{0, time.Second}, {3 * time.Second, 3 * time.Second}, {time.Minute, 11 * time.Second},
+		} {
+			var retired, end, closed time.Duration
+
+			start := time.Now()
+			nothing := func(context.Context) {}
+			none := func() int64 { return 0 }
+
+			stop{
+				timeout: 15 * time.Second,
+				retire:  func(at time.Time) { retired, end = time.Since(start), at.Sub(start) },
+				runs:    func() int64 { return max(0, int64(c.runs-time.Since(start))) },
+				close:   func() { closed = time.Since(start) },
+				inside:  none, keys: none, handOver: nothing, leave: nothing, settle: func() {},
+			}.run(context.Background())
+
+			assert.Equal(t, retired, time.Second)
+			assert.Equal(t, end, 14500*time.Millisecond)
+			assert.Equal(t, closed, c.closed)
+		}
+	})
+}
+
 // Nothing hangs, and the stop ends with its last call.
 func TestAStopEndsWithItsLastCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/pollencart/pollencart/internal/credentials"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/intake"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
@@ -45,9 +46,8 @@
 type Node struct {
 	config   config.Config
 	recorder *timeline.Recorder
-	leaving  atomic.Bool // a planned stop began
-	closed   atomic.Bool // nothing new is let in
-	inFlight atomic.Int64
+	intake   *intake.Intake
+	inFlight atomic.Int64 // callers' requests
 
 	server *peer.Server
 	client *peer.Client
@@ -78,20 +78,21 @@
 	// standstill notices when this process stands still.
 	standstill *standstill.Watchdog
 
-	listeners []net.Listener
-	https     []*http.Server
-	callers   *http.Server
+	listeners      []net.Listener
+	callerListener net.Listener
+	https          []*http.Server
+	callers        *http.Server
 }
 
 // New returns a node that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Node {
-	n := &Node{config: c, standstill: standstill.New()}
+	n := &Node{config: c, intake: intake.New(), standstill: standstill.New()}
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
 	n.faults = &peer.Faults{}
 
 	links := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
-		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.leaving.Load),
+		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.intake.Leaving),
 	}
 
 	if c.TLS != nil {
@@ -182,6 +183,10 @@
 
 		n.listeners = append(n.listeners, l)
 
+		if h.address == n.config.CallerAddress {
+			n.callerListener = l
+		}
+
 		if h.address == n.config.ControlAddress && n.keys != nil && n.config.TLS.Operators {
 			l = tls.NewListener(l, n.keys.Server(false))
 		}
@@ -204,7 +209,7 @@
 	n.https = append(n.https, s)
 
 	return func(l net.Listener) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
 		}
 	}
