Node: a stop waits for its calls after the keys are handed over

What callers saw: a call that was still under way two thirds of the DrainTimeout after SIGTERM was cut off a second and a half later, though it would have ended in time.

Cause: once the keys were handed over the stop waited for keys only, and told that the node left.

Now it waits for all that is inside until the DrainTimeout is nearly over, after the others were told, so that what is handed over is not held up.

Evidence: TestAStopWaitsForCallsAfterItsKeys failed before (ended after 12.5 s instead of 13.5 s with a call of 13 s). TestACallThatEndsAfterItsNodeLeftIsAnswered shows that other nodes go on waiting for a node that left; it passed before too, within the second that closing took.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -72,6 +72,7 @@
 	s.handOver(ctx)
 	until(ctx, s.keys)
 	s.leave(context.WithoutCancel(ctx))
+	until(ctx, s.inside)
 	s.settle()
 	idle.For(context.WithoutCancel(ctx), lingerTime)
 }
@@ -107,17 +108,19 @@
 	n.callers.SetKeepAlivesEnabled(false)
 }
 
-// settle stops listening before connections are closed: a request that comes in while net/http
-// shuts down gets no answer.
-func (n *Node) settle() { _ = n.callerListener.Close() } // it was open until now
-
-// leave tells others that this node leaves, and says what it leaves unfinished.
-func (n *Node) leave(ctx context.Context) {
+// settle says what this node leaves unfinished, and stops listening before connections are
+// closed: a request that comes in while net/http shuts down gets no answer.
+func (n *Node) settle() {
 	if left := n.running(); left > 0 {
 		n.recorder.Record(event.NodeCutsOff, timeline.Entry{Detail: fmt.Sprintf("%d callers' requests, %d calls of other nodes, %d keys",
 			n.inFlight.Load(), n.gate.Running(), n.home.Running())})
 	}
 
+	_ = n.callerListener.Close() // it was open until now
+}
+
+// leave tells others that this node leaves.
+func (n *Node) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, notice)
 	defer cancel()
 
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -73,6 +73,16 @@
 	})
 }
 
+// A call that ends in time must not be cut off because the keys were handed over before.
+func TestAStopWaitsForCallsAfterItsKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := playStop(13*time.Second, time.Second)
+		assert.Equal(t, p.handedOver, 11*time.Second)
+		assert.Equal(t, p.left, 12*time.Second)
+		assert.Equal(t, p.ended, 13500*time.Millisecond)
+	})
+}
+
 // Callers are refused only once the backend server, which may call others, runs no call.
 func TestCallersAreTakenWhileTheBackendServerRunsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
