Node: what a stop gives up is answered

What callers of `pollencart node` saw: a call that had not ended when the DrainTimeout was nearly over lost its connection without a word, and so did those of other nodes at the gate and at the home of their key: "connection broke" and "the home of the key can't be reached".

Cause: the stop closed connections with whatever ran on them.

Now, half a second before the end, keys are ended first, so that their home asks the gate and can say not run, then calls of callers and of other nodes: 502 as perhaps run, 503 as not run. What ends them is the base context of the callers' server and of the two peer methods that take calls; the entry tells by its cause that the caller is still there (it would be 499 else).

TestAKeyThatIsGivenUpIsAnsweredByWhatIsKnown checks not run against unknown.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -176,7 +176,8 @@
 	return left - min(wayBack, left/part)
 }
 
-// lost makes a refusal of an attempt without a reply.
+// lost makes a refusal of an attempt without a reply. A context that ends with ErrGivenUp is
+// that of a node that is being stopped, and its caller still waits.
 func lost(ctx context.Context, err error) error {
 	ran := call.RanUnknown
 	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge) {
@@ -184,6 +185,10 @@
 	}
 
 	switch {
+	case errors.Is(context.Cause(ctx), ErrGivenUp) && ran == call.RanNo:
+		err = ErrLeaving.Wrap(err)
+	case errors.Is(context.Cause(ctx), ErrGivenUp):
+		err = ErrGivenUp.Wrap(err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		err = ErrCanceled.Wrap(err)
 	case ctx.Err() != nil:
--- a/internal/caller/reasons_test.go
+++ b/internal/caller/reasons_test.go
@@ -22,7 +22,7 @@
 
 	for _, e := range []*errs.Error{
 		caller.ErrNoSettings, caller.ErrLeaving, caller.ErrNoRoute, caller.ErrHeader, caller.ErrBody, caller.ErrNoUpstream,
-		caller.ErrDeadline, caller.ErrCanceled, caller.ErrCrossed,
+		caller.ErrDeadline, caller.ErrGivenUp, caller.ErrCanceled, caller.ErrCrossed,
 		admission.ErrWait, admission.ErrFull, admission.ErrShare, admission.ErrDeadline, admission.ErrCanceled, admission.ErrClosed,
 		upstream.ErrNone, upstream.ErrUnreached, upstream.ErrShed, upstream.ErrNoAnswer, upstream.ErrTooLarge,
 		peer.ErrUnreachable, peer.ErrBroken,
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -34,6 +35,17 @@
 	)
 }
 
+// within ends calls of other nodes with the work on calls.
+func within[Out any](work context.Context, serve func(context.Context, call.Call) (Out, error)) func(context.Context, call.Call) (Out, error) {
+	return func(ctx context.Context, c call.Call) (Out, error) {
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		defer context.AfterFunc(work, func() { cancel(context.Cause(work)) })()
+
+		return serve(ctx, c)
+	}
+}
+
 // announced takes a change of what the backend server says of itself; one comes after the
 // other. What other gates of a service were told before, this one was not told.
 func (n *Node) announced() {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -21,10 +23,14 @@
 // lingerTime is how long the node answers others after it has told that it leaves. Those
 // who have not heard yet are refused by word; on a connection that is just being closed
 // a call can't be told from one that ran. It is some rounds of gossip.
+//
+// keysTime is how long homes have to ask gates about keys that the stop gives up; their
+// answers go out in what is left of lingerTime.
 const (
 	leavePart  = 3
 	leaveTime  = 4 * time.Second
 	lingerTime = 500 * time.Millisecond
+	keysTime   = once.DefaultCloseTimeout + 50*time.Millisecond
 )
 
 // stop is the planned stop of a node in its order, apart from what is stopped.
@@ -49,6 +55,8 @@
 	// leave tells the others, and settle takes no more connections of callers.
 	leave  func(context.Context)
 	settle func()
+	// abandon ends what has not ended, and returns when it is answered or ctx ends.
+	abandon func(context.Context)
 }
 
 // run returns when nothing is inside any more, or the time is over. A call that does not
@@ -74,7 +82,12 @@
 	s.leave(context.WithoutCancel(ctx))
 	until(ctx, s.inside)
 	s.settle()
-	idle.For(context.WithoutCancel(ctx), lingerTime)
+
+	last, stopLast := context.WithTimeout(context.WithoutCancel(ctx), lingerTime)
+	defer stopLast()
+
+	s.abandon(last)
+	idle.For(last, lingerTime)
 }
 
 // until waits until nothing is counted or ctx ends.
@@ -98,7 +111,7 @@
 	stop{
 		timeout: time.Duration(n.config.DrainTimeout),
 		retire:  n.retire, runs: n.gate.Running, inside: n.running, close: n.intake.Close,
-		handOver: n.handOver, keys: n.home.Running, leave: n.leave, settle: n.settle,
+		handOver: n.handOver, keys: n.home.Running, leave: n.leave, settle: n.settle, abandon: n.abandon,
 	}.run(context.Background())
 }
 
@@ -119,6 +132,19 @@
 	_ = n.callerListener.Close() // it was open until now
 }
 
+// abandon ends calls that have not ended: their callers still wait for an answer. The keys end
+// first, since only their home can say that they did not run.
+func (n *Node) abandon(ctx context.Context) {
+	n.home.GiveUp()
+
+	keys, cancel := context.WithTimeout(ctx, keysTime)
+	defer cancel()
+
+	until(keys, n.home.Running)
+	n.giveUp(caller.ErrGivenUp)
+	until(ctx, n.running)
+}
+
 // leave tells others that this node leaves.
 func (n *Node) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, notice)
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -28,6 +28,7 @@
 		runs:    func() int64 { return 0 },
 		close:   func() {},
 		settle:  func() {},
+		abandon: func(context.Context) {},
 		inside: func() int64 {
 			if since() < calls {
 				return 1
@@ -100,7 +101,7 @@
 				retire:  func(at time.Time) { retired, end = time.Since(start), at.Sub(start) },
 				runs:    func() int64 { return max(0, int64(c.runs-time.Since(start))) },
 				close:   func() { closed = time.Since(start) },
-				inside:  none, keys: none, handOver: nothing, leave: nothing, settle: func() {},
+				inside:  none, keys: none, handOver: nothing, leave: nothing, settle: func() {}, abandon: nothing,
 			}.run(context.Background())
 
 			assert.Equal(t, retired, time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,9 @@
 	recorder *timeline.Recorder
 	intake   *intake.Intake
 	inFlight atomic.Int64 // callers' requests
+	// work is what calls end with; it ends once a stop gives them up.
+	work   context.Context //nolint:containedctx // as long as the node
+	giveUp context.CancelCauseFunc
 
 	server *peer.Server
 	client *peer.Client
@@ -87,6 +90,7 @@
 // New returns a node that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Node {
 	n := &Node{config: c, intake: intake.New(), standstill: standstill.New()}
+	n.work, n.giveUp = context.WithCancelCause(context.Background())
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
 	n.faults = &peer.Faults{}
 
@@ -119,7 +123,7 @@
 	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
 	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
 	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
-	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
+	n.server.Handle(gate.MethodRun, peer.Typed(within(n.work, n.gate.Serve)))
 	n.onceMethods()
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
 	n.server.Handle(methodTimeline, peer.Typed(n.ownTimeline))
@@ -164,6 +168,7 @@
 	}
 
 	n.callers = newHTTP(n.entryHandler())
+	n.callers.BaseContext = func(net.Listener) context.Context { return n.work }
 	handlers := []struct {
 		address string
 		serve   func(net.Listener)
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -52,7 +52,7 @@
 		n.server.Handle(method, h)
 	}
 
-	n.server.Handle(caller.MethodOnce, peer.Typed(n.entry.ServeOnce))
+	n.server.Handle(caller.MethodOnce, peer.Typed(within(n.work, n.entry.ServeOnce)))
 	n.server.Handle(once.MethodAdopt, peer.Typed(n.home.ServeAdopt(n.shards)))
 	n.server.Handle(shard.MethodPull, peer.Typed(n.shards.Serve))
 	n.server.Handle(shard.MethodPush, peer.Typed(n.shards.ServePush))
--- a/internal/once/guard_test.go
+++ b/internal/once/guard_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -84,3 +85,48 @@
 		assert.Equal(t, g.upload(t), call.RanUnknown)
 	})
 }
+
+// givenUp runs a key that hangs and is given up, and returns the refusal and how long it took.
+func givenUp(t *testing.T, send func(ctx context.Context, peers once.Peers, c call.Call) error) (*call.Refusal, time.Duration) {
+	t.Helper()
+
+	h := once.New("a", key.NewLife(1))
+	peers := h.Guard(&closingGate{breaks: 1 << 20})
+
+	time.AfterFunc(time.Second, h.GiveUp)
+
+	start := time.Now()
+	_, err := h.Run(t.Context(), keyedCall(h, 1), func(ctx context.Context, c call.Call) (call.Answer, error) {
+		err := send(ctx, peers, c)
+		<-ctx.Done()
+
+		return call.Answer{}, err
+	})
+
+	var refusal *call.Refusal
+
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+
+	return refusal, time.Since(start)
+}
+
+// A key that hangs must not keep its caller waiting until the process is gone without a word.
+func TestAKeyThatIsGivenUpIsAnsweredByWhatIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, took := givenUp(t, func(context.Context, once.Peers, call.Call) error { return context.Canceled })
+		assert.ErrorIs(t, r, once.ErrNotSent)
+		assert.Equal(t, r.Ran, call.RanNo)
+		assert.Equal(t, took, time.Second)
+
+		r, took = givenUp(t, func(ctx context.Context, peers once.Peers, c call.Call) error {
+			var reply gate.Reply
+
+			assert.NilError(t, peers.Do(ctx, "gate", peer.LaneCalls, gate.MethodRun, c, &reply))
+
+			return reply.Refusal
+		})
+		assert.ErrorIs(t, r, once.ErrGivenUp)
+		assert.Equal(t, r.Ran, call.RanUnknown)
+		assert.Equal(t, took, time.Second)
+	})
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -43,6 +43,8 @@
 	ErrHomeGone    = errs.New("once.home_gone", http.StatusConflict, "the process that was the home of the key is gone")
 	ErrNotHome     = errs.New("once.not_home", http.StatusServiceUnavailable, "this process is not the home of the key")
 	ErrLeaving     = errs.New("once.leaving", http.StatusServiceUnavailable, "the home of the key hands it over to another process")
+	ErrGivenUp     = errs.New("once.given_up", http.StatusBadGateway, "the home of the key ended before its run")
+	ErrNotSent     = errs.New("once.not_sent", http.StatusServiceUnavailable, "the home of the key ended before it sent the call")
 	ErrRunning     = errs.New("once.running", http.StatusGatewayTimeout, "the first run of the key has not ended; repeat the key")
 	ErrAmbiguous   = errs.New("once.ambiguous", http.StatusGatewayTimeout, "an attempt of the key may have run; it is not sent again")
 	ErrNotKept     = errs.New("once.answer_not_kept", http.StatusConflict, "the key ran; its answer was too large to keep for repeats")
@@ -58,13 +60,19 @@
 	sequence *attempt.Sequence
 	running  atomic.Int64
 	closed   atomic.Bool
+	// runs ends when runs are given up.
+	runs   context.Context //nolint:containedctx // as long as the home
+	giveUp context.CancelFunc
 }
 
 // New returns the home of a node's life, which key.NewLife made.
 func New(node, life string, opts ...Option) *Home {
 	o := newOptions(opts...)
 
-	return &Home{options: o, node: node, life: life, table: o.Table, sequence: attempt.NewSequence(node + "." + life)}
+	h := &Home{options: o, node: node, life: life, table: o.Table, sequence: attempt.NewSequence(node + "." + life)}
+	h.runs, h.giveUp = context.WithCancel(context.Background())
+
+	return h
 }
 
 // Name returns what callers put before their tokens.
@@ -85,6 +93,9 @@
 // A key that is started while the process ends would be cut off with it.
 func (h *Home) Close() { h.closed.Store(true) }
 
+// GiveUp ends the runs of all keys, so that who waits for them hears what is known.
+func (h *Home) GiveUp() { h.giveUp() }
+
 // Size returns the number of records and the bytes of their answers.
 func (h *Home) Size() (records, bytes int) { return h.table.Size() }
 
@@ -175,11 +186,12 @@
 	defer h.running.Add(-1)
 
 	deadline, ok := ctx.Deadline()
-	ctx = context.WithoutCancel(ctx)
 
-	if ok {
-		var cancel context.CancelFunc
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(h.runs, cancel)()
 
+	if ok {
 		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
 	}
@@ -206,6 +218,14 @@
 		refusal = call.Refuse(err, call.RanUnknown, time.Second)
 	}
 
+	switch {
+	case h.runs.Err() == nil || refusal.Ran == call.RanYes:
+	case mayHaveRun:
+		refusal = call.Refuse(ErrGivenUp.Wrap(err), call.RanUnknown, time.Second)
+	default:
+		refusal = call.Refuse(ErrNotSent.Wrap(err), call.RanNo, time.Second)
+	}
+
 	out := *refusal
 
 	switch {
