Node: SIGHUP does not end the process

What callers of `pollencart node` saw: after a SIGHUP, as whoever has the settings of all processes read again sends it, every call on the node lost its connection, also during a planned stop.

Cause: the command handled SIGTERM and SIGINT only.

The signal stays handled until the process ends. A second SIGTERM or SIGINT during the stop was and is without effect.

Evidence: TestSignalsDoNotEndANodeAtOnce, on a process of its own, failed before (no answer of /healthz after SIGHUP); passes three times with the race detector.

--- a/cmd/pollencart/node.go
+++ b/cmd/pollencart/node.go
@@ -33,6 +33,12 @@
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 
-		return node.New(conf, logger).Run(ctx)
+		reloads := make(chan os.Signal, 1)
+		signal.Notify(reloads, syscall.SIGHUP)
+
+		n := node.New(conf, logger)
+		go n.Follow(ctx, reloads, func() (config.Config, error) { return config.Load(*file) })
+
+		return n.Run(ctx)
 	}))
 }
