Node: a call whose body does not come is refused in a stop

What callers saw: who had not sent the whole body of a call when a stop began kept the stop open until its DrainTimeout, and then lost the connection without a word.

Cause: the stop waits for requests that are being read, and nothing ended the reading.

Now the reading ends when the node takes no more calls, and the call is refused: 503, not run. The bound is on the connection only until the last byte of the body, since net/http reads on to see whether the caller goes away. What net/http's Shutdown leaves at the very end is closed, so that a node that is stopped inside a process leaves nothing behind.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -135,6 +135,10 @@
 	}
 
 	c, err := decode(r, id, route.Values.BodyLimit)
+	if err != nil && !e.options.Intake.Takes(time.Now()) {
+		return call.Answer{}, call.Refuse(ErrLeaving.Wrap(err), call.RanNo, leavingRetry)
+	}
+
 	if err != nil {
 		return call.Answer{}, call.Refuse(err, call.RanNo, 0)
 	}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/call"
@@ -68,6 +70,37 @@
 			w.Header().Set("Connection", "close")
 		}
 
+		if r.Body != http.NoBody {
+			b := n.newBody(w, r)
+			defer b.read()
+
+			r.Body = b
+		}
+
 		next.ServeHTTP(w, r)
 	})
 }
+
+// body is that of a request, read only for as long as calls are taken.
+type body struct {
+	io.ReadCloser
+
+	read func() bool
+}
+
+func (n *Node) newBody(w http.ResponseWriter, r *http.Request) body {
+	conn := http.NewResponseController(w)
+
+	return body{r.Body, context.AfterFunc(n.taking, func() { _ = conn.SetReadDeadline(time.Now()) })} // a closed connection needs no waking
+}
+
+// Read leaves the connection alone after the last byte, since net/http reads on to see whether
+// the caller goes away.
+func (b body) Read(p []byte) (int, error) {
+	size, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.read()
+	}
+
+	return size, err
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -110,7 +110,7 @@
 
 	stop{
 		timeout: time.Duration(n.config.DrainTimeout),
-		retire:  n.retire, runs: n.gate.Running, inside: n.running, close: n.intake.Close,
+		retire:  n.retire, runs: n.gate.Running, inside: n.running, close: n.closeIntake,
 		handOver: n.handOver, keys: n.home.Running, leave: n.leave, settle: n.settle, abandon: n.abandon,
 	}.run(context.Background())
 }
@@ -121,6 +121,12 @@
 	n.callers.SetKeepAlivesEnabled(false)
 }
 
+// closeIntake refuses calls of callers, also those whose bodies have not come.
+func (n *Node) closeIntake() {
+	n.intake.Close()
+	n.stopTaking()
+}
+
 // settle says what this node leaves unfinished, and stops listening before connections are
 // closed: a request that comes in while net/http shuts down gets no answer.
 func (n *Node) settle() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,9 @@
 	recorder *timeline.Recorder
 	intake   *intake.Intake
 	inFlight atomic.Int64 // callers' requests
+	// taking ends once calls of callers are refused.
+	taking     context.Context //nolint:containedctx // as long as the node
+	stopTaking context.CancelFunc
 	// work is what calls end with; it ends once a stop gives them up.
 	work   context.Context //nolint:containedctx // as long as the node
 	giveUp context.CancelCauseFunc
@@ -90,6 +93,7 @@
 // New returns a node that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Node {
 	n := &Node{config: c, intake: intake.New(), standstill: standstill.New()}
+	n.taking, n.stopTaking = context.WithCancel(context.Background())
 	n.work, n.giveUp = context.WithCancelCause(context.Background())
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
 	n.faults = &peer.Faults{}
@@ -225,7 +229,9 @@
 	defer cancel()
 
 	for _, s := range n.https {
-		_ = s.Shutdown(ctx)
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close() // what says nothing, or does not end
+		}
 	}
 
 	for _, l := range n.listeners {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -309,3 +309,26 @@
 
 	assert.NilError(t, <-h.done)
 }
+
+// A caller that sends its body as slowly as it likes must not keep a stop open, nor lose its connection.
+func TestAStopRefusesACallWhoseBodyHasNotCome(t *testing.T) {
+	t.Parallel()
+
+	f := startFleet(t, drainIn(4*time.Second))
+	f.accept()
+
+	h := f.hosts[browser]
+	l, err := dial(h.Caller)
+	assert.NilError(t, err)
+
+	_, err = io.WriteString(l.conn, "POST /uploads/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na")
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	h.stop()
+
+	r, err := l.answer()
+	assert.NilError(t, err)
+	assertRefused(t, r)
+	assert.NilError(t, <-h.done)
+	assert.Assert(t, !strings.Contains(h.log.text(), "NodeCutsOff"))
+}
