--- a/internal/upstream/host_test.go
+++ b/internal/upstream/host_test.go
@@ -20,15 +20,16 @@
 
 type fixture struct {
 	table *membership.Table
+	queue *admission.Queue
 	host  *upstream.Host
 	told  []membership.UpstreamState
 }
 
 func newFixture() *fixture {
-	f := &fixture{}
+	f := &fixture{queue: admission.New()}
 	r := timeline.New()
 	f.table = membership.NewTable(membership.Record{ID: "a", Incarnation: 1, PeerAddress: "127.0.0.1:1"}, r)
-	f.host = upstream.New(f.table, admission.New(), r, upstream.Changed(func() {
+	f.host = upstream.New(f.table, f.queue, r, upstream.Changed(func() {
 		f.told = append(f.told, f.table.Self().Upstream.State)
 	}))
 
@@ -148,3 +149,40 @@
 		assert.Equal(t, f.table.Self().Upstream.State, s)
 	}
 }
+
+// Whatever a backend server announces during a stop of its node must not open the gate again.
+func TestAnnouncementsDuringAStopOpenNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		states := []membership.UpstreamState{
+			membership.UpstreamReady, membership.UpstreamReady, membership.UpstreamDraining, membership.UpstreamReady,
+			membership.UpstreamGone, membership.UpstreamWarming, membership.UpstreamReady,
+		}
+
+		for _, before := range []membership.UpstreamState{"", membership.UpstreamWarming, membership.UpstreamReady, membership.UpstreamGone} {
+			f := newFixture()
+			if before != "" {
+				f.announce(t, before)
+			}
+
+			f.host.Leave()
+
+			for n, s := range states {
+				f.announce(t, s)
+				time.Sleep(time.Second)
+				f.host.Expire()
+				assert.Assert(t, f.queue.Load().Leaving, "%q, then %q", before, s)
+				assert.Equal(t, len(f.table.Serving("browse")), 0)
+
+				if n == len(states)/2 {
+					f.table.Update(func(r membership.Record) membership.Record { return r.WithState(membership.StateLeft) })
+				}
+			}
+
+			assert.Equal(t, f.table.Self().State, membership.StateLeft)
+			time.Sleep(3 * time.Second)
+			f.host.Expire()
+			f.announce(t, membership.UpstreamReady)
+			assert.Assert(t, f.queue.Load().Leaving)
+		}
+	})
+}
