--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,6 +35,7 @@
 	ErrBody       = errs.New("entry.body", http.StatusRequestEntityTooLarge, "request body over the route's limit")
 	ErrNoUpstream = errs.New("entry.no_upstream", http.StatusServiceUnavailable, "no backend server of the service is ready")
 	ErrLeaving    = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
+	ErrGivenUp    = errs.New("entry.given_up", http.StatusBadGateway, "this node ended before the answer came")
 	ErrDeadline   = errs.New("entry.deadline", http.StatusGatewayTimeout, "no answer came before the deadline")
 	ErrCanceled   = errs.New("entry.canceled", admission.StatusClientClosed, "the caller went away")
 	ErrCrossed    = errs.New("entry.crossed", http.StatusBadGateway, "the answer belongs to another call")
@@ -60,6 +61,10 @@
 	HeaderHome     = "Pollencart-Home"
 )
 
+// leavingRetry is when to come back after a refusal by a node that is being stopped:
+// other nodes take the call at once.
+const leavingRetry = 100 * time.Millisecond
+
 // Entry takes calls of callers.
 type Entry struct {
 	options Options
@@ -120,10 +125,6 @@
 }
 
 func (e *Entry) run(r *http.Request, id string, snapshot *settings.Snapshot) (call.Answer, error) {
-	if e.options.Leaving() {
-		return call.Answer{}, call.Refuse(ErrLeaving, call.RanNo, time.Second)
-	}
-
 	if snapshot == nil {
 		return call.Answer{}, call.Refuse(ErrNoSettings, call.RanNo, time.Second)
 	}
@@ -134,11 +135,20 @@
 	}
 
 	c, err := decode(r, id, route.Values.BodyLimit)
+	if err != nil && !e.options.Intake.Takes(time.Now()) {
+		return call.Answer{}, call.Refuse(ErrLeaving.Wrap(err), call.RanNo, leavingRetry)
+	}
+
 	if err != nil {
 		return call.Answer{}, call.Refuse(err, call.RanNo, 0)
 	}
 
-	return e.pipe(r.Context(), c.WithRoute(route, snapshot.Version().Number))
+	c = c.WithRoute(route, snapshot.Version().Number)
+	if !e.options.Intake.Takes(time.Now().Add(timeLimit(c))) {
+		return call.Answer{}, call.Refuse(ErrLeaving, call.RanNo, leavingRetry)
+	}
+
+	return e.pipe(r.Context(), c)
 }
 
 func decode(r *http.Request, id string, limit int) (call.Call, error) {
@@ -227,18 +237,22 @@
 // is left, whichever is less.
 func (e *Entry) deadline(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
-		limit := c.Values.Deadline
-		if c.Remaining > 0 {
-			limit = min(limit, c.Remaining)
-		}
-
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(limit))
+		ctx, cancel := context.WithTimeout(ctx, timeLimit(c))
 		defer cancel()
 
 		return next(ctx, c)
 	}
 }
 
+func timeLimit(c call.Call) time.Duration {
+	limit := c.Values.Deadline
+	if c.Remaining > 0 {
+		limit = min(limit, c.Remaining)
+	}
+
+	return time.Duration(limit)
+}
+
 func writeAnswer(c echo.Context, a call.Answer) error {
 	h := c.Response().Header()
 	for _, f := range a.Header {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/pollencart/pollencart/internal/admission"
+	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/selection"
@@ -26,7 +29,7 @@
 		caller.WithPeers(n.client),
 		caller.Selector(n.selector),
 		caller.Recorder(n.recorder),
-		caller.Leaving(n.closed.Load),
+		caller.WithIntake(n.intake),
 		caller.Home(n.home),
 		caller.Nodes(n.table),
 		caller.Shards(n.shards),
@@ -34,6 +37,17 @@
 	)
 }
 
+// within ends calls of other nodes with the work on calls.
+func within[Out any](work context.Context, serve func(context.Context, call.Call) (Out, error)) func(context.Context, call.Call) (Out, error) {
+	return func(ctx context.Context, c call.Call) (Out, error) {
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		defer context.AfterFunc(work, func() { cancel(context.Cause(work)) })()
+
+		return serve(ctx, c)
+	}
+}
+
 // announced takes a change of what the backend server says of itself; one comes after the
 // other. What other gates of a service were told before, this one was not told.
 func (n *Node) announced() {
@@ -52,10 +66,41 @@
 		n.inFlight.Add(1)
 		defer n.inFlight.Add(-1)
 
-		if n.leaving.Load() {
+		if n.intake.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
 
+		if r.Body != http.NoBody {
+			b := n.newBody(w, r)
+			defer b.read()
+
+			r.Body = b
+		}
+
 		next.ServeHTTP(w, r)
 	})
 }
+
+// body is that of a request, read only for as long as calls are taken.
+type body struct {
+	io.ReadCloser
+
+	read func() bool
+}
+
+func (n *Node) newBody(w http.ResponseWriter, r *http.Request) body {
+	conn := http.NewResponseController(w)
+
+	return body{r.Body, context.AfterFunc(n.taking, func() { _ = conn.SetReadDeadline(time.Now()) })} // a closed connection needs no waking
+}
+
+// Read leaves the connection alone after the last byte, since net/http reads on to see whether
+// the caller goes away.
+func (b body) Read(p []byte) (int, error) {
+	size, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.read()
+	}
+
+	return size, err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/pollencart/pollencart/internal/credentials"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/intake"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
@@ -45,9 +46,14 @@
 type Node struct {
 	config   config.Config
 	recorder *timeline.Recorder
-	leaving  atomic.Bool // a planned stop began
-	closed   atomic.Bool // nothing new is let in
-	inFlight atomic.Int64
+	intake   *intake.Intake
+	inFlight atomic.Int64 // callers' requests
+	// taking ends once calls of callers are refused.
+	taking     context.Context //nolint:containedctx // as long as the node
+	stopTaking context.CancelFunc
+	// work is what calls end with; it ends once a stop gives them up.
+	work   context.Context //nolint:containedctx // as long as the node
+	giveUp context.CancelCauseFunc
 
 	server *peer.Server
 	client *peer.Client
@@ -78,20 +84,23 @@
 	// standstill notices when this process stands still.
 	standstill *standstill.Watchdog
 
-	listeners []net.Listener
-	https     []*http.Server
-	callers   *http.Server
+	listeners      []net.Listener
+	callerListener net.Listener
+	https          []*http.Server
+	callers        *http.Server
 }
 
 // New returns a node that does not listen yet.
 func New(c config.Config, logger *slog.Logger) *Node {
-	n := &Node{config: c, standstill: standstill.New()}
+	n := &Node{config: c, intake: intake.New(), standstill: standstill.New()}
+	n.taking, n.stopTaking = context.WithCancel(context.Background())
+	n.work, n.giveUp = context.WithCancelCause(context.Background())
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
 	n.faults = &peer.Faults{}
 
 	links := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
-		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.leaving.Load),
+		peer.Lost(func(address string) { n.gossip.Doubt(address) }), peer.Patient(n.intake.Leaving),
 	}
 
 	if c.TLS != nil {
@@ -118,7 +127,7 @@
 	n.server.Handle(membership.MethodProbe, peer.Typed(n.gossip.ServeProbe))
 	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
 	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
-	n.server.Handle(gate.MethodRun, peer.Typed(n.gate.Serve))
+	n.server.Handle(gate.MethodRun, peer.Typed(within(n.work, n.gate.Serve)))
 	n.onceMethods()
 	n.server.Handle(methodStatus, peer.Typed(n.ownStatus))
 	n.server.Handle(methodTimeline, peer.Typed(n.ownTimeline))
@@ -163,6 +172,7 @@
 	}
 
 	n.callers = newHTTP(n.entryHandler())
+	n.callers.BaseContext = func(net.Listener) context.Context { return n.work }
 	handlers := []struct {
 		address string
 		serve   func(net.Listener)
@@ -182,6 +192,10 @@
 
 		n.listeners = append(n.listeners, l)
 
+		if h.address == n.config.CallerAddress {
+			n.callerListener = l
+		}
+
 		if h.address == n.config.ControlAddress && n.keys != nil && n.config.TLS.Operators {
 			l = tls.NewListener(l, n.keys.Server(false))
 		}
@@ -204,7 +218,7 @@
 	n.https = append(n.https, s)
 
 	return func(l net.Listener) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
 		}
 	}
@@ -215,7 +229,9 @@
 	defer cancel()
 
 	for _, s := range n.https {
-		_ = s.Shutdown(ctx)
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close() // what says nothing, or does not end
+		}
 	}
 
 	for _, l := range n.listeners {
