Feed: a version at a revision that was given out before is not missed

What a user saw: after the store had come back from an older copy, a version that the operator wrote was not in force until the next one.

Cause: a watch waits behind the highest revision that its node saw. The store that is back gives out revisions up to that one again, so it doesn't answer that it lacks them, and a version that gets one of them is never told. The looks at the store's revision find nothing either when it is what it was at the look before.

Now a change of the epoch, heard of from any answer or another node, ends the watch and the pauses, and the watcher begins with a read, within half a second drawn at random. What a watch brought from before is still offered, since only a newer version is taken.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,6 +37,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
@@ -88,6 +89,8 @@
 	Recorder *timeline.Recorder
 	// FirstStart says that no other node can hold a version yet.
 	FirstStart bool
+	// Epoch is that of the store; revisions of one say nothing in the next.
+	Epoch *epoch.Current
 }
 
 // Feed follows the configuration.
@@ -127,6 +130,10 @@
 
 // New returns a feed.
 func New(o Options) *Feed {
+	if o.Epoch == nil {
+		o.Epoch = epoch.New()
+	}
+
 	return &Feed{
 		options: o, hurry: make(chan struct{}, 1), fresh: make(chan struct{}, 1), behind: make(chan struct{}, 1), arrived: make(chan struct{}, 1),
 		toldOf: make(chan struct{}, 1), waiting: map[source]document{},
@@ -234,7 +241,7 @@
 	}
 }
 
-// epoch is where the steady clock is read from.
-var epoch = time.Now()
+// started is where the steady clock is read from.
+var started = time.Now()
 
-func steady() int64 { return int64(time.Since(epoch)) }
+func steady() int64 { return int64(time.Since(started)) }
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -38,6 +38,9 @@
 	// store while nobody is current: asked by all at once, a store that is away costs a call
 	// a node and try (TestAStoreThatIsAwayIsNotAskedByAll).
 	widenEvery = 3 * time.Second
+	// spreadChange is within what those who watch read again after a change of the epoch:
+	// long enough for their calls not to come at once, short beside the 2 s of a version.
+	spreadChange = 500 * time.Millisecond
 	// maxDoublings lets all nodes of the largest failure domain go to the store.
 	maxDoublings = 12
 )
@@ -97,7 +100,15 @@
 		}
 
 		began := time.Now()
-		err := f.watch(ctx)
+		changed := f.options.Epoch.Changed()
+		err := f.watch(ctx, changed)
+
+		if idle.Woken(changed) {
+			pause = firstPause
+			idle.For(ctx, rand.N(spreadChange))
+
+			continue
+		}
 
 		if err == nil || errors.Is(err, store.ErrCompacted) || errors.Is(err, errHurry) {
 			continue
@@ -109,17 +120,21 @@
 			pause = f.pauseAfter()
 		}
 
-		idle.For(ctx, pause/2+rand.N(pause))
+		if idle.Unless(ctx, pause/2+rand.N(pause), changed) {
+			idle.For(ctx, rand.N(spreadChange))
+		}
+
 		pause = min(2*pause, lastPause)
 	}
 }
 
-// errHurry ends a watch that has missed a version.
-var errHurry = errors.New("a newer version was heard of")
+// errHurry ends a watch that has missed a version, or waits behind a revision of an epoch
+// that is over.
+var errHurry = errors.New("a newer version or epoch was heard of")
 
-// watch reads the configuration and then its changes, until something fails or this
-// node is no longer a watcher.
-func (f *Feed) watch(ctx context.Context) error {
+// watch reads the configuration and then its changes, until something fails, the epoch
+// changes or this node is no longer a watcher.
+func (f *Feed) watch(ctx context.Context, changed <-chan struct{}) error {
 	at, err := f.read(ctx)
 	if err != nil {
 		return err
@@ -127,8 +142,8 @@
 
 	f.back()
 
-	for f.needsStore() {
-		changes, err := f.wait(ctx, at)
+	for f.needsStore() && !idle.Woken(changed) {
+		changes, err := f.wait(ctx, at, changed)
 		if err != nil {
 			return err
 		}
@@ -137,7 +152,7 @@
 
 		if n := len(changes.Entries); n > 0 && !changes.Entries[n-1].Deleted {
 			f.offer(fromStore, document{data: changes.Entries[n-1].Value})
-			idle.For(ctx, settle)
+			idle.Unless(ctx, settle, changed)
 		}
 	}
 
@@ -160,8 +175,8 @@
 	return at, err
 }
 
-// wait is one watch. Word of a newer version ends it.
-func (f *Feed) wait(ctx context.Context, at int64) (store.Changes, error) {
+// wait is one watch. Word of a newer version or epoch ends it.
+func (f *Feed) wait(ctx context.Context, at int64, changed <-chan struct{}) (store.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience+spare)
 	defer cancel()
 
@@ -175,6 +190,10 @@
 		case <-f.hurry:
 			cancel()
 
+			hurried <- true
+		case <-changed:
+			cancel()
+
 			hurried <- true
 		}
 	}()
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -9,11 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
-	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/route"
-	"github.com/pollencart/pollencart/internal/store"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -25,6 +24,9 @@
 	domains  int
 	mu       sync.Mutex
 	version  int64
+	written  int64 // the revision at which the version was written
+	revision int64
+	number   uint64 // of the store's epoch
 	changed  chan struct{}
 	deaf     bool            // watches hear nothing
 	turned   map[string]bool // nodes that the store turns away
@@ -32,6 +34,7 @@
 	calls    int
 	watchers int // open watches
 	nodes    map[string]*node
+	records  []membership.Record
 	cut      map[string]bool // nodes that others can't reach
 	hung     map[string]bool // nodes that take connections and never answer
 }
@@ -40,6 +43,7 @@
 	id     string
 	world  *world
 	holder *route.Holder
+	epoch  *epoch.Current
 	feed   *Feed
 	calls  int // to the store
 }
@@ -54,13 +58,17 @@
 	t.Helper()
 
 	w := &world{
-		domains: domains, changed: make(chan struct{}), turned: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{},
+		domains: domains, number: 1, changed: make(chan struct{}), turned: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{},
 		hung: map[string]bool{}, nodes: map[string]*node{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 
 	var wg sync.WaitGroup
 
+	for i := range count {
+		w.records = append(w.records, w.record(i))
+	}
+
 	for i := range count {
 		n := w.again("n"+strconv.Itoa(i), opts...)
 		w.nodes[n.id] = n
@@ -80,9 +88,9 @@
 
 // again returns another life of a node, which does not run yet.
 func (w *world) again(id string, opts ...func(*Options)) *node {
-	n := &node{id: id, world: w, holder: &route.Holder{}}
+	n := &node{id: id, world: w, holder: &route.Holder{}, epoch: epoch.New()}
 
-	o := Options{Key: storeKey, Decode: decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: timeline.New()}
+	o := Options{Key: storeKey, Decode: decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: timeline.New(), Epoch: n.epoch}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -124,7 +132,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.version = version
+	w.revision++
+	w.version, w.written = version, w.revision
+
 	if !w.deaf {
 		close(w.changed)
 		w.changed = make(chan struct{})
@@ -162,104 +172,10 @@
 	}
 }
 
-func (n *node) isSilent() bool {
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
-
-	return n.world.silent[n.id]
-}
-
-func (n *node) call(ctx context.Context) (int64, error) {
-	n.world.set(func() {
-		n.world.calls++
-		n.calls++
-	})
-
-	if n.isSilent() {
-		<-ctx.Done()
-
-		return 0, ctx.Err()
-	}
-
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
-
-	if n.world.turned[n.id] {
-		return 0, platform.ErrUnavailable
-	}
-
-	return n.world.version, nil
-}
-
-func (n *node) Get(ctx context.Context, _ string) (platform.Entry, int64, error) {
-	v, err := n.call(ctx)
-	time.Sleep(4 * time.Millisecond)
-
-	if err == nil && v == 0 {
-		err = platform.ErrNotFound
-	}
-
-	return platform.Entry{Value: []byte(strconv.FormatInt(v, 10))}, v, err
-}
-
-func (n *node) Revision(ctx context.Context) (int64, error) { return n.call(ctx) }
-
-func (n *node) Watch(ctx context.Context, _ string, after int64, patience time.Duration) (store.Changes, error) {
-	v, err := n.call(ctx)
-	if err != nil {
-		return store.Changes{}, err
-	}
-
-	n.world.mu.Lock()
-	changed := n.world.changed
-	deaf := n.world.deaf
-	n.world.watchers++
-	n.world.mu.Unlock()
-
-	defer n.world.set(func() { n.world.watchers-- })
-
-	if v > after && !deaf {
-		return n.changes(v), nil
-	}
-
-	select {
-	case <-changed:
-		if n.isSilent() {
-			<-ctx.Done()
-
-			return store.Changes{}, ctx.Err()
-		}
-
-		n.world.mu.Lock()
-		defer n.world.mu.Unlock()
-
-		return n.changes(n.world.version), nil
-	case <-time.After(patience):
-		return store.Changes{Revision: after}, nil
-	case <-ctx.Done():
-		return store.Changes{}, ctx.Err()
-	}
-}
-
-func (n *node) changes(v int64) store.Changes {
-	return store.Changes{
-		Revision: v, Entries: []store.Change{{Entry: platform.Entry{Value: []byte(strconv.FormatInt(v, 10))}}},
-	}
-}
-
-func (n *node) all() []membership.Record {
-	var out []membership.Record
-	for i := range len(n.world.nodes) {
-		out = append(out, n.world.record(i))
-	}
-
-	return out
-}
-
 func (n *node) Neighbours() []membership.Record {
 	self := n.Self()
 
-	return slices.DeleteFunc(n.all(), func(r membership.Record) bool {
+	return slices.DeleteFunc(slices.Clone(n.world.records), func(r membership.Record) bool {
 		return r.ID == self.ID || r.FailureDomain != self.FailureDomain
 	})
 }
@@ -280,8 +196,8 @@
 }
 
 func (n *node) Self() membership.Record {
-	for i := range len(n.world.nodes) {
-		if r := n.world.record(i); r.ID == n.id {
+	for _, r := range n.world.records {
+		if r.ID == n.id {
 			return r
 		}
 	}
@@ -292,7 +208,7 @@
 func (n *node) FirstOf(domain string, count int) []membership.Record {
 	var out []membership.Record
 
-	for _, r := range n.all() {
+	for _, r := range n.world.records {
 		if r.FailureDomain == domain && len(out) < count {
 			out = append(out, r)
 		}
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -22,3 +22,24 @@
 	case <-time.After(d):
 	}
 }
+
+// Unless is For, which also returns when wake is closed, and whether it is.
+func Unless(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	case <-wake:
+	}
+
+	return Woken(wake)
+}
+
+// Woken reports whether a channel that nothing is sent on is closed.
+func Woken(wake <-chan struct{}) bool {
+	select {
+	case <-wake:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/pollencart/pollencart/internal/backend"
 	"github.com/pollencart/pollencart/internal/departures"
 	"github.com/pollencart/pollencart/internal/dispatch"
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/feed"
 	"github.com/pollencart/pollencart/internal/forward"
@@ -71,6 +72,7 @@
 	table  *membership.Table
 	gossip *membership.Gossip
 
+	epoch      *epoch.Current // of the store
 	store      *platform.Store
 	holder     *route.Holder
 	feed       *feed.Feed
@@ -98,6 +100,7 @@
 	m := meter.New()
 	n := &Sidecar{
 		config: c, budget: repeats.New(boundOf(c)), meter: m, holder: &route.Holder{}, intake: intake.New(), standstill: standstill.New(),
+		epoch: epoch.New(),
 	}
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
@@ -128,6 +131,7 @@
 	n.feed = feed.New(feed.Options{
 		Key: platform.ConfigurationKey, Decode: new(platform.Configurations).Decode, Store: n.store, Holder: n.holder,
 		Peers: n.client, Members: n.table, Recorder: n.recorder, FirstStart: c.FirstStart,
+		Epoch: n.epoch,
 	})
 	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
 	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder, c.FirstStart)
