Feed: a look tells a revision from the same one of another epoch

What a user saw: a version that no watch had heard of stayed out of force after the store had come back from an older copy.

Cause: a watcher looks at the store's revision now and then and reads the configuration if it is another one than at the look before. Revisions are given out again, so it may be the same number in another epoch.

Now the revision of the look before counts only while the epoch has not changed since that look was sent. A look that is under way across the change reads, and the one after it too: one call more than needed.

Nothing else of the store's client compares revisions: writes are sent without conditions.

--- a/internal/feed/check.go
+++ b/internal/feed/check.go
@@ -16,7 +16,9 @@
 
 // check looks for changes that the watch has missed.
 func (f *Feed) check(ctx context.Context) {
-	var last int64
+	var last int64 // in the epoch until changed
+
+	changed := f.options.Epoch.Changed()
 
 	for ctx.Err() == nil {
 		every := checkShare * time.Duration(max(len(f.watchersOfAll()), 1))
@@ -26,6 +28,8 @@
 			continue
 		}
 
+		heard := f.options.Epoch.Changed()
+
 		at, err := f.revision(ctx)
 		if err != nil {
 			// The watch may wait on a connection that has gone silent.
@@ -35,11 +39,11 @@
 			continue
 		}
 
-		if at == last {
+		if at == last && !idle.Woken(changed) {
 			continue
 		}
 
-		last = at
+		last, changed = at, heard
 		before := f.options.Holder.Number()
 
 		if f.missed(ctx) > before {
--- a/internal/feed/drill_test.go
+++ b/internal/feed/drill_test.go
@@ -16,6 +16,12 @@
 	return n
 }
 
+func (n *node) lookedAt() (at time.Time) {
+	n.world.set(func() { at = n.looked })
+
+	return at
+}
+
 // hear has every node hear of the store's epoch within a time.
 func (w *world) hear(within time.Duration) {
 	number := w.copied().number
@@ -49,6 +55,33 @@
 	})
 }
 
+// The store's revision is what it was at the last look, in another epoch, and no watch hears.
+func TestALookTellsARevisionFromTheSameOneOfAnotherEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const atOnce = 100 * time.Millisecond
+
+		w := newWorld(t, Watchers)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+
+		older := w.copied()
+
+		w.others(100)
+
+		for time.Since(w.at(0).lookedAt()) > atOnce || time.Since(w.at(1).lookedAt()) > atOnce {
+			time.Sleep(time.Millisecond)
+		}
+
+		w.set(func() { w.deaf = true })
+		w.back(older)
+		w.hear(time.Millisecond)
+		time.Sleep(spreadChange + 50*time.Millisecond) // all have read again, and none has looked
+		w.write(2)
+		w.others(100)
+		w.within(t, 2, 4*time.Second)
+	})
+}
+
 // A change of the epoch that sends every host of a large fleet to the store at once.
 func TestAChangeOfTheEpochBringsFewCallsOfALargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/feed/store_test.go
+++ b/internal/feed/store_test.go
@@ -101,6 +101,7 @@
 
 func (n *node) Revision(ctx context.Context) (int64, error) {
 	c, err := n.call(ctx)
+	n.world.set(func() { n.looked = time.Now() })
 
 	return c.revision, err
 }
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -46,6 +46,7 @@
 	epoch  *epoch.Current
 	feed   *Feed
 	calls  int // to the store
+	looked time.Time
 }
 
 func newWorld(t *testing.T, count int) *world {
