Feed: a look whose read failed is repeated

What a user saw: a version stayed out of force when no watch had heard of it and the store refused the one read after the look that found it.

Cause: a look remembered the new revision before the configuration was read. When that read failed, the next look found nothing new; the comment said that it tries again.

Now the revision is remembered once the configuration was read, or is known not to be there.

A look whose read is answered makes the same calls as before.

--- a/internal/feed/check.go
+++ b/internal/feed/check.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/platform"
 )
 
 // checkShare is the mean pause between looks of all watchers at the store's revision.
@@ -43,10 +45,15 @@
 			continue
 		}
 
-		last, changed = at, heard
 		before := f.options.Holder.Number()
 
-		if f.missed(ctx) > before {
+		if f.missed(ctx) != nil {
+			continue // the next look tries again
+		}
+
+		last, changed = at, heard
+
+		if f.options.Holder.Number() > before {
 			f.hint(ctx)
 		}
 	}
@@ -59,17 +66,19 @@
 	return f.options.Store.Revision(ctx)
 }
 
-// missed reads the configuration and returns the version that the store has.
-func (f *Feed) missed(ctx context.Context) uint64 {
+// missed reads the configuration, and has it in force if it is newer.
+func (f *Feed) missed(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 
 	entry, _, err := f.options.Store.Get(ctx, f.options.Key)
-	if err != nil {
-		return 0 // the next look tries again
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
 	}
 
-	f.apply(ctx, fromStore, document{data: entry.Value})
+	if err == nil {
+		f.apply(ctx, fromStore, document{data: entry.Value})
+	}
 
-	return f.options.Holder.Number()
+	return err
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -45,6 +45,25 @@
 	})
 }
 
+// The read after a look that found a change fails, and no later look finds a change.
+func TestALookWhoseReadFailsIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Watchers)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+		time.Sleep(5 * time.Second)
+		w.set(func() {
+			w.deaf = true
+
+			for _, n := range w.nodes {
+				n.unread = 1
+			}
+		})
+		w.write(2)
+		w.within(t, 2, 8*time.Second)
+	})
+}
+
 // The watcher that finds a missed change tells those of the other failure domains, which
 // would find it only by looks of their own.
 func TestWhoFindsAMissedChangeTellsTheOthers(t *testing.T) {
--- a/internal/feed/store_test.go
+++ b/internal/feed/store_test.go
@@ -92,6 +92,13 @@
 	c, err := n.call(ctx)
 	time.Sleep(4 * time.Millisecond)
 
+	n.world.set(func() {
+		if n.unread > 0 && err == nil {
+			n.unread--
+			err = platform.ErrUnavailable
+		}
+	})
+
 	if err == nil && c.version == 0 {
 		err = platform.ErrNotFound
 	}
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -47,6 +47,7 @@
 	feed   *Feed
 	calls  int // to the store
 	looked time.Time
+	unread int // reads that fail from now on
 }
 
 func newWorld(t *testing.T, count int) *world {
