Feed: an older version in the store is told once, and nobody stays with it

Suspected: a node that starts while the store that came back holds an older version takes it, and has others go back to it or stays with it.

It can't have others go back: the holder takes newer versions only, whatever the source. It does not stay with it: gossip tells the versions that nodes hold, and a watcher has a newer one from whoever holds it; the others of its failure domain ask the watchers twice a second.

What a user did lack: nothing said that the store holds an older version than the nodes, which the operator has to write again. Now each watcher that reads it after a change of the epoch records line 203, once for the change. TestAnOlderVersionInTheStoreIsToldOnceAndNotTaken failed before (no line).

--- a/internal/feed/drill_test.go
+++ b/internal/feed/drill_test.go
@@ -1,19 +1,58 @@
 package feed
 
 import (
+	"context"
 	"math/rand/v2"
-	"strconv"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
-func (w *world) at(i int) (n *node) {
-	w.set(func() { n = w.nodes["n"+strconv.Itoa(i)] })
+// gossip has nodes tell each other of epochs and versions until the end of the test.
+func (w *world) gossip(t *testing.T, random *rand.Rand) {
+	t.Helper()
 
-	return n
+	const round = 200 * time.Millisecond
+
+	ctx, cancel := context.WithCancel(context.Background())
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(round)
+
+			for i := range w.records {
+				one, other := w.node(w.records[i].ID), w.node(w.records[random.IntN(len(w.records))].ID)
+
+				if w.reaches(one, other) {
+					one.epoch.Observe(other.epoch.Number())
+					other.epoch.Observe(one.epoch.Number())
+					wg.Go(func() { one.feed.Hear(ctx, other.id, other.holder.Number()) })
+					wg.Go(func() { other.feed.Hear(ctx, one.id, one.holder.Number()) })
+				}
+			}
+		}
+	})
+
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+func (w *world) reaches(one, other *node) (can bool) {
+	w.set(func() { can = !w.cut[one.id] && !w.cut[other.id] })
+
+	return can
 }
 
 func (n *node) lookedAt() (at time.Time) {
@@ -26,8 +65,8 @@
 func (w *world) hear(within time.Duration) {
 	number := w.copied().number
 
-	for i := range len(w.nodes) {
-		time.AfterFunc(rand.N(within), func() { w.at(i).epoch.Observe(number) })
+	for i := range w.records {
+		time.AfterFunc(rand.N(within), func() { w.node(w.records[i].ID).epoch.Observe(number) })
 	}
 }
 
@@ -68,7 +107,7 @@
 
 		w.others(100)
 
-		for time.Since(w.at(0).lookedAt()) > atOnce || time.Since(w.at(1).lookedAt()) > atOnce {
+		for time.Since(w.node("n0").lookedAt()) > atOnce || time.Since(w.node("n1").lookedAt()) > atOnce {
 			time.Sleep(time.Millisecond)
 		}
 
@@ -82,6 +121,78 @@
 	})
 }
 
+// replace runs another life of a node in place of the one before, until the end of the test.
+func (w *world) replace(t *testing.T, id string) *node {
+	t.Helper()
+
+	w.node(id).stop()
+
+	n, stop := w.restart(id)
+	n.stop = stop
+	t.Cleanup(stop)
+	w.set(func() { w.nodes[id] = n })
+
+	return n
+}
+
+// Nodes that start while the store holds an older version serve on with it, or have others go back.
+func TestNodesThatStartOnAnOlderStoreGetTheNewestVersion(t *testing.T) {
+	for _, starts := range [][]string{
+		{"n0"}, {"n0", "n3"}, {"n9"}, {"n0", "n3", "n6", "n9"}, {"n0", "n3", "n1", "n4", "n2", "n5"},
+		{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9", "n10"},
+	} {
+		t.Run(strings.Join(starts, " "), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorldIn(t, 3, 12)
+				w.gossip(t, rand.New(rand.NewPCG(1, 2)))
+				w.write(1)
+				w.within(t, 1, 2*time.Second)
+
+				older := w.copied()
+
+				w.write(2)
+				w.within(t, 2, 2*time.Second)
+				time.Sleep(3 * time.Second)
+				w.back(older)
+
+				for _, id := range starts {
+					w.replace(t, id)
+				}
+
+				w.within(t, 2, 2*time.Second)
+			})
+		})
+	}
+}
+
+// Nobody is told that the store holds an older version than the nodes, or is told all the time.
+func TestAnOlderVersionInTheStoreIsToldOnceAndNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldIn(t, 3, 12)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+
+		older := w.copied()
+
+		w.write(2)
+		w.within(t, 2, 2*time.Second)
+		w.back(older)
+		w.hear(500 * time.Millisecond)
+		time.Sleep(time.Minute)
+
+		for _, r := range w.records {
+			told := 0
+			if slices.Contains(w.node("n0").FirstOf(r.FailureDomain, Watchers), r) {
+				told = 1
+			}
+
+			n := w.node(r.ID)
+			assert.Equal(t, n.holder.Number(), uint64(2))
+			assert.Equal(t, len(n.told.Entries(timeline.Filter{Event: event.VersionOlder.Name})), told, r.ID)
+		}
+	})
+}
+
 // A change of the epoch that sends every host of a large fleet to the store at once.
 func TestAChangeOfTheEpochBringsFewCallsOfALargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,6 +33,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,6 +107,8 @@
 	fresh    chan struct{} // a newer version is in force; it is to be pushed
 	toldOf   chan struct{} // a version was told of that is not held
 
+	again bool // the epoch changed since follow read the configuration
+
 	mu      sync.Mutex
 	waiting map[source]document
 	arrived chan struct{}
@@ -126,6 +129,7 @@
 type document struct {
 	version uint64 // 0 if only the document itself tells
 	data    []byte
+	again   bool // read since the epoch changed
 }
 
 // New returns a feed.
@@ -230,6 +234,12 @@
 		return
 	}
 
+	if held := f.options.Holder.Number(); d.again && table.Version() < held {
+		f.options.Recorder.Record(event.VersionOlder, timeline.Entry{
+			Version: table.Version(), Detail: "store, version " + strconv.FormatUint(held, 10) + " is held",
+		})
+	}
+
 	if f.options.Holder.Offer(table, d.data) {
 		f.options.Recorder.Record(event.VersionInForce, timeline.Entry{Version: table.Version(), Detail: string(from)})
 		signal(f.fresh)
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -104,6 +104,7 @@
 		err := f.watch(ctx, changed)
 
 		if idle.Woken(changed) {
+			f.again = true
 			pause = firstPause
 			idle.For(ctx, rand.N(spreadChange))
 
@@ -121,6 +122,7 @@
 		}
 
 		if idle.Unless(ctx, pause/2+rand.N(pause), changed) {
+			f.again = true
 			idle.For(ctx, rand.N(spreadChange))
 		}
 
@@ -169,7 +171,8 @@
 	}
 
 	if err == nil {
-		f.offer(fromStore, document{data: entry.Value})
+		f.offer(fromStore, document{data: entry.Value, again: f.again})
+		f.again = false
 	}
 
 	return at, err
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -44,7 +44,9 @@
 	world  *world
 	holder *route.Holder
 	epoch  *epoch.Current
+	told   *timeline.Recorder
 	feed   *Feed
+	stop   context.CancelFunc
 	calls  int // to the store
 	looked time.Time
 	unread int // reads that fail from now on
@@ -77,7 +79,10 @@
 	}
 
 	for _, n := range w.nodes {
-		wg.Go(func() { n.feed.Run(ctx) })
+		life, stop := context.WithCancel(ctx)
+		n.stop = stop
+
+		wg.Go(func() { n.feed.Run(life) })
 	}
 
 	t.Cleanup(func() {
@@ -90,9 +95,9 @@
 
 // again returns another life of a node, which does not run yet.
 func (w *world) again(id string, opts ...func(*Options)) *node {
-	n := &node{id: id, world: w, holder: &route.Holder{}, epoch: epoch.New()}
+	n := &node{id: id, world: w, holder: &route.Holder{}, epoch: epoch.New(), told: timeline.New()}
 
-	o := Options{Key: storeKey, Decode: decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: timeline.New(), Epoch: n.epoch}
+	o := Options{Key: storeKey, Decode: decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: n.told, Epoch: n.epoch}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -150,8 +155,17 @@
 	f()
 }
 
+func (w *world) node(id string) (n *node) {
+	w.set(func() { n = w.nodes[id] })
+
+	return n
+}
+
 // lowest returns the lowest version in force.
 func (w *world) lowest() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
 	out := uint64(1 << 60)
 	for _, n := range w.nodes {
 		out = min(out, n.holder.Number())
@@ -240,7 +254,7 @@
 		return peer.ErrUnreachable
 	}
 
-	f := n.world.nodes[address].feed
+	f := n.world.node(address).feed
 
 	var err error
 
