Departures: a leaving that the store lost is written again

What a user saw: a backend server got calls after its leaving was confirmed, and they were cut off, when the store came back from an older copy and the node beside it started again.

Cause: the record of a leaving lay in the store alone, which may lose what it acknowledged; who kept it had it in memory and did nothing with it.

Now a process writes its own records of the last two minutes again after each change of the epoch, within 1.5 s drawn at random, and tries until the store takes them or the epoch changes again. The record is in memory before its first write is sent, so one that was acknowledged just before the copy was lost is among them. Without a change nothing is sent.

--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -12,10 +12,14 @@
 // nodes these are follows from the instance, so that the next process asks the same ones.
 // Of 85 nodes that are drawn, eight know of a record on two others in 18 of 100 cases.
 //
+// The store may come back from an older copy, without records that it acknowledged. Who
+// made one holds it in memory and writes it again when the store's epoch changes.
+//
 // # Usage
 //
 //	d := departures.New(store, peers, members)
 //	server.Handle(departures.MethodKeep, peer.Typed(d.ServeKeep))
+//	go d.Run(ctx)
 //	err := d.Keep(ctx, instance)
 //	gone, err := d.Departed(ctx, instance)
 package departures
@@ -29,9 +33,11 @@
 	"sync"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -112,6 +118,10 @@
 	store   Store
 	peers   Peers
 	members Members
+	// epoch is that of the store.
+	epoch    *epoch.Current
+	changed  <-chan struct{} // since this process can have kept a record
+	recorder *timeline.Recorder
 
 	mu   sync.Mutex
 	held map[string]record
@@ -121,21 +131,23 @@
 type record struct {
 	started int64
 	at      time.Time
+	own     bool // this process kept it
+	removes bool // the store will be told to drop it
 }
 
 // New returns departures that hold no record.
 func New(s Store, p Peers, m Members) *Departures {
-	return &Departures{store: s, peers: p, members: m, held: map[string]record{}}
+	return &Departures{store: s, peers: p, members: m, held: map[string]record{}, epoch: epoch.New(), recorder: timeline.New()}
 }
 
 // Keep returns nil once the record is where a later process finds it.
 func (d *Departures) Keep(ctx context.Context, id string, started int64) error {
 	instance := Instance{ID: id, Started: started}
-	d.hold(instance)
+	d.hold(instance, true)
 
 	storeErr := d.write(ctx, instance)
 	if storeErr == nil {
-		time.AfterFunc(life, func() { d.remove(instance) })
+		d.removeLater(instance)
 
 		return nil
 	}
@@ -211,7 +223,7 @@
 // this process ended first does no harm: later starts are not bound by it. One that was
 // written anew for a later start stays.
 func (d *Departures) remove(instance Instance) {
-	if d.startedOf(instance.ID) != instance.Started {
+	if !d.removing(instance) {
 		return
 	}
 
@@ -277,7 +289,7 @@
 
 // ServeKeep holds a record for another node.
 func (d *Departures) ServeKeep(_ context.Context, in Instance) (Known, error) {
-	d.hold(in)
+	d.hold(in, false)
 
 	return Known{Departed: true}, nil
 }
@@ -287,7 +299,7 @@
 	return Known{Departed: d.holds(in)}, nil
 }
 
-func (d *Departures) hold(i Instance) {
+func (d *Departures) hold(i Instance, own bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -297,7 +309,10 @@
 		d.forget(now)
 	}
 
-	d.held[i.ID] = record{started: max(i.Started, d.held[i.ID].started), at: now}
+	before := d.held[i.ID]
+	after := record{started: max(i.Started, before.started), at: now, own: own || before.own}
+	after.removes = before.removes && after.started == before.started
+	d.held[i.ID] = after
 }
 
 func (d *Departures) forget(now time.Time) {
@@ -316,10 +331,3 @@
 
 	return ok && Instance{ID: i.ID, Started: r.started}.binds(i)
 }
-
-func (d *Departures) startedOf(id string) int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	return d.held[id].started
-}
--- a/internal/departures/departures_test.go
+++ b/internal/departures/departures_test.go
@@ -52,6 +52,13 @@
 	return nil
 }
 
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.away = away
+}
+
 func (s *store) Delete(context.Context, string) error { return nil }
 
 // fleet carries messages between nodes, and gives the others in an order.
--- /dev/null
+++ b/internal/departures/drill_test.go
@@ -0,0 +1,122 @@
+package departures_test
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/departures"
+	"github.com/pollencart/pollencart/internal/epoch"
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// copied returns what the store holds now.
+func (s *store) copied() map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return maps.Clone(s.keys)
+}
+
+// back has the store come back from an older copy.
+func (s *store) back(keys map[string][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.keys, s.away = maps.Clone(keys), false
+}
+
+// process is a life of a node that runs until it is stopped.
+type process struct {
+	*departures.Departures
+
+	epoch *epoch.Current
+	told  *timeline.Recorder
+	stop  func()
+}
+
+// run runs another life of the node a, with the others that there are.
+func run(t *testing.T, s *store, nodes map[string]*departures.Departures) process {
+	t.Helper()
+
+	f := fleet{nodes, "a"}
+	p := process{epoch: epoch.New(), told: timeline.New()}
+	p.Departures = departures.New(s, f, f).WithEpoch(p.epoch, p.told)
+	p.epoch.Observe(1)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+
+	go func() {
+		defer close(ended)
+
+		p.Run(ctx)
+	}()
+
+	p.stop = func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(p.stop)
+
+	return p
+}
+
+// alone is a node that no other one can be asked beside.
+func alone() map[string]*departures.Departures { return map[string]*departures.Departures{} }
+
+func departed(t *testing.T, d *departures.Departures) bool {
+	t.Helper()
+
+	gone, err := d.Departed(t.Context(), "i-1", 100)
+	assert.NilError(t, err)
+
+	return gone
+}
+
+// A leaving that the store lost after it was acknowledged is not found by the next process.
+func TestALeavingThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{keys: map[string][]byte{}}
+		p := run(t, s, alone())
+		older := s.copied()
+
+		assert.NilError(t, p.Keep(t.Context(), "i-1", 100))
+		s.back(older)
+		p.epoch.Observe(2)
+		time.Sleep(2 * time.Second)
+		p.stop()
+
+		assert.Assert(t, departed(t, run(t, s, alone()).Departures))
+		assert.Equal(t, len(p.told.Entries(timeline.Filter{Event: event.PlatformRewritten.Name})), 1)
+	})
+}
+
+// The store takes no writes when the epoch changes, and changes it again soon after.
+func TestALeavingIsWrittenAgainUntilTheStoreTakesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{keys: map[string][]byte{}}
+		p := run(t, s, alone())
+		older := s.copied()
+
+		assert.NilError(t, p.Keep(t.Context(), "i-1", 100))
+
+		for number := uint64(2); number < 5; number++ {
+			s.back(older)
+			s.setAway(true)
+			p.epoch.Observe(number)
+			time.Sleep(700 * time.Millisecond)
+		}
+
+		s.setAway(false)
+		time.Sleep(2 * time.Second)
+		p.stop()
+
+		assert.Assert(t, departed(t, run(t, s, alone()).Departures))
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,7 +49,10 @@
 	PlatformBack     = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
 	PlatformRepaired = add(212, "PlatformRepaired", slog.LevelWarn,
 		"The platform came back from an older copy and was given back the version that this node holds.")
-	EntryDoubted = add(213, "EntryDoubted", slog.LevelWarn, "An entry of the store can't be read or names nobody; it is left out, and told once.")
+	EntryDoubted = add(213, "EntryDoubted", slog.LevelWarn,
+		"An entry of the store can't be read or names nobody; it is left out, and told once.")
+	PlatformRewritten = add(215, "PlatformRewritten", slog.LevelInfo,
+		"The platform's store came back from an older copy, and this node wrote there again what others must find; the detail says what.")
 )
 
 // Fleet.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -135,7 +135,7 @@
 	})
 	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
 	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder, c.FirstStart)
-	n.departures = departures.New(n.store, n.client, n.table)
+	n.departures = departures.New(n.store, n.client, n.table).WithEpoch(n.epoch, n.recorder)
 }
 
 // backend makes what leads to the backend server on this host.
@@ -268,7 +268,9 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.feed.Run, n.gossip.Run, n.rendezvous.Run, n.standstill.Run, n.watch.Run, n.begin} {
+	for _, f := range []func(context.Context){
+		n.feed.Run, n.gossip.Run, n.rendezvous.Run, n.departures.Run, n.standstill.Run, n.watch.Run, n.begin,
+	} {
 		running.Go(func() { f(work) })
 	}
 
