Departures: a process that found a leaving goes on knowing it

What a user saw: a process that started again took no heartbeat of a backend server that was confirmed to leave, until the store came back from an older copy; the next heartbeat brought the backend server back, and calls sent there were cut off.

Cause: whoever found a record asked for it anew at each heartbeat, and did not hold it.

Now a found record is held in memory and written again after a change of the epoch, as one that was made here. Other nodes tell the start that their record names, so that a later start of the instance stays free; a record that names no start binds any, and is not taken over.

--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -112,6 +112,8 @@
 // Known says whether a node holds a record.
 type Known struct {
 	Departed bool `msgpack:"Departed"`
+	// Started is the start that the record names.
+	Started int64 `msgpack:"Started"`
 }
 
 // Departures keeps and finds records.
@@ -128,14 +130,6 @@
 	held map[string]record
 }
 
-// record is a leaving that this node holds.
-type record struct {
-	started int64
-	at      time.Time
-	own     bool // this process kept it
-	removes bool // the store will be told to drop it
-}
-
 // New returns departures that hold no record.
 func New(s Store, p Peers, m Members) *Departures {
 	return &Departures{store: s, peers: p, members: m, held: map[string]record{}, epoch: epoch.New(), recorder: timeline.New()}
@@ -244,7 +238,7 @@
 // asked knows of it.
 func (d *Departures) Departed(ctx context.Context, id string, started int64) (bool, error) {
 	instance := Instance{ID: id, Started: started}
-	if d.holds(instance) {
+	if d.known(instance).Departed {
 		return true, nil
 	}
 
@@ -257,12 +251,18 @@
 
 	kept, storeErr := d.read(ctx, id)
 	if storeErr == nil && kept.binds(instance) {
+		d.found(kept)
+
 		return true, nil
 	}
 
 	answers := <-asked
-	if slices.ContainsFunc(answers, func(k Known) bool { return k.Departed }) {
-		return true, nil
+	for _, k := range answers {
+		if k.Departed {
+			d.found(Instance{ID: id, Started: k.Started})
+
+			return true, nil
+		}
 	}
 
 	if storeErr == nil || errors.Is(storeErr, platform.ErrNotFound) {
@@ -272,6 +272,14 @@
 	return false, ErrNotKept.With("%s: %d nodes asked", id, len(answers)).Wrap(storeErr)
 }
 
+// found takes over a record of an earlier process on this host, which can't write it again.
+// One that names no start binds any, and is not taken further than it is.
+func (d *Departures) found(i Instance) {
+	if i.Started != 0 {
+		d.hold(i, true)
+	}
+}
+
 // read returns the record of an instance. One whose value can't be read was still
 // written for this instance, so it binds every start: a backend server that is used
 // again after it was confirmed to leave cuts calls off, one that is not costs its slots
@@ -292,48 +300,3 @@
 
 	return kept, nil
 }
-
-// ServeKeep holds a record for another node.
-func (d *Departures) ServeKeep(_ context.Context, in Instance) (Known, error) {
-	d.hold(in, false)
-
-	return Known{Departed: true}, nil
-}
-
-// ServeAsk tells another node whether a record is held here.
-func (d *Departures) ServeAsk(_ context.Context, in Instance) (Known, error) {
-	return Known{Departed: d.holds(in)}, nil
-}
-
-func (d *Departures) hold(i Instance, own bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	now := time.Now()
-
-	if len(d.held) >= maxHeld {
-		d.forget(now)
-	}
-
-	before := d.held[i.ID]
-	after := record{started: max(i.Started, before.started), at: now, own: own || before.own}
-	after.removes = before.removes && after.started == before.started
-	d.held[i.ID] = after
-}
-
-func (d *Departures) forget(now time.Time) {
-	for id, r := range d.held {
-		if now.Sub(r.at) > life {
-			delete(d.held, id)
-		}
-	}
-}
-
-func (d *Departures) holds(i Instance) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-
-	r, ok := d.held[i.ID]
-
-	return ok && Instance{ID: i.ID, Started: r.started}.binds(i)
-}
--- a/internal/departures/drill_test.go
+++ b/internal/departures/drill_test.go
@@ -193,3 +193,40 @@
 		assert.Assert(t, time.Since(began) <= soon, time.Since(began))
 	})
 }
+
+// A process found the record when it started, and forgets the leaving once the store and others do.
+func TestAProcessThatFoundALeavingGoesOnKnowingIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, others := range []int{1, 8} {
+			s := &store{keys: map[string][]byte{}}
+			nodes := newFleet(s, others)
+			older := s.copied()
+
+			first := run(t, s, nodes)
+			assert.NilError(t, first.Keep(t.Context(), "i-1", 100))
+			first.stop()
+
+			if others > 1 {
+				s.back(older) // it lies with the other nodes alone
+			}
+
+			second := run(t, s, nodes)
+			assert.Assert(t, departed(t, second.Departures))
+
+			synctest.Wait()
+			clear(nodes)
+			s.back(older)
+			second.epoch.Observe(2)
+			assert.Assert(t, departed(t, second.Departures), "%d nodes", others)
+			time.Sleep(2 * time.Second)
+			second.stop()
+
+			third := run(t, s, nodes)
+			assert.Assert(t, departed(t, third.Departures), "%d nodes", others)
+
+			later, err := third.Departed(t.Context(), "i-1", 101)
+			assert.NilError(t, err)
+			assert.Assert(t, !later, "a later start is free")
+		}
+	})
+}
