Rendezvous: a lease that was given to another node is taken anew

What a user saw: after the store had come back from an older copy, processes that started found few nodes or none, for as long as the fleet ran.

Cause: the store lost records and leases and gave out the numbers of leases again. A node renewed its number, was told yes since it was another's now, and never wrote its record anew.

It does not list the records, as after a lease that ran out: it knows others. The same change wakes nodes that wait to try again after the store was away, up to 6 s before. A change is compared with that of the lease, so none is missed between two waits; one under way while a record is written has it written again. No call differs without a change.

TestALeaseThatWasGivenToAnotherNodeIsTakenAnew and TestRecordsAreThereSoonAfterAStoreThatWasAway failed before (no record after 2 s; 3 of 8), and TestAChangeOfTheEpochBringsFewCallsOfALargeFleet, 294 hosts in 14 failure domains: records were missing 2 s after the change.

No lease is ended by its number, and a record is deleted by the key of its own node. What is left: a renewal by a number of the epoch before, sent before the node hears of the change, prolongs the lease of another node once.

--- a/internal/rendezvous/meetings_test.go
+++ b/internal/rendezvous/meetings_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/rendezvous"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -21,16 +22,20 @@
 	met  map[string][]string
 	cut  bool
 	stop map[string]context.CancelFunc
+
+	epochs map[string]*epoch.Current
+	told   map[string]*timeline.Recorder
 }
 
 func newMeetings(domains, each int) *meetings {
 	g := &meetings{
 		domains: map[string]string{}, tables: map[string]*membership.Table{}, met: map[string][]string{},
-		stop: map[string]context.CancelFunc{},
+		stop: map[string]context.CancelFunc{}, epochs: map[string]*epoch.Current{}, told: map[string]*timeline.Recorder{},
 	}
 
 	for i := range domains * each {
 		id := "n" + strconv.Itoa(i+1)
+		g.epochs[id], g.told[id] = epoch.New(), timeline.New()
 		g.domains[id] = "domain-" + strconv.Itoa(i/each)
 		g.tables[id] = membership.NewTable(membership.Record{ID: id, PeerAddress: address(id), FailureDomain: g.domains[id]}, timeline.New())
 	}
@@ -41,7 +46,8 @@
 func (g *meetings) run(t *testing.T, s *store, id, domain string) {
 	t.Helper()
 
-	r := rendezvous.New(s, g.tables[id], func(_ context.Context, to string) bool { return g.meet(id, domain, to) }, timeline.New(), true)
+	meet := func(_ context.Context, to string) bool { return g.meet(id, domain, to) }
+	r := rendezvous.New(s.at(g.epochs[id]), g.tables[id], meet, g.told[id], true).WithEpoch(g.epochs[id])
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stop[id] = cancel
 
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -4,7 +4,9 @@
 // A few nodes of each failure domain have a record with their peer address, which ends
 // with its lease. What else is known of a node spreads by gossip; records only say whom
 // to ask first. So nothing here is on the way of a call, and a store that is away, or that
-// takes the records of living nodes, takes nobody out: who is met stays met.
+// takes the records of living nodes, takes nobody out: who is met stays met. A store that
+// comes back from an older copy gives out the numbers of leases again; a renewal would be
+// another node's, so records are written again with leases of the new epoch.
 //
 //	r := rendezvous.New(store, table, gossip.Meet)
 //	go r.Run(ctx)
@@ -18,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
@@ -41,7 +44,10 @@
 	// renewPause is the pause after the first renewal that failed: the lease outlasts
 	// two renewals.
 	renewPause = 2 * time.Second
-	callTime   = time.Second
+	// spreadChange is within what records are written again after a change of the epoch:
+	// those who start meanwhile find some of them.
+	spreadChange = 1500 * time.Millisecond
+	callTime     = time.Second
 	// meetAtOnce is how many recorded nodes are met by one that knows nobody: each gives
 	// it the records of all others, which more at once would fill a slow link with.
 	meetAtOnce = 3
@@ -75,12 +81,15 @@
 	table    *membership.Table
 	meet     Meet
 	recorder *timeline.Recorder
+	epoch    *epoch.Current
+	changed  <-chan struct{} // since the epoch of the lease
 
 	lease platform.Lease
 	// written says that there is a record, for who leaves while Run goes on.
 	written atomic.Bool
 	lost    bool
 	met     bool // enough others, before the record was written
+	again   bool // the record may have been lost with an epoch
 	// spared says that others of the failure domain had records, and answered, when this
 	// process looked first.
 	spared bool
@@ -90,7 +99,15 @@
 
 // New returns a rendezvous of the node whose table it is.
 func New(s Store, t *membership.Table, m Meet, r *timeline.Recorder, firstStart bool) *Rendezvous {
-	return &Rendezvous{store: s, table: t, meet: m, recorder: r, alone: firstStart}
+	return (&Rendezvous{store: s, table: t, meet: m, recorder: r, alone: firstStart}).WithEpoch(epoch.New())
+}
+
+// WithEpoch sets the epoch of the store. A lease of one says nothing in the next: its number
+// may be another's there.
+func (r *Rendezvous) WithEpoch(e *epoch.Current) *Rendezvous {
+	r.epoch, r.changed = e, e.Changed()
+
+	return r
 }
 
 // Run keeps the record and meets others until ctx ends.
@@ -111,10 +128,22 @@
 			pause = renewPause
 		}
 
-		idle.For(ctx, next)
+		if idle.Unless(ctx, next, r.changed) {
+			r.begin(ctx)
+		}
 	}
 }
 
+// begin takes a new epoch: the lease is not this node's there, whatever the store says to
+// its number.
+func (r *Rendezvous) begin(ctx context.Context) {
+	r.changed = r.epoch.Changed()
+	r.again = r.again || r.lease != 0
+	r.lease = 0
+
+	idle.Unless(ctx, rand.N(spreadChange), r.changed)
+}
+
 func (r *Rendezvous) note(err error) {
 	switch {
 	case err != nil && !r.lost:
@@ -130,7 +159,7 @@
 // and meets others if the record was not there or nobody is known.
 func (r *Rendezvous) step(ctx context.Context) error {
 	if r.spared || !r.needsRecord() {
-		r.spared = false
+		r.spared, r.again = false, false
 		r.lease = 0 // a record that is there ends with its lease
 
 		return r.lookAgain(ctx)
@@ -151,6 +180,13 @@
 		return err
 	}
 
+	if r.again {
+		r.again = false
+		r.recorder.Record(event.PlatformRewritten, timeline.Entry{Detail: "record of this node"})
+
+		return nil // others are known
+	}
+
 	if r.met {
 		r.met = false
 
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -28,6 +28,7 @@
 	leases map[platform.Lease]bool
 	ends   map[platform.Lease]time.Time
 	last   platform.Lease
+	number uint64 // of changes of the epoch
 	away   bool
 	calls  int
 	// stale is how many of the calls were lists that may be old, which cost a tenth. They
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -134,7 +134,7 @@
 		Epoch: n.epoch,
 	})
 	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
-	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder, c.FirstStart)
+	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder, c.FirstStart).WithEpoch(n.epoch)
 	n.departures = departures.New(n.store, n.client, n.table).WithEpoch(n.epoch, n.recorder)
 }
 
