Departures: a process that knows nobody yet waits for those who hold the record

What a user saw: a backend server that was confirmed to leave got calls from a process that started in the moment in which the store came back from an older copy.

Cause: a process that has just started knows no other node for some 30 ms. A heartbeat that came by then had the store asked alone, which had lost the record.

Now whoever is asked for a record while no other node is known looks again for up to 0.3 s, beside the read of the store. A node without any other one takes its backend server into use 0.3 s later after a restart.

Not covered: a process that knows a few of many nodes asks others than those that hold the record, until it has met one and has the records of all.

--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/epoch"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
@@ -68,6 +69,10 @@
 	storeTime = 300 * time.Millisecond
 	// peerTime bounds each question to a node.
 	peerTime = 300 * time.Millisecond
+	// meetTime is ten times what a process needs to know others after its start; it looks
+	// again each meetPause.
+	meetTime  = 300 * time.Millisecond
+	meetPause = 10 * time.Millisecond
 	// life is how long a record is kept: backend servers end some seconds after
 	// their confirmation, at times many.
 	life = 2 * time.Minute
@@ -244,10 +249,12 @@
 
 	// A record may lie with nodes alone, if the store was away when it was made. They
 	// are asked beside it.
-	holders := d.holders(id)
 	asked := make(chan []Known, 1)
 
-	go func() { asked <- d.askAll(ctx, holders, MethodAsk, instance, len(holders)-Copies+1) }()
+	go func() {
+		holders := d.awaitHolders(ctx, id)
+		asked <- d.askAll(ctx, holders, MethodAsk, instance, len(holders)-Copies+1)
+	}()
 
 	kept, storeErr := d.read(ctx, id)
 	if storeErr == nil && kept.binds(instance) {
@@ -272,6 +279,18 @@
 	return false, ErrNotKept.With("%s: %d nodes asked", id, len(answers)).Wrap(storeErr)
 }
 
+// awaitHolders returns the holders of a record, which a process that has just started may not
+// know yet.
+func (d *Departures) awaitHolders(ctx context.Context, id string) []string {
+	out := d.holders(id)
+
+	for began := time.Now(); len(out) == 0 && ctx.Err() == nil && time.Since(began) < meetTime; out = d.holders(id) {
+		idle.For(ctx, meetPause)
+	}
+
+	return out
+}
+
 // found takes over a record of an earlier process on this host, which can't write it again.
 // One that names no start binds any, and is not taken further than it is.
 func (d *Departures) found(i Instance) {
--- a/internal/departures/drill_test.go
+++ b/internal/departures/drill_test.go
@@ -13,6 +13,7 @@
 	"github.com/pollencart/pollencart/internal/departures"
 	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -213,6 +214,7 @@
 			second := run(t, s, nodes)
 			assert.Assert(t, departed(t, second.Departures))
 
+			time.Sleep(time.Second) // nobody is asked any more
 			synctest.Wait()
 			clear(nodes)
 			s.back(older)
@@ -230,3 +232,40 @@
 		}
 	})
 }
+
+// late is a node that gets to know the others some time after its start.
+type late struct {
+	fleet
+
+	known time.Time
+}
+
+func (l late) Ranked(key string, count int) []membership.Record {
+	if time.Now().Before(l.known) {
+		return nil
+	}
+
+	return l.fleet.Ranked(key, count)
+}
+
+// A heartbeat comes before the next process knows whom to ask, and the store lost the record.
+func TestAProcessThatKnowsNobodyYetWaitsForThoseWhoHoldTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const meets = 50 * time.Millisecond
+
+		s := &store{keys: map[string][]byte{}}
+		nodes := newFleet(s, 8)
+		older := s.copied()
+
+		assert.NilError(t, nodes["a"].Keep(t.Context(), "i-1", 100))
+		s.back(older)
+
+		next := late{fleet{nodes, "a"}, time.Now().Add(meets)}
+		assert.Assert(t, departed(t, departures.New(s, next, next)))
+
+		began := time.Now()
+		never := late{fleet{nodes, "a"}, time.Now().Add(time.Hour)}
+		assert.Assert(t, !departed(t, departures.New(s, never, never)))
+		assert.Assert(t, time.Since(began) <= 400*time.Millisecond, time.Since(began))
+	})
+}
