Epochs: a store that counts from 0 changes too, and the epoch before is told

A current epoch took 0 for "none heard yet". The contract says that the epoch rises by one each time, not where it begins: after the first restore of a store that counts from 0, the change from 0 to 1 was taken for the first word of the process, and nothing that was kept there would have been written again.

Whether anything was heard is now kept apart. The epoch before the last change is kept for the log line.

TestAStoreThatCountsFromZeroIsHeardToChange failed before: no change was heard.

--- a/internal/epoch/epoch.go
+++ b/internal/epoch/epoch.go
@@ -15,10 +15,13 @@
 
 import "sync"
 
-// Current is the highest epoch that this process has heard of. 0 means none yet.
+// Current is the highest epoch that this process has heard of. 0 means none yet, or that
+// the store counts from 0.
 type Current struct {
 	mu      sync.Mutex
+	heard   bool
 	number  uint64
+	before  uint64
 	changed chan struct{}
 }
 
@@ -33,22 +36,31 @@
 	return c.number
 }
 
+// Before returns the epoch that the last change ended, 0 if there was no change.
+func (c *Current) Before() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.before
+}
+
 // Observe takes an epoch that was heard of. It reports false for one that is over: what
 // came with it is an answer from before. The first epoch of a process is no change.
 func (c *Current) Observe(number uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if number <= c.number {
+	if c.heard && number <= c.number {
 		return number == c.number
 	}
 
-	if c.number != 0 {
+	if c.heard {
+		c.before = c.number
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
 
-	c.number = number
+	c.heard, c.number = true, number
 
 	return true
 }
--- a/internal/epoch/epoch_test.go
+++ b/internal/epoch/epoch_test.go
@@ -49,3 +49,23 @@
 	assert.Assert(t, closed(other))
 	assert.Assert(t, !closed(c.Changed()))
 }
+
+func TestAStoreThatCountsFromZeroIsHeardToChange(t *testing.T) {
+	c := epoch.New()
+	changed := c.Changed()
+
+	assert.Assert(t, c.Observe(0))
+	assert.Assert(t, !closed(changed))
+	assert.Assert(t, c.Observe(1))
+	assert.Assert(t, closed(changed))
+}
+
+func TestTheEpochBeforeIsThatOfTheLastChange(t *testing.T) {
+	c := epoch.New()
+	c.Observe(3)
+	assert.Equal(t, c.Before(), uint64(0))
+
+	c.Observe(5)
+	c.Observe(4)
+	assert.Equal(t, c.Before(), uint64(3))
+}
