The store's client reads the epoch of each answer, and believes no answer of one that is over

Cause: nothing read the epoch, so that an answer of before a restore counted after it, and a write or a watch that was under way across it was taken for one of an unbroken store.

The client reads it in one place, from every answer, refusals too, and passes it to the epoch of the process. What calls return, where "across" is a change between their start and their answer:

- an answer of an epoch that is over: ErrSuperseded, as the cause of ErrUnknown, whatever its status said;
- writes, deletes, grants and renewals that succeeded across: the same, since they may have been carried out before the copy's end or after it;
- a watch across: ErrCompacted; its revision was of the other epoch, so the keys are read again;
- Get, Revision and a list of one page across: what they say is of the new epoch; a list whose pages are of two epochs: ErrSuperseded;
- refusals across (404, 410, 412, 503): as they are; they speak of the store as it is now, and 503 means in any epoch that nothing was done.

An epoch that is missing, there more than once or no number is told as an unreadable entry is, once for each of the three, and taken for the one that is known. The client keeps the highest revision of the last two epochs for the log line of a change.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/pollencart/pollencart/internal/backend"
 	"github.com/pollencart/pollencart/internal/departures"
 	"github.com/pollencart/pollencart/internal/dispatch"
+	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/feed"
 	"github.com/pollencart/pollencart/internal/forward"
@@ -71,6 +72,7 @@
 	table  *membership.Table
 	gossip *membership.Gossip
 
+	epoch      *epoch.Current // of the store
 	store      *platform.Store
 	holder     *route.Holder
 	feed       *feed.Feed
@@ -98,10 +100,11 @@
 	m := meter.New()
 	n := &Sidecar{
 		config: c, budget: repeats.New(boundOf(c)), meter: m, holder: &route.Holder{}, intake: intake.New(), standstill: standstill.New(),
+		epoch: epoch.New(),
 	}
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
-	n.store = platform.NewStore(c.StoreAddress, m.Called, n.unreadable)
+	n.store = platform.NewStore(c.StoreAddress, n.epoch, m.Called, n.unreadable)
 	n.fleet()
 	n.backend()
 	n.entries()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,6 +17,11 @@
 // the keys have to be read again.
 var ErrCompacted = errs.New("store.compacted", http.StatusGone, "the store no longer has these changes")
 
+// ErrSuperseded means that the store came back from an older copy while the call was under
+// way: its answer is from the epoch before, or nobody knows of which. It comes as the cause
+// of platform.ErrUnknown.
+var ErrSuperseded = errs.New("store.superseded", http.StatusGatewayTimeout, "the store came back from an older copy meanwhile")
+
 // Change is one change of a key.
 type Change struct {
 	platform.Entry
