Gossip: nodes tell each other the epoch of the store

Cause: a node that is cut off from the store, or has no reason to ask it, learned of a restore from its next own answer only; most nodes of a large fleet ask the store seldom.

Each exchange, which nodes make several times a second while there is news and once a second otherwise, carries the newest epoch that its sender heard of. It stands behind the array of the other fields, since the codec refuses an array whose length has changed, in both directions: there, an earlier node reads past it, and a message without it means that none is known.

--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -1,8 +1,12 @@
 package membership
 
 import (
+	"errors"
+	"io"
 	"net/http"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -37,6 +41,37 @@
 	Version uint64
 	Records []Record
 	Beliefs []Belief
+	// Epoch is the newest epoch of the platform's store that the sender heard of, 0 if none.
+	Epoch uint64 `msgpack:"-"`
+}
+
+// exchange is the part of an exchange that all nodes read.
+type exchange Exchange
+
+// EncodeMsgpack writes the epoch behind the rest, where a node that does not know of it
+// reads no further. An array with one more field would be refused there.
+func (e Exchange) EncodeMsgpack(m *msgpack.Encoder) error {
+	if err := m.Encode((*exchange)(&e)); err != nil {
+		return err
+	}
+
+	return m.EncodeUint(e.Epoch)
+}
+
+// DecodeMsgpack reads an exchange; without an epoch behind it none is known.
+func (e *Exchange) DecodeMsgpack(m *msgpack.Decoder) error {
+	if err := m.Decode((*exchange)(e)); err != nil {
+		return err
+	}
+
+	number, err := m.DecodeUint64()
+	if errors.Is(err, io.EOF) {
+		number, err = 0, nil
+	}
+
+	e.Epoch = number
+
+	return err
 }
 
 // Check reports whether a decoded message can be used.
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -37,6 +37,13 @@
 	DefaultForget = 24 * time.Hour
 )
 
+// Epochs holds the newest epoch of the platform's store that was heard of.
+type Epochs interface {
+	Number() uint64
+	// Observe takes an epoch, and reports false for one that is over.
+	Observe(number uint64) bool
+}
+
 // Options of a gossip.
 type Options struct {
 	Interval  time.Duration
@@ -52,6 +59,7 @@
 	Version   func() uint64
 	Hear      func(ctx context.Context, address string, version uint64)
 	Seek      func(ctx context.Context) []string
+	Epochs    Epochs
 }
 
 // Option sets an option.
@@ -71,6 +79,7 @@
 		Version:   func() uint64 { return 0 },
 		Hear:      func(context.Context, string, uint64) {},
 		Seek:      func(context.Context) []string { return nil },
+		Epochs:    noEpochs{},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -93,6 +102,15 @@
 	return func(o *Options) { o.Hear = f }
 }
 
+// WithEpochs has the epoch told to other nodes, and taken from them.
+func WithEpochs(e Epochs) Option { return func(o *Options) { o.Epochs = e } }
+
+// noEpochs is for a node that knows of none.
+type noEpochs struct{}
+
+func (noEpochs) Number() uint64      { return 0 }
+func (noEpochs) Observe(uint64) bool { return true }
+
 // Interval sets the mean pause between rounds while there is news.
 func Interval(d time.Duration) Option { return func(o *Options) { o.Interval = d } }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -132,7 +132,9 @@
 		Key: platform.ConfigurationKey, Decode: new(platform.Configurations).Decode, Store: n.store, Holder: n.holder,
 		Peers: n.client, Members: n.table, Recorder: n.recorder, FirstStart: c.FirstStart,
 	})
-	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
+	n.gossip = membership.NewGossip(
+		n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear), membership.WithEpochs(n.epoch),
+	)
 	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder, c.FirstStart)
 	n.departures = departures.New(n.store, n.client, n.table)
 }
