Sidecar: a restore of the store is told by one line, a gauge and a counter

Each change of the epoch that a node hears of, from the store or from another node, is one line 214 StoreRestored with both epochs and the highest revision that this node knows of each, 0 if it knows none; pollencart_store_epoch and pollencart_store_epoch_changes_total tell the same to dashboards. Line 213 also tells of an answer whose epoch can't be read.

What was written again is told by those who write it; the line does not have it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,7 +49,11 @@
 	PlatformBack     = add(211, "PlatformBack", slog.LevelInfo, "The platform answers again.")
 	PlatformRepaired = add(212, "PlatformRepaired", slog.LevelWarn,
 		"The platform came back from an older copy and was given back the version that this node holds.")
-	EntryDoubted = add(213, "EntryDoubted", slog.LevelWarn, "An entry of the store can't be read or names nobody; it is left out, and told once.")
+	EntryDoubted = add(213, "EntryDoubted", slog.LevelWarn,
+		"An entry of the store can't be read or names nobody, or an answer has no epoch that can be read; it is left out, and told once.")
+	StoreRestored = add(214, "StoreRestored", slog.LevelWarn,
+		"The store came back from an older copy; what was written there since is gone. "+
+			"The detail has the epochs now and before, and the highest revisions that this node knows of them.")
 )
 
 // Fleet.
--- /dev/null
+++ b/internal/sidecar/epoch_test.go
@@ -0,0 +1,69 @@
+package sidecar_test
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/platform"
+	"github.com/pollencart/pollencart/platform/standin"
+)
+
+// lines keeps what a node logs.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.text.Write(p)
+}
+
+func (l *lines) count(word string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return strings.Count(l.text.String(), word)
+}
+
+func TestEachNodeTellsOfARestoreOnce(t *testing.T) {
+	var log lines
+
+	f := newFleet(t, "browse", "ledger")
+	for _, h := range f.hosts {
+		h.stop()
+		<-h.ended
+
+		h.logger = slog.New(slog.NewTextHandler(&log, nil))
+		h.start(t)
+	}
+
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "browse", "ledger"))
+	f.announced(t)
+
+	older := f.store.Copy()
+	f.store.Write(platform.ConfigurationKey, standin.Document(2, "browse", "ledger"))
+	f.store.Away(http.StatusServiceUnavailable)
+	f.store.Restore(older)
+
+	for _, h := range f.hosts {
+		eventually(t, func() bool {
+			text := h.metrics(t)
+
+			return strings.Contains(text, "pollencart_store_epoch 2\n") && strings.Contains(text, "pollencart_store_epoch_changes_total 1\n")
+		})
+	}
+
+	eventually(t, func() bool { return log.count("StoreRestored") == len(f.hosts) })
+	assert.Equal(t, log.count("epoch 2 revision "), len(f.hosts))
+	assert.Equal(t, log.count(" before 1 revision "), len(f.hosts))
+	assert.Equal(t, log.count("EntryDoubted"), 0)
+}
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -39,6 +39,7 @@
 	waited      prometheus.Histogram
 	held        *prometheus.HistogramVec
 	store       *prometheus.HistogramVec
+	epochs      prometheus.Counter
 	repeats     *prometheus.CounterVec
 	messages    *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
@@ -71,6 +72,9 @@
 		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pollencart_store_seconds", Help: "Calls to the platform's store by kind and outcome, in seconds.", Buckets: buckets(),
 		}, []string{"Call", "Outcome"}),
+		epochs: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollencart_store_epoch_changes_total", Help: "Times that the platform's store came back from an older copy.",
+		}),
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollencart_repeats_total", Help: "Calls that another backend server might have answered, by whether the budget allowed it.",
 		}, []string{"Service", "Allowed"}),
@@ -81,8 +85,8 @@
 			Name: "pollencart_message_bytes_total", Help: "Bytes of the bodies of these requests and their answers, both ways.",
 		}, []string{"Method", "Near"}),
 	}
-	m.registry.MustRegister(m.calls, m.latency, m.sent, m.asked, m.undelivered, m.ran, m.waited, m.held, m.store, m.repeats, m.messages, m.bytes,
-		invariant.Collector{}, collectors.NewGoCollector())
+	m.registry.MustRegister(m.calls, m.latency, m.sent, m.asked, m.undelivered, m.ran, m.waited, m.held, m.store, m.epochs,
+		m.repeats, m.messages, m.bytes, invariant.Collector{}, collectors.NewGoCollector())
 
 	return m
 }
@@ -125,6 +129,9 @@
 	m.store.WithLabelValues(call, outcome(err)).Observe(took.Seconds())
 }
 
+// Restored counts that the store came back from an older copy.
+func (m *Meter) Restored() { m.epochs.Inc() }
+
 // outcome names an error by its ID: there are few of them.
 func outcome(err error) string {
 	var known *errs.Error
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -192,6 +192,7 @@
 		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
+		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
 	} {
 		n.meter.Gauge(g.name, g.help, g.value)
@@ -269,7 +270,7 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){n.feed.Run, n.gossip.Run, n.rendezvous.Run, n.standstill.Run, n.watch.Run, n.begin} {
+	for _, f := range []func(context.Context){n.feed.Run, n.gossip.Run, n.rendezvous.Run, n.standstill.Run, n.watch.Run, n.begin, n.followEpoch} {
 		running.Go(func() { f(work) })
 	}
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -38,6 +39,7 @@
 	stop    context.CancelFunc
 	ended   chan struct{}
 	node    *sidecar.Sidecar
+	logger  *slog.Logger // none discards
 }
 
 func newFleet(t *testing.T, services ...string) *fleet {
@@ -85,7 +87,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.ended = cancel, make(chan struct{})
-	h.node = sidecar.New(h.config, slog.New(slog.DiscardHandler))
+	h.node = sidecar.New(h.config, cmp.Or(h.logger, slog.New(slog.DiscardHandler)))
 
 	go func() {
 		defer close(h.ended)
