Soak of sidecars: the store comes back from an older copy

One more fault of the schedule: a copy is taken, up to 4 s later the store is away for up to 2 s (503, or connections that end without an answer), comes back from the copy, and within a second the operator writes its newest version again. It overlaps with all others and with itself. The schedules of all seeds change by it; no check does.

--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -3,9 +3,9 @@
 //
 // Faults come from outside the processes, in series that overlap: they are killed,
 // stopped, paused, sent SIGHUP and started again by signals; the store is down, loses
-// answers or its history, or falls silent behind a proxy; backend servers crash, leave,
-// and come back as other instances; callers leave early. The schedule is made from the
-// seed alone. Callers use connections until they end.
+// answers or its history, comes back from an older copy, or falls silent behind a proxy;
+// backend servers crash, leave, and come back as other instances; callers leave early. The
+// schedule is made from the seed alone. Callers use connections until they end.
 //
 //	report, err := hosts.Run(ctx, hosts.Options{Seed: 1, Length: 20 * time.Second, Program: "bin/pollencart", Dir: dir})
 package hosts
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -28,6 +28,7 @@
 		{"store forgets", func(r *run, _ *rand.Rand, _ *host) { r.store.Forget() }},
 		{"store silent", (*run).storeSilent},
 		{"store resets", func(r *run, _ *rand.Rand, _ *host) { r.link.reset() }},
+		{"store restored", (*run).storeRestored},
 		{"new version", func(r *run, _ *rand.Rand, _ *host) { r.write() }},
 		{"backend server crashes", (*run).crash},
 		{"backend server leaves", (*run).leave},
