--- a/internal/membership/epoch_test.go
+++ b/internal/membership/epoch_test.go
@@ -37,9 +37,9 @@
 
 	changed := e.Changed()
 
-	answer, err := withEpoch(e).Serve(t.Context(), membership.Exchange{From: "b", Address: "10.0.0.2:1", Epoch: 4})
+	answer, err := withEpoch(e).Serve(t.Context(), membership.Exchange{From: "b", Address: "10.0.0.2:1", StoreEpoch: 4})
 	assert.NilError(t, err)
-	assert.Equal(t, answer.Epoch, uint64(4))
+	assert.Equal(t, answer.StoreEpoch, uint64(4))
 
 	<-changed
 }
@@ -50,9 +50,9 @@
 
 	for _, heard := range []uint64{0, 3, 0, 2} {
 		changed := e.Changed()
-		answer, err := g.Serve(t.Context(), membership.Exchange{From: "b", Address: "10.0.0.2:1", Epoch: heard})
+		answer, err := g.Serve(t.Context(), membership.Exchange{From: "b", Address: "10.0.0.2:1", StoreEpoch: heard})
 		assert.NilError(t, err)
-		assert.Equal(t, answer.Epoch, e.Number())
+		assert.Equal(t, answer.StoreEpoch, e.Number())
 
 		select {
 		case <-changed:
@@ -74,10 +74,10 @@
 
 	assert.NilError(t, peer.Decode(data, &now))
 	assert.Equal(t, now.Version, old.Version)
-	assert.Equal(t, now.Epoch, uint64(0))
+	assert.Equal(t, now.StoreEpoch, uint64(0))
 
 	for _, number := range []uint64{0, 5, math.MaxUint64} {
-		now.Epoch = number
+		now.StoreEpoch = number
 
 		data, err = msgpack.Marshal(now)
 		assert.NilError(t, err)
@@ -90,7 +90,7 @@
 		var again membership.Exchange
 
 		assert.NilError(t, peer.Decode(data, &again))
-		assert.Equal(t, again.Epoch, number)
+		assert.Equal(t, again.StoreEpoch, number)
 	}
 }
 
@@ -98,7 +98,7 @@
 	without, err := msgpack.Marshal(earlier{From: "a", Address: "10.0.0.1:1"})
 	assert.NilError(t, err)
 
-	with, err := msgpack.Marshal(membership.Exchange{From: "a", Address: "10.0.0.1:1", Epoch: 127})
+	with, err := msgpack.Marshal(membership.Exchange{From: "a", Address: "10.0.0.1:1", StoreEpoch: 127})
 	assert.NilError(t, err)
 	assert.Assert(t, len(with)-len(without) <= 1, "%d bytes, %d without", len(with), len(without))
 }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -215,7 +215,7 @@
 
 	return Exchange{
 		From: self.ID, Address: self.PeerAddress, Hash: g.table.Hash(), Version: g.options.Version(),
-		Records: records, Beliefs: beliefs, Epoch: g.options.Epochs.Number(),
+		Records: records, Beliefs: beliefs, StoreEpoch: g.options.Epochs.Number(),
 	}
 }
 
@@ -223,8 +223,8 @@
 	g.table.MergeFrom(e.From, e.Records)
 	g.table.Believe(e.Beliefs)
 
-	if e.Epoch != 0 {
-		g.options.Epochs.Observe(e.Epoch)
+	if e.StoreEpoch != 0 {
+		g.options.Epochs.Observe(e.StoreEpoch)
 	}
 
 	if e.Hash != g.table.Hash() && g.repairsWith(e.From) {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -41,8 +41,8 @@
 	Version uint64
 	Records []Record
 	Beliefs []Belief
-	// Epoch is the newest epoch of the platform's store that the sender heard of, 0 if none.
-	Epoch uint64 `msgpack:"-"`
+	// StoreEpoch is the newest epoch of the platform's store that the sender heard of, 0 if none.
+	StoreEpoch uint64 `msgpack:"-"`
 }
 
 // exchange is the part of an exchange that all nodes read.
@@ -55,7 +55,7 @@
 		return err
 	}
 
-	return m.EncodeUint(e.Epoch)
+	return m.EncodeUint(e.StoreEpoch)
 }
 
 // DecodeMsgpack reads an exchange; without an epoch behind it none is known.
@@ -69,7 +69,7 @@
 		number, err = 0, nil
 	}
 
-	e.Epoch = number
+	e.StoreEpoch = number
 
 	return err
 }
