--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -106,7 +106,7 @@
 	}
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(recorded))
-	n.store = platform.NewStore(c.StoreAddress, m.Called, n.unreadable)
+	n.store = platform.NewStore(c.StoreAddress, n.epoch, m.Called, n.unreadable)
 	n.fleet()
 	n.backend()
 	n.entries()
@@ -135,7 +135,9 @@
 		Peers: n.client, Members: n.table, Recorder: n.recorder, FirstStart: c.FirstStart,
 		Epoch: n.epoch,
 	})
-	n.gossip = membership.NewGossip(n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear))
+	n.gossip = membership.NewGossip(
+		n.table, n.client, membership.Version(n.holder.Number), membership.Hear(n.feed.Hear), membership.WithEpochs(n.epoch),
+	)
 	n.rendezvous = rendezvous.New(n.store, n.table, n.gossip.Meet, n.recorder, c.FirstStart).WithEpoch(n.epoch)
 	n.departures = departures.New(n.store, n.client, n.table).WithEpoch(n.epoch, n.recorder)
 }
@@ -193,6 +195,7 @@
 		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
+		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
 	} {
 		n.meter.Gauge(g.name, g.help, g.value)
@@ -272,6 +275,7 @@
 
 	for _, f := range []func(context.Context){
 		n.feed.Run, n.gossip.Run, n.rendezvous.Run, n.departures.Run, n.standstill.Run, n.watch.Run, n.begin,
+		n.followEpoch,
 	} {
 		running.Go(func() { f(work) })
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -39,6 +40,7 @@
 	ended   chan struct{}
 	node    *sidecar.Sidecar
 	steps   steps
+	logger  *slog.Logger // steps if none
 }
 
 func newFleet(t *testing.T, services ...string) *fleet {
@@ -86,7 +88,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.ended = cancel, make(chan struct{})
-	h.node = sidecar.New(h.config, slog.New(h.steps))
+	h.node = sidecar.New(h.config, cmp.Or(h.logger, slog.New(h.steps)))
 
 	go func() {
 		defer close(h.ended)
