Soak: callers that stay through planned stops, stops in series, and verdicts on both

Cause of the miss: the callers of the soak of processes never send a call before the last is answered, and their verdict leaves out all that is near a planned stop, and any broken connection.

Now each host has callers that use open connections until the process is gone and read the answers themselves: one sends calls ahead, some connect for each call, some keep connections idle. A call that a backend server ran must have an answer, and not that of another call; one refused with 503 or 429 must not have run; a call must not be given up (502) where neither its host nor the one that ran it was killed, paused or lost its backend server. What was on a killed or paused process is left out by host and time, and counted beside what was checked in stops.

A second schedule of the same seed stops hosts of one failure domain in series that overlap, with SIGHUP, a second SIGTERM, a store that is down, a backend server that leaves, and a stop right after the start. The schedule of single faults draws the same numbers as before. A stop that outlasts the grace time and a process that ends by itself are broken promises.

again() now waits for the process that its fault ended, not for one that another fault has started since: that one was killed after the grace time.

--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -17,7 +17,9 @@
 	length := c.Flag("length", "How long faults come, for each seed.").Default("20s").Duration()
 	size := c.Flag("hosts", "How many processes.").Default("9").Int()
 	rate := c.Flag("rate", "Calls a second.").Default("100").Int()
+	work := c.Flag("work", "How long a call runs at a backend server.").Default("20ms").Duration()
 	program := c.Flag("program", "The binary.").Default("bin/pollencart").String()
+	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
 		ctx, stop := interrupted()
@@ -26,7 +28,9 @@
 		failed := 0
 
 		for seed := *first; seed < *first+*count; seed++ {
-			broken, err := oneSeed(ctx, hosts.Options{Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Program: *program})
+			broken, err := oneSeed(ctx, hosts.Options{
+				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program,
+			}, *keep)
 			if err != nil {
 				return err
 			}
@@ -45,7 +49,7 @@
 }
 
 // oneSeed plays one seed and reports whether a promise was broken.
-func oneSeed(ctx context.Context, o hosts.Options) (bool, error) {
+func oneSeed(ctx context.Context, o hosts.Options, keep bool) (bool, error) {
 	var err error
 	if o.Dir, err = os.MkdirTemp("", "pollencart-hosts-"); err != nil {
 		return false, err
@@ -63,11 +67,11 @@
 		return false, err
 	}
 
-	return len(report.Broken) > 0, finish(report, o.Dir, log)
+	return len(report.Broken) > 0, finish(report, o.Dir, log, keep)
 }
 
-// finish prints the report, and keeps the logs of a run that found something.
-func finish(r *hosts.Report, dir string, log *os.File) error {
+// finish prints the report, and keeps the logs of a run that found something, or of any.
+func finish(r *hosts.Report, dir string, log *os.File, keep bool) error {
 	if err := r.Print(os.Stdout); err != nil {
 		return err
 	}
@@ -76,7 +80,7 @@
 		return err
 	}
 
-	if len(r.Broken) == 0 {
+	if len(r.Broken) == 0 && !keep {
 		return os.RemoveAll(dir)
 	}
 
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 type backend struct {
 	name    string
 	service string
+	work    time.Duration
 	address string
 	report  *Report
 
@@ -30,6 +32,8 @@
 	// confirmed is when the leaving of an instance was confirmed.
 	confirmed map[string]time.Time
 	leaving   bool
+	// ends are when instances ended.
+	ends []time.Time
 }
 
 const (
@@ -41,8 +45,10 @@
 	askLeave = 8 * time.Second
 )
 
-func newBackend(name, service string, r *Report) *backend {
-	b := &backend{name: name, service: service, address: standin.FreeAddress(), report: r, confirmed: map[string]time.Time{}}
+func newBackend(name, service string, work time.Duration, r *Report) *backend {
+	b := &backend{
+		name: name, service: service, work: work, address: standin.FreeAddress(), report: r, confirmed: map[string]time.Time{},
+	}
 	b.up()
 
 	return b
@@ -67,7 +73,7 @@
 	b.number++
 	b.leaving = false
 	b.current = &standin.Backend{
-		Instance: fmt.Sprintf("%s-%d", b.name, b.number), Service: b.service, Slots: backendSlots, Work: backendWork, Ran: b.ran,
+		Instance: fmt.Sprintf("%s-%d", b.name, b.number), Service: b.service, Slots: backendSlots, Work: b.work, Ran: b.ran,
 	}
 	b.listener = l
 	b.server = &http.Server{Handler: b.current, ReadHeaderTimeout: time.Minute}
@@ -84,6 +90,7 @@
 		return
 	}
 
+	b.ends = append(b.ends, time.Now())
 	_ = b.server.Close() // it ends whatever the calls do
 	b.listener = nil
 }
@@ -92,7 +99,7 @@
 
 // ran notes a call that an instance begins to run.
 func (b *backend) ran(instance, id string) {
-	b.report.ran(id)
+	b.report.ran(id, b.name)
 
 	b.mu.Lock()
 	at, ok := b.confirmed[instance]
@@ -163,3 +170,11 @@
 		b.report.broken("%d calls ran at once at %s, which has %d slots", most, b.name, backendSlots)
 	}
 }
+
+// endedIn reports whether an instance ended in a span of time.
+func (b *backend) endedIn(s span) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return slices.ContainsFunc(b.ends, func(at time.Time) bool { return s.meets(span{at, at}) })
+}
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -5,7 +5,8 @@
 // stopped, paused, sent SIGHUP and started again by signals; the store is down, loses
 // answers or its history, or falls silent behind a proxy; backend servers crash, leave,
 // and come back as other instances; callers leave early. The schedule is made from the
-// seed alone. Callers use connections until they end.
+// seed alone. Beside single faults hosts of one failure domain are stopped in series, and
+// callers that stay use open connections until the process is gone.
 //
 //	report, err := hosts.Run(ctx, hosts.Options{Seed: 1, Length: 20 * time.Second, Program: "bin/pollencart", Dir: dir})
 package hosts
@@ -23,7 +24,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/sidecar/config"
@@ -38,12 +38,22 @@
 	// Hosts is how many processes there are, Rate the calls a second of all callers.
 	Hosts int
 	Rate  int
+	// Work is how long a call runs at a backend server, 20 ms if not set.
+	Work time.Duration
 	// Program is the binary, Dir is where settings files and logs go.
 	Program string
 	Dir     string
 	Log     io.Writer
 }
 
+func (o Options) work() time.Duration {
+	if o.Work > 0 {
+		return o.Work
+	}
+
+	return backendWork
+}
+
 const (
 	// settle is how long the fleet has to be whole again after the last fault.
 	settle = 15 * time.Second
@@ -72,9 +82,10 @@
 	log     *os.File
 	backend *backend
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{}
+	mu sync.Mutex
+	// lives are the processes, the one that runs last.
+	lives  []*life
+	pauses []span
 	// planned is when a stop was asked for, zero while the process is to run.
 	planned time.Time
 }
@@ -160,7 +171,7 @@
 	name := fmt.Sprintf("n%d", i)
 	service := services()[i%len(services())]
 
-	b := newBackend(name, service, r.report)
+	b := newBackend(name, service, r.options.work(), r.report)
 	h := &host{backend: b, file: filepath.Join(r.options.Dir, name+".jsonc")}
 	h.config = config.Config{
 		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: b.address,
@@ -200,33 +211,29 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	h.process = exec.Command(program, "sidecar", "--settings", h.file) //nolint:gosec,noctx // the program under test; it is ended by its own id
-	h.process.Stdout, h.process.Stderr = h.log, h.log
+	process := exec.Command(program, "sidecar", "--settings", h.file) //nolint:gosec,noctx // the program under test; it is ended by its own id
+	process.Stdout, process.Stderr = h.log, h.log
 	h.planned = time.Time{}
 
-	if err := h.process.Start(); err != nil {
+	if err := process.Start(); err != nil {
 		return err
 	}
 
-	process, ended := h.process, make(chan struct{})
-	h.ended = ended
+	l := &life{process: process, ended: make(chan struct{})}
+	h.lives = append(h.lives, l)
 
 	go func() {
-		defer close(ended)
+		defer close(l.ended)
 
 		_ = process.Wait() // that it ended is all that matters here
-	}()
 
-	return nil
-}
+		h.mu.Lock()
+		defer h.mu.Unlock()
 
-func (h *host) signal(s syscall.Signal) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+		l.over = time.Now()
+	}()
 
-	if h.process != nil && h.process.Process != nil {
-		_ = h.process.Process.Signal(s) // one that has ended by itself is found by its missing answers
-	}
+	return nil
 }
 
 func (h *host) plan() {
@@ -236,32 +243,6 @@
 	h.planned = time.Now()
 }
 
-func (h *host) waitEnd(bound time.Duration) bool {
-	h.mu.Lock()
-	ended := h.ended
-	h.mu.Unlock()
-
-	select {
-	case <-ended:
-		return true
-	case <-time.After(bound):
-		return false
-	}
-}
-
-// hasEnded reports whether the process has ended.
-func (h *host) hasEnded() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	select {
-	case <-h.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 func (h *host) ready(ctx context.Context) bool {
 	return ask(ctx, "http://"+h.config.ReadyAddress+"/-/ready") == http.StatusOK
 }
@@ -288,9 +269,11 @@
 // stopAll ends the processes that this run started.
 func (r *run) stopAll() {
 	for _, h := range r.hosts {
-		h.signal(syscall.SIGCONT)
-		h.signal(syscall.SIGKILL)
-		h.waitEnd(grace)
+		if len(h.lives) > 0 {
+			h.force(h.current())
+			h.current().wait(grace)
+		}
+
 		h.backend.close()
 
 		_ = h.log.Close() // a log that is cut short still tells what it tells
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -45,10 +45,17 @@
 	for _, h := range r.hosts {
 		calling.Go(func() { h.backend.announceAll(callers, h) })
 		calling.Go(func() { r.call(callers, h) })
+		calling.Go(func() { r.stay(callers, h) })
 	}
 
 	end := time.Now().Add(r.options.Length)
 
+	for i := range uint64(1 + len(r.hosts)/hostsPerSeries) {
+		random := rand.New(rand.NewPCG(r.options.Seed, seriesStream+i))
+
+		troubles.Go(func() { r.series(ctx, random, end) })
+	}
+
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults()[r.random.IntN(len(faults()))]
 		h := r.hosts[r.random.IntN(len(r.hosts))]
@@ -65,6 +72,7 @@
 	r.settle(ctx)
 	stop()
 	calling.Wait()
+	r.judgeStayed()
 }
 
 // settle gives the fleet its time, and then asks for calls and the newest version.
@@ -120,24 +128,27 @@
 }
 
 func (r *run) kill(random *rand.Rand, h *host) {
+	l := h.current()
+
 	h.plan()
-	h.signal(syscall.SIGKILL)
-	r.again(random, h)
+	h.signalTo(l, syscall.SIGKILL)
+	r.again(random, h, l)
 }
 
 // stop is a planned stop: nothing that was taken may be cut off by it.
 func (r *run) stop(random *rand.Rand, h *host) {
+	l := h.current()
+
 	h.plan()
-	h.signal(syscall.SIGTERM)
-	r.again(random, h)
+	h.signalTo(l, syscall.SIGTERM)
+	r.again(random, h, l)
 }
 
-// again starts the process once it has ended. A second fault may have done so.
-func (r *run) again(random *rand.Rand, h *host) {
-	if !h.waitEnd(grace) {
-		h.signal(syscall.SIGCONT)
-		h.signal(syscall.SIGKILL)
-		h.waitEnd(grace)
+// again starts a process once the last one has ended. A second fault may have done so.
+func (r *run) again(random *rand.Rand, h *host, l *life) {
+	if !l.wait(grace) {
+		h.force(l)
+		l.wait(grace)
 	}
 
 	time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
@@ -145,7 +156,7 @@
 	h.backend.restart.Lock()
 	defer h.backend.restart.Unlock()
 
-	if !h.hasEnded() {
+	if !h.current().hasEnded() {
 		return // another fault's start was first
 	}
 
@@ -155,10 +166,17 @@
 }
 
 func (r *run) pause(random *rand.Rand, h *host) {
+	from := time.Now()
+
 	h.plan()
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	h.signal(syscall.SIGCONT)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.pauses = append(h.pauses, span{from, time.Now()})
 }
 
 func (r *run) storeDown(random *rand.Rand, _ *host) {
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Report is what a run saw.
@@ -15,18 +16,26 @@
 	Answers map[int]int
 	// Stalls is how often the machine itself stood still.
 	Stalls int
+	// Stops ended by themselves, the longest after LongestStop. Those of processes that
+	// were paused or killed meanwhile are left out.
+	Stops, StopsLeftOut int
+	LongestStop         time.Duration
+	LongestAt           string // host and moment of SIGTERM
+	// Stayed counts the calls of callers that stay.
+	Stayed Stayed
 	// Broken are the promises that did not hold.
 	Broken []string
 
 	mu      sync.Mutex
 	uploads map[string]bool
-	runs    map[string]int
+	runs    map[string][]string // the hosts
+	calls   []*stayed
 	notRun  map[string]bool
 }
 
 func newReport(seed uint64) *Report {
 	return &Report{
-		Seed: seed, Faults: map[string]int{}, Answers: map[int]int{}, uploads: map[string]bool{}, runs: map[string]int{},
+		Seed: seed, Faults: map[string]int{}, Answers: map[int]int{}, uploads: map[string]bool{}, runs: map[string][]string{},
 		notRun: map[string]bool{},
 	}
 }
@@ -61,14 +70,14 @@
 
 // ran notes that a backend server begins to run a call: an upload once at the most,
 // and none whose caller was told that it will never run.
-func (r *Report) ran(id string) {
+func (r *Report) ran(id, host string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.runs[id]++
+	r.runs[id] = append(r.runs[id], host)
 
 	switch {
-	case r.uploads[id] && r.runs[id] > 1:
+	case r.uploads[id] && len(r.runs[id]) > 1:
 		r.Broken = append(r.Broken, "upload "+id+" ran twice")
 	case r.uploads[id] && r.notRun[id]:
 		r.Broken = append(r.Broken, "upload "+id+" ran after its caller was told that it will not")
@@ -81,7 +90,7 @@
 
 	r.notRun[id] = true
 
-	if r.uploads[id] && r.runs[id] > 0 {
+	if r.uploads[id] && len(r.runs[id]) > 0 {
 		r.Broken = append(r.Broken, "upload "+id+" ran and its caller was told that it did not")
 	}
 }
@@ -108,7 +117,9 @@
 		}
 	}
 
-	_, err := fmt.Fprintf(out, "\nuploads %d, stalls of the machine %d, broken %d\n", len(r.uploads), r.Stalls, len(r.Broken))
+	_, err := fmt.Fprintf(out, "\nplanned stops %d, longest %s (%s), left out %d\nstaying callers %s\n"+
+		"uploads %d, stalls of the machine %d, broken %d\n",
+		r.Stops, r.LongestStop.Round(time.Millisecond), r.LongestAt, r.StopsLeftOut, r.Stayed, len(r.uploads), r.Stalls, len(r.Broken))
 
 	for _, b := range r.Broken {
 		if err == nil {
--- a/internal/soak/hosts/stalls.go
+++ b/internal/soak/hosts/stalls.go
@@ -16,6 +16,9 @@
 
 type span struct{ from, to time.Time }
 
+// meets reports whether two spans have a moment in common.
+func (s span) meets(other span) bool { return !s.from.After(other.to) && !s.to.Before(other.from) }
+
 const (
 	// stallTick is how often this process looks at the clock, stallFrom how late it
 	// has to be to count: a tenth of what a call may take.
@@ -46,7 +49,7 @@
 	defer s.mu.Unlock()
 
 	for _, x := range s.spans {
-		if x.from.Before(to) && x.to.After(from) {
+		if x.meets(span{from, to}) {
 			return true
 		}
 	}
