--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -13,20 +13,20 @@
 	"github.com/pollencart/pollencart/internal/soak/hosts"
 )
 
-// A short run with a fixed seed on real processes. Longer ones are run by hand.
-func TestASeed(t *testing.T) {
-	dir := t.TempDir()
-	program := filepath.Join(dir, "pollencart")
+// play runs a short schedule on real processes. Longer ones are run by hand.
+func play(t *testing.T, o hosts.Options) {
+	t.Helper()
+
+	o.Dir, o.Log = t.TempDir(), t.Output()
+	o.Program = filepath.Join(o.Dir, "pollencart")
 
-	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/pollencart").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", o.Program, "../../../cmd/pollencart").CombinedOutput()
 	assert.NilError(t, err, string(out))
 
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	defer cancel()
 
-	report, err := hosts.Run(ctx, hosts.Options{
-		Seed: 1, Length: 12 * time.Second, Hosts: 6, Rate: 60, Program: program, Dir: dir, Log: t.Output(),
-	})
+	report, err := hosts.Run(ctx, o)
 	assert.NilError(t, err)
 
 	var text bytes.Buffer
@@ -34,4 +34,16 @@
 	assert.NilError(t, report.Print(&text))
 	t.Log(text.String())
 	assert.Equal(t, len(report.Broken), 0)
+	assert.Assert(t, report.Stops > 0)
+	assert.Assert(t, report.Stayed.InStops > 0)
+}
+
+// A short run with a fixed seed on real processes.
+func TestASeed(t *testing.T) {
+	play(t, hosts.Options{Seed: 1, Length: 12 * time.Second, Hosts: 6, Rate: 60})
+}
+
+// Stops of hosts of one failure domain that overlap must not cut off calls that ran.
+func TestStopsThatOverlapCutNoCallsOff(t *testing.T) {
+	play(t, hosts.Options{Seed: 4, Length: 8 * time.Second, Hosts: 9, Rate: 60, Work: 50 * time.Millisecond})
 }
