Soak: time limits of calls are handed on in whole milliseconds

Traced: the first node was paused, the second got it with 23 ms left and ended it after 23 ms; the time that is left goes from node to node rounded down to a millisecond. The time that a host keeps for the way is 24 ms, not 23.

--- a/internal/soak/hosts/stayed.go
+++ b/internal/soak/hosts/stayed.go
@@ -28,8 +28,8 @@
 }
 
 // forTheWay is how long before the time limit of a call its host answers it, so that the
-// answer comes in time: 20 ms, and 3 ms less for the node that runs it.
-const forTheWay = 23 * time.Millisecond
+// answer comes in time: 20 ms, 3 ms more for the node that runs it, and one for rounding.
+const forTheWay = 24 * time.Millisecond
 
 // stayed keeps a call that has ended for its caller.
 func (r *Report) stayed(s *stayed) {
