Caller: a key of a home that leaves is refused at once

What callers saw: a call under a key that names a home which is being stopped was held for a second, and then refused as it would have been at first.

Cause: the entry asked the home 20 times, 50 ms apart, for the key to be handed over. Only opaque keys are; one that names its home has no other.

Now the first refusal is the answer.

Evidence: TestAKeyOfALeavingHomeIsRefusedAtOnce failed before (20 messages to the home instead of 1); the search of internal/once passes.

--- a/internal/caller/home_test.go
+++ b/internal/caller/home_test.go
@@ -16,6 +16,7 @@
 	"github.com/pollencart/pollencart/internal/caller"
 	"github.com/pollencart/pollencart/internal/gate"
 	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/key"
 )
 
@@ -83,3 +84,30 @@
 		assert.Assert(t, time.Since(start) <= 150*time.Millisecond)
 	})
 }
+
+// A key that names a home which takes no more keys has no other; its caller must hear so at once.
+func TestAKeyOfALeavingHomeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home := &believed{}
+		home.state.Store(uint32(membership.StateAlive))
+
+		s := &scripted{answer: refuses(once.ErrLeaving, call.RanUnknown)}
+		h := caller.New(
+			caller.Node("a"), caller.Settings(held{snapshotOf(t, strings.Replace(tree, `"Idempotent": true`, `"Idempotent": false`, 1))}),
+			caller.Members(twoGates()), caller.WithPeers(s), caller.Nodes(home),
+		).Handler()
+
+		req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/folders/1", nil)
+		req.Header.Set(caller.HeaderKey, key.Home{Node: "b", Life: "life", Generation: 1}.Key("token"))
+
+		w := httptest.NewRecorder()
+		start := time.Now()
+		h.ServeHTTP(w, req)
+
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.Header().Get(caller.HeaderRan), string(call.RanUnknown))
+		assert.Assert(t, w.Header().Get("Retry-After") != "")
+		assert.Equal(t, len(s.sent), 1)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -73,17 +73,19 @@
 }
 
 // moved reports whether the call may go to another home than the one that did
-// not take it.
+// not take it. A key that names its home has no other.
 func (e *Entry) moved(ctx context.Context, c call.Call, err error) bool {
+	if _, named := key.Parse(c.Key); named {
+		return false
+	}
+
 	switch {
 	case errors.Is(err, once.ErrLeaving):
 		idle.For(ctx, handoverPause)
 
 		return ctx.Err() == nil
 	case errors.Is(err, once.ErrNotHome), errors.Is(err, once.ErrUnreachable) && notForwarded(err):
-		_, named := key.Parse(c.Key)
-
-		return !named && e.options.Shards.Renew(ctx, c.Key)
+		return e.options.Shards.Renew(ctx, c.Key)
 	}
 
 	return false
