--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,8 +18,8 @@
 var ErrCompacted = errs.New("store.compacted", http.StatusGone, "the store no longer has these changes")
 
 // ErrSuperseded means that the store came back from an older copy while the call was under
-// way: its answer is from the epoch before, or nobody knows of which. It comes as the cause
-// of platform.ErrUnknown.
+// way: its answer is from the epoch before, or nobody knows of which. Its cause is
+// platform.ErrUnknown.
 var ErrSuperseded = errs.New("store.superseded", http.StatusGatewayTimeout, "the store came back from an older copy meanwhile")
 
 // Change is one change of a key.
