--- a/internal/sidecar/epoch_test.go
+++ b/internal/sidecar/epoch_test.go
@@ -65,5 +65,6 @@
 	eventually(t, func() bool { return log.count("StoreRestored") == len(f.hosts) })
 	assert.Equal(t, log.count("epoch 2 revision "), len(f.hosts))
 	assert.Equal(t, log.count(" before 1 revision "), len(f.hosts))
+	assert.Assert(t, log.count("epoch 2 revision 0 ") < len(f.hosts), "no node knows the revision")
 	assert.Equal(t, log.count("EntryDoubted"), 0)
 }
