Feed: a process that stops while it looks for its first version ends at once

Cause: the loops that look for the first version wait with a context and did not look whether it had ended; the wait returns at once then, and each turn started a goroutine.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -237,6 +237,25 @@
 	})
 }
 
+// A process that is stopped while it looks for its first version spins until the time for that is up.
+func TestAProcessThatStopsWhileItLooksForAVersionEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6)
+		w.write(1)
+		w.within(t, 1, 2*time.Second)
+		w.set(func() { w.cut["n5"] = true })
+
+		_, stop := w.restart("n5")
+
+		time.Sleep(5 * time.Millisecond)
+
+		began := time.Now()
+
+		stop()
+		assert.Assert(t, time.Since(began) < peersPause, time.Since(began))
+	})
+}
+
 // All processes start again at the same time and none holds a version. Those that will
 // watch the store must not wait for each other, or all callers are turned away meanwhile.
 func TestAfterARestartOfAllTheWatchersGoToTheStore(t *testing.T) {
--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -39,7 +39,7 @@
 
 	asked := &asked{}
 
-	for began, turn := time.Now(), 0; time.Since(began) < peersFirst && f.options.Holder.Number() == 0; turn++ {
+	for began, turn := time.Now(), 0; ctx.Err() == nil && time.Since(began) < peersFirst && f.options.Holder.Number() == 0; turn++ {
 		watchers := without(f.nearFirst(), f.options.Members.Self().ID)
 
 		// After a restart of all nodes somebody has to go to the store first: those that
@@ -91,7 +91,7 @@
 
 // awaitFirst waits until what was had is decoded.
 func (f *Feed) awaitFirst(ctx context.Context) {
-	for began := time.Now(); f.options.Holder.Number() == 0 && time.Since(began) < peersFirst; {
+	for began := time.Now(); ctx.Err() == nil && f.options.Holder.Number() == 0 && time.Since(began) < peersFirst; {
 		idle.For(ctx, peersPause)
 	}
 }
