--- a/internal/departures/departures_test.go
+++ b/internal/departures/departures_test.go
@@ -23,6 +23,7 @@
 	mu   sync.Mutex
 	keys map[string][]byte
 	away bool
+	puts int
 }
 
 func (s *store) Get(_ context.Context, key string) (platform.Entry, int64, error) {
@@ -43,6 +44,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.puts++
+
 	if s.away {
 		return platform.ErrUnavailable
 	}
--- a/internal/departures/drill_test.go
+++ b/internal/departures/drill_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,13 @@
 	s.keys, s.away = maps.Clone(keys), false
 }
 
+func (s *store) written() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.puts
+}
+
 // process is a life of a node that runs until it is stopped.
 type process struct {
 	*departures.Departures
@@ -269,3 +277,42 @@
 		assert.Assert(t, time.Since(began) <= 400*time.Millisecond, time.Since(began))
 	})
 }
+
+// A change of the epoch that has every host of a large fleet write at once, or those without a leaving.
+func TestAChangeOfTheEpochBringsFewWritesOfALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			hosts      = 295
+			mostWrites = hosts * 3 / 4 // in a second, while all backend servers leave
+		)
+
+		s := &store{keys: map[string][]byte{}}
+		older := s.copied()
+
+		var fleet []process
+
+		for i := range 2 * hosts {
+			p := run(t, s, alone())
+			fleet = append(fleet, p)
+
+			if i < hosts {
+				assert.NilError(t, p.Keep(t.Context(), "i-"+strconv.Itoa(i), 100))
+			}
+		}
+
+		s.back(older)
+
+		for _, p := range fleet {
+			p.epoch.Observe(2)
+		}
+
+		for second := range 3 {
+			before := s.written()
+			time.Sleep(time.Second)
+			t.Logf("%d writes in second %d", s.written()-before, second)
+			assert.Assert(t, s.written()-before <= mostWrites, "%d writes", s.written()-before)
+		}
+
+		assert.Equal(t, s.written(), 2*hosts)
+	})
+}
