--- a/internal/feed/drill_test.go
+++ b/internal/feed/drill_test.go
@@ -122,7 +122,7 @@
 }
 
 // replace runs another life of a node in place of the one before, until the end of the test.
-func (w *world) replace(t *testing.T, id string) *node {
+func (w *world) replace(t *testing.T, id string) {
 	t.Helper()
 
 	w.node(id).stop()
@@ -131,8 +131,6 @@
 	n.stop = stop
 	t.Cleanup(stop)
 	w.set(func() { w.nodes[id] = n })
-
-	return n
 }
 
 // Nodes that start while the store holds an older version serve on with it, or have others go back.
