--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -31,7 +31,7 @@
 	// beforeGrace is how long before the platform kills the process it gives up what is
 	// left, so that it is answered and closed in order.
 	beforeGrace = 400 * time.Millisecond
-	// lookEvery is how often it is looked whether anything is left inside.
+	// lookEvery is how often it is looked whether anything is left in flight.
 	lookEvery = 20 * time.Millisecond
 	// lastAnswers is how long the answers to calls that the stop gives up, and refusals,
 	// have to go out: some ways to a caller and back.
@@ -45,18 +45,18 @@
 // stop is a planned stop in its order, apart from what is stopped.
 type stop struct {
 	grace time.Duration
-	// callers counts connections of callers that wait for answers, runs the calls at the
-	// backend server here, inside all that run here.
-	callers, runs, inside func() int
+	// callers counts connections of callers that wait for answers, running the calls at the
+	// backend server here, inFlight all that run here.
+	callers, running, inFlight func() int
 	// retire ends the connections of callers with the answers that they wait for,
 	// withdraw tells other nodes to send nothing.
 	retire, withdraw func()
-	// finish takes only calls of callers that are over by the end, shut none of other nodes,
-	// close none of callers.
-	finish      func(end time.Time)
-	shut, close func()
-	// tell says which step comes next.
-	tell func(step string)
+	// limitIntake takes only calls of callers that are over by the end, closeGate none of
+	// other nodes, closeIntake none of callers.
+	limitIntake            func(end time.Time)
+	closeGate, closeIntake func()
+	// report tells which step comes next.
+	report func(step string)
 }
 
 // lasts is how long a step takes of this stop's grace time.
@@ -65,9 +65,9 @@
 }
 
 // left is what a stop leaves unfinished.
-type left struct{ callers, inside int }
+type left struct{ callers, inFlight int }
 
-// run returns once nothing is inside, or the grace time is nearly over, with what is left
+// run returns once nothing is in flight, or the grace time is nearly over, with what is left
 // then. Callers are kept as before until they know; calls of other nodes are taken until the
 // last callers are gone. Then calls are refused, so that the end depends only on those that
 // were taken.
@@ -76,21 +76,21 @@
 	deadline := began.Add(s.grace - s.lasts(beforeGrace))
 
 	time.Sleep(s.lasts(noticeTime))
-	s.tell("callers' connections are retired")
+	s.report("callers' connections are retired")
 	s.retire()
 	until(time.Now().Add(s.lasts(lendTime)), func() bool { return s.callers() == 0 })
-	s.tell("other nodes are told to send no calls")
-	s.finish(deadline)
+	s.report("other nodes are told to send no calls")
+	s.limitIntake(deadline)
 	s.withdraw()
 	time.Sleep(s.lasts(withdrawTime))
-	s.tell("calls of other nodes are turned away")
-	s.shut()
-	until(deadline, func() bool { return s.runs() == 0 })
-	s.tell("calls of callers are refused")
-	s.close()
-	until(deadline, func() bool { return s.callers() == 0 && s.inside() == 0 })
-
-	return left{s.callers(), s.inside()}
+	s.report("calls of other nodes are turned away")
+	s.closeGate()
+	until(deadline, func() bool { return s.running() == 0 })
+	s.report("calls of callers are refused")
+	s.closeIntake()
+	until(deadline, func() bool { return s.callers() == 0 && s.inFlight() == 0 })
+
+	return left{s.callers(), s.inFlight()}
 }
 
 // until waits for something to hold, but no longer than a moment.
@@ -107,19 +107,19 @@
 
 	began := time.Now()
 	s := stop{
-		grace:   config.Seconds(n.settings.Load().Bounds.GraceSeconds),
-		callers: n.ingress.Busy,
-		runs:    func() int { return int(n.runner.Busy()) },
-		inside:  func() int { return int(n.runner.Busy() + n.server.Running()) },
-		retire:  n.ingress.Retire, withdraw: n.withdraw, finish: n.intake.Finish, shut: n.runner.Close, close: n.closeIntake,
-		tell: func(step string) {
+		grace:    config.Seconds(n.settings.Load().Bounds.GraceSeconds),
+		callers:  n.ingress.Busy,
+		running:  func() int { return int(n.runner.Busy()) },
+		inFlight: func() int { return int(n.runner.Busy() + n.server.Running()) },
+		retire:   n.ingress.Retire, withdraw: n.withdraw, limitIntake: n.intake.Finish, closeGate: n.runner.Close, closeIntake: n.closeIntake,
+		report: func(step string) {
 			n.recorder.Record(event.NodeDrainStep, timeline.Entry{Detail: step + ": " + n.unfinished()})
 		},
 	}
 
 	if unfinished := s.run(); unfinished != (left{}) {
 		n.recorder.Record(event.NodeCutsOff, timeline.Entry{
-			Detail: fmt.Sprintf("%d connections of callers, %d calls: %s", unfinished.callers, unfinished.inside, n.unfinished()),
+			Detail: fmt.Sprintf("%d connections of callers, %d calls: %s", unfinished.callers, unfinished.inFlight, n.unfinished()),
 		})
 	}
 
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -23,12 +23,12 @@
 	}
 
 	unfinished = stop{
-		grace:   6 * time.Second,
-		callers: func() int { return within(callers) },
-		runs:    func() int { return 0 },
-		inside:  func() int { return within(shut + inside) },
-		retire:  func() {}, withdraw: func() {}, tell: func(string) {}, close: func() {}, finish: func(time.Time) {},
-		shut: func() { shut = time.Since(start) },
+		grace:    6 * time.Second,
+		callers:  func() int { return within(callers) },
+		running:  func() int { return 0 },
+		inFlight: func() int { return within(shut + inside) },
+		retire:   func() {}, withdraw: func() {}, report: func(string) {}, closeIntake: func() {}, limitIntake: func(time.Time) {},
+		closeGate: func() { shut = time.Since(start) },
 	}.run()
 
 	return shut, time.Since(start), unfinished
@@ -62,7 +62,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, ended, unfinished := stopped(time.Minute, time.Minute)
 		assert.Assert(t, ended < 6*time.Second, "%s", ended)
-		assert.Equal(t, unfinished, left{callers: 1, inside: 1})
+		assert.Equal(t, unfinished, left{callers: 1, inFlight: 1})
 	})
 }
 
@@ -73,9 +73,9 @@
 	nothing := func() {}
 
 	stop{
-		grace: grace, callers: func() int { return 1 }, runs: func() int { return 1 }, inside: func() int { return 1 },
-		retire: nothing, withdraw: nothing, shut: nothing, close: nothing, tell: func(string) {},
-		finish: func(at time.Time) { bounded, end = time.Since(start), at.Sub(start) },
+		grace: grace, callers: func() int { return 1 }, running: func() int { return 1 }, inFlight: func() int { return 1 },
+		retire: nothing, withdraw: nothing, closeGate: nothing, closeIntake: nothing, report: func(string) {},
+		limitIntake: func(at time.Time) { bounded, end = time.Since(start), at.Sub(start) },
 	}.run()
 
 	return bounded, time.Since(start), end
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -55,8 +55,8 @@
 	assert.Check(t, s.statuses[http.StatusOK] > 0)
 }
 
-// A call that comes once a stop takes none must be refused by word, at once, and not run.
-func TestAStopRefusesByWordWhatItCannotEnd(t *testing.T) {
+// A call that comes once a stop takes none must be rejected at once with 503, and not run.
+func TestAStopRejectsWhatItCannotEnd(t *testing.T) {
 	f := newFleet(t, "ledger", "browse")
 	f.store.Write(platform.ConfigurationKey, slowDocument("ledger"))
 	f.announced(t)
