--- a/internal/departures/again.go
+++ b/internal/departures/again.go
@@ -65,7 +65,7 @@
 // writeUntil tries until the store has the record, the epoch changes or the record is of
 // no use any more.
 func (d *Departures) writeUntil(ctx context.Context, i Instance, changed <-chan struct{}) bool {
-	for pause := firstPause; ctx.Err() == nil && !idle.Woken(changed) && d.remaining(i) > 0; pause = min(2*pause, lastPause) {
+	for pause := firstPause; ctx.Err() == nil && !idle.Closed(changed) && d.remaining(i) > 0; pause = min(2*pause, lastPause) {
 		if d.write(ctx, i) == nil {
 			d.removeLater(i)
 
--- a/internal/feed/check.go
+++ b/internal/feed/check.go
@@ -41,7 +41,7 @@
 			continue
 		}
 
-		if at == last && !idle.Woken(changed) {
+		if at == last && !idle.Closed(changed) {
 			continue
 		}
 
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -103,7 +103,7 @@
 		changed := f.options.Epoch.Changed()
 		err := f.watch(ctx, changed)
 
-		if idle.Woken(changed) {
+		if idle.Closed(changed) {
 			f.again = true
 			pause = firstPause
 			idle.For(ctx, rand.N(spreadChange))
@@ -144,7 +144,7 @@
 
 	f.back()
 
-	for f.needsStore() && !idle.Woken(changed) {
+	for f.needsStore() && !idle.Closed(changed) {
 		changes, err := f.wait(ctx, at, changed)
 		if err != nil {
 			return err
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -31,11 +31,11 @@
 	case <-wake:
 	}
 
-	return Woken(wake)
+	return Closed(wake)
 }
 
-// Woken reports whether a channel that nothing is sent on is closed.
-func Woken(wake <-chan struct{}) bool {
+// Closed reports whether a channel that nothing is sent on is closed.
+func Closed(wake <-chan struct{}) bool {
 	select {
 	case <-wake:
 		return true
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 const (
@@ -110,12 +112,12 @@
 			return err
 		}
 
-		ahead, ok := c.take(e, e.request.Close || isClosed(e.done))
+		ahead, ok := c.take(e, e.request.Close || idle.Closed(e.done))
 		if !ok {
 			return c.linger()
 		}
 
-		if !isClosed(e.done) {
+		if !idle.Closed(e.done) {
 			go c.handle(e, body, ahead)
 		}
 
@@ -156,15 +158,6 @@
 // busy reports whether an answer is due or being written. The lock is held.
 func (c *conn) busy() bool { return len(c.pending) > 0 || c.sending }
 
-func isClosed(done chan struct{}) bool {
-	select {
-	case <-done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (c *conn) handle(e *exchange, body []byte, ahead int) {
 	defer e.finish()
 
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -107,7 +108,7 @@
 	p.Oldest = now.Sub(c.pending[0].taken)
 
 	for _, e := range c.pending {
-		if isClosed(e.done) {
+		if idle.Closed(e.done) {
 			p.Ready++
 		}
 	}
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -89,6 +89,7 @@
 	s.report("calls of callers are refused")
 	s.closeIntake()
 	until(deadline, func() bool { return s.callers() == 0 && s.inFlight() == 0 })
+	s.report("no call is waited for")
 
 	return left{s.callers(), s.inFlight()}
 }
--- a/internal/soak/hosts/series.go
+++ b/internal/soak/hosts/series.go
@@ -24,15 +24,15 @@
 	rightAfter  = 400 * time.Millisecond
 )
 
-// twist is what comes beside a stop.
-type twist struct {
+// companion is what comes beside a stop.
+type companion struct {
 	name  string
 	oneIn int
 	play  func(r *run, random *rand.Rand, h *host, l *life)
 }
 
-func twists() []twist {
-	return []twist{
+func companions() []companion {
+	return []companion{
 		{"SIGHUP", 2, func(_ *run, _ *rand.Rand, h *host, l *life) { h.signalTo(l, syscall.SIGHUP) }},
 		{"SIGTERM", 3, func(_ *run, _ *rand.Rand, h *host, l *life) { h.signalTo(l, syscall.SIGTERM) }},
 		{"backend server leaves", 4, func(r *run, random *rand.Rand, h *host, _ *life) { r.leave(random, h) }},
@@ -90,7 +90,7 @@
 
 	var beside sync.WaitGroup
 
-	for _, t := range twists() {
+	for _, t := range companions() {
 		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		if own.IntN(t.oneIn) != 0 {
 			continue
