--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -48,7 +48,7 @@
 	sending bool        // an answer is being written
 	waiting bool        // nothing of the next call has come
 	used    bool        // a call was taken
-	closing bool        // the answer after which no call is open is the last
+	closing bool        // no call is taken behind one without an answer, and the last answer ends the connection
 	ended   bool        // the last answer goes out; what comes after it is not taken
 }
 
