Waits: one select for idle.For and idle.Unless; the soak asks idle.Closed

For is Unless with a channel that never closes now. Behaviour is the same but for an Unless of no time, which sets no timer.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -12,23 +12,16 @@
 )
 
 // For returns after the time, or as soon as ctx ends; at once if there is no time to wait.
-func For(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
+func For(ctx context.Context, d time.Duration) { Unless(ctx, d, nil) }
 
 // Unless is For, which also returns when wake is closed, and whether it is.
 func Unless(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	case <-wake:
+	if d > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		case <-wake:
+		}
 	}
 
 	return Closed(wake)
--- a/internal/soak/hosts/lives.go
+++ b/internal/soak/hosts/lives.go
@@ -71,15 +71,6 @@
 	l.signal(syscall.SIGKILL)
 }
 
-func (l *life) hasEnded() bool {
-	select {
-	case <-l.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // wait reports whether the process ends within a bound.
 func (l *life) wait(bound time.Duration) bool {
 	select {
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/idle"
 )
 
 // fault is one kind of trouble. It returns when it is taken back.
@@ -157,7 +159,7 @@
 	h.backend.restart.Lock()
 	defer h.backend.restart.Unlock()
 
-	if !h.current().hasEnded() {
+	if !idle.Closed(h.current().ended) {
 		return // another fault's start was first
 	}
 
