poison: notify a gate that has pulled, also before membership has it

Cause: a gate that starts pulls reports before its first call. The gates it asks learn from membership, one or two rounds of gossip later, that it serves the service. A crash at one of them in between was reported to the gates of the membership view only, so the new gate ran copies without a permit.

Ruled out: a busy machine (the calls took 1 to 20 ms), a port used again.

--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -158,7 +158,7 @@
 		g.Go(func() {
 			var reports []Report
 
-			err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, Empty{}, &reports)
+			err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, w.pullRequest(service), &reports)
 			if err == nil { // a failure shows in the event below; Run retries if no gate answers
 				w.table.Merge(reports)
 				answered.Add(1)
--- a/internal/poison/ask_test.go
+++ b/internal/poison/ask_test.go
@@ -150,3 +150,23 @@
 		assert.ErrorIs(t, m.sendPoison("c"), poison.ErrRefused)
 	})
 }
+
+// A gate starts and pulls from one whose membership view does not have it as a gate of the service
+// yet. A crash there a moment later must be known here, or each copy that finds such a gate crashes
+// its backend server.
+func TestGateThatPulledIsNotifiedBeforeMembershipHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		for _, id := range []string{"a", "b"} {
+			m.gates[id].setUnseen("c")
+		}
+
+		m.gates["c"].start()
+		m.finish("c", "/folders/first")
+
+		_ = m.sendPoison("a")
+		_ = m.sendPoison("b")
+		_ = m.sendPoison("c")
+		assert.Equal(t, m.crashes(), 2)
+	})
+}
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -52,6 +52,7 @@
 
 	mu     sync.Mutex
 	states map[string]membership.State // state of other nodes in this node's membership view
+	unseen map[string]bool             // nodes of which this node does not know that they serve the service
 }
 
 func newMesh(t *testing.T, ids ...string) *mesh {
@@ -103,7 +104,7 @@
 	ctx, cancel := context.WithCancel(m.t.Context())
 
 	g.boots++
-	self := poison.Self{Node: g.id, BootID: fmt.Sprintf("%s#%d", g.id, g.boots), Address: g.id}
+	self := poison.Self{Node: g.id, Incarnation: uint64(g.boots), BootID: fmt.Sprintf("%s#%d", g.id, g.boots), Address: g.id}
 	g.watch = poison.NewWatch(self, g, g, timeline.New(timeline.Node(g.id))).WithStallDetector(&g.stalls)
 	g.stop = cancel
 
@@ -136,6 +137,10 @@
 	var out []membership.Record
 
 	for _, id := range slices.Sorted(maps.Keys(g.mesh.gates)) {
+		if g.unseen[id] {
+			continue
+		}
+
 		_, boots := g.mesh.gates[id].current()
 		state := g.states[id]
 		if state == 0 {
@@ -168,6 +173,14 @@
 
 func (s *stallCounter) LastStall() time.Duration { return time.Duration(s.n.Load()) }
 
+// setUnseen sets that the gate's node does not know yet which service another one has.
+func (g *gate) setUnseen(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.unseen = map[string]bool{id: true}
+}
+
 // considersFailed sets that the gate's node considers another one failed.
 func (g *gate) considersFailed(id string) {
 	g.mu.Lock()
--- a/internal/poison/serve.go
+++ b/internal/poison/serve.go
@@ -65,6 +65,14 @@
 	return errRunsElsewhere
 }
 
+// PullRequest asks for all reports. The sender is notified of later ones, too.
+type PullRequest struct {
+	Node        string `msgpack:"Node"`
+	Incarnation uint64 `msgpack:"Incarnation"`
+	Address     string `msgpack:"Address"`
+	Service     string `msgpack:"Service"`
+}
+
 // Empty is an empty message.
 type Empty struct{}
 
@@ -94,8 +102,13 @@
 	return out, nil
 }
 
-// servePull returns all suspects known here.
-func (w *Watch) servePull(context.Context, Empty) ([]Report, error) { return w.table.Reports(), nil }
+// servePull returns all suspects known here. The sender is remembered first, so that it misses no
+// crash after this reply.
+func (w *Watch) servePull(_ context.Context, p PullRequest) ([]Report, error) {
+	w.pullers.add(p)
+
+	return w.table.Reports(), nil
+}
 
 // serveAcquire grants a permit, if no other gate holds it.
 func (w *Watch) serveAcquire(ctx context.Context, p PermitRequest) (PermitReply, error) {
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -84,7 +84,7 @@
 func (w *Watch) otherGates(service string, include func(membership.Record) bool) []membership.Record {
 	var out []membership.Record
 
-	for _, m := range w.members.OfService(service) {
+	for _, m := range w.pullers.merge(service, w.members.OfService(service)) {
 		if m.ID != w.self.Node && include(m) {
 			out = append(out, m)
 		}
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -46,9 +46,11 @@
 
 // Self identifies the gate that this watch belongs to.
 type Self struct {
-	Node    string
-	BootID  string
-	Address string
+	Node string
+	// Incarnation is that of the node's membership record.
+	Incarnation uint64
+	BootID      string
+	Address     string
 }
 
 // Watch handles crashes of the gate's backend server.
@@ -63,6 +65,7 @@
 	recentFinishes recentFinishes
 	notified       notified
 	pulls          pulls
+	pullers        pullers
 	began          time.Time
 	wake           chan struct{} // wakes Run
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -147,7 +147,10 @@
 	c := n.config
 	n.pool = backend.New(c.BackendAddress, platform.Headers())
 	n.queue = slots.New()
-	n.watch = poison.NewWatch(poison.Self{Node: c.Node, BootID: ulid.Make().String(), Address: c.PeerAddress}, n.table, n.client, n.recorder).
+	n.watch = poison.NewWatch(
+		poison.Self{Node: c.Node, Incarnation: n.table.Self().Incarnation, BootID: ulid.Make().String(), Address: c.PeerAddress},
+		n.table, n.client, n.recorder,
+	).
 		WithStallDetector(n.stall)
 	n.host = announce.New(
 		announce.Recorder(n.recorder), announce.WithKeeper(n.tombstone), announce.Changed(n.publishBackendState), announce.Probe(n.probe),
