membership: record the version of a backend server, and the canary state

A heartbeat's version goes into the member record, so that nodes can tell the versions of a service apart during a roll-out. A record without a version keeps its length: nodes of earlier builds reject another one.

A canary is not ready. Nodes that know nothing of a roll-out, and nodes of earlier builds, send it no calls.

--- a/internal/announce/host.go
+++ b/internal/announce/host.go
@@ -54,6 +54,8 @@
 	Started int64
 	Service string
 	Address string
+	// Version is the version of the backend server's software, "" if unknown.
+	Version string
 	Slots   int
 	// Sequence rises with each heartbeat after a start.
 	Sequence uint64
@@ -67,6 +69,8 @@
 	Instance string
 	// Started is the start time of the instance, or 0 if it was not reported.
 	Started int64
+	// Version is the version of the instance, "" before its first heartbeat.
+	Version string
 	Slots   int
 	// Takes reports whether calls may be sent to the backend server.
 	Takes bool
@@ -96,9 +100,12 @@
 // State returns the current state.
 func (h *Host) State() State {
 	h.mu.Lock()
-	defer h.mu.Unlock()
+	s := h.state
+	h.mu.Unlock()
 
-	return h.state
+	s.Takes = s.Takes && h.options.Permits()
+
+	return s
 }
 
 // HandleHeartbeat handles a heartbeat. A nil error confirms it; for a draining instance this
@@ -139,7 +146,7 @@
 func (h *Host) refresh(b Heartbeat) {
 	h.update(func(s State) State {
 		if s.Instance == b.Instance && !h.isDraining(b) {
-			s.Started, s.Slots, s.Takes = b.Started, b.Slots, true
+			s.Started, s.Version, s.Slots, s.Takes = b.Started, b.Version, b.Slots, true
 		}
 
 		return s
@@ -210,7 +217,9 @@
 			return s
 		}
 
-		return State{Instance: b.Instance, Started: b.Started, Slots: b.Slots, Takes: true, Cold: time.Now().Add(b.Cold)}
+		return State{
+			Instance: b.Instance, Started: b.Started, Version: b.Version, Slots: b.Slots, Takes: true, Cold: time.Now().Add(b.Cold),
+		}
 	})
 }
 
--- a/internal/announce/options.go
+++ b/internal/announce/options.go
@@ -28,6 +28,8 @@
 	Service string
 	// Changed is called with each new state.
 	Changed func(State)
+	// Permits reports whether the backend server may accept calls, as far as others decide.
+	Permits func() bool
 }
 
 // Option configures a Host.
@@ -38,6 +40,7 @@
 		Recorder: timeline.New(),
 		Probe:    func(context.Context) backend.Health { return backend.Health{} },
 		Changed:  func(State) {},
+		Permits:  func() bool { return true },
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -65,3 +68,7 @@
 
 // Changed sets the function that is called with each new state.
 func Changed(f func(State)) Option { return func(o *Options) { o.Changed = f } }
+
+// Permits sets the function that reports whether the backend server may accept calls, as far as
+// others decide. State reflects its current result.
+func Permits(f func() bool) Option { return func(o *Options) { o.Permits = f } }
--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -23,6 +23,9 @@
 type service struct {
 	serving atomic.Pointer[[]Record] // nodes that calls are sent to, sorted by ID
 	members map[string]Record        // all live and ready nodes; guarded by the table's lock
+	// onTrial and canaries are the same for live nodes with a canary.
+	onTrial  atomic.Pointer[[]Record]
+	canaries map[string]Record
 }
 
 func (x *index) init() {
@@ -65,6 +68,23 @@
 		x.dirty[s] = true
 		x.ready.Add(1)
 	}
+
+	x.replaceCanary(old, r)
+}
+
+func (x *index) replaceCanary(old, r Record) {
+	if old.OnTrial() {
+		s := x.service(old.Upstream.Service)
+		delete(s.canaries, r.ID)
+
+		x.dirty[s] = true
+	}
+
+	if r.OnTrial() {
+		s := x.service(r.Upstream.Service)
+		s.canaries[r.ID] = r
+		x.dirty[s] = true
+	}
 }
 
 func (x *index) service(name string) *service {
@@ -72,8 +92,9 @@
 
 	s := services[name]
 	if s == nil {
-		s = &service{members: map[string]Record{}}
+		s = &service{members: map[string]Record{}, canaries: map[string]Record{}}
 		s.serving.Store(&[]Record{})
+		s.onTrial.Store(&[]Record{})
 
 		next := maps.Clone(services)
 		next[name] = s
@@ -88,6 +109,9 @@
 	for s := range x.dirty {
 		serving := s.selectServing()
 		s.serving.Store(&serving)
+
+		onTrial := slices.SortedFunc(maps.Values(s.canaries), byID)
+		s.onTrial.Store(&onTrial)
 	}
 
 	clear(x.dirty)
@@ -137,6 +161,17 @@
 	return *s.serving.Load()
 }
 
+// OnTrial returns the live nodes whose backend server is a canary of a service, sorted by ID.
+// The slice is shared and must not be modified.
+func (t *Table) OnTrial(name string) []Record {
+	s := (*t.index.services.Load())[name]
+	if s == nil {
+		return nil
+	}
+
+	return *s.onTrial.Load()
+}
+
 // CountReady returns the number of live nodes whose backend server accepts calls.
 func (t *Table) CountReady() int { return int(t.index.ready.Load()) }
 
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -18,6 +18,8 @@
 	"cmp"
 	"net/http"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/pkg/upstream"
 )
@@ -56,6 +58,9 @@
 	UpstreamReady    = upstream.Ready
 	UpstreamDraining = upstream.Draining
 	UpstreamGone     = upstream.Gone
+	// UpstreamCanary is the state of a backend server that runs the target version of a
+	// roll-out and accepts only the calls assigned to it.
+	UpstreamCanary UpstreamState = "Canary"
 )
 
 // Upstream is what a node announces about its local backend server.
@@ -67,6 +72,51 @@
 	Slots       int           `json:"Slots" msgpack:"Slots"`
 	Connections int           `json:"Connections" msgpack:"Connections"`
 	ReadySince  int64         `json:"ReadySince" msgpack:"ReadySince"`
+	// Version is the version of the backend server's software, "" if roll-outs are not used.
+	Version string `json:"Version,omitempty" msgpack:"Version"`
+}
+
+// upstreamFields is the number of fields of an Upstream without a version.
+const upstreamFields = 5
+
+// EncodeMsgpack leaves out an empty version, so that nodes which do not know the field can
+// decode the record. They reject an array of another length.
+func (u Upstream) EncodeMsgpack(m *msgpack.Encoder) error {
+	fields := []any{u.Service, string(u.State), u.Slots, u.Connections, u.ReadySince}
+	if u.Version != "" {
+		fields = append(fields, u.Version)
+	}
+
+	if err := m.EncodeArrayLen(len(fields)); err != nil {
+		return err
+	}
+
+	return m.EncodeMulti(fields...)
+}
+
+// DecodeMsgpack accepts an Upstream with and without a version.
+func (u *Upstream) DecodeMsgpack(m *msgpack.Decoder) error {
+	n, err := m.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+
+	if n != upstreamFields && n != upstreamFields+1 {
+		return ErrRecord.With("backend server with %d fields", n)
+	}
+
+	var state string
+
+	fields := []any{&u.Service, &state, &u.Slots, &u.Connections, &u.ReadySince, &u.Version}
+	if n == upstreamFields {
+		u.Version = ""
+		fields = fields[:upstreamFields]
+	}
+
+	err = m.DecodeMulti(fields...)
+	u.State = UpstreamState(state)
+
+	return err
 }
 
 // Record is what a node announces about itself; other nodes change only State.
@@ -139,6 +189,9 @@
 // Ready reports whether the node is considered alive and its backend server accepts calls.
 func (r Record) Ready() bool { return r.Live() && r.Upstream.State == UpstreamReady }
 
+// OnTrial reports whether the node is considered alive and its backend server is a canary.
+func (r Record) OnTrial() bool { return r.Live() && r.Upstream.State == UpstreamCanary }
+
 // Belief is one node's view that another node is suspect or dead.
 type Belief struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
