rollout: move a service to another version, or roll it back

Cause: no folder knew of orders to move a service to another version. A new version took its full share of calls from its first heartbeat on (4,745 of 17,805 requests where 1,830 were allowed), and an order was never answered.

Change: internal/rollout with - exposure: each entry node earns a fraction of a call for each call and spends it in turns, so that the sum over all nodes stays under the share without messages, and some backend servers run under load; - evidence: outcomes by route and load, counted beside each backend server; - verdict: a CUSUM for each backend server and route against the baseline of the same seconds, several bad ones for a verdict; - control: orders, verdicts stored once and conditionally, and told to all.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -58,6 +58,14 @@
 	Takes(limit time.Time) bool
 }
 
+// Trials assigns calls to a version that is on trial.
+type Trials interface {
+	// Assign returns the nodes at which a call is to be tried first, or none. It is called once
+	// for each call. Unassign takes back the assignment of a call that reached no backend server.
+	Assign(service, route string) []membership.Record
+	Unassign(service, route string)
+}
+
 // Options of a dispatcher.
 type Options struct {
 	Node          string
@@ -74,4 +82,6 @@
 	Recorder *timeline.Recorder
 	Intake   Intake
 	Meter    Meter
+	// Trials is nil if versions are not told apart.
+	Trials Trials
 }
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -42,6 +42,16 @@
 }
 
 func (s *callState) run() ingress.Response {
+	if reply, ok := s.tryCanary(); ok {
+		if s.isFinal(reply) {
+			return s.response(reply)
+		}
+
+		if !s.shouldRetry(reply) {
+			return s.failureResponse()
+		}
+	}
+
 	for s.outcome.Asked < maxContacted {
 		candidates := s.candidates()
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -136,6 +136,23 @@
 		"A request that was in flight during one crash was permitted to run again, or not yet; the detail has the reason.")
 )
 
+// Roll-outs of versions.
+var (
+	RolloutRunning = add(600, "RolloutRunning", slog.LevelInfo,
+		"A roll-out was ordered or continues after a restart; its target version receives a small share of the calls.")
+	RolloutMoving = add(601, "RolloutMoving", slog.LevelInfo,
+		"The target version of a roll-out is good and takes over all calls; the detail has the evidence.")
+	RolloutCompleted  = add(602, "RolloutCompleted", slog.LevelInfo, "A roll-out ended; only its target version receives calls.")
+	RolloutRolledBack = add(603, "RolloutRolledBack", slog.LevelWarn,
+		"A roll-out ended; its target version receives no calls. The detail has the reason and the evidence.")
+	RolloutNotStored = add(604, "RolloutNotStored", slog.LevelWarn,
+		"The state of a roll-out could not be stored, or another node stored one first; the node reads it and tries again if necessary.")
+	RolloutPaused = add(605, "RolloutPaused", slog.LevelWarn,
+		"The local backend server runs the target version of a roll-out and fails; it receives no calls for a while.")
+	RolloutRole = add(606, "RolloutRole", slog.LevelInfo,
+		"The version of the local backend server became regular, canary or excluded.")
+)
+
 // Invariant violations.
 var (
 	InvariantBroken = add(900, "InvariantBroken", slog.LevelError, "The program violated one of its invariants; report it as a bug.")
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -24,7 +24,8 @@
 		shard.Recorder(n.recorder), shard.Watching(n.isWatcher), shard.Domains(n.failureDomains))
 	n.home = once.New(n.config.ID, bootID, once.Recorder(n.recorder), once.WithShards(n.shards))
 	n.register = attempt.NewRegister(bootID, attempt.DefaultBound)
-	n.suspects = poison.NewWatch(poison.Self{Node: n.config.ID, Incarnation: n.table.Self().Incarnation, BootID: bootID, Address: n.config.PeerAddress},
+	gate := poison.Self{Node: n.config.ID, Incarnation: n.table.Self().Incarnation, BootID: bootID, Address: n.config.PeerAddress}
+	n.suspects = poison.NewWatch(gate,
 		n.table, n.client, n.recorder).WithStallDetector(n.stall)
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -20,6 +20,7 @@
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/nestedcall"
 	"github.com/pollencart/pollencart/internal/poison"
+	"github.com/pollencart/pollencart/internal/rollout/evidence"
 	"github.com/pollencart/pollencart/internal/slots"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -45,6 +46,12 @@
 	Ran(route string, result forward.Result, waited, held time.Duration)
 }
 
+// Trial counts outcomes while versions of the service are compared.
+type Trial interface {
+	Counting() bool
+	Add(o evidence.Outcome)
+}
+
 // Options of a runner.
 type Options struct {
 	Service  string
@@ -54,6 +61,8 @@
 	Suspects Suspects
 	Recorder *timeline.Recorder
 	Meter    Meter
+	// Trial is nil if versions are not compared.
+	Trial Trial
 }
 
 // Runner runs calls on one backend server.
@@ -144,8 +153,10 @@
 		return r.rejected(err, w)
 	}
 
+	busy := r.isBusy()
 	reply, serviceTime := r.run(ctx, in, c)
 	slot.Leave(routeSample(reply, serviceTime))
+	r.count(ctx, in, reply, serviceTime, busy)
 
 	return reply
 }
--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -65,6 +65,10 @@
 	RetryRatio         float64 `json:"RetryRatio"`
 	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
 	RetrySlack         float64 `json:"RetrySlack"`
+	// ExposeShare is the part of a service's calls that the target version of a roll-out may
+	// receive before it is known to be good. With 0, versions are not told apart and orders of
+	// roll-outs are not read. A change needs a restart.
+	ExposeShare float64 `json:"ExposeShare"`
 }
 
 // WithBounds returns a copy of the settings with other bounds.
@@ -136,5 +140,9 @@
 		}
 	}
 
+	if b.ExposeShare < 0 || b.ExposeShare > 1 {
+		return "Bounds.ExposeShare", "want 0 to 1"
+	}
+
 	return "", ""
 }
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -175,7 +175,7 @@
 func (n *Sidecar) withdraw() {
 	n.withdrawn.Store(true)
 	n.table.Update(func(r membership.Record) membership.Record {
-		if r.Upstream.State == membership.UpstreamReady {
+		if r.Upstream.State == membership.UpstreamReady || r.Upstream.State == membership.UpstreamCanary {
 			r.Upstream.State = membership.UpstreamDraining
 		}
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -38,6 +38,9 @@
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/retrybudget"
+	"github.com/pollencart/pollencart/internal/rollout"
+	"github.com/pollencart/pollencart/internal/rollout/control"
+	"github.com/pollencart/pollencart/internal/rollout/exposure"
 	"github.com/pollencart/pollencart/internal/route"
 	"github.com/pollencart/pollencart/internal/runner"
 	"github.com/pollencart/pollencart/internal/sidecar/config"
@@ -78,6 +81,7 @@
 	configsync *configsync.Syncer
 	discovery  *discovery.Agent
 	tombstone  *tombstone.Registry
+	rollouts   *control.Agent // nil if versions are not told apart
 
 	host  *announce.Host
 	queue *slots.Queue
@@ -140,8 +144,20 @@
 	)
 	n.discovery = discovery.New(n.store, n.table, n.gossip.Join, n.recorder, c.FirstStart).WithEpoch(n.epoch)
 	n.tombstone = tombstone.New(n.store, n.client, n.table).WithEpoch(n.epoch, n.recorder)
+
+	if c.Bounds.ExposeShare > 0 {
+		n.rollouts = control.New(control.Options{
+			Service: c.Service, Boot: ulid.Make().String(), FirstStart: c.FirstStart, Store: platform.NewRollouts(n.store),
+			Peers: n.client, Members: n.table, Recorder: n.recorder, Budget: exposure.New(c.Bounds.ExposeShare),
+			InFlight: func() int { return int(n.runner.Busy()) },
+			Changed: func() { n.publishBackendState(n.host.State()) },
+		})
+	}
 }
 
+// permitted reports whether the version of the local backend server may receive calls.
+func (n *Sidecar) permitted() bool { return n.rollouts == nil || n.rollouts.Role() != rollout.Excluded }
+
 // backend creates the components that run calls at the local backend server.
 func (n *Sidecar) backend() {
 	c := n.config
@@ -154,21 +170,31 @@
 		WithStallDetector(n.stall)
 	n.host = announce.New(
 		announce.Recorder(n.recorder), announce.WithKeeper(n.tombstone), announce.Changed(n.publishBackendState), announce.Probe(n.probe),
-		announce.FirstStart(c.FirstStart), announce.Service(c.Service),
+		announce.FirstStart(c.FirstStart), announce.Service(c.Service), announce.Permits(n.permitted),
 	)
-	n.runner = runner.New(runner.Options{
+	options := runner.Options{
 		Service: c.Service, Host: n.host, Queue: n.queue, Pool: n.pool, Suspects: n.watch, Recorder: n.recorder, Meter: n.meter,
-	})
+	}
+	if n.rollouts != nil {
+		options.Trial = n.rollouts
+	}
+
+	n.runner = runner.New(options)
 }
 
 // initIngress creates the components that accept and dispatch calls from callers.
 func (n *Sidecar) initIngress() {
 	c := n.config
-	n.dispatcher = dispatch.New(dispatch.Options{
+	options := dispatch.Options{
 		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
 		Members: n.table, Peers: n.client, Own: n.runner, Balancer: balancer.New(), Recorder: n.recorder, Meter: n.meter,
 		Budget: n.budget, Intake: n.draining,
-	})
+	}
+	if n.rollouts != nil {
+		options.Trials = n.rollouts
+	}
+
+	n.dispatcher = dispatch.New(options)
 	n.ingress = ingress.New(n.dispatcher, ingress.Limits(n.holder), ingress.WithObserver(deliveryObserver{n.recorder, n.meter}))
 }
 
@@ -180,6 +206,11 @@
 	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
 	n.server.Handle(forward.MethodRun, peer.Typed(n.runner.Serve))
 	n.configsync.Register(n.server)
+
+	if n.rollouts != nil {
+		n.rollouts.Register(n.server)
+	}
+
 	n.server.Handle(tombstone.MethodKeep, peer.Typed(n.tombstone.ServeKeep))
 	n.server.Handle(tombstone.MethodAsk, peer.Typed(n.tombstone.ServeAsk))
 
@@ -235,6 +266,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
+	role := rollout.Regular
+
+	if n.rollouts != nil {
+		n.rollouts.SetVersion(n.host.State().Version)
+		role = n.rollouts.Role()
+	}
+
 	s := n.host.State()
 	available := s.Slots
 
@@ -254,7 +292,15 @@
 	n.queue.Resize(available)
 	n.table.Update(func(r membership.Record) membership.Record {
 		r.Upstream = membership.Upstream{Service: n.config.Service, State: membership.UpstreamDraining, Slots: s.Slots}
-		if s.Takes && !n.withdrawn.Load() {
+		if n.rollouts != nil {
+			r.Upstream.Version = s.Version
+		}
+
+		switch {
+		case !s.Takes || n.withdrawn.Load():
+		case role == rollout.Canary:
+			r.Upstream.State = membership.UpstreamCanary
+		default:
 			r.Upstream.State = membership.UpstreamReady
 		}
 
@@ -278,10 +324,15 @@
 
 	var running sync.WaitGroup
 
-	for _, f := range []func(context.Context){
+	parts := []func(context.Context){
 		n.configsync.Run, n.gossip.Run, n.discovery.Run, n.tombstone.Run, n.stall.Run, n.watch.Run, n.waitForFirstVersion,
 		n.reportEpochChanges,
-	} {
+	}
+	if n.rollouts != nil {
+		parts = append(parts, n.rollouts.Run)
+	}
+
+	for _, f := range parts {
 		running.Go(func() { f(work) })
 	}
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -46,6 +46,13 @@
 func newFleet(t *testing.T, services ...string) *fleet {
 	t.Helper()
 
+	return newConfiguredFleet(t, func(int, *host) {}, services...)
+}
+
+// newConfiguredFleet is newFleet with a function that changes each host before its node starts.
+func newConfiguredFleet(t *testing.T, configure func(i int, h *host), services ...string) *fleet {
+	t.Helper()
+
 	f := &fleet{store: standin.NewStore()}
 	server := httptest.NewServer(f.store.Handler())
 
@@ -63,6 +70,7 @@
 			Bounds: config.Bounds{DrainSeconds: 2, GraceSeconds: 6, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 50},
 		}
 		f.hosts = append(f.hosts, h)
+		configure(i, h)
 		h.start(t)
 	}
 
