--- a/cmd/pollencart/explain.go
+++ b/cmd/pollencart/explain.go
@@ -12,6 +12,7 @@
 func addExplain(app *kingpin.Application, out io.Writer) {
 	c := app.Command("explain", "Find the cause of a failed call in the log files of nodes.")
 	id := c.Flag("request", "ID of the call; without it, a summary of the causes of all failed calls.").String()
+	service := c.Flag("rollout", "Service whose roll-outs are to be explained.").String()
 	files := c.Arg("log", "Log files; standard input if none is given.").ExistingFiles()
 
 	c.Action(action(func() error {
@@ -30,7 +31,10 @@
 			logs = append(logs, f)
 		}
 
-		if *id == "" {
+		switch {
+		case *service != "":
+			return explain.Rollout(out, *service, logs...)
+		case *id == "":
 			return explain.Causes(out, logs...)
 		}
 
--- a/internal/dispatch/canary.go
+++ b/internal/dispatch/canary.go
@@ -20,7 +20,7 @@
 		return forward.Reply{}, false
 	}
 
-	chosen, ok := s.connectedCanary(assigned)
+	chosen, version, ok := s.connectedCanary(assigned)
 	if !ok {
 		d.options.Trials.Unassign(s.request.Service, s.route.Name)
 
@@ -31,6 +31,8 @@
 	s.request.Elsewhere, s.request.Nearby = true, false
 	s.otherCandidates = len(s.candidates())
 
+	s.outcome.Canary = version
+
 	reply := s.contact(chosen)
 	if reply.Result == forward.Refused {
 		d.options.Trials.Unassign(s.request.Service, s.route.Name)
@@ -39,9 +41,9 @@
 	return reply, true
 }
 
-// connectedCanary returns the first node with an established connection, and starts connecting
-// to the others.
-func (s *callState) connectedCanary(assigned []membership.Record) (balancer.Candidate, bool) {
+// connectedCanary returns the first node with an established connection and its version, and
+// starts connecting to the others.
+func (s *callState) connectedCanary(assigned []membership.Record) (balancer.Candidate, string, bool) {
 	d := s.dispatcher
 
 	for _, r := range assigned {
@@ -49,11 +51,11 @@
 			ID: r.ID, Address: r.PeerAddress, Slots: r.Upstream.Slots, Near: r.FailureDomain == d.options.FailureDomain, Own: r.ID == d.options.Node,
 		}
 		if c.Own || d.options.Peers.Link(c.Address, peer.LaneCalls) == peer.LinkReady {
-			return c, true
+			return c, r.Upstream.Version, true
 		}
 
 		d.options.Peers.Open(c.Address, peer.LaneCalls)
 	}
 
-	return balancer.Candidate{}, false
+	return balancer.Candidate{}, "", false
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,14 +66,16 @@
 
 // Outcome is the response that a caller got, with its cause.
 type Outcome struct {
-	ID      string
-	Route   string
-	Status  int
-	Reason  string
-	Sent    int           // attempts that may have reached a backend server
-	Asked   int           // nodes contacted
-	Waited  time.Duration // since the caller's first attempt, if this is a detected retry
-	Node    string
+	ID     string
+	Route  string
+	Status int
+	Reason string
+	Sent   int           // attempts that may have reached a backend server
+	Asked  int           // nodes contacted
+	Waited time.Duration // since the caller's first attempt, if this is a detected retry
+	Node   string
+	// Canary is the version on trial that the call was sent to, or "".
+	Canary  string
 	Took    time.Duration
 	Version uint64
 	// Stopping reports that this node was draining when the call arrived. Connected is
@@ -239,6 +241,11 @@
 		b = strconv.AppendInt(b, o.Waited.Milliseconds(), 10)
 	}
 
+	if o.Canary != "" {
+		b = append(b, " canary "...)
+		b = append(b, o.Canary...)
+	}
+
 	if o.Stopping {
 		b = append(b, " stopping, connected "...)
 		b = strconv.AppendInt(b, o.Connected.Milliseconds(), 10)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,6 +9,10 @@
 // Causes counts all failed calls by route and cause and by time.
 //
 //	err := explain.Causes(os.Stdout, logFiles...)
+//
+// Rollout prints the course of the roll-outs of a service.
+//
+//	err := explain.Rollout(os.Stdout, "browse", logFiles...)
 package explain
 
 import (
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -43,3 +43,21 @@
 	assert.NilError(t, explain.Causes(&out, log))
 	golden.Assert(t, out.String(), "losses.golden")
 }
+
+// Many nodes write that a version was rolled back. The output must show the verdict and its evidence
+// once.
+func TestRolloutShowsVerdictAndEvidence(t *testing.T) {
+	log, err := os.Open("testdata/rollout.log")
+	assert.NilError(t, err)
+
+	defer func() { _ = log.Close() }()
+
+	var out bytes.Buffer
+
+	assert.NilError(t, explain.Rollout(&out, "dany78a", log))
+	golden.Assert(t, out.String(), "rollout.golden")
+}
+
+func TestServiceWithoutRolloutIsUnknown(t *testing.T) {
+	assert.ErrorIs(t, explain.Rollout(&bytes.Buffer{}, "x", strings.NewReader("{}\n")), explain.ErrNoRollout)
+}
--- a/internal/rollout/control/control.go
+++ b/internal/rollout/control/control.go
@@ -110,6 +110,8 @@
 	Changed func()
 	// InFlight returns the number of calls that the local backend server has.
 	InFlight func() int
+	// Counted is called with each outcome at the local backend server.
+	Counted func(version string, failed bool)
 }
 
 // Agent is the part of one node in all roll-outs.
--- a/internal/rollout/control/local.go
+++ b/internal/rollout/control/local.go
@@ -167,6 +167,7 @@
 // Add counts the outcome of a call at the local backend server.
 func (a *Agent) Add(o evidence.Outcome) {
 	a.counter.Add(o)
+	a.options.Counted(a.localVersion(), o.Failed)
 	a.pauseIfFailing(o)
 }
 
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -43,6 +43,7 @@
 	retries      *prometheus.CounterVec
 	messages     *prometheus.CounterVec
 	bytes        *prometheus.CounterVec
+	versionRuns  *prometheus.CounterVec
 }
 
 // New returns a meter with its metrics registered and all counters at zero.
@@ -84,9 +85,12 @@
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollencart_message_bytes_total", Help: "Bytes of the bodies of these requests and their answers, both ways.",
 		}, []string{"Method", "Near"}),
+		versionRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollencart_version_runs_total", Help: "Calls that the backend server here ran during a roll-out of its service, by version.",
+		}, []string{"Version", "Failed"}),
 	}
 	m.registry.MustRegister(m.calls, m.latency, m.sends, m.contacted, m.undelivered, m.runs, m.queueTime, m.serviceTime, m.storeCalls,
-		m.epochChanges, m.retries, m.messages, m.bytes, invariant.Collector{}, collectors.NewGoCollector())
+		m.epochChanges, m.retries, m.messages, m.bytes, m.versionRuns, invariant.Collector{}, collectors.NewGoCollector())
 
 	return m
 }
@@ -117,6 +121,11 @@
 	}
 }
 
+// RanVersion records a call to the local backend server during a roll-out of its service.
+func (m *Meter) RanVersion(version string, failed bool) {
+	m.versionRuns.WithLabelValues(version, strconv.FormatBool(failed)).Inc()
+}
+
 // Exchanged records a request to another node and its response; near means the same failure domain.
 func (m *Meter) Exchanged(e peer.Exchange, near bool) {
 	nearLabel := strconv.FormatBool(near)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -149,7 +149,7 @@
 		n.rollouts = control.New(control.Options{
 			Service: c.Service, Boot: ulid.Make().String(), FirstStart: c.FirstStart, Store: platform.NewRollouts(n.store),
 			Peers: n.client, Members: n.table, Recorder: n.recorder, Budget: exposure.New(c.Bounds.ExposeShare),
-			InFlight: func() int { return int(n.runner.Busy()) },
+			InFlight: func() int { return int(n.runner.Busy()) }, Counted: n.meter.RanVersion,
 			Changed: func() { n.publishBackendState(n.host.State()) },
 		})
 	}
