verdict: doubt a version by the baseline's own rate of bad calls

With few calls, the rate of 2% that is assumed for the baseline at least hides five bad ones; the baseline had less than one in a hundred.

Change: a version is doubted by the rate that the baseline shows, from 5% bad calls on, 10% before.

--- a/internal/rollout/verdict/verdict.go
+++ b/internal/rollout/verdict/verdict.go
@@ -54,6 +54,9 @@
 	// baselinePrior is the weight of that assumption, in calls.
 	minBaselineRate = 0.02
 	baselinePrior   = 40
+	// observedPrior is the weight, in calls, of the one bad call that is assumed in addition to
+	// those of the baseline.
+	observedPrior = 100
 	// maxBaselineRate is the rate of bad calls of the baseline above which a comparison says
 	// little, so that canary calls are not scored.
 	maxBaselineRate = 0.3
@@ -85,7 +88,7 @@
 	// of them than the baseline is not taken for good; doubtDeviations is the excess over the
 	// baseline's in standard deviations. doubtCalls more are tolerated, but with few calls one
 	// only for each callsForBad beyond the least number.
-	doubtfulRate    = 0.1
+	doubtfulRate    = 0.05
 	doubtDeviations = 2.0
 	doubtCalls      = 2.0
 	callsForBad     = 10.0
@@ -307,7 +310,7 @@
 	}
 
 	if i.source.target {
-		c.sums[i.source] = c.sums[i.source].plus(sums{bad: float64(bad), expected: float64(calls) * rate})
+		c.sums[i.source] = c.sums[i.source].plus(sums{bad: float64(bad), expected: float64(calls) * reference.observed})
 
 		if bad > 0 {
 			c.seenBad[i.source] = i.at
--- a/internal/rollout/verdict/window.go
+++ b/internal/rollout/verdict/window.go
@@ -62,10 +62,11 @@
 	return out
 }
 
-// reference is what the baseline is like: its rate of bad calls, and the class of service
-// times from which a call is slow.
+// reference is what the baseline is like: its rate of bad calls, the class of service times from
+// which a call is slow, and the rate that its calls show without assuming a least one.
 type reference struct {
 	rate     float64
+	observed float64
 	slowFrom int
 }
 
@@ -106,6 +107,7 @@
 	}
 
 	bad := float64(c.Failed + c.Slow(out.slowFrom))
+	out.observed = (bad + 1) / (float64(c.Calls) + observedPrior)
 	out.rate = max((bad+minBaselineRate*baselinePrior)/(float64(c.Calls)+baselinePrior), minBaselineRate)
 
 	return out
