rollout: longer turns of canary calls, and no good version without calls under load

Change: a trial has six turns, so that more calls are saved up for each; a version is good only with 12 calls at busy backend servers.

--- a/internal/rollout/control/local.go
+++ b/internal/rollout/control/local.go
@@ -257,7 +257,7 @@
 		return nil
 	}
 
-	turn, open := exposure.Turn(time.Since(v.ordered))
+	turn, open := exposure.Turn(time.Since(v.ordered), v.Duration())
 
 	canaries := a.options.Members.OnTrial(service)
 	if len(canaries) == 0 || !a.options.Budget.Take(v.Revision, route, open) {
--- a/internal/rollout/exposure/exposure.go
+++ b/internal/rollout/exposure/exposure.go
@@ -19,7 +19,7 @@
 // # Usage
 //
 //	b := exposure.New(0.1)
-//	first, open := exposure.Turn(time.Since(ordered))
+//	number, open := exposure.Turn(time.Since(ordered), timeLimit)
 //	if b.Take(order, route, open) { ... } // once for each call
 //	b.Return(order, route)          // if the call did not reach a backend server
 package exposure
@@ -36,10 +36,14 @@
 	// the trial ends.
 	usedPart = 0.9
 	// maxCredit is how many calls a route can save up.
-	maxCredit = 3.0
-	// turnLength is the time between two turns, openPart the part of it in which nodes spend.
-	turnLength = 1500 * time.Millisecond
-	openPart   = 0.4
+	maxCredit = 4.0
+	// A trial has turnsPerTrial turns, at intervals between minTurn and maxTurn. The longer the
+	// interval, the more calls are saved up for a turn, which small fleets need to load one
+	// backend server. Nodes spend for openTime in each.
+	turnsPerTrial = 6
+	minTurn       = 1500 * time.Millisecond
+	maxTurn       = 5 * time.Second
+	openTime      = 600 * time.Millisecond
 	// maxRoutes bounds the routes of which the credit is kept.
 	maxRoutes = 4096
 )
@@ -59,8 +63,10 @@
 
 // Turn returns the number of the turn at a time after the order, and whether nodes spend then.
 // Each turn begins with another backend server.
-func Turn(elapsed time.Duration) (number int, open bool) {
-	return int(elapsed / turnLength), elapsed%turnLength < time.Duration(openPart*float64(turnLength))
+func Turn(elapsed, timeLimit time.Duration) (number int, open bool) {
+	length := min(max(timeLimit/turnsPerTrial, minTurn), maxTurn)
+
+	return int(elapsed / length), elapsed%length < openTime
 }
 
 // Take counts a call of a route and reports whether it may go to the version on trial, which it
--- a/internal/rollout/verdict/verdict.go
+++ b/internal/rollout/verdict/verdict.go
@@ -110,6 +110,9 @@
 	usedRouteCalls = 200
 	minBusyCalls   = 5
 	busyPart       = 0.25
+	// minLoadCalls is the number of canary calls needed at busy backend servers over all routes.
+	// Some versions fail under load only, and the baseline may be idle during the trial.
+	minLoadCalls = 12
 	// minServers is the number of backend servers that must have been seen.
 	minServers = 3
 	// A version is not good if more than maxBadPart of its backend servers that had seenCalls
@@ -469,6 +472,8 @@
 	switch {
 	case servers < min(minServers, p.Canaries) || all.calls < minRouteCalls:
 		return fmt.Sprintf("%d calls at %d backend servers", all.calls, servers)
+	case all.busy < minLoadCalls:
+		return fmt.Sprintf("%d calls under load", all.busy)
 	case all.doubtful():
 		return fmt.Sprintf("%.0f of %d canary calls were bad", all.bad, all.calls)
 	}
--- a/internal/rollout/verdict/world_test.go
+++ b/internal/rollout/verdict/world_test.go
@@ -182,7 +182,7 @@
 		budget := w.budgets[w.random.IntN(len(w.budgets))]
 		server := w.baseline[w.random.IntN(len(w.baseline))]
 
-		turn, open := exposure.Turn(elapsed)
+		turn, open := exposure.Turn(elapsed, timeLimit)
 
 		if budget.Take(1, simRoutes[route].name, open) {
 			if canary := w.canary(turn); canary != nil {
--- a/internal/sidecar/rollout_test.go
+++ b/internal/sidecar/rollout_test.go
@@ -152,6 +152,10 @@
 // fails meanwhile.
 func TestGoodVersionTakesOverBeforeItIsCompleted(t *testing.T) {
 	f := newVersionFleet(t, "v1", "v1", "v1", "v2", "v2", "v2")
+	for _, h := range f.hosts {
+		h.backend.Work = 40 * time.Millisecond // enough for a turn of canary calls to load a backend server
+	}
+
 	f.announceVersion(t, "v1")
 	eventually(t, f.hosts[0].serves)
 	f.load(t)
