slots: late urgent calls replace waiting calls that are less urgent

Load: callers of an urgent route come back past their target while a few less urgent calls wait that can't be on time either. Those few fill the places for calls that are not on time, and the urgent callers were refused.

--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -28,7 +28,8 @@
 
 // evaluateWait decides whether a call that can't start at once may wait. A call that meets its
 // target only if it is not longer than expected may replace a waiting call that is less
-// likely to meet its own.
+// likely to meet its own; any call may replace a less urgent one. Otherwise a few less urgent
+// calls that can't be on time keep out urgent ones.
 func (q *Queue) evaluateWait(s *Slot, now time.Time, wait time.Duration) error {
 	end := now.Add(wait + s.serviceTime)
 
@@ -41,7 +42,7 @@
 		return ErrTooLate
 	case q.countNotOnTime(now) < q.maxNotOnTime():
 		return nil
-	case !end.After(s.work.Target):
+	case !end.After(s.work.Target), q.hasLessUrgent(s):
 		return q.replace(s, now)
 	}
 
@@ -58,6 +59,11 @@
 	return nil
 }
 
+// hasLessUrgent reports whether a call of a less urgent rank waits.
+func (q *Queue) hasLessUrgent(s *Slot) bool {
+	return slices.ContainsFunc(q.waiting, func(o *Slot) bool { return o.work.Rank > s.work.Rank })
+}
+
 // replace rejects the last waiting call in start order if the given call precedes it.
 func (q *Queue) replace(s *Slot, now time.Time) error {
 	worst := -1
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -133,6 +133,23 @@
 	})
 }
 
+// Urgent callers come back past their target, while less urgent calls wait that can't be on time
+// either. The urgent ones must not be refused for those.
+func TestLateUrgentCallsReplaceLessUrgentOnes(t *testing.T) {
+	const wantServed = 0.9
+
+	synctest.Test(t, func(t *testing.T) {
+		r := runLoad(newQueue(9), 30*time.Second,
+			workload{route: "search", rank: 1, took: 75 * ms, target: -ms, deadline: 400 * ms, interval: 30 * ms, spread: 0.8},
+			workload{route: "sweep", rank: 2, took: 470 * ms, target: 1200 * ms, deadline: 2 * time.Second, interval: 45 * ms, spread: 0.8})
+		search, sweep := r[0], r[1]
+		served := float64(search.onTime+search.late) / float64(search.sent)
+
+		t.Logf("searches: %.3f served; sweeps: %.3f on time, %.3f late", served, sweep.onTimeShare(), float64(sweep.late)/float64(sweep.sent))
+		assert.Assert(t, served > wantServed)
+	})
+}
+
 // Urgent calls demand all slots. One start in four still goes to the starved rank of the sweep.
 func TestLeastUrgentRankIsNotStarved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
