--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -19,6 +19,7 @@
 	rate := c.Flag("rate", "Calls a second.").Default("100").Int()
 	work := c.Flag("work", "How long a call runs at a backend server.").Default("20ms").Duration()
 	program := c.Flag("program", "The binary.").Default("bin/pollencart").String()
+	rollout := c.Flag("rollout", "Order a roll-out of a version, which is bad for even seeds.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -29,7 +30,7 @@
 
 		for seed := *first; seed < *first+*count; seed++ {
 			broken, err := oneSeed(ctx, hosts.Options{
-				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program,
+				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -18,6 +18,8 @@
 type backend struct {
 	name    string
 	service string
+	version string
+	trial   *trial
 	work    time.Duration
 	address string
 	report  *Report
@@ -45,9 +47,9 @@
 	askLeave = 8 * time.Second
 )
 
-func newBackend(name, service string, work time.Duration, r *Report) *backend {
+func newBackend(name, service, version string, work time.Duration, r *Report, x *trial) *backend {
 	b := &backend{
-		name: name, service: service, work: work, address: standin.FreeAddress(), report: r, confirmed: map[string]time.Time{},
+		name: name, service: service, version: version, trial: x, work: work, address: standin.FreeAddress(), report: r, confirmed: map[string]time.Time{},
 	}
 	b.up()
 
@@ -73,7 +75,8 @@
 	b.number++
 	b.leaving = false
 	b.current = &standin.Backend{
-		Instance: fmt.Sprintf("%s-%d", b.name, b.number), Service: b.service, Slots: backendSlots, Work: b.work, Ran: b.ran,
+		Instance: fmt.Sprintf("%s-%d", b.name, b.number), Service: b.service, Version: b.version, Slots: backendSlots, Work: b.work, Ran: b.ran,
+		Fails: func() bool { return b.trial.fails(b.version) },
 	}
 	b.listener = l
 	b.server = &http.Server{Handler: b.current, ReadHeaderTimeout: time.Minute}
@@ -101,6 +104,10 @@
 func (b *backend) ran(instance, id string) {
 	b.report.ran(id, b.name)
 
+	if b.trial != nil && b.service == rolledOut {
+		b.trial.ran(b.version, id)
+	}
+
 	b.mu.Lock()
 	at, ok := b.confirmed[instance]
 	b.mu.Unlock()
@@ -118,6 +125,10 @@
 }
 
 func (b *backend) announce(address string) {
+	if b.trial != nil && b.version == newVersion && !b.trial.isOrdered() {
+		return
+	}
+
 	if current, runs, leaving := b.state(); runs && !leaving {
 		_, _ = current.Announce(address, b.address, false) // a process that is away is asked again
 	}
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -44,6 +44,8 @@
 	Program string
 	Dir     string
 	Log     io.Writer
+	// Rollout orders a roll-out of one service, whose new version is bad if the seed is even.
+	Rollout bool
 }
 
 func (o Options) work() time.Duration {
@@ -100,6 +102,7 @@
 	hosts   []*host
 	version int
 	stalls  stalls
+	trial   *trial // nil without a roll-out
 }
 
 // Run plays the schedule of the seed.
@@ -108,6 +111,10 @@
 		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), report: newReport(o.Seed), store: standin.NewStore(),
 	}
 
+	if o.Rollout {
+		r.trial = &trial{report: r.report, bad: o.Seed%2 == 0}
+	}
+
 	server := httptest.NewServer(r.store.Handler())
 	defer server.Close()
 	defer server.CloseClientConnections()
@@ -171,7 +178,7 @@
 	name := fmt.Sprintf("n%d", i)
 	service := services()[i%len(services())]
 
-	b := newBackend(name, service, r.options.work(), r.report)
+	b := newBackend(name, service, versionOf(i), r.options.work(), r.report, r.trial)
 	h := &host{backend: b, file: filepath.Join(r.options.Dir, name+".jsonc")}
 	h.config = config.Config{
 		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: b.address,
@@ -181,6 +188,10 @@
 		},
 	}
 
+	if r.trial != nil {
+		h.config.Bounds.ExposeShare = exposeShare
+	}
+
 	for _, address := range []*string{
 		&h.config.CallerAddress, &h.config.PeerAddress, &h.config.ReadyAddress, &h.config.AnnounceAddress, &h.config.MetricsAddress,
 	} {
--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -47,3 +47,8 @@
 func TestStopsThatOverlapCutNoCallsOff(t *testing.T) {
 	play(t, hosts.Options{Seed: 4, Length: 8 * time.Second, Hosts: 9, Rate: 60, Work: 50 * time.Millisecond})
 }
+
+// A version that fails half of its calls is rolled back beside faults, and gets no more than its share.
+func TestBadVersionIsRolledBackBesideFaults(t *testing.T) {
+	play(t, hosts.Options{Seed: 6, Length: 12 * time.Second, Hosts: 12, Rate: 240, Work: 40 * time.Millisecond, Rollout: true})
+}
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -51,6 +51,10 @@
 		calling.Go(func() { r.stay(callers, h) })
 	}
 
+	if r.trial != nil {
+		calling.Go(func() { r.rollOut(callers) })
+	}
+
 	end := time.Now().Add(r.options.Length)
 
 	for i := range uint64(1 + len(r.hosts)/hostsPerSeries) {
@@ -76,6 +80,10 @@
 	stop()
 	calling.Wait()
 	r.judgeStayed()
+
+	if r.trial != nil {
+		r.trial.check()
+	}
 }
 
 // settle gives the fleet its time, and then asks for calls and the newest version.
