rollout: one node of each failure domain watches the store for orders

An order has seconds, and a verdict is written by any judge.

Change: one watcher, longer pauses after errors; a node that knows nothing yet pulls from judges of all failure domains.

--- a/internal/rollout/control/control.go
+++ b/internal/rollout/control/control.go
@@ -3,9 +3,9 @@
 //
 // # Who decides
 //
-// Two nodes of each failure domain, the judges, watch the store for orders and receive the
-// reports of the nodes beside the backend servers of the service. Each judge decides by
-// itself. Any of them may store what it decided: a write is conditional on the order and on
+// Two nodes of each failure domain, the judges, receive the reports of the nodes beside the
+// backend servers of the service, and one of them watches the store for orders. Each judge decides
+// by itself. Any of them may store what it decided: a write is conditional on the order and on
 // the state that the judge has read, so one verdict is stored and never replaced.
 //
 // A judge tells the nodes of the service of a bad version before it stores the verdict. The
@@ -49,6 +49,10 @@
 // Judges is the number of nodes of each failure domain that decide.
 const Judges = 2
 
+// watchers is the number of nodes of each failure domain that watch the store. Orders have time
+// limits of seconds and more, and each watch is a paid call.
+const watchers = 1
+
 // Document is a roll-out as it was stored, with the revision of its entry.
 type Document struct {
 	Rollout  rollout.Rollout
@@ -200,7 +204,14 @@
 	return a.options.Members.Chosen(self.ID, self.FailureDomain, Judges)
 }
 
-// judgesOf returns the judges of all failure domains.
+// isWatcher reports whether this node watches the store for its failure domain.
+func (a *Agent) isWatcher() bool {
+	self := a.options.Members.Self()
+
+	return a.options.Members.Chosen(self.ID, self.FailureDomain, watchers)
+}
+
+// judgeRecords returns the judges of all failure domains.
 func (a *Agent) judgeRecords() []membership.Record {
 	var out []membership.Record
 
--- a/internal/rollout/control/peers.go
+++ b/internal/rollout/control/peers.go
@@ -143,7 +143,8 @@
 
 func (a *Agent) servePull(context.Context, empty) (update, error) { return a.update(), nil }
 
-// pullLoop pulls from a judge, of this failure domain if there is one, to repair lost pushes.
+// pullLoop pulls from a judge to repair lost pushes: one of this failure domain, or any while
+// nothing is known.
 func (a *Agent) pullLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !a.isJudge() || !a.loaded.Load() {
@@ -167,7 +168,7 @@
 	self := a.options.Members.Self()
 
 	judges := withoutNode(a.options.Members.FirstOf(self.FailureDomain, Judges), self.ID)
-	if len(judges) == 0 {
+	if len(judges) == 0 || !a.loaded.Load() {
 		judges = withoutNode(a.judgeRecords(), self.ID)
 	}
 
--- a/internal/rollout/control/views.go
+++ b/internal/rollout/control/views.go
@@ -154,8 +154,8 @@
 	roleCheckInterval = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause between attempts while the store does not
 	// answer.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	minBackoff = 300 * time.Millisecond
+	maxBackoff = 3 * time.Second
 	// verdictInterval is how often a judge reads verdicts while a roll-out is not settled.
 	verdictInterval = time.Second
 	// loadTimeout is how long a node waits for a judge before it reads the store itself, and
@@ -164,14 +164,14 @@
 	joinDelay   = 1500 * time.Millisecond
 )
 
-// followOrders reads the orders and watches them while this node is a judge.
+// followOrders reads the orders and watches them while this node is a watcher.
 func (a *Agent) followOrders(ctx context.Context) {
 	backoff := minBackoff
 
 	a.awaitMembers(ctx)
 
 	for ctx.Err() == nil {
-		if !a.isJudge() && a.loaded.Load() {
+		if !a.isWatcher() && a.loaded.Load() {
 			pause(ctx, roleCheckInterval)
 
 			continue
@@ -198,7 +198,7 @@
 
 	for began := time.Now(); ctx.Err() == nil && !a.loaded.Load() && time.Since(began) < timeout; {
 		knowsJudge := len(withoutNode(a.judgeRecords(), a.options.Members.Self().ID)) > 0
-		if !a.options.FirstStart && knowsJudge && a.isJudge() {
+		if !a.options.FirstStart && knowsJudge && a.isWatcher() {
 			return
 		}
 
@@ -207,14 +207,14 @@
 }
 
 // watchOrders reads the store, and waits for changes until a call fails or this node is not a
-// judge.
+// watcher.
 func (a *Agent) watchOrders(ctx context.Context) error {
 	at, err := a.readStore(ctx)
 	if err != nil {
 		return err
 	}
 
-	for ctx.Err() == nil && a.isJudge() {
+	for ctx.Err() == nil && a.isWatcher() {
 		next, changed, err := a.wait(ctx, at)
 		if err != nil {
 			return err
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -49,7 +49,8 @@
 
 func newBackend(name, service, version string, work time.Duration, r *Report, x *trial) *backend {
 	b := &backend{
-		name: name, service: service, version: version, trial: x, work: work, address: standin.FreeAddress(), report: r, confirmed: map[string]time.Time{},
+		name: name, service: service, version: version, trial: x, work: work, address: standin.FreeAddress(), report: r,
+		confirmed: map[string]time.Time{},
 	}
 	b.up()
 
