--- a/internal/configsync/first.go
+++ b/internal/configsync/first.go
@@ -43,7 +43,7 @@
 	firstPull := &firstPull{}
 
 	for start, turn := time.Now(), 0; ctx.Err() == nil && time.Since(start) < firstPullTimeout && s.options.Holder.Number() == 0; turn++ {
-		watchers := without(s.watchersNearestFirst(), s.options.Members.Self().ID)
+		watchers := membership.Without(s.watchersNearestFirst(), s.options.Members.Self().ID)
 
 		// After a restart of all nodes no node has a version, so the watchers read the store.
 		if len(watchers) > 0 && s.isWatcher() {
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -135,9 +135,9 @@
 		}
 
 		self := s.options.Members.Self()
-		watchers := without(s.options.Members.FirstOf(self.FailureDomain, Watchers), self.ID)
+		watchers := membership.Without(s.options.Members.FirstOf(self.FailureDomain, Watchers), self.ID)
 
-		if s.pullFromAny(ctx, watchers) || (!s.storeReachable.Load() && s.pullFromAny(ctx, without(s.allWatchers(), self.ID))) {
+		if s.pullFromAny(ctx, watchers) || (!s.storeReachable.Load() && s.pullFromAny(ctx, membership.Without(s.allWatchers(), self.ID))) {
 			s.informedAt.Store(monotonic())
 		}
 	}
@@ -145,25 +145,7 @@
 
 // allWatchers returns the watchers of all failure domains.
 func (s *Syncer) allWatchers() []membership.Record {
-	var out []membership.Record
-
-	for _, domain := range s.options.Members.Domains() {
-		out = append(out, s.options.Members.FirstOf(domain, Watchers)...)
-	}
-
-	return out
-}
-
-func without(records []membership.Record, id string) []membership.Record {
-	out := make([]membership.Record, 0, len(records))
-
-	for _, r := range records {
-		if r.ID != id {
-			out = append(out, r)
-		}
-	}
-
-	return out
+	return membership.FirstOfEach(s.options.Members, Watchers)
 }
 
 // pullFromAny pulls from a random one of the nodes and reports whether that node is up to
--- a/internal/configsync/tell.go
+++ b/internal/configsync/tell.go
@@ -154,7 +154,7 @@
 // hint notifies the watchers of all failure domains that their watch may have missed a
 // version.
 func (s *Syncer) hint(ctx context.Context) {
-	for _, r := range without(s.allWatchers(), s.options.Members.Self().ID) {
+	for _, r := range membership.Without(s.allWatchers(), s.options.Members.Self().ID) {
 		go s.sendHint(ctx, r.PeerAddress)
 	}
 }
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -159,3 +159,33 @@
 
 	return xxhash.Sum64(append(append(append(buf[:0], key...), 0), id...))
 }
+
+// DomainView lists the live nodes of each failure domain.
+type DomainView interface {
+	Domains() []string
+	FirstOf(domain string, count int) []Record
+}
+
+// FirstOfEach returns the first count live nodes of each failure domain.
+func FirstOfEach(v DomainView, count int) []Record {
+	var out []Record
+
+	for _, domain := range v.Domains() {
+		out = append(out, v.FirstOf(domain, count)...)
+	}
+
+	return out
+}
+
+// Without returns the records except that of a node.
+func Without(records []Record, id string) []Record {
+	out := make([]Record, 0, len(records))
+
+	for _, r := range records {
+		if r.ID != id {
+			out = append(out, r)
+		}
+	}
+
+	return out
+}
--- a/internal/rollout/control/control.go
+++ b/internal/rollout/control/control.go
@@ -26,7 +26,9 @@
 // # Usage
 //
 //	a := control.New(control.Options{...})
-//	a.Register(server)
+//	for method, h := range a.Handlers() {
+//		server.Handle(method, h)
+//	}
 //	go a.Run(ctx)
 //	if a.Role() == rollout.Excluded { ... }
 package control
@@ -161,11 +163,11 @@
 	return a
 }
 
-// Register adds the handlers of the methods that other nodes call.
-func (a *Agent) Register(server *peer.Server) {
-	server.Handle(methodPush, peer.Typed(a.servePush))
-	server.Handle(methodPull, peer.Typed(a.servePull))
-	server.Handle(methodReport, peer.Typed(a.serveReport))
+// Handlers returns the handlers for messages of other nodes, by method.
+func (a *Agent) Handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		methodPush: peer.Typed(a.servePush), methodPull: peer.Typed(a.servePull), methodReport: peer.Typed(a.serveReport),
+	}
 }
 
 // Run takes part in roll-outs until ctx ends.
@@ -213,11 +215,5 @@
 
 // judgeRecords returns the judges of all failure domains.
 func (a *Agent) judgeRecords() []membership.Record {
-	var out []membership.Record
-
-	for _, domain := range a.options.Members.Domains() {
-		out = append(out, a.options.Members.FirstOf(domain, Judges)...)
-	}
-
-	return out
+	return membership.FirstOfEach(a.options.Members, Judges)
 }
--- a/internal/rollout/control/judge.go
+++ b/internal/rollout/control/judge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform"
 	"github.com/pollencart/pollencart/internal/rollout"
@@ -47,7 +48,7 @@
 			}
 		}
 
-		pause(ctx, judgeInterval)
+		idle.For(ctx, judgeInterval)
 	}
 }
 
@@ -58,20 +59,31 @@
 		return
 	}
 
-	switch d := a.decide(v); {
-	case v.State.Final() || (v.State == rollout.Running && d.State == rollout.Running && !v.Stored):
-		a.store(ctx, v.Rollout)
-	case d.State == v.State:
-	case d.State == rollout.RolledBack:
-		v.Rollout = v.WithState(rollout.RolledBack, d.Reason)
-		v.since = time.Now()
+	d := a.decide(v)
 
-		if a.adopt(v) {
-			a.pushToService(ctx, service)
-			a.pushAll(ctx)
+	if d.State == v.State {
+		if !v.Stored {
+			a.store(ctx, v.Rollout)
 		}
-	default:
+
+		return
+	}
+
+	// The other states begin once they are stored: after a restart of all nodes, the baseline must
+	// not receive calls while some nodes go on moving them.
+	if d.State != rollout.RolledBack {
 		a.store(ctx, v.WithState(d.State, d.Reason))
+
+		return
+	}
+
+	// Calls to a bad version end now, whether the store can be reached or not.
+	v.Rollout = v.WithState(rollout.RolledBack, d.Reason)
+	v.since = time.Now()
+
+	if a.adopt(v) {
+		a.pushToService(ctx, service)
+		a.pushAll(ctx)
 	}
 }
 
--- a/internal/rollout/control/local.go
+++ b/internal/rollout/control/local.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/rollout"
@@ -28,12 +29,15 @@
 	// candidates is the number of canary nodes that an entry node may try for a call.
 	candidates = 3
 	// moveSettle is how long the target version accepts calls beside the baseline before the
-	// first baseline node withdraws; the others follow within moveSpread.
-	moveSettle       = time.Second
-	moveSpreadPart   = 0.12 // of the time limit
-	minMoveSpread    = time.Second
-	maxMoveSpread    = 30 * time.Second
-	pauseAfter       = 6.0 // failures in excess of a quarter of the calls after which a canary pauses
+	// first baseline node withdraws. The others follow within moveSpreadPart of the time limit,
+	// but at least minMoveSpread and at most maxMoveSpread.
+	moveSettle     = time.Second
+	moveSpreadPart = 0.12
+	minMoveSpread  = time.Second
+	maxMoveSpread  = 30 * time.Second
+	// A canary pauses for canaryPause once it has failed pauseAfter more calls than
+	// failureAllowance of its recent ones.
+	pauseAfter       = 6.0
 	failureAllowance = 0.3
 	canaryPause      = 3 * time.Second
 )
@@ -150,7 +154,7 @@
 	for ctx.Err() == nil {
 		a.applyRole()
 
-		pause(ctx, roleInterval)
+		idle.For(ctx, roleInterval)
 	}
 }
 
@@ -209,7 +213,7 @@
 			}
 		}
 
-		pause(ctx, interval)
+		idle.For(ctx, interval)
 	}
 }
 
--- a/internal/rollout/control/peers.go
+++ b/internal/rollout/control/peers.go
@@ -65,8 +65,6 @@
 // empty is a message without content.
 type empty struct{}
 
-func pause(ctx context.Context, d time.Duration) { idle.For(ctx, d) }
-
 func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2) }
 
 func (a *Agent) update() update {
@@ -160,16 +158,16 @@
 			interval = pullInterval
 		}
 
-		pause(ctx, jitter(interval))
+		idle.For(ctx, jitter(interval))
 	}
 }
 
 func (a *Agent) pull(ctx context.Context) {
 	self := a.options.Members.Self()
 
-	judges := withoutNode(a.options.Members.FirstOf(self.FailureDomain, Judges), self.ID)
+	judges := membership.Without(a.options.Members.FirstOf(self.FailureDomain, Judges), self.ID)
 	if len(judges) == 0 || !a.loaded.Load() {
-		judges = withoutNode(a.judgeRecords(), self.ID)
+		judges = membership.Without(a.judgeRecords(), self.ID)
 	}
 
 	if len(judges) == 0 {
@@ -187,18 +185,6 @@
 	}
 }
 
-func withoutNode(records []membership.Record, id string) []membership.Record {
-	out := make([]membership.Record, 0, len(records))
-
-	for _, r := range records {
-		if r.ID != id {
-			out = append(out, r)
-		}
-	}
-
-	return out
-}
-
 // serveReport adds the counts of another node.
 func (a *Agent) serveReport(_ context.Context, r evidence.Report) (empty, error) {
 	a.addReport(r)
--- a/internal/rollout/control/views.go
+++ b/internal/rollout/control/views.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/rollout"
 	"github.com/pollencart/pollencart/internal/rollout/verdict"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -172,13 +174,13 @@
 
 	for ctx.Err() == nil {
 		if !a.isWatcher() && a.loaded.Load() {
-			pause(ctx, roleCheckInterval)
+			idle.For(ctx, roleCheckInterval)
 
 			continue
 		}
 
 		if err := a.watchOrders(ctx); err != nil {
-			pause(ctx, jitter(backoff))
+			idle.For(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 
 			continue
@@ -197,12 +199,12 @@
 	}
 
 	for began := time.Now(); ctx.Err() == nil && !a.loaded.Load() && time.Since(began) < timeout; {
-		knowsJudge := len(withoutNode(a.judgeRecords(), a.options.Members.Self().ID)) > 0
+		knowsJudge := len(membership.Without(a.judgeRecords(), a.options.Members.Self().ID)) > 0
 		if !a.options.FirstStart && knowsJudge && a.isWatcher() {
 			return
 		}
 
-		pause(ctx, firstPullInterval)
+		idle.For(ctx, firstPullInterval)
 	}
 }
 
@@ -260,7 +262,7 @@
 // which they reach this failure domain.
 func (a *Agent) followVerdicts(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, jitter(verdictInterval))
+		idle.For(ctx, jitter(verdictInterval))
 
 		if a.active() && a.isJudge() {
 			a.readVerdicts(ctx)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -207,16 +207,20 @@
 	n.server.Handle(forward.MethodRun, peer.Typed(n.runner.Serve))
 	n.configsync.Register(n.server)
 
-	if n.rollouts != nil {
-		n.rollouts.Register(n.server)
-	}
-
 	n.server.Handle(tombstone.MethodKeep, peer.Typed(n.tombstone.ServeKeep))
 	n.server.Handle(tombstone.MethodAsk, peer.Typed(n.tombstone.ServeAsk))
 
 	for method, h := range n.watch.Handlers() {
 		n.server.Handle(method, h)
 	}
+
+	if n.rollouts == nil {
+		return
+	}
+
+	for method, h := range n.rollouts.Handlers() {
+		n.server.Handle(method, h)
+	}
 }
 
 func (n *Sidecar) registerGauges() {
