rollout: as many backend servers of a new version as of the old one are not taken for ordered

The store came back from an older copy just before the order, so that no node had it; a new version was held back only while fewer backend servers had it than another one, and there were three of each.

Change: a version that was not established on its node gets no calls while others of the service receive calls with another version; if none does, the version of most decides, then the earlier one. An established one goes on.

TestNewVersionGetsNoCallsBeforeItsOrderIsKnown failed before and passes.

--- a/internal/rollout/control/control.go
+++ b/internal/rollout/control/control.go
@@ -15,8 +15,8 @@
 // # Failures
 //
 //   - Nothing is known of roll-outs at first: a node accepts no calls for its backend server
-//     before it has asked a judge or the store. A version that no order names, and that few
-//     nodes of the service have, is excluded, since the order may not have arrived yet.
+//     before it has asked a judge or the store. A version that no order names is excluded while
+//     another version of the service receives calls, since the order may not have arrived yet.
 //   - A write without an answer may have happened: the next attempt fails by its condition,
 //     and the state is read again.
 //   - The store comes back from an older copy and has lost a verdict: nodes keep what they
--- a/internal/rollout/control/control_test.go
+++ b/internal/rollout/control/control_test.go
@@ -55,13 +55,12 @@
 		w.versions[id] = version
 	}
 
-	for id, version := range w.versions {
+	for id := range w.versions {
 		n := &node{world: w, id: id}
 		a := control.New(control.Options{
 			Service: service, Boot: id, Store: n, Peers: n, Members: n, Recorder: timeline.New(), Budget: exposure.New(0.1),
 			Changed: func() {}, InFlight: func() int { return 0 }, Counted: func(string, bool) {},
 		})
-		a.SetVersion(version)
 		w.agents[id] = a
 	}
 
@@ -69,7 +68,13 @@
 		go a.Run(t.Context())
 	}
 
-	time.Sleep(2 * time.Second)
+	time.Sleep(2 * time.Second) // the versions are unknown until the first heartbeats
+
+	for id, version := range w.versions {
+		w.agents[id].SetVersion(version)
+	}
+
+	time.Sleep(time.Second)
 
 	return w
 }
@@ -365,6 +370,21 @@
 	})
 }
 
+// As many backend servers of a new version as of the one in use come up while the store is down, so
+// that no node knows of the order. They get no calls.
+func TestNewVersionGetsNoCallsBeforeItsOrderIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "v1", "v1", "v1", "v2", "v2", "v2")
+		w.set(func() { w.down = true })
+
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			assert.DeepEqual(t, w.roles("v2"), []rollout.Role{rollout.Excluded})
+			assert.DeepEqual(t, w.roles("v1"), []rollout.Role{rollout.Regular})
+		}
+	})
+}
+
 // The operator deletes the order. The version gets no more calls.
 func TestWithdrawnOrderEndsTheTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rollout/control/local.go
+++ b/internal/rollout/control/local.go
@@ -44,8 +44,10 @@
 
 // local is the state of the local backend server in the roll-out of its service.
 type local struct {
-	mu          sync.Mutex
-	version     string
+	mu      sync.Mutex
+	version string
+	// established is the last version that was regular.
+	established string
 	failures    float64 // recent failures in excess of failureAllowance
 	pausedUntil time.Time
 
@@ -100,10 +102,16 @@
 		}
 
 		return rollout.Excluded
-	case ok && a.hasWithdrawn(version, v), a.isOutnumbered(version, v):
+	case ok && a.hasWithdrawn(version, v):
+		return rollout.Excluded
+	case version != a.local.established && a.isUnordered(version, v):
 		return rollout.Excluded
 	}
 
+	// An established version is not excluded by others of which no order is known, so that two
+	// versions can't exclude each other.
+	a.local.established = version
+
 	return rollout.Regular
 }
 
@@ -112,24 +120,34 @@
 	return v.Role(version) == rollout.Excluded || (v.State == rollout.Moving && time.Since(v.since) > a.withdrawAfter(v))
 }
 
-// isOutnumbered reports whether another version that may receive calls has more backend
-// servers. The order that allows this version may not have arrived yet.
-func (a *Agent) isOutnumbered(version string, v view) bool {
+// isUnordered reports whether this version appears to be a new one whose order is not known here:
+// other backend servers of the service receive calls and have another version. The order may not
+// have arrived yet, or there is none.
+func (a *Agent) isUnordered(version string, v view) bool {
 	if version == "" {
 		return false
 	}
 
-	counts := map[string]int{version: 1}
+	counts, ready := map[string]int{version: 1}, map[string]bool{}
 
 	for _, r := range a.options.Members.OfService(a.options.Service) {
-		if other := r.Upstream.Version; r.Live() && r.ID != a.options.Members.Self().ID && other != "" && other != v.Target &&
-			!slices.Contains(v.Rejected, other) {
-			counts[other]++
+		other := r.Upstream.Version
+		if !r.Live() || r.ID == a.options.Members.Self().ID || other == "" || other == v.Target || slices.Contains(v.Rejected, other) {
+			continue
 		}
+
+		counts[other]++
+		ready[other] = ready[other] || r.Ready()
 	}
 
-	for _, n := range counts {
-		if n > counts[version] {
+	for other := range counts {
+		switch {
+		case other == version:
+		case ready[other] != ready[version]:
+			if ready[other] {
+				return true
+			}
+		case counts[other] > counts[version], counts[other] == counts[version] && isEarlier(other, version):
 			return true
 		}
 	}
@@ -137,6 +155,15 @@
 	return false
 }
 
+// isEarlier orders versions of the form v9, v10.
+func isEarlier(a, b string) bool {
+	if len(a) != len(b) {
+		return len(a) < len(b)
+	}
+
+	return a < b
+}
+
 // withdrawAfter returns when the local backend server of the baseline withdraws.
 func (a *Agent) withdrawAfter(v view) time.Duration {
 	spread := moveSpread(v)
--- a/internal/rollout/control/views.go
+++ b/internal/rollout/control/views.go
@@ -152,7 +152,7 @@
 	// watchTimeout is how long the store keeps a watch open; each watch is a paid call.
 	watchTimeout = 25 * time.Second
 	readTimeout  = time.Second
-	// roleCheckInterval is how often a node checks whether it is a judge.
+	// roleCheckInterval is how often a node checks whether it is a watcher.
 	roleCheckInterval = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause between attempts while the store does not
 	// answer.
