--- a/internal/rollout/control/local.go
+++ b/internal/rollout/control/local.go
@@ -128,26 +128,18 @@
 		return false
 	}
 
-	counts, ready := map[string]int{version: 1}, map[string]bool{}
+	self := a.options.Members.Self().ID
+	all := map[string]presence{version: {version: version, count: 1}}
 
 	for _, r := range a.options.Members.OfService(a.options.Service) {
 		other := r.Upstream.Version
-		if !r.Live() || r.ID == a.options.Members.Self().ID || other == "" || other == v.Target || slices.Contains(v.Rejected, other) {
-			continue
+		if r.Live() && r.ID != self && other != "" && other != v.Target && !slices.Contains(v.Rejected, other) {
+			all[other] = presence{other, all[other].count + 1, all[other].ready || r.Ready()}
 		}
-
-		counts[other]++
-		ready[other] = ready[other] || r.Ready()
 	}
 
-	for other := range counts {
-		switch {
-		case other == version:
-		case ready[other] != ready[version]:
-			if ready[other] {
-				return true
-			}
-		case counts[other] > counts[version], counts[other] == counts[version] && isEarlier(other, version):
+	for _, p := range all {
+		if p.precedes(all[version]) {
 			return true
 		}
 	}
@@ -155,6 +147,27 @@
 	return false
 }
 
+// presence is what is known of the backend servers of one version.
+type presence struct {
+	version string
+	count   int
+	ready   bool // some receive calls
+}
+
+// precedes reports whether p rather than o is the version in use.
+func (p presence) precedes(o presence) bool {
+	switch {
+	case p.version == o.version:
+		return false
+	case p.ready != o.ready:
+		return p.ready
+	case p.count != o.count:
+		return p.count > o.count
+	}
+
+	return isEarlier(p.version, o.version)
+}
+
 // isEarlier orders versions of the form v9, v10.
 func isEarlier(a, b string) bool {
 	if len(a) != len(b) {
