rollout: an order for the version in use changes nothing

Cause, found by reading: an order whose target is the version that all backend servers have made each of them a canary.

Change: a backend server whose version was established before the order goes on while no other version of the service receives calls, and judges complete the order at once. If another one does, it is a canary as before, so a version that was taken for established by a node with few members yet stays bounded.

TestOrderOfTheVersionInUseChangesNothing failed before and passes. The world of these tests has nodes in the state that their role gives, and backend servers of the first version up before the others; no assertion changed.

--- a/internal/rollout/control/control_test.go
+++ b/internal/rollout/control/control_test.go
@@ -70,11 +70,16 @@
 
 	time.Sleep(2 * time.Second) // the versions are unknown until the first heartbeats
 
-	for id, version := range w.versions {
-		w.agents[id].SetVersion(version)
-	}
+	// The first version is in use when backend servers of others come up.
+	for _, first := range []bool{true, false} {
+		for id, version := range w.versions {
+			if (version == versions[0]) == first {
+				w.agents[id].SetVersion(version)
+			}
+		}
 
-	time.Sleep(time.Second)
+		time.Sleep(time.Second)
+	}
 
 	return w
 }
@@ -164,9 +169,13 @@
 }
 
 func (n *node) record(id string) membership.Record {
+	state := map[rollout.Role]membership.UpstreamState{
+		rollout.Regular: membership.UpstreamReady, rollout.Canary: membership.UpstreamCanary, rollout.Excluded: membership.UpstreamDraining,
+	}[n.world.agents[id].Role()]
+
 	return membership.Record{
 		ID: id, FailureDomain: "here", PeerAddress: id, State: membership.StateAlive,
-		Upstream: membership.Upstream{Service: service, Slots: 4, Version: n.world.versions[id], State: membership.UpstreamCanary},
+		Upstream: membership.Upstream{Service: service, Slots: 4, Version: n.world.versions[id], State: state},
 	}
 }
 
@@ -385,6 +394,22 @@
 	})
 }
 
+// The operator orders the version that is in use. Its backend servers go on receiving all calls, and the
+// order is completed.
+func TestOrderOfTheVersionInUseChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "v1", "v1", "v1", "v1")
+		w.order("v1", time.Minute)
+
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			assert.DeepEqual(t, w.roles("v1"), []rollout.Role{rollout.Regular})
+		}
+
+		assert.Equal(t, w.stored().State, rollout.Completed)
+	})
+}
+
 // The operator deletes the order. The version gets no more calls.
 func TestWithdrawnOrderEndsTheTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rollout/control/judge.go
+++ b/internal/rollout/control/judge.go
@@ -97,6 +97,10 @@
 		return verdict.Decision{State: rollout.RolledBack, Reason: "the time limit of the order is not positive"}
 	}
 
+	if v.State == rollout.Running && a.inUse(v) {
+		return verdict.Decision{State: rollout.Completed, Reason: "the version is in use"}
+	}
+
 	records := slices.DeleteFunc(a.options.Members.OfService(v.Service), func(r membership.Record) bool { return !r.Live() })
 	progress := verdict.Progress{Elapsed: time.Since(v.ordered), Moving: v.State == rollout.Moving}
 
@@ -126,6 +130,26 @@
 	return d
 }
 
+// inUse reports whether the target version of a roll-out that has not moved any calls receives all of
+// them: the order names the version that was in use before it.
+func (a *Agent) inUse(v view) bool {
+	target := false
+
+	for _, r := range a.options.Members.OfService(v.Service) {
+		if !r.Ready() {
+			continue
+		}
+
+		if r.Upstream.Version != v.Target {
+			return false
+		}
+
+		target = true
+	}
+
+	return target
+}
+
 // moved reports whether no backend server of the baseline has calls or receives any.
 func (a *Agent) moved(v view, records []membership.Record) bool {
 	since := time.Since(v.since)
--- a/internal/rollout/control/local.go
+++ b/internal/rollout/control/local.go
@@ -97,11 +97,7 @@
 	case ok && version == "":
 		return rollout.Excluded // until its next heartbeat
 	case ok && version == v.Target:
-		if role := v.Role(version); role != rollout.Canary || time.Now().After(a.local.pausedUntil) {
-			return role
-		}
-
-		return rollout.Excluded
+		return a.targetRole(v)
 	case ok && a.hasWithdrawn(version, v):
 		return rollout.Excluded
 	case version != a.local.established && a.isUnordered(version, v):
@@ -115,6 +111,21 @@
 	return rollout.Regular
 }
 
+// targetRole returns what the target version may receive. If the order names the version in use, its
+// backend servers go on as before.
+func (a *Agent) targetRole(v view) rollout.Role {
+	role := v.Role(v.Target)
+
+	switch {
+	case role == rollout.Canary && a.local.established == v.Target && a.inUse(v):
+		return rollout.Regular
+	case role == rollout.Canary && time.Now().Before(a.local.pausedUntil):
+		return rollout.Excluded
+	}
+
+	return role
+}
+
 // hasWithdrawn reports whether a version other than the target receives no more calls.
 func (a *Agent) hasWithdrawn(version string, v view) bool {
 	return v.Role(version) == rollout.Excluded || (v.State == rollout.Moving && time.Since(v.since) > a.withdrawAfter(v))
