poison: notify the gates that only other gates know of a crash

What callers saw: a request that crashes the backend server which runs it ended three to twelve backend servers while a fleet started, each with all calls that ran there, though each copy was sent after the answer to the first.

Cause: the gate of a crash notified the gates that its own membership view had for the service. While nodes start, a record is known to others some tenths of a second later (p50 96 to 301 ms, at most 860 ms) and its service later still (p50 175 to 471 ms, at most 1,159 ms), and calls run meanwhile. A gate that the crash missed runs the request as any other, so each such gate lost its backend server. The notified gates knew better, and passed nothing on.

Ruled out: a notification that failed (2 of 42, on an overloaded machine), copies sent before the answer, load (more often alone).

Change: a notification names its sender and carries hashes of the gates that it knows; each gate replies with those that it knows besides, and the notifier goes on until none is new. Nodes without a known service count as gates. A gate that made contact is kept until membership has it. A gate that knows no other one of its service waits up to a second after its start, and a call whose caller left during the pull does not run. Run notifies before it pulls, since a pull may wait for a slow gate.

Why it works: a gate pulls, and so makes contact, before its first call. At the gate that it pulls from, that comes before or after the report: either it is named to the notifier or the reply has the report. The notifier thus reaches all gates that are connected with it by contacts, before the caller gets its answer.

A pull asks 12 gates at most as before, and notifications are sent after a crash only.

--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -20,7 +20,7 @@
 // is alone keeps serving with what it knows, and Run keeps pulling.
 const pullRetryInterval = time.Second
 
-// discoveryTimeout is how long after its start a gate that knows no other node holds
+// discoveryTimeout is how long after its start a gate that knows no other gate holds
 // calls back, discoveryPollInterval how often it checks. Without the wait, a poison
 // request that has already crashed two backend servers crashes a third one here. Nodes
 // usually find each other within 0.1 s of starting, or some tenths of a second later if
@@ -49,7 +49,11 @@
 //
 // Callers invoke it before they take a slot: waiting inside a slot made a newly started
 // node's backend server look slower for a second, and calls to it were rejected.
-func (w *Watch) Freshen(ctx context.Context, service string) {
+func (w *Watch) Freshen(ctx context.Context, service string) { w.freshen(ctx, service) }
+
+// freshen is Freshen and reports whether the call may go on: its context has not ended during the
+// pull.
+func (w *Watch) freshen(ctx context.Context, service string) bool {
 	p := &w.pulls
 
 	if stall := int64(w.stalls.LastStall()); p.lastStall.Load() != stall && p.lastStall.Swap(stall) != stall {
@@ -57,7 +61,7 @@
 	}
 
 	if p.staleMarks.Load() == p.pulledMarks.Load() {
-		return
+		return true
 	}
 
 	p.mu.Lock()
@@ -67,7 +71,7 @@
 		if time.Since(p.lastFailure) < pullRetryInterval {
 			p.mu.Unlock()
 
-			return
+			return true
 		}
 
 		round = make(chan struct{})
@@ -79,12 +83,14 @@
 
 	select {
 	case <-round:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
 func (w *Watch) pullRound(ctx context.Context, service string, done chan struct{}) {
-	w.waitForPeers()
+	w.waitForGates(service)
 
 	began := time.Now()
 	ok := w.pull(ctx, service)
@@ -105,10 +111,11 @@
 	}
 }
 
-// waitForPeers waits until this node knows another one, or discoveryTimeout has passed
-// since its start.
-func (w *Watch) waitForPeers() {
-	for w.members.CountLive() < 2 && time.Since(w.began) < discoveryTimeout {
+// waitForGates waits until this gate knows another one of its service, or discoveryTimeout has
+// passed since its start. A gate that has joined only nodes of other services is unknown to those
+// of its own.
+func (w *Watch) waitForGates(service string) {
+	for len(w.otherGates(service, live)) == 0 && time.Since(w.began) < discoveryTimeout {
 		time.Sleep(discoveryPollInterval)
 	}
 }
@@ -158,7 +165,7 @@
 		g.Go(func() {
 			var reports []Report
 
-			err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, w.pullRequest(service), &reports)
+			err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodPull, w.asGate(service), &reports)
 			if err == nil { // a failure shows in the event below; Run retries if no gate answers
 				w.table.Merge(reports)
 				answered.Add(1)
@@ -177,7 +184,7 @@
 
 	if len(gates) > 0 && (ok || !failed) { // only once per series of failed pulls
 		w.recorder.Record(event.PoisonAsked, timeline.Entry{
-			Detail: fmt.Sprintf("%d of %d gates answered, %d suspects", answered.Load(), len(gates), w.table.Size()),
+			Detail: fmt.Sprintf("%d of %d gates answered, %d suspects, pulled from %s", answered.Load(), len(gates), w.table.Size(), names(gates)),
 		})
 	}
 
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -53,15 +53,16 @@
 	mu     sync.Mutex
 	states map[string]membership.State // state of other nodes in this node's membership view
 	unseen map[string]bool             // nodes of which this node does not know that they serve the service
+	seen   func(id string) bool        // if set, decides instead of unseen
+	pulled map[string]bool             // gates that this one pulled from
+	// unassigned returns the nodes whose service this node does not know yet.
+	unassigned func() []string
 }
 
 func newMesh(t *testing.T, ids ...string) *mesh {
 	t.Helper()
 
-	m := &mesh{t: t, gates: map[string]*gate{}, cuts: map[[2]string]bool{}, sent: map[string]int{}}
-	for _, id := range ids {
-		m.gates[id] = &gate{mesh: m, id: id, states: map[string]membership.State{}}
-	}
+	m := newStoppedMesh(t, ids...)
 
 	for _, id := range ids {
 		m.gates[id].start()
@@ -78,6 +79,18 @@
 	return m
 }
 
+// newStoppedMesh returns a mesh of which no gate has started.
+func newStoppedMesh(t *testing.T, ids ...string) *mesh {
+	t.Helper()
+
+	m := &mesh{t: t, gates: map[string]*gate{}, cuts: map[[2]string]bool{}, sent: map[string]int{}}
+	for _, id := range ids {
+		m.gates[id] = &gate{mesh: m, id: id, states: map[string]membership.State{}, pulled: map[string]bool{}}
+	}
+
+	return m
+}
+
 // crashedTwice returns a mesh in which the poison request has crashed the backend servers
 // of a and b.
 func crashedTwice(t *testing.T) *mesh {
@@ -130,44 +143,45 @@
 }
 
 // OfService returns the nodes in the membership view of the gate's node.
-func (g *gate) OfService(string) []membership.Record {
+func (g *gate) OfService(of string) []membership.Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	var out []membership.Record
+	ids := slices.Sorted(maps.Keys(g.mesh.gates))
 
-	for _, id := range slices.Sorted(maps.Keys(g.mesh.gates)) {
-		if g.unseen[id] {
-			continue
-		}
+	switch {
+	case of == "" && g.unassigned == nil:
+		return nil
+	case of == "":
+		ids = g.unassigned()
+	default:
+		ids = slices.DeleteFunc(ids, func(id string) bool {
+			return g.unseen[id] || g.seen != nil && id != g.id && !g.seen(id)
+		})
+	}
 
+	var out []membership.Record
+
+	for _, id := range ids {
 		_, boots := g.mesh.gates[id].current()
 		state := g.states[id]
+
 		if state == 0 {
 			state = membership.StateAlive
 		}
 
+		if state == membership.StateLeft {
+			boots-- // of the process before
+		}
+
 		out = append(out, membership.Record{
-			ID: id, PeerAddress: id, State: state, Incarnation: uint64(boots), Upstream: membership.Upstream{Service: service},
+			ID: id, PeerAddress: id, State: state, Incarnation: uint64(boots), Upstream: membership.Upstream{Service: of},
 		})
 	}
 
 	return out
 }
 
-// CountLive counts the nodes that the gate's node considers alive.
-func (g *gate) CountLive() int {
-	n := 0
-
-	for _, r := range g.OfService(service) {
-		if r.Live() {
-			n++
-		}
-	}
-
-	return n
-}
-
 // stallCounter counts stalls of the gate's process.
 type stallCounter struct{ n atomic.Int64 }
 
@@ -181,6 +195,14 @@
 	g.unseen = map[string]bool{id: true}
 }
 
+// sees sets the other gates that the gate's node knows.
+func (g *gate) sees(ids ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.seen = func(id string) bool { return slices.Contains(ids, id) }
+}
+
 // considersFailed sets that the gate's node considers another one failed.
 func (g *gate) considersFailed(id string) {
 	g.mu.Lock()
@@ -192,6 +214,7 @@
 // Do carries a message to another gate.
 func (g *gate) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
 	g.mesh.count(method)
+	g.trace(ctx, method, address)
 
 	if err := g.mesh.carry(ctx, g.id, address); err != nil {
 		return err
@@ -220,6 +243,21 @@
 	return msgpack.Unmarshal(body, out)
 }
 
+// trace records whom a gate pulls from, and whom a traced run asks for its permit.
+func (g *gate) trace(ctx context.Context, method, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	switch method {
+	case poison.MethodPull:
+		g.pulled[address] = true
+	case poison.MethodAcquire:
+		if r, ok := ctx.Value(playRunKey{}).(*playRun); ok {
+			r.granter = address
+		}
+	}
+}
+
 func (m *mesh) count(method string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -311,7 +349,9 @@
 
 	ctx, cancel := context.WithTimeout(g.mesh.t.Context(), callerTimeout)
 
-	end, err := g.watch.Begin(ctx, call.Call{ID: "c", Service: service, Method: "GET", URI: uri})
+	w, _ := g.current()
+
+	end, err := w.Begin(ctx, call.Call{ID: "c", Service: service, Method: "GET", URI: uri})
 	if err != nil {
 		cancel()
 
--- /dev/null
+++ b/internal/poison/order_test.go
@@ -0,0 +1,316 @@
+package poison_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/poison"
+)
+
+// views are the other gates that each gate knows.
+type views map[string][]string
+
+// newPartialMesh returns a mesh whose gates know only some others and have finished a call.
+func newPartialMesh(t *testing.T, v views) *mesh {
+	t.Helper()
+
+	var ids []string
+	for id := range v {
+		ids = append(ids, id)
+	}
+
+	slices.Sort(ids)
+
+	m := newStoppedMesh(t, ids...)
+	for _, id := range ids {
+		m.gates[id].sees(v[id]...)
+	}
+
+	for _, id := range ids {
+		m.gates[id].start()
+	}
+
+	time.Sleep(time.Second)
+
+	for _, id := range ids {
+		m.finish(id, "/folders/first")
+	}
+
+	return m
+}
+
+// startLate starts a gate again, which then finishes a call.
+func (m *mesh) startLate(id string) {
+	m.t.Helper()
+	m.gates[id].start()
+	m.finish(id, "/folders/first")
+}
+
+// sendInOrder sends the poison request to one gate after the other.
+func (m *mesh) sendInOrder(ids ...string) {
+	for _, id := range ids {
+		_ = m.sendPoison(id)
+
+		synctest.Wait()
+	}
+}
+
+// runPoison begins the poison request at a gate; the returned function ends the run.
+func (m *mesh) runPoison(id string) func() {
+	end, err := m.gates[id].begin("/folders/broken")
+	if err != nil {
+		return func() {}
+	}
+
+	return func() {
+		m.gates[id].crashes++
+		end(poison.Crashed)
+	}
+}
+
+func (m *mesh) assertAtMostTwo() {
+	m.t.Helper()
+
+	var crashed []string
+
+	for id, g := range m.gates {
+		for range g.crashes {
+			crashed = append(crashed, id)
+		}
+	}
+
+	slices.Sort(crashed)
+	assert.Assert(m.t, len(crashed) <= poison.Limit, "backend servers of %v crashed", crashed)
+}
+
+// A gate that has pulled only from a gate which sees no crash must not run the request between two
+// crashes at gates that do not know it.
+func TestOrderCrashAtGateThatDoesNotKnowTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "d"}, "b": {"a", "d"}, "c": {"d"}, "d": {"a", "b", "c"}})
+		m.startLate("c")
+		m.sendInOrder("a", "c", "b")
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate that has just started and knows no gate of its service yet must not run calls unjudged.
+func TestOrderFirstCallOfGateThatKnowsNoGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b"}, "b": {"a"}, "c": {}})
+		m.gates["c"].start()
+		m.sendInOrder("a", "b", "c")
+		time.Sleep(time.Second) // the pull of c ends
+		m.assertAtMostTwo()
+	})
+}
+
+// A notified gate that does not know the gate of the crash must not permit itself a run that the
+// gate of the crash never learns of.
+func TestOrderSubstituteRunsThenGranterGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b"}, "b": {"a"}, "c": {}})
+		m.gates["a"].sees("b", "c")
+		m.sendInOrder("a", "c", "b")
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate must not permit itself a run while the gate of the crash has permitted another one.
+func TestOrderGranterGrantsWhileSubstituteRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b"}, "b": {"a"}, "c": {}})
+		m.gates["a"].sees("b", "c")
+		m.sendInOrder("a")
+
+		endB, endC := m.runPoison("b"), m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate that the notifying gates hold for failed, though it runs, must still be notified.
+func TestOrderRunningGateWronglyConsideredFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.gates["a"].considersFailed("c")
+		m.gates["b"].considersFailed("c")
+		m.setLatency(time.Millisecond)
+		m.sendInOrder("a", "b")
+		time.Sleep(10 * time.Millisecond)
+		m.sendInOrder("c")
+		m.assertAtMostTwo()
+	})
+}
+
+// A copy that arrives before a gate held for failed is notified must not run.
+func TestOrderCopyBeforeGateConsideredFailedIsNotified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.gates["a"].considersFailed("c")
+		m.gates["b"].considersFailed("c")
+		m.setLatency(20 * time.Millisecond)
+		m.sendInOrder("a", "c", "b")
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate that left and started again must be notified by gates that know it as left.
+func TestOrderGateThatLeftStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "c", "d"}, "b": {"a", "c", "d"}, "c": {"d"}, "d": {"a", "b", "c"}})
+		for _, id := range []string{"a", "b"} {
+			m.gates[id].states["c"] = membership.StateLeft
+		}
+
+		m.startLate("c")
+		m.sendInOrder("a", "b", "c")
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate that becomes known while the notification of a crash is sent must be notified before the
+// next copies run.
+func TestOrderGateLearnedDuringNotification(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "d"}, "b": {"a", "d"}, "c": {"d"}, "d": {"a", "b", "c"}})
+		m.startLate("c")
+		m.setLatency(10 * time.Millisecond)
+		time.AfterFunc(15*time.Millisecond, func() { m.gates["a"].sees("b", "c", "d") })
+		m.sendInOrder("a", "c", "b")
+		m.assertAtMostTwo()
+	})
+}
+
+// A notified gate that runs a copy already must not count as a gate that knows of the crash, or a
+// permit is granted beside its run.
+func TestOrderPermitWhileNotifiedGateRunsCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "d"}, "b": {"a", "d"}, "c": {"d"}, "d": {"a", "b", "c"}})
+		m.startLate("c")
+		m.sendInOrder("a")
+
+		endC := m.runPoison("c")
+
+		m.gates["a"].sees("b", "c", "d")
+
+		endB := m.runPoison("b")
+		endC()
+		endB()
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate that becomes known after a permit is granted must not run a copy beside the permitted run.
+func TestOrderGateLearnedDuringPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "d"}, "b": {"a", "d"}, "c": {"d"}, "d": {"a", "b", "c"}})
+		m.startLate("c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+
+		for _, id := range []string{"a", "b", "c"} {
+			m.gates[id].sees("a", "b", "c", "d")
+		}
+
+		time.Sleep(10 * time.Millisecond)
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// A granter that restarts before the permit is returned must know the crash of the permitted run.
+func TestOrderPermitReturnedToRestartedGranter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		m.gates["a"].start()
+		endB()
+		m.sendInOrder("c", "a", "c")
+		m.assertAtMostTwo()
+	})
+}
+
+// All gates that saw a crash restart; those that were notified must answer their pulls.
+func TestOrderGatesOfCrashesRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a", "b")
+		m.gates["a"].start()
+		m.gates["b"].start()
+		m.sendInOrder("a", "b", "c")
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate of a large service must be notified of crashes at gates that its pull did not contact.
+func TestOrderCrashAtGatesThatPullDidNotContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 24
+
+		v, late := views{}, "gate-23"
+
+		var ids []string
+		for i := range size {
+			ids = append(ids, fmt.Sprintf("gate-%02d", i))
+		}
+
+		for _, id := range ids {
+			for _, o := range ids {
+				if o != id && (o != late || id < "gate-08") {
+					v[id] = append(v[id], o)
+				}
+			}
+		}
+
+		m := newPartialMesh(t, v)
+		m.startLate(late)
+
+		var missed []string
+
+		for _, id := range ids[8 : size-1] {
+			if !m.gates[late].pulled[id] {
+				missed = append(missed, id)
+			}
+		}
+
+		m.sendInOrder(missed[0], missed[1], late)
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate that pulled must be notified until membership has it, however long that takes.
+func TestOrderCrashAfterPullerExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b"}, "b": {"a"}, "c": {"a", "b"}})
+		m.startLate("c")
+		time.Sleep(11 * time.Second)
+		m.sendInOrder("a", "b", "c")
+		m.assertAtMostTwo()
+	})
+}
+
+// A gate of another service gets this one; it must not run a copy before the gates that know it by
+// its former service notify it.
+func TestOrderGateGetsTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "d"}, "b": {"a", "d"}, "c": {"d"}, "d": {"a", "b"}})
+		m.gates["c"].watch.MarkStale()
+		m.finish("c", "/folders/first")
+		m.sendInOrder("a", "b", "c")
+		m.assertAtMostTwo()
+	})
+}
--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -41,7 +41,7 @@
 // an answer let copies on both sides of a partition crash three and four backend servers.
 func (w *Watch) acquirePermit(ctx context.Context, c Crash, p PermitRequest) (granter, error) {
 	liveGates := w.otherGates(p.Service, live)
-	p.Gate = c.Gate
+	p.Gate, p.From = c.Gate, w.asGate(p.Service)
 
 	if c.Gate == w.self.BootID {
 		return granter{node: w.self.Node}, w.grant(ctx, p)
@@ -119,17 +119,15 @@
 // reports whether all of them know now.
 func (w *Watch) notifyAll(ctx context.Context, p PermitRequest) bool {
 	revision := w.table.Revision(p.Suspect.Digest)
+	unnotified := func(m membership.Record) bool { return m.Live() && w.notified.ackOf(m).revision < revision }
 
-	unnotified := w.otherGates(p.Service, func(m membership.Record) bool {
-		return m.Live() && w.notified.ackOf(m).revision < revision
-	})
-	if len(unnotified) == 0 {
+	if len(w.otherGates(p.Service, unnotified)) == 0 {
 		return true
 	}
 
 	w.wakeRun(p.Service)
 
-	return w.notify(ctx, unnotified)
+	return w.notify(ctx, p.Service, unnotified)
 }
 
 // releasePermit returns a permit together with the crashes known now. If the
--- a/internal/poison/serve.go
+++ b/internal/poison/serve.go
@@ -17,7 +17,12 @@
 
 // Notification reports suspects to another gate.
 type Notification struct {
-	Reports []Report `msgpack:"Reports"`
+	// From is the sender, with the service that the suspects are of. Older programs do not name
+	// themselves.
+	From Gate `msgpack:"From"`
+	// KnownGates are the hashes of the live gates of the service that the sender knows.
+	KnownGates []uint64 `msgpack:"KnownGates"`
+	Reports    []Report `msgpack:"Reports"`
 }
 
 // NotificationReply is the reply to a Notification.
@@ -28,10 +33,14 @@
 	// Known is what the notified gate already knew of the same requests. It may have seen
 	// a crash while it was unreachable.
 	Known []Report `msgpack:"Known"`
+	// Gates are live gates of the service that the sender does not know.
+	Gates []Gate `msgpack:"Gates"`
 }
 
 // PermitRequest acquires or releases the permit to run a suspect.
 type PermitRequest struct {
+	// From is the gate that asks, empty from older programs.
+	From Gate `msgpack:"From"`
 	// Gate is the boot ID of the gate process that saw the crash; a later process on its
 	// host knows nothing of it. It is empty if that process has terminated and the
 	// receiver stands in.
@@ -65,13 +74,8 @@
 	return errRunsElsewhere
 }
 
-// PullRequest asks for all reports. The sender is notified of later ones, too.
-type PullRequest struct {
-	Node        string `msgpack:"Node"`
-	Incarnation uint64 `msgpack:"Incarnation"`
-	Address     string `msgpack:"Address"`
-	Service     string `msgpack:"Service"`
-}
+// PullRequest asks for all reports. It names its sender, which is notified of later ones, too.
+type PullRequest = Gate
 
 // Empty is an empty message.
 type Empty struct{}
@@ -87,11 +91,15 @@
 }
 
 // serveNotification merges the reports of another gate. It replies with what this gate
-// knew of the requests and which of them finished here since their crashed calls began.
+// knew of the requests, which of them finished here since their crashed calls began, and the gates
+// that the sender does not know. The reports are merged before the gates are read: a gate that
+// contacts this one later pulls them, and one that did before is named.
 func (w *Watch) serveNotification(_ context.Context, n Notification) (NotificationReply, error) {
 	out := NotificationReply{Known: w.table.Known(n.Reports)}
 
+	w.contacts.add(n.From, true)
 	w.table.Merge(n.Reports)
+	out.Gates = w.unknownTo(n)
 
 	for _, r := range n.Reports {
 		if len(r.Crashes) > 0 && r.Age > 0 && w.recentFinishes.has(r.Suspect.Whole, r.Age) {
@@ -105,7 +113,7 @@
 // servePull returns all suspects known here. The sender is remembered first, so that it misses no
 // crash after this reply.
 func (w *Watch) servePull(_ context.Context, p PullRequest) ([]Report, error) {
-	w.pullers.add(p)
+	w.contacts.add(p, true)
 
 	return w.table.Reports(), nil
 }
@@ -116,6 +124,8 @@
 		return PermitReply{Gone: true}, nil
 	}
 
+	w.contacts.add(p.From, true)
+
 	err := w.grant(ctx, p)
 
 	return PermitReply{
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -84,7 +84,7 @@
 func (w *Watch) otherGates(service string, include func(membership.Record) bool) []membership.Record {
 	var out []membership.Record
 
-	for _, m := range w.pullers.merge(service, w.members.OfService(service)) {
+	for _, m := range w.contacts.merge(service, w.candidates(service), anyContact) {
 		if m.ID != w.self.Node && include(m) {
 			out = append(out, m)
 		}
@@ -100,26 +100,54 @@
 // notifyLive notifies all live gates before the caller gets its answer, so that its retry
 // can't arrive before the notification.
 func (w *Watch) notifyLive(ctx context.Context, service string) {
-	w.notify(context.WithoutCancel(ctx), w.otherGates(service, live))
+	w.notify(context.WithoutCancel(ctx), service, live)
 }
 
-// notify sends gates the reports that they have not received yet, and reports whether all
-// of them know them now. A suspect that finished at one of them since the crashed call
-// began is exonerated.
-func (w *Watch) notify(ctx context.Context, gates []membership.Record) bool {
+// notify sends the included gates of a service the reports that they have not received yet, and
+// reports whether all of them know them now. A suspect that finished at one of them since the
+// crashed call began is exonerated.
+//
+// Each gate replies with those that are unknown here, which are notified next. Gates that start
+// together know different ones of each other, and one that none of them passes on runs the request
+// without a permit.
+func (w *Watch) notify(ctx context.Context, service string, include func(membership.Record) bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
 
+	notified := map[string]uint64{} // incarnations by node
+	all := true
+
+	for {
+		gates := w.otherGates(service, func(m membership.Record) bool {
+			incarnation, done := notified[m.ID]
+
+			return include(m) && (!done || incarnation < m.Incarnation)
+		})
+		if len(gates) == 0 {
+			return all
+		}
+
+		for _, m := range gates {
+			notified[m.ID] = m.Incarnation
+		}
+
+		all = w.notifyGates(ctx, service, gates) && all
+	}
+}
+
+// notifyGates notifies gates concurrently and reports whether all of them know the reports now.
+func (w *Watch) notifyGates(ctx context.Context, service string, gates []membership.Record) bool {
 	var (
 		g      errgroup.Group
 		failed atomic.Bool
+		known  = sync.OnceValue(func() []uint64 { return w.hashes(service) })
 	)
 
 	g.SetLimit(notifyConcurrency)
 
 	for _, m := range gates {
 		g.Go(func() error {
-			if err := w.notifyOne(ctx, m); err != nil {
+			if err := w.notifyOne(ctx, service, known, m); err != nil {
 				failed.Store(true) // Run retries
 			}
 
@@ -132,7 +160,7 @@
 	return !failed.Load()
 }
 
-func (w *Watch) notifyOne(ctx context.Context, m membership.Record) error {
+func (w *Watch) notifyOne(ctx context.Context, service string, known func() []uint64, m membership.Record) error {
 	reports, revision := w.table.ReportsSince(w.notified.ackOf(m).revision)
 	if len(reports) == 0 {
 		return nil
@@ -140,7 +168,10 @@
 
 	var out NotificationReply
 
-	err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodNotify, Notification{Reports: reports}, &out)
+	in := Notification{From: w.asGate(service), KnownGates: known(), Reports: reports}
+	err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodNotify, in, &out)
+	w.contacts.reached(m.ID, err == nil)
+
 	before := w.notified.record(m, revision, err)
 
 	switch {
@@ -154,6 +185,11 @@
 
 	w.table.Merge(out.Known)
 
+	for _, g := range out.Gates {
+		g.Service = service // the gate that names it may not know its service yet
+		w.contacts.add(g, false)
+	}
+
 	for _, s := range out.Finished {
 		w.table.Finished(s)
 	}
@@ -204,8 +240,8 @@
 	service := w.service
 	w.mu.Unlock()
 
+	notified := w.notify(ctx, service, notLeft) // first, since a pull may wait for a slow gate
 	pulled := !w.pulls.failed.Load() || w.pull(ctx, service)
-	notified := w.notify(ctx, w.otherGates(service, notLeft))
 	reports, _ := w.table.ReportsSince(0)
 
 	switch {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -26,8 +26,6 @@
 // be running and take calls before this node learns of it.
 type Members interface {
 	OfService(service string) []membership.Record
-	// CountLive counts the nodes that are considered alive, including this one.
-	CountLive() int
 }
 
 // Peers sends messages to other nodes.
@@ -65,7 +63,7 @@
 	recentFinishes recentFinishes
 	notified       notified
 	pulls          pulls
-	pullers        pullers
+	contacts       contacts
 	began          time.Time
 	wake           chan struct{} // wakes Run
 
@@ -109,7 +107,10 @@
 // with the result when the call ends; it returns the crashes that count against the
 // request.
 func (w *Watch) Begin(ctx context.Context, c call.Call) (func(Result) []Crash, error) {
-	w.Freshen(ctx, c.Service) // reports may have been missed while the call waited for its slot
+	// Reports may have been missed while the call waited for its slot.
+	if !w.freshen(ctx, c.Service) {
+		return nil, w.refuse(c, ErrWaiting, waitingRetryAfter)
+	}
 
 	r := &run{watch: w, call: c, began: time.Now(), crashesBefore: w.crashesSeen()}
 
@@ -227,16 +228,18 @@
 		return nil
 	}
 
+	service := runs[0].call.Service
+	gates := w.otherGates(service, live)
+
 	for _, r := range runs {
 		s, c := Of(r.call), w.crashAfter(r.crashesBefore)
 
 		w.table.CrashedLocally(s, c, r.began)
 		w.recorder.Record(event.PoisonSuspected, timeline.Entry{
-			Call: r.call.ID, Key: r.call.Key, Detail: describe(r.call, c, len(w.table.Crashes(s.Digest))),
+			Call: r.call.ID, Key: r.call.Key, Detail: describe(r.call, c, len(w.table.Crashes(s.Digest))) + ", notifies " + names(gates),
 		})
 	}
 
-	service := runs[0].call.Service
 	w.notifyLive(ctx, service)
 
 	for _, r := range runs {
