poison: ask the gate of a crash also if membership does not have it yet

What callers saw: a third backend server ended by copies that each ran with a permit.

Cause: a gate that does not find the gate of the crash in its membership view took it for terminated and asked a substitute, often itself, while that gate granted its own permits. Views that lag also choose different substitutes.

Change: a gate without a record is asked at the address that the crash names, for two seconds after the start of the asking process; membership has all records by then (at most 1.2 s in the traces). A substitute that learns of a lower one while it notifies all grants nothing.

What it costs: a process that is younger than two seconds refuses a suspect, as not run and to come back in a second, if the crashed host is gone for good.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -314,3 +314,34 @@
 		m.assertAtMostTwo()
 	})
 }
+
+// A gate that holds the living gate of the crash for failed must not obtain a permit from a
+// substitute while the gate of the crash has permitted another run.
+func TestOrderGranterWronglyConsideredFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c", "d")
+		m.sendInOrder("a")
+		m.gates["c"].considersFailed("a")
+
+		endD, endC := m.runPoison("d"), m.runPoison("c")
+		endD()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// The gate of the crash gets another service; gates that know this and gates that do not must not
+// obtain permits from two granters.
+func TestOrderGranterGetsAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		time.Sleep(11 * time.Second) // the pulls of the start expire
+		m.sendInOrder("a")
+		m.gates["c"].setUnseen("a")
+
+		endC, endB := m.runPoison("c"), m.runPoison("b")
+		endC()
+		endB()
+		m.assertAtMostTwo()
+	})
+}
--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -40,39 +40,49 @@
 // suspects are refused as not run for that time, with a time to retry. Granting without
 // an answer let copies on both sides of a partition crash three and four backend servers.
 func (w *Watch) acquirePermit(ctx context.Context, c Crash, p PermitRequest) (granter, error) {
-	liveGates := w.otherGates(p.Service, live)
 	p.Gate, p.From = c.Gate, w.asGate(p.Service)
 
 	if c.Gate == w.self.BootID {
 		return granter{node: w.self.Node}, w.grant(ctx, p)
 	}
 
-	for _, m := range liveGates {
-		if m.PeerAddress != c.Address {
-			continue
-		}
-
-		g := granter{m.ID, m.PeerAddress}
+	if g, ok := w.findGranter(c, p.Service); ok {
 		if err := w.requestPermit(ctx, g, p); !errors.Is(err, errGranterRestarted) {
 			return g, err
 		}
 	}
 
-	return w.acquireFromSubstitute(ctx, liveGates, p)
+	return w.acquireFromSubstitute(ctx, p)
+}
+
+// convergenceTime is how long after its start a gate may lack the records of others that run.
+const convergenceTime = 2 * time.Second
+
+// findGranter returns the gate that saw a crash, unless it has terminated. Membership may not have
+// a gate yet that started together with this one, so one without a record is asked at its address
+// until convergenceTime after the start. If a substitute were asked, two permits would be held.
+func (w *Watch) findGranter(c Crash, service string) (granter, bool) {
+	recorded := false
+
+	for _, m := range w.otherGates(service, anyState) {
+		switch {
+		case m.PeerAddress != c.Address:
+		case m.Live():
+			return granter{m.ID, m.PeerAddress}, true
+		default:
+			recorded = true
+		}
+	}
+
+	return granter{c.Address, c.Address}, !recorded && time.Since(w.began) < convergenceTime
 }
 
 // acquireFromSubstitute requests the permit from the gate that stands in for a terminated
 // one.
-func (w *Watch) acquireFromSubstitute(ctx context.Context, liveGates []membership.Record, p PermitRequest) (granter, error) {
+func (w *Watch) acquireFromSubstitute(ctx context.Context, p PermitRequest) (granter, error) {
 	p.Gate = ""
 
-	g := granter{node: w.self.Node}
-	for _, m := range liveGates {
-		if m.ID < g.node {
-			g = granter{m.ID, m.PeerAddress}
-		}
-	}
-
+	g := w.substitute(p.Service)
 	if g.address == "" {
 		return g, w.grant(ctx, p)
 	}
@@ -80,6 +90,20 @@
 	return g, w.requestPermit(ctx, g, p)
 }
 
+// substitute returns the gate that stands in for a terminated one: the live one with the lowest node
+// ID.
+func (w *Watch) substitute(service string) granter {
+	g := granter{node: w.self.Node}
+
+	for _, m := range w.otherGates(service, live) {
+		if m.ID < g.node && m.Upstream.Service == service {
+			g = granter{m.ID, m.PeerAddress}
+		}
+	}
+
+	return g
+}
+
 func (w *Watch) requestPermit(ctx context.Context, g granter, p PermitRequest) error {
 	var out PermitReply
 	if err := w.peers.Do(ctx, g.address, peer.LaneControl, MethodAcquire, p, &out); err != nil {
@@ -102,6 +126,12 @@
 		return errNotAllNotified
 	}
 
+	// Gates that do not know each other yet may choose different substitutes. One that learns of a
+	// lower one while it notifies all leaves the permit to that one.
+	if p.Gate == "" && w.substitute(p.Service).address != "" {
+		return errNotAllNotified
+	}
+
 	if !w.permits.Acquire(ctx, d) {
 		return errRunsElsewhere
 	}
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -95,6 +95,8 @@
 
 func live(m membership.Record) bool { return m.Live() }
 
+func anyState(membership.Record) bool { return true }
+
 func notLeft(m membership.Record) bool { return m.State != membership.StateLeft }
 
 // notifyLive notifies all live gates before the caller gets its answer, so that its retry
