poison: permit no run while the request may still run elsewhere

What callers saw: a third backend server ended with whole membership views, when the gate that had granted a permit restarted or terminated while the permitted run lasted, or the run lasted longer than the permit (30 s).

Cause: an acknowledged notification meant only that the gate knows of the crash, not that it runs no copy, and permits are known to their granter alone. A substitute or a restarted granter granted a second run beside the first.

Change: a notified gate replies which of the suspects run there, and counts as not notified until they have ended. A substitute has all gates notified again before it grants, as does a granter whose last permit expired. A run is tracked before its request is evaluated, so a notification that arrives meanwhile either is seen by the run or is replied to as running.

What it costs: an innocent suspect waits until its other runs have ended; the first of them that finishes exonerates it, as before.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -345,3 +345,54 @@
 		m.assertAtMostTwo()
 	})
 }
+
+// A granter that restarts must not permit a second run while the run that it had permitted lasts.
+func TestOrderGranterRestartsDuringPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		m.startLate("a")
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// A substitute must not permit a second run while a run that the terminated granter had permitted
+// lasts.
+func TestOrderGranterTerminatesDuringPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		m.isolate("a", true)
+		m.gates["b"].considersFailed("a")
+		m.gates["c"].considersFailed("a")
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// A permit whose run outlasts permitTimeout must not be granted again while the run lasts.
+func TestOrderRunOutlastsPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		time.Sleep(31 * time.Second)
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -122,6 +122,10 @@
 
 	w.table.MergeCrashes(p.Suspect, p.Crashes)
 
+	if p.Gate == "" {
+		w.table.Renew(d) // a holder of a permit of the terminated gate may still run it
+	}
+
 	if !w.table.Adopt(d) || !w.notifyAll(ctx, p) {
 		return errNotAllNotified
 	}
@@ -136,7 +140,7 @@
 		return errRunsElsewhere
 	}
 
-	if w.table.Evaluate(d).Refused {
+	if w.table.Evaluate(d).Refused || w.runningRequests()[d] || !w.confirmExpired(ctx, p) {
 		w.permits.Release(d)
 
 		return errRunsElsewhere
@@ -145,6 +149,24 @@
 	return nil
 }
 
+// confirmExpired reports whether no gate runs the request anymore with a permit that expired.
+func (w *Watch) confirmExpired(ctx context.Context, p PermitRequest) bool {
+	d := p.Suspect.Digest
+	if !w.permits.Expired(d) {
+		return true
+	}
+
+	w.table.Renew(d)
+
+	if !w.notifyAll(ctx, p) {
+		return false
+	}
+
+	w.permits.ClearExpired(d)
+
+	return !w.table.Evaluate(d).Refused
+}
+
 // notifyAll notifies the live gates that do not know of the crashes of a request yet, and
 // reports whether all of them know now.
 func (w *Watch) notifyAll(ctx context.Context, p PermitRequest) bool {
--- a/internal/poison/permit.go
+++ b/internal/poison/permit.go
@@ -10,10 +10,15 @@
 type Permits struct {
 	mu   sync.Mutex
 	held map[Digest]chan struct{} // closed when the permit is released
+	// expired are the requests whose last permit was not released in time, so that they may
+	// still run.
+	expired map[Digest]bool
 }
 
 // NewPermits returns permits of which none is held.
-func NewPermits() *Permits { return &Permits{held: map[Digest]chan struct{}{}} }
+func NewPermits() *Permits {
+	return &Permits{held: map[Digest]chan struct{}{}, expired: map[Digest]bool{}}
+}
 
 // Acquire waits until the permit is free and takes it. It reports false if ctx ends
 // first.
@@ -26,7 +31,7 @@
 			permit := make(chan struct{})
 			l.held[d] = permit
 			l.mu.Unlock()
-			time.AfterFunc(permitTimeout, func() { l.releaseIf(d, permit) })
+			time.AfterFunc(permitTimeout, func() { l.expire(d, permit) })
 
 			return true
 		}
@@ -49,6 +54,35 @@
 	l.releaseIf(d, released)
 }
 
+// Expired reports whether the last permit of a request expired, so that its holder may still run
+// it.
+func (l *Permits) Expired(d Digest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.expired[d]
+}
+
+// ClearExpired records that no holder of an expired permit runs the request anymore.
+func (l *Permits) ClearExpired(d Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	delete(l.expired, d)
+}
+
+func (l *Permits) expire(d Digest, permit chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.held[d] == permit {
+		l.expired[d] = true
+		close(permit)
+		delete(l.held, d)
+		time.AfterFunc(Hold, func() { l.ClearExpired(d) })
+	}
+}
+
 func (l *Permits) releaseIf(d Digest, released chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/poison/serve.go
+++ b/internal/poison/serve.go
@@ -33,6 +33,8 @@
 	// Known is what the notified gate already knew of the same requests. It may have seen
 	// a crash while it was unreachable.
 	Known []Report `msgpack:"Known"`
+	// Running are the suspects that run at the notified gate now.
+	Running []Suspect `msgpack:"Running"`
 	// Gates are live gates of the service that the sender does not know.
 	Gates []Gate `msgpack:"Gates"`
 }
@@ -101,7 +103,13 @@
 	w.table.Merge(n.Reports)
 	out.Gates = w.unknownTo(n)
 
+	running := w.runningRequests()
+
 	for _, r := range n.Reports {
+		if len(r.Crashes) > 0 && running[r.Suspect.Digest] {
+			out.Running = append(out.Running, r.Suspect)
+		}
+
 		if len(r.Crashes) > 0 && r.Age > 0 && w.recentFinishes.has(r.Suspect.Whole, r.Age) {
 			out.Finished = append(out.Finished, r.Suspect)
 		}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -168,6 +168,16 @@
 	return true
 }
 
+// Renew has this gate report a request to all others again, also to those that know it.
+func (t *Table) Renew(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if e := t.entries[d]; e != nil {
+		t.bumpRevision(e)
+	}
+}
+
 func (t *Table) record(s Suspect, k crashRecord, left time.Duration) *entry {
 	now := time.Now()
 
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -174,6 +174,10 @@
 	err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodNotify, in, &out)
 	w.contacts.reached(m.ID, err == nil)
 
+	if err == nil && len(out.Running) > 0 {
+		err = errRunsElsewhere // notified again until the run has ended
+	}
+
 	before := w.notified.record(m, revision, err)
 
 	switch {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -68,6 +69,7 @@
 	wake           chan struct{} // wakes Run
 
 	mu        sync.Mutex
+	running   map[*run]struct{}
 	lastCrash uint64 // number of the last crash seen here
 	service   string // service of the last call
 	brokenOff []*run // runs that broke off, of which it is unknown whether a crash ended them
@@ -77,7 +79,7 @@
 func NewWatch(self Self, m Members, p Peers, r *timeline.Recorder) *Watch {
 	w := &Watch{
 		self: self, members: m, peers: p, recorder: r, stalls: neverStalls{}, table: NewTable(), permits: NewPermits(),
-		began: time.Now(), wake: make(chan struct{}, 1),
+		began: time.Now(), wake: make(chan struct{}, 1), running: map[*run]struct{}{},
 	}
 	w.notified.acks = map[string]ack{}
 	w.MarkStale()
@@ -112,20 +114,56 @@
 		return nil, w.refuse(c, ErrWaiting, waitingRetryAfter)
 	}
 
-	r := &run{watch: w, call: c, began: time.Now(), crashesBefore: w.crashesSeen()}
+	// The run is tracked before the request is evaluated, so that a notification which arrives
+	// meanwhile either is seen here or is replied to as running.
+	r := w.track(&run{watch: w, call: c})
 
 	v, err := w.evaluate(c)
+	if err == nil && !v.Suspected {
+		return func(o Result) []Crash { return r.end(ctx, o) }, nil
+	}
 
-	switch {
-	case err != nil:
+	w.untrack(r)
+
+	if err != nil {
 		return nil, err
-	case !v.Suspected:
-		return func(o Result) []Crash { return r.end(ctx, o) }, nil
 	}
 
 	return w.beginSuspect(ctx, r, v)
 }
 
+// track marks that a run begins now.
+func (w *Watch) track(r *run) *run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	r.began, r.crashesBefore = time.Now(), w.lastCrash
+	w.running[r] = struct{}{}
+
+	return r
+}
+
+func (w *Watch) untrack(r *run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	delete(w.running, r)
+}
+
+// runningRequests returns the requests that run here now.
+func (w *Watch) runningRequests() map[Digest]bool {
+	w.mu.Lock()
+	running := slices.Collect(maps.Keys(w.running))
+	w.mu.Unlock()
+
+	out := make(map[Digest]bool, len(running))
+	for _, r := range running {
+		out[Of(r.call).Digest] = true
+	}
+
+	return out
+}
+
 // Refused returns the refusal if the request is known to be refused, else nil. Gates
 // check it before the queue: a refused request would take the place of calls that can
 // run, and with a closed queue its caller would keep retrying on other nodes.
@@ -177,7 +215,7 @@
 
 	w.recorder.Record(event.PoisonJudged, timeline.Entry{Call: r.call.ID, Peer: granter.node, Detail: "permitted after " + v.Crash.Gate})
 
-	r.began, r.crashesBefore = time.Now(), w.crashesSeen()
+	w.track(r)
 
 	return func(o Result) []Crash {
 		crashes := r.end(ctx, o)
@@ -197,6 +235,9 @@
 }
 
 func (r *run) end(ctx context.Context, o Result) []Crash {
+	// A crash is recorded before the run is untracked: a gate that asks for it learns of one of both.
+	defer r.watch.untrack(r)
+
 	switch o {
 	case Lost:
 	case BrokenOff:
@@ -286,14 +327,6 @@
 	return call.Refuse(fault, call.RanNo, after).WithCrashes(crashes)
 }
 
-// crashesSeen returns how many crashes were seen here.
-func (w *Watch) crashesSeen() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	return w.lastCrash
-}
-
 // crashAfter identifies the crash of a run that began after the given number of crashes.
 // All runs that began between two crashes report the same crash, whenever they notice it;
 // a run that begins later runs on a restarted backend server, so its crash is another
