runner: a call that another instance turned away does not clear a poison request

What callers saw: one request ended up to 13 backend servers, one after the other, each with a permit or without.

Cause: after a crash the next instance at the address answers 421 to a call that expects the one before.

The new test fails on the code before: the run is reported as finished.

Change: the run is reported as one whose backend server is down. It has not run, and the process before has ended, so that runs which broke off there count as crashes.

--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -313,8 +313,8 @@
 	// canceled while it ran, or its connection ended without an answer while its address
 	// accepts connections, from the same process or one started in its place.
 	BrokenOff
-	// Down means that nothing listens at the backend server's address; the call did not
-	// run.
+	// Down means that nothing listens at the backend server's address, or another process than
+	// before; the call did not run.
 	Down
 )
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -252,7 +252,7 @@
 		r.options.Pool.CloseIdle()
 		r.options.Host.Replaced(s.Instance)
 
-		return refused(forward.ReasonNone, downRetryAfter), poison.Finished
+		return refused(forward.ReasonNone, downRetryAfter), poison.Down
 	case a.NotRun:
 		return forward.Reply{Result: forward.Shed, Reason: "the backend server turned it away", RetryMs: shedRetryAfter.Milliseconds()}, poison.Lost
 	}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -331,3 +331,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Result, forward.Refused)
 }
+
+// recordResults keeps the results of the runs.
+type recordResults struct {
+	noSuspects
+
+	results *[]poison.Result
+}
+
+func (r recordResults) Begin(context.Context, call.Call) (func(poison.Result) []poison.Crash, error) {
+	return func(o poison.Result) []poison.Crash {
+		*r.results = append(*r.results, o)
+
+		return nil
+	}, nil
+}
+
+// A call that another instance turned away has not run, and must not clear a poison request.
+func TestCallTurnedAwayByAnotherInstanceIsNotFinished(t *testing.T) {
+	var results []poison.Result
+
+	r := newRunnerWithSuspects(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(header.Default().Instance, "i-2")
+		answer(w, r, http.StatusMisdirectedRequest)
+	}, timeline.New(), recordResults{results: &results})
+
+	in := request()
+	reply, err := r.Serve(t.Context(), in)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Result, forward.Refused)
+	assert.DeepEqual(t, results, []poison.Result{poison.Down})
+}
