poison: the first call of a gate waits until it knows another gate

What callers saw: a third backend server ended by a call that came right after a node had joined its first peer, seconds after its start.

Cause: the first call waits for other gates until a second after the start of the process. A node that found neither store nor peers meanwhile takes calls in the moment in which it joins one, and gossip brings the gates of its service a little later. The pull of that call found no gate, and calls then ran without a pull for a second.

TestOrderFirstCallOfGateThatKnowsNoGate fails without this change.

Change: if other nodes are known but no gate, the first pull waits up to half a second for one. A pull that found none is repeated as soon as one is known.

What it costs: the only gate of a service delays its first call by half a second after a start, if other services have nodes.

--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -28,6 +28,10 @@
 const (
 	discoveryTimeout      = time.Second
 	discoveryPollInterval = 20 * time.Millisecond
+	// firstPullWait is how long the first call waits at least if other nodes are known, but no gate. A
+	// node that found no peers for a while takes calls as soon as it has joined one, and knows the
+	// gates of its service some rounds of gossip later.
+	firstPullWait = 500 * time.Millisecond
 )
 
 // pulls tracks whether reports of other gates may be missing here, and the pull that
@@ -37,10 +41,12 @@
 	pulledMarks atomic.Uint64 // value of staleMarks that the last successful pull covers
 	lastStall   atomic.Int64  // last process stall that was handled
 	failed      atomic.Bool   // the last pull got no answer
+	first       atomic.Bool   // the first pull has begun
 
 	mu          sync.Mutex
 	round       chan struct{} // closed at the end of the current pull, nil if there is none
 	lastFailure time.Time     // start time of the last pull if it failed, else zero
+	alone       bool          // the last pull failed since no other gate was known
 }
 
 // Freshen pulls reports from the other gates if some may have been missed here, and waits
@@ -68,7 +74,8 @@
 	round := p.round
 
 	if round == nil {
-		if time.Since(p.lastFailure) < pullRetryInterval {
+		known := p.alone && len(w.otherGates(service, live)) > 0
+		if time.Since(p.lastFailure) < pullRetryInterval && !known {
 			p.mu.Unlock()
 
 			return true
@@ -97,6 +104,7 @@
 
 	w.pulls.mu.Lock()
 	w.pulls.round = nil
+	w.pulls.alone = !ok && len(w.otherGates(service, live)) == 0
 	w.pulls.lastFailure = time.Time{}
 
 	if !ok {
@@ -115,7 +123,13 @@
 // passed since its start. A gate that has joined only nodes of other services is unknown to those
 // of its own.
 func (w *Watch) waitForGates(service string) {
-	for len(w.otherGates(service, live)) == 0 && time.Since(w.began) < discoveryTimeout {
+	end := w.began.Add(discoveryTimeout)
+
+	if w.pulls.first.CompareAndSwap(false, true) && w.members.CountLive() > 1 {
+		end = time.Now().Add(max(firstPullWait, time.Until(end)))
+	}
+
+	for len(w.otherGates(service, live)) == 0 && time.Now().Before(end) {
 		time.Sleep(discoveryPollInterval)
 	}
 }
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -55,6 +55,7 @@
 	unseen map[string]bool             // nodes of which this node does not know that they serve the service
 	seen   func(id string) bool        // if set, decides instead of unseen
 	pulled map[string]bool             // gates that this one pulled from
+	nodes  int                         // live nodes of other services that this node knows
 	// unassigned returns the nodes whose service this node does not know yet.
 	unassigned func() []string
 }
@@ -182,6 +183,21 @@
 	return out
 }
 
+// CountLive counts the nodes that the gate's node considers alive.
+func (g *gate) CountLive() int {
+	g.mu.Lock()
+	n := 1 + g.nodes
+	g.mu.Unlock()
+
+	for _, r := range append(g.OfService(service), g.OfService("")...) {
+		if r.Live() && r.ID != g.id {
+			n++
+		}
+	}
+
+	return n
+}
+
 // stallCounter counts stalls of the gate's process.
 type stallCounter struct{ n atomic.Int64 }
 
--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -100,13 +100,17 @@
 	})
 }
 
-// A gate that has just started and knows no gate of its service yet must not run calls unjudged.
+// A gate that has joined only nodes of other services must not run its first call unjudged, also if
+// it has been alone for a while since its start.
 func TestOrderFirstCallOfGateThatKnowsNoGate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newPartialMesh(t, views{"a": {"b"}, "b": {"a"}, "c": {}})
 		m.gates["c"].start()
+		time.Sleep(2 * time.Second)
+
+		m.gates["c"].nodes = 1
+		time.AfterFunc(200*time.Millisecond, func() { m.gates["c"].sees("a") })
 		m.sendInOrder("a", "b", "c")
-		time.Sleep(time.Second) // the pull of c ends
 		m.assertAtMostTwo()
 	})
 }
@@ -136,6 +140,21 @@
 	})
 }
 
+// A gate that holds the living gate of the crash for failed must not obtain a permit from a
+// substitute while the gate of the crash has permitted another run.
+func TestOrderGranterWronglyConsideredFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c", "d")
+		m.sendInOrder("a")
+		m.gates["c"].considersFailed("a")
+
+		endD, endC := m.runPoison("d"), m.runPoison("c")
+		endD()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
 // A gate that the notifying gates hold for failed, though it runs, must still be notified.
 func TestOrderRunningGateWronglyConsideredFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -230,6 +249,57 @@
 	})
 }
 
+// A granter that restarts must not permit a second run while the run that it had permitted lasts.
+func TestOrderGranterRestartsDuringPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		m.startLate("a")
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// A substitute must not permit a second run while a run that the terminated granter had permitted
+// lasts.
+func TestOrderGranterTerminatesDuringPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		m.isolate("a", true)
+		m.gates["b"].considersFailed("a")
+		m.gates["c"].considersFailed("a")
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
+// A permit whose run outlasts permitTimeout must not be granted again while the run lasts.
+func TestOrderRunOutlastsPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		endB := m.runPoison("b")
+		time.Sleep(31 * time.Second)
+
+		endC := m.runPoison("c")
+		endB()
+		endC()
+		m.assertAtMostTwo()
+	})
+}
+
 // A granter that restarts before the permit is returned must know the crash of the permitted run.
 func TestOrderPermitReturnedToRestartedGranter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -315,21 +385,6 @@
 	})
 }
 
-// A gate that holds the living gate of the crash for failed must not obtain a permit from a
-// substitute while the gate of the crash has permitted another run.
-func TestOrderGranterWronglyConsideredFailed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, "a", "b", "c", "d")
-		m.sendInOrder("a")
-		m.gates["c"].considersFailed("a")
-
-		endD, endC := m.runPoison("d"), m.runPoison("c")
-		endD()
-		endC()
-		m.assertAtMostTwo()
-	})
-}
-
 // The gate of the crash gets another service; gates that know this and gates that do not must not
 // obtain permits from two granters.
 func TestOrderGranterGetsAnotherService(t *testing.T) {
@@ -345,54 +400,3 @@
 		m.assertAtMostTwo()
 	})
 }
-
-// A granter that restarts must not permit a second run while the run that it had permitted lasts.
-func TestOrderGranterRestartsDuringPermit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, "a", "b", "c")
-		m.sendInOrder("a")
-
-		endB := m.runPoison("b")
-		m.startLate("a")
-
-		endC := m.runPoison("c")
-		endB()
-		endC()
-		m.assertAtMostTwo()
-	})
-}
-
-// A substitute must not permit a second run while a run that the terminated granter had permitted
-// lasts.
-func TestOrderGranterTerminatesDuringPermit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, "a", "b", "c")
-		m.sendInOrder("a")
-
-		endB := m.runPoison("b")
-		m.isolate("a", true)
-		m.gates["b"].considersFailed("a")
-		m.gates["c"].considersFailed("a")
-
-		endC := m.runPoison("c")
-		endB()
-		endC()
-		m.assertAtMostTwo()
-	})
-}
-
-// A permit whose run outlasts permitTimeout must not be granted again while the run lasts.
-func TestOrderRunOutlastsPermit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, "a", "b", "c")
-		m.sendInOrder("a")
-
-		endB := m.runPoison("b")
-		time.Sleep(31 * time.Second)
-
-		endC := m.runPoison("c")
-		endB()
-		endC()
-		m.assertAtMostTwo()
-	})
-}
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -27,6 +27,8 @@
 // be running and take calls before this node learns of it.
 type Members interface {
 	OfService(service string) []membership.Record
+	// CountLive counts the nodes that are considered alive, including this one.
+	CountLive() int
 }
 
 // Peers sends messages to other nodes.
