verdict: compare hosts with hosts before a version is taken for good

Seen: operators saw good versions rolled back at 0.8 of the time limit as "not shown to be good in time" where some hosts fail or are slow whatever they run.

Cause: canary calls were added up and compared with the mean rate of the baseline's calls. One bad host of five is a fifth of the canary's calls. Bad hosts were left out only with five good ones on the route, which five hosts never have.

Change: the calls of each host are weighed by how likely they are on a sound host (with the spread over the baseline's hosts), on a faulty one (as many as in the baseline, at any rate), and if the version is bad on all calls of a kind. A faulty host can add no more than the rarity of faulty hosts, while good calls at the others count against a bad version. Clear evidence decides after half of the time limit, otherwise more calls decide until 0.8 of it. findBad, which rolls back early, is unchanged.

--- a/internal/rollout/verdict/verdict.go
+++ b/internal/rollout/verdict/verdict.go
@@ -18,6 +18,13 @@
 // route with few calls gets no backend server that far; its calls are judged together if they
 // went to several.
 //
+// Before a version is taken for good, its hosts are compared with those of the baseline. The
+// baseline tells how many hosts are faulty whatever they run, and how far sound ones differ. The
+// canary's calls are weighed by how likely they are if the version is like the baseline, with as
+// many faulty hosts, and if it is bad on all calls of a kind. A host that fails most of its calls
+// says little for a bad version, since it may be faulty; good calls at the other hosts say much
+// against one.
+//
 // Counts are scored a moment after they arrive, when those of the baseline for the same time
 // have arrived too. Otherwise a fault that strikes all backend servers would first be seen at
 // the canary alone.
@@ -55,7 +62,7 @@
 	minBaselineRate = 0.02
 	baselinePrior   = 40
 	// observedPrior is the weight, in calls, of the one bad call that is assumed in addition to
-	// those of the baseline.
+	// those of the baseline when hosts are compared.
 	observedPrior = 100
 	// maxBaselineRate is the rate of bad calls of the baseline above which a comparison says
 	// little, so that canary calls are not scored.
@@ -65,6 +72,8 @@
 	// of one version differ in speed.
 	slowTail    = 0.02
 	slowBuckets = 3
+	// lateBuckets is the same when hosts are compared, which takes the spread into account.
+	lateBuckets = 2
 	// minSlowSample is the number of calls of the baseline from which the reference is known.
 	minSlowSample = 30
 	// fairDelay is how long counts wait for those of the baseline: two intervals of reports.
@@ -84,14 +93,13 @@
 	pooledServers = 4
 	pooledRate    = 0.2
 	pooledPart    = 0.6
-	// doubtfulRate is the rate of bad calls from which a version that has significantly more
-	// of them than the baseline is not taken for good; doubtDeviations is the excess over the
-	// baseline's in standard deviations. doubtCalls more are tolerated, but with few calls one
-	// only for each callsForBad beyond the least number.
-	doubtfulRate    = 0.05
-	doubtDeviations = 2.0
-	doubtCalls      = 2.0
-	callsForBad     = 10.0
+	// A version is not taken for good if the evidence of a bad one, compared by hosts, exceeds
+	// doubtScore at the end of the evaluation: the calls are a hundred times as likely for a bad
+	// version. Before, earlyDoubtScore applies, and the evidence on all routes and on each has to
+	// be below earlyClearScore: while there is time, more calls decide.
+	doubtScore      = 4.6
+	earlyDoubtScore = 0.7
+	earlyClearScore = -1.5
 )
 
 // Times at which a good version begins to take over.
@@ -109,19 +117,15 @@
 	minRouteCalls  = 15
 	usedRouteCalls = 200
 	minBusyCalls   = 5
-	busyPart       = 0.25
+	// minSoundCalls is how many of the canary calls on such a route must have been at hosts that
+	// are not faulty.
+	minSoundCalls = 8
+	busyPart      = 0.25
 	// minLoadCalls is the number of canary calls needed at busy backend servers over all routes.
 	// Some versions fail under load only, and the baseline may be idle during the trial.
 	minLoadCalls = 12
 	// minServers is the number of backend servers that must have been seen.
 	minServers = 3
-	// A version is not good if more than maxBadPart of its backend servers that had seenCalls
-	// on a route are bad there, and more than one.
-	maxBadPart = 0.4
-	seenCalls  = 4
-	// enoughGood is the number of good backend servers on a route from which bad ones are taken
-	// for bad hosts. With fewer, their calls count against the version.
-	enoughGood = 5
 )
 
 // Progress describes the roll-out at the time of a decision.
@@ -147,6 +151,8 @@
 	sources  map[string]*source
 	routes   map[string]*routeCounts
 	pending  []increment
+	// began is the time of the first report.
+	began time.Time
 }
 
 // source is one process beside a backend server.
@@ -155,6 +161,8 @@
 	last   map[evidence.Key]evidence.Counts
 	score  map[evidence.Key]float64
 	calls  map[evidence.Key]int
+	// cells holds the scored calls that could be compared with the baseline.
+	cells map[cell]sums
 }
 
 // increment is a number of calls that are not scored yet.
@@ -168,7 +176,9 @@
 // routeCounts are the calls of one route.
 type routeCounts struct {
 	baseline window
-	canary   window
+	// sound is the baseline without backend servers that are bad themselves.
+	sound  window
+	canary window
 	// total counts all scored canary calls, baselineTotal and baselineBusy all calls of the
 	// baseline.
 	total, baselineTotal, baselineBusy int
@@ -195,13 +205,6 @@
 	return sums{s.calls + o.calls, s.busy + o.busy, s.bad + o.bad, s.expected + o.expected}
 }
 
-// doubtful reports whether significantly more calls were bad than at the baseline.
-func (s sums) doubtful() bool {
-	tolerated := min(doubtCalls, max(float64(s.calls-minRouteCalls)/callsForBad, 0))
-
-	return s.bad > doubtfulRate*float64(s.calls) && s.bad-s.expected > tolerated+doubtDeviations*math.Sqrt(s.expected)
-}
-
 // maxSources bounds the processes of which counts are kept.
 const maxSources = 4096
 
@@ -217,12 +220,15 @@
 
 		s = &source{
 			target: r.Version == j.target,
-			last:   map[evidence.Key]evidence.Counts{}, score: map[evidence.Key]float64{}, calls: map[evidence.Key]int{},
+			last:   map[evidence.Key]evidence.Counts{}, score: map[evidence.Key]float64{}, calls: map[evidence.Key]int{}, cells: map[cell]sums{},
 		}
 		j.sources[id] = s
 	}
 
 	now := time.Now()
+	if j.began.IsZero() {
+		j.began = now
+	}
 
 	for _, x := range r.Strata {
 		last := s.last[x.Key()]
@@ -241,6 +247,11 @@
 
 		c := j.route(x.Route)
 		c.baseline.add(now, added)
+
+		if !s.bad() {
+			c.sound.add(now, added)
+		}
+
 		c.baselineTotal += int(added.Calls)
 
 		if x.Busy {
@@ -272,12 +283,16 @@
 	}
 
 	evaluation := min(max(j.duration/2, minEvaluation), maxEvaluation)
+	if p.Elapsed < evaluation {
+		return Decision{rollout.Running, ""}
+	}
+
 	missing := j.missing(p)
 
 	switch {
-	case p.Elapsed >= evaluation && missing == "":
+	case missing == "":
 		return Decision{rollout.Moving, "like the baseline: " + j.Summary()}
-	case p.Elapsed >= time.Duration(latestMove*float64(j.duration)):
+	case p.Elapsed >= j.latestMove():
 		return Decision{rollout.RolledBack, "not shown to be good in time: " + missing + "; " + j.Summary()}
 	}
 
@@ -312,12 +327,13 @@
 		return
 	}
 
-	if i.source.target {
-		c.sums[i.source] = c.sums[i.source].plus(sums{bad: float64(bad), expected: float64(calls) * reference.observed})
+	late := int(i.counts.Failed + i.counts.Slow(reference.lateFrom))
+	compared := sums{calls: calls, bad: float64(late), expected: float64(calls) * c.sound.lateRateAt(i.at, reference)}
+	where := cell{i.key, j.period(i.at)}
+	i.source.cells[where] = i.source.cells[where].plus(compared)
 
-		if bad > 0 {
-			c.seenBad[i.source] = i.at
-		}
+	if i.source.target && bad > 0 {
+		c.seenBad[i.source] = i.at
 	}
 
 	expected := min(max(minBadRate, badRateRatio*rate), maxBadRate)
@@ -325,6 +341,17 @@
 	i.source.score[i.key] = min(max(i.source.score[i.key]+gain, 0), maxScore)
 }
 
+// bad reports whether the backend server has a conclusive score.
+func (s *source) bad() bool {
+	for _, score := range s.score {
+		if score >= conclusiveScore {
+			return true
+		}
+	}
+
+	return false
+}
+
 func (c *routeCounts) addCanary(i increment, calls int) {
 	c.canary.add(i.at, i.counts)
 	c.total += calls
@@ -460,13 +487,16 @@
 		}
 	}
 
+	compared := j.compareHosts()
+
 	for route, c := range j.routes {
-		cleared, reason := c.clear(route)
-		if reason != "" {
+		if reason := c.missing(compared); reason != "" {
 			return route + ": " + reason
 		}
 
-		all = all.plus(cleared)
+		for _, x := range c.sums {
+			all = all.plus(x)
+		}
 	}
 
 	switch {
@@ -474,52 +504,60 @@
 		return fmt.Sprintf("%d calls at %d backend servers", all.calls, servers)
 	case all.busy < minLoadCalls:
 		return fmt.Sprintf("%d calls under load", all.busy)
-	case all.doubtful():
-		return fmt.Sprintf("%.0f of %d canary calls were bad", all.bad, all.calls)
 	}
 
-	return ""
+	return j.doubt(p, compared)
 }
 
-// clear returns the canary calls of a route at backend servers that are not bad there, or what
-// evidence is missing. A few bad ones may be bad hosts, and are left out.
-func (c *routeCounts) clear(route string) (sums, string) {
-	var cleared, doubted sums
-
-	bad, good := 0, 0
+// doubt returns why the target version may be bad, or "".
+func (j *Judge) doubt(p Progress, compared *hosts) string {
+	tolerated := doubtScore
 
-	for s, x := range c.sums {
-		if max(s.score[evidence.Key{Route: route}], s.score[evidence.Key{Route: route, Busy: true}]) >= conclusiveScore {
-			bad++
-			doubted = doubted.plus(x)
+	if p.Elapsed < j.latestMove() {
+		tolerated = earlyDoubtScore
+		used := []kind{{}}
 
-			continue
+		for route, c := range j.routes {
+			if c.baselineTotal >= usedRouteCalls {
+				used = append(used, kind{route: route})
+			}
 		}
 
-		if x.calls >= seenCalls {
-			good++
+		if k, e := compared.strongest(used); e > earlyClearScore {
+			return fmt.Sprintf("%s: not known to be good, score %.1f", k, e)
 		}
+	}
 
-		cleared = cleared.plus(x)
+	if k, e := compared.strongest(compared.badKinds()); e > tolerated {
+		return fmt.Sprintf("%s: may be bad, score %.1f with %.2f of the hosts faulty", k, e, compared.faulty)
 	}
 
-	if good < enoughGood {
-		cleared = cleared.plus(doubted)
+	return ""
+}
+
+func (j *Judge) latestMove() time.Duration { return time.Duration(latestMove * float64(j.duration)) }
+
+// missing returns what calls of the route are missing, or "".
+func (c *routeCounts) missing(compared *hosts) string {
+	if c.baselineTotal < usedRouteCalls {
+		return ""
+	}
+
+	var all sums
+	for _, x := range c.sums {
+		all = all.plus(x)
 	}
 
+	sound := compared.soundCalls(c)
+
 	switch {
-	case bad > 1 && float64(bad) > maxBadPart*float64(bad+good):
-		return cleared, fmt.Sprintf("%d backend servers are bad, %d good", bad, good)
-	case cleared.doubtful():
-		return cleared, fmt.Sprintf("%.0f of %d canary calls were bad", cleared.bad, cleared.calls)
-	case c.baselineTotal < usedRouteCalls:
-	case cleared.calls < minRouteCalls:
-		return cleared, fmt.Sprintf("%d canary calls", cleared.calls)
-	case float64(c.baselineBusy) >= busyPart*float64(c.baselineTotal) && cleared.busy < minBusyCalls:
-		return cleared, fmt.Sprintf("%d canary calls under load", cleared.busy)
-	}
-
-	return cleared, ""
+	case all.calls < minRouteCalls || sound < minSoundCalls:
+		return fmt.Sprintf("%d canary calls, %.0f of them not at faulty hosts", all.calls, sound)
+	case float64(c.baselineBusy) >= busyPart*float64(c.baselineTotal) && all.busy < minBusyCalls:
+		return fmt.Sprintf("%d canary calls under load", all.busy)
+	}
+
+	return ""
 }
 
 // Summary describes the evidence: for each route the recent calls and bad calls of canary and
--- a/internal/rollout/verdict/verdict_test.go
+++ b/internal/rollout/verdict/verdict_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// badVersionOnBadHostScenarios are bad versions on hosts of which some are bad.
+func badVersionOnBadHostScenarios() []scenario {
+	var out []scenario
+
+	for _, version := range scenarios() {
+		if !version.bad {
+			continue
+		}
+
+		for _, hosts := range badHostScenarios() {
+			out = append(out, scenario{name: version.name + ", " + hosts.name[len("good, "):], bad: true, spoil: version.spoil, trouble: hosts.trouble})
+		}
+	}
+
+	return out
+}
+
 // fixedThreshold rolls back if more than a tenth of the canary's calls fail, and takes a version
 // for good after half of the time limit. It is the simplest way to decide.
 type fixedThreshold struct {
@@ -163,6 +180,48 @@
 // A good version must be completed although some of its hosts are bad, as some of the baseline's are.
 func TestGoodVersionOnBadHostsIsCompleted(t *testing.T) { testVerdicts(t, badHostScenarios()) }
 
+// A bad version must not pass because bad hosts of either version explain its failures.
+func TestBadVersionOnBadHostsIsRolledBack(t *testing.T) {
+	testVerdicts(t, badVersionOnBadHostScenarios())
+}
+
+// A good version must be completed although one of its hosts fails and none of the baseline's.
+func TestGoodVersionWithOneFailingHostIsCompleted(t *testing.T) {
+	const nodes = 20
+
+	failing := badHostScenarios()[0]
+	wrong, example := 0, ""
+
+	for seed := range *seeds {
+		synctest.Test(t, func(*testing.T) {
+			w := newWorld(failing, nodes, uint64(seed))
+			for i := range w.target {
+				w.target[i].flawed, w.baseline[i].flawed = i == seed%len(w.target), false
+			}
+
+			if r := w.play(verdict.New("v2", timeLimit)); r.state != rollout.Moving {
+				wrong++
+				example = fmt.Sprintf("seed %d: %s", seed, r.reason)
+			}
+		})
+	}
+
+	t.Logf("wrong %d of %d", wrong, *seeds)
+	assert.Check(t, wrong == 0, example)
+}
+
+// A bad version must be rolled back although the calls at one of its hosts are good.
+func TestBadVersionThatSparesOneHostIsRolledBack(t *testing.T) {
+	const nodes = 20
+
+	s := scenario{name: "fails half", bad: true, spoil: func(w *world, c callInfo) (bool, float64) {
+		return c.server.index > 0 && w.random.Float64() < 0.5, 1
+	}}
+	got := playAll(t, s, nodes, func() decider { return verdict.New("v2", timeLimit) })
+	t.Logf("wrong %d, over the limit %d of %d", got.wrong, got.overLimit, *seeds)
+	assert.Check(t, got.wrong == 0, got.example)
+}
+
 func testVerdicts(t *testing.T, all []scenario) {
 	t.Helper()
 
--- a/internal/rollout/verdict/window.go
+++ b/internal/rollout/verdict/window.go
@@ -62,12 +62,14 @@
 	return out
 }
 
-// reference is what the baseline is like: its rate of bad calls, the class of service times from
-// which a call is slow, and the rate that its calls show without assuming a least one.
+// reference is what the baseline is like: its rate of bad calls and the class of service times from
+// which a call is slow. For the comparison of hosts, calls from a lower class on are bad, and the
+// rate is the one that the calls show without assuming a least one.
 type reference struct {
 	rate     float64
-	observed float64
 	slowFrom int
+	lateRate float64
+	lateFrom int
 }
 
 func (w *window) reference() reference { return w.referenceOf(w.sum()) }
@@ -77,6 +79,11 @@
 func (w *window) referenceAt(at time.Time) reference {
 	w.advance(time.Now())
 
+	return w.referenceOf(w.around(at))
+}
+
+// around returns the counts around a time, or those of the whole window if they are few.
+func (w *window) around(at time.Time) evidence.Counts {
 	var c evidence.Counts
 
 	slot := int64(at.Sub(w.began) / slotLength)
@@ -88,7 +95,24 @@
 		c = w.sum()
 	}
 
-	return w.referenceOf(c)
+	return c
+}
+
+// lateRateAt returns the rate of bad calls around a time, by the lower bound of the reference;
+// that of the reference if there were too few calls.
+func (w *window) lateRateAt(at time.Time, r reference) float64 {
+	w.advance(time.Now())
+
+	c := w.around(at)
+	if c.Calls < minSlowSample {
+		return r.lateRate
+	}
+
+	return lateRate(c, r.lateFrom)
+}
+
+func lateRate(c evidence.Counts, from int) float64 {
+	return (float64(c.Failed+c.Slow(from)) + 1) / (float64(c.Calls) + observedPrior)
 }
 
 func (w *window) referenceOf(c evidence.Counts) reference {
@@ -96,18 +120,19 @@
 		c = w.total
 	}
 
-	out := reference{slowFrom: evidence.Buckets}
+	out := reference{slowFrom: evidence.Buckets, lateFrom: evidence.Buckets}
 
 	if answered := c.Calls - c.Failed; answered >= minSlowSample {
 		for out.slowFrom > 0 && float64(c.Slow(out.slowFrom-1)) <= slowTail*float64(answered) {
 			out.slowFrom--
 		}
 
+		out.lateFrom = out.slowFrom + lateBuckets
 		out.slowFrom += slowBuckets
 	}
 
 	bad := float64(c.Failed + c.Slow(out.slowFrom))
-	out.observed = (bad + 1) / (float64(c.Calls) + observedPrior)
+	out.lateRate = lateRate(c, out.lateFrom)
 	out.rate = max((bad+minBaselineRate*baselinePrior)/(float64(c.Calls)+baselinePrior), minBaselineRate)
 
 	return out
