soak/hosts: poison requests on whole sidecar processes

A crash closes the listener and all connections; one in three backend servers listens again at once, the others within a second. All hosts have one service.

Crashes are counted for each request, all of them and those at hosts that could know of two before. What excuses one is only what the soak did: a process that saw a crash was killed or paused, the one that had sent the call was, one was paused in the last two seconds, or a backend server listened again within 100 ms and its start had been told for less than 100 ms.

--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -20,6 +20,7 @@
 	work := c.Flag("work", "How long a call runs at a backend server.").Default("20ms").Duration()
 	program := c.Flag("program", "The binary.").Default("bin/pollencart").String()
 	rollout := c.Flag("rollout", "Order a roll-out of a version, which is bad for even seeds.").Bool()
+	poison := c.Flag("poison", "Send requests that crash each backend server that runs them; all hosts have one service.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -31,6 +32,7 @@
 		for seed := *first; seed < *first+*count; seed++ {
 			broken, err := oneSeed(ctx, hosts.Options{
 				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
+				Poison: *poison,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -20,9 +20,11 @@
 	service string
 	version string
 	trial   *trial
+	host    *host
 	work    time.Duration
 	address string
 	report  *Report
+	poisons *poisons
 
 	restart sync.Mutex // one start of the host's process at a time
 
@@ -47,10 +49,10 @@
 	askLeave = 8 * time.Second
 )
 
-func newBackend(name, service, version string, work time.Duration, r *Report, x *trial) *backend {
+func (r *run) newBackend(h *host, name, service, version string) *backend {
 	b := &backend{
-		name: name, service: service, version: version, trial: x, work: work, address: standin.FreeAddress(), report: r,
-		confirmed: map[string]time.Time{},
+		name: name, service: service, version: version, trial: r.trial, host: h, work: r.options.work(), address: standin.FreeAddress(),
+		report: r.report, poisons: r.poisons, confirmed: map[string]time.Time{},
 	}
 	b.up()
 
@@ -86,20 +88,23 @@
 }
 
 // down ends the instance at once, with all calls that run.
-func (b *backend) down() {
+func (b *backend) down() { b.end("") }
+
+// end ends an instance, whichever runs if it is not named, and reports whether it ran.
+func (b *backend) end(instance string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	if b.listener == nil {
-		return
+	if b.listener == nil || instance != "" && instance != b.current.Instance {
+		return false
 	}
 
 	b.ends = append(b.ends, time.Now())
 	_ = b.server.Close() // it ends whatever the calls do
 	b.listener = nil
-}
 
-func (b *backend) close() { b.down() }
+	return true
+}
 
 // ran notes a call that an instance begins to run.
 func (b *backend) ran(instance, id string) {
@@ -109,6 +114,10 @@
 		b.trial.ran(b.version, id)
 	}
 
+	if isPoison(id) {
+		b.poisons.crash(b, instance, id)
+	}
+
 	b.mu.Lock()
 	at, ok := b.confirmed[instance]
 	b.mu.Unlock()
@@ -125,26 +134,28 @@
 	return b.current, b.listener != nil, b.leaving
 }
 
-func (b *backend) announce(address string) {
-	if b.trial != nil && b.version == newVersion && !b.trial.isOrdered() {
-		return
+// announce reports whether the host's process took a heartbeat.
+func (b *backend) announce() bool {
+	current, runs, leaving := b.state()
+	if !runs || leaving || b.trial != nil && b.version == newVersion && !b.trial.isOrdered() {
+		return false
 	}
 
-	if current, runs, leaving := b.state(); runs && !leaving {
-		_, _ = current.Announce(address, b.address, false) // a process that is away is asked again
-	}
+	status, err := current.Announce(b.host.config.AnnounceAddress, b.address, false)
+
+	return err == nil && status == http.StatusOK
 }
 
-func (b *backend) announceAll(ctx context.Context, h *host) {
+func (b *backend) announceAll(ctx context.Context) {
 	for ctx.Err() == nil {
-		b.announce(h.config.AnnounceAddress)
+		b.announce() // a process that is away is asked again
 
 		idle.For(ctx, announceEvery)
 	}
 }
 
 // leave asks for the confirmation, serves on and ends.
-func (b *backend) leave(address string) {
+func (b *backend) leave() {
 	b.mu.Lock()
 	current := b.current
 
@@ -158,7 +169,7 @@
 	b.mu.Unlock()
 
 	for end := time.Now().Add(askLeave); time.Now().Before(end); time.Sleep(announceEvery) {
-		status, err := current.Announce(address, b.address, true)
+		status, err := current.Announce(b.host.config.AnnounceAddress, b.address, true)
 		if err != nil || status != http.StatusOK {
 			continue
 		}
--- a/internal/soak/hosts/callers.go
+++ b/internal/soak/hosts/callers.go
@@ -60,20 +60,32 @@
 	}
 }
 
+// message is what a caller sends. The path ends in its name, and the name is the body.
+type message struct {
+	id, name string
+	upload   bool
+}
+
 // one sends a call and reads its answer.
 func (r *run) one(ctx context.Context, client *http.Client, h *host, upload bool, patience time.Duration) outcome {
-	o := outcome{id: fmt.Sprintf("c%d", lastID.Add(1))}
+	id := fmt.Sprintf("c%d", lastID.Add(1))
+
+	return r.send(ctx, client, h, message{id, id, upload}, patience)
+}
+
+func (r *run) send(ctx context.Context, client *http.Client, h *host, m message, patience time.Duration) outcome {
+	o := outcome{id: m.id}
 	names := platform.Headers()
 
 	ctx, cancel := context.WithTimeout(ctx, patience+late)
 	defer cancel()
 
 	path, method := "/safe/", http.MethodGet
-	if upload {
+	if m.upload {
 		path, method = "/once/", http.MethodPost
 	}
 
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.config.CallerAddress+path+o.id, strings.NewReader(o.id))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.config.CallerAddress+path+m.name, strings.NewReader(m.name))
 	if err != nil {
 		return outcome{err: err}
 	}
@@ -83,7 +95,7 @@
 	request.Header.Set(names.Call, o.id)
 	request.Header.Set(names.Deadline, strconv.FormatInt(callTime.Milliseconds(), 10))
 
-	if upload {
+	if m.upload {
 		r.report.upload(o.id)
 	}
 
@@ -98,7 +110,7 @@
 		body, err = io.ReadAll(response.Body)
 		o.status = response.StatusCode
 
-		if err == nil && o.status == http.StatusOK && string(body) != path+o.id+" "+o.id {
+		if err == nil && o.status == http.StatusOK && string(body) != path+m.name+" "+m.name {
 			r.report.broken("call %s got the answer %.60q", o.id, body)
 		}
 	}
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -26,6 +26,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/pollencart/pollencart/internal/sidecar/config"
 	"github.com/pollencart/pollencart/platform"
 	"github.com/pollencart/pollencart/platform/standin"
@@ -46,6 +48,9 @@
 	Log     io.Writer
 	// Rollout orders a roll-out of one service, whose new version is bad if the seed is even.
 	Rollout bool
+	// Poison sends requests that crash each backend server that runs them. All hosts then have one
+	// service, since what is known of such a request is known for a service.
+	Poison bool
 }
 
 func (o Options) work() time.Duration {
@@ -103,12 +108,15 @@
 	version int
 	stalls  stalls
 	trial   *trial // nil without a roll-out
+	poisons *poisons
+	calling sync.WaitGroup
 }
 
 // Run plays the schedule of the seed.
 func Run(ctx context.Context, o Options) (*Report, error) {
 	r := &run{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), report: newReport(o.Seed), store: standin.NewStore(),
+		poisons: &poisons{client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
 	}
 
 	if o.Rollout {
@@ -129,11 +137,14 @@
 
 	go r.stalls.watch(ctx)
 
-	if err := r.start(ctx); err != nil {
+	callers, stop := context.WithCancel(ctx)
+	defer stop()
+
+	if err := r.start(callers); err != nil {
 		return nil, err
 	}
 
-	r.play(ctx)
+	r.play(ctx, callers, stop)
 	r.report.Stalls = r.stalls.count()
 
 	return r.report, ctx.Err()
@@ -155,33 +166,52 @@
 		}
 	}
 
-	deadline := time.Now().Add(startTime)
+	var g errgroup.Group
 
 	for _, h := range r.hosts {
-		for !h.ready(ctx) {
-			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", h.config.Node) //nolint:err113 // a report to a person
-			}
+		g.Go(func() error { return r.serve(ctx, h) })
+	}
 
-			h.backend.announce(h.config.AnnounceAddress)
-			time.Sleep(announceEvery / 10)
+	return g.Wait()
+}
+
+// serve waits until a host is ready for the first time.
+func (r *run) serve(ctx context.Context, h *host) error {
+	for deadline := time.Now().Add(startTime); !h.ready(ctx); time.Sleep(announceEvery / 10) {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s is not ready", h.config.Node) //nolint:err113 // a report to a person
 		}
+
+		h.backend.announce()
+	}
+
+	r.calling.Go(func() { h.backend.announceAll(ctx) })
+
+	if r.options.Poison {
+		r.poisonStart(ctx, h)
 	}
 
 	return nil
 }
 
 // services are what the routes lead to.
-func services() []string { return []string{"browse", "ledger"} }
+func (o Options) services() []string {
+	if o.Poison {
+		return []string{rolledOut}
+	}
+
+	return []string{"browse", rolledOut}
+}
 
 func (r *run) newHost(i int) (*host, error) {
 	name := fmt.Sprintf("n%d", i)
-	service := services()[i%len(services())]
+	services := r.options.services()
+	service := services[i%len(services)]
 
-	b := newBackend(name, service, versionOf(i), r.options.work(), r.report, r.trial)
-	h := &host{backend: b, file: filepath.Join(r.options.Dir, name+".jsonc")}
+	h := &host{file: filepath.Join(r.options.Dir, name+".jsonc")}
+	h.backend = r.newBackend(h, name, service, versionOf(services, i))
 	h.config = config.Config{
-		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: b.address,
+		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: h.backend.address,
 		StoreAddress: r.link.address, AnnounceEverySeconds: announceEvery.Seconds(),
 		Bounds: config.Bounds{
 			DrainSeconds: drainBound.Seconds(), GraceSeconds: grace.Seconds(), RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 50,
@@ -215,7 +245,7 @@
 // what is in force can be seen.
 func (r *run) write() {
 	r.version++
-	r.store.Write(platform.ConfigurationKey, standin.Document(r.version, services()...))
+	r.store.Write(platform.ConfigurationKey, standin.Document(r.version, r.options.services()...))
 }
 
 func (h *host) start(program string) error {
@@ -285,7 +315,7 @@
 			h.current().wait(grace)
 		}
 
-		h.backend.close()
+		h.backend.down()
 
 		_ = h.log.Close() // a log that is cut short still tells what it tells
 	}
--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -36,6 +36,7 @@
 	assert.Equal(t, len(report.Broken), 0)
 	assert.Assert(t, report.Stops > 0)
 	assert.Assert(t, report.Stayed.InStops > 0)
+	assert.Assert(t, !o.Poison || report.Poison.Crashes > report.Poison.Requests)
 }
 
 // A short run with a fixed seed on real processes.
@@ -52,3 +53,8 @@
 func TestBadVersionIsRolledBackBesideFaults(t *testing.T) {
 	play(t, hosts.Options{Seed: 6, Length: 12 * time.Second, Hosts: 12, Rate: 120, Rollout: true})
 }
+
+// A poison request crashes no third backend server through processes that start or are being stopped.
+func TestPoisonRequestCrashesAtMostTwoBackendServersBesideFaults(t *testing.T) {
+	play(t, hosts.Options{Seed: 1, Length: 6 * time.Second, Hosts: 12, Rate: 60, Poison: true})
+}
--- a/internal/soak/hosts/lives.go
+++ b/internal/soak/hosts/lives.go
@@ -92,6 +92,14 @@
 	}) || slices.ContainsFunc(h.pauses, s.meets)
 }
 
+// paused reports whether the process was paused in a span of time.
+func (h *host) paused(s span) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return slices.ContainsFunc(h.pauses, s.meets)
+}
+
 // stopping reports whether a planned stop was under way in a span of time.
 func (h *host) stopping(s span) bool {
 	h.mu.Lock()
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -39,20 +39,16 @@
 
 // play sends calls and faults for the length of the run, then waits until the fleet is
 // whole and looks at what was seen.
-func (r *run) play(ctx context.Context) {
-	callers, stop := context.WithCancel(ctx)
-	defer stop()
-
-	var calling, troubles sync.WaitGroup
+func (r *run) play(ctx, callers context.Context, stop func()) {
+	var troubles sync.WaitGroup
 
 	for _, h := range r.hosts {
-		calling.Go(func() { h.backend.announceAll(callers, h) })
-		calling.Go(func() { r.call(callers, h) })
-		calling.Go(func() { r.stay(callers, h) })
+		r.calling.Go(func() { r.call(callers, h) })
+		r.calling.Go(func() { r.stay(callers, h) })
 	}
 
 	if r.trial != nil {
-		calling.Go(func() { r.rollOut(callers) })
+		r.calling.Go(func() { r.rollOut(callers) })
 	}
 
 	end := time.Now().Add(r.options.Length)
@@ -63,6 +59,12 @@
 		troubles.Go(func() { r.series(ctx, random, end) })
 	}
 
+	if r.options.Poison {
+		random := rand.New(rand.NewPCG(r.options.Seed, poisonStream))
+
+		troubles.Go(func() { r.poisonSeries(ctx, random, end) })
+	}
+
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults()[r.random.IntN(len(faults()))]
 		h := r.hosts[r.random.IntN(len(r.hosts))]
@@ -76,11 +78,15 @@
 	}
 
 	troubles.Wait()
+
+	r.poisons.pending.Wait()
 	r.settle(ctx)
 	stop()
-	calling.Wait()
+	r.calling.Wait()
 	r.judgeStayed()
 
+	r.judgePoisons()
+
 	if r.trial != nil {
 		r.trial.check()
 	}
@@ -173,6 +179,8 @@
 
 	if err := h.start(r.options.Program); err != nil {
 		r.report.broken("%s does not start: %v", h.config.Node, err)
+	} else if r.options.Poison {
+		r.poisons.pending.Go(func() { r.poisonStart(context.Background(), h) })
 	}
 }
 
@@ -223,6 +231,6 @@
 
 // leave has the backend server leave as it should and another instance come.
 func (r *run) leave(_ *rand.Rand, h *host) {
-	h.backend.leave(h.config.AnnounceAddress)
+	h.backend.leave()
 	h.backend.up()
 }
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -23,6 +23,8 @@
 	LongestAt           string // host and moment of SIGTERM
 	// Stayed counts the calls of callers that stay.
 	Stayed Stayed
+	// Poison counts poison requests.
+	Poison Poison
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -33,6 +35,15 @@
 	notRun  map[string]bool
 }
 
+// Poison counts poison requests and the backend servers that they crashed.
+type Poison struct {
+	Requests, Copies, Crashes int
+	// InTouch requests crashed one more at a host that could know of two.
+	InTouch int
+	// Excused are the other ones that crashed more than two, with what was done to their hosts.
+	Excused []string
+}
+
 func newReport(seed uint64) *Report {
 	return &Report{
 		Seed: seed, Faults: map[string]int{}, Answers: map[int]int{}, uploads: map[string]bool{}, runs: map[string][]string{},
@@ -121,6 +132,11 @@
 		"uploads %d, stalls of the machine %d, broken %d\n",
 		r.Stops, r.LongestStop.Round(time.Millisecond), r.LongestAt, r.StopsLeftOut, r.Stayed, len(r.uploads), r.Stalls, len(r.Broken))
 
+	if p := r.Poison; err == nil && p.Requests > 0 {
+		_, err = fmt.Fprintf(out, "poison requests %d, copies %d, crashes %d, more than two %d, in touch %d, excused %q\n",
+			p.Requests, p.Copies, p.Crashes, p.InTouch+len(p.Excused), p.InTouch, p.Excused)
+	}
+
 	for _, b := range r.Broken {
 		if err == nil {
 			_, err = fmt.Fprintln(out, " ", b)
--- a/internal/soak/hosts/rollout.go
+++ b/internal/soak/hosts/rollout.go
@@ -40,8 +40,8 @@
 
 // versionOf returns the version of the backend server of a host: one in two of the service that is
 // rolled out is new.
-func versionOf(i int) string {
-	if service := services()[i%len(services())]; service == rolledOut && i/len(services())%2 == 1 {
+func versionOf(services []string, i int) string {
+	if services[i%len(services)] == rolledOut && i/len(services)%2 == 1 {
 		return newVersion
 	}
 
