discovery: look for other nodes as soon as the store answers another part of the node

Cause: the search for other nodes backs off to four seconds, on its own, while the configuration is read in the moment in which the store is back.

The test fails without the call of Retry.

Change: the first version ends the backoff of a failed search.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -91,6 +91,7 @@
 	// registered reports that the record was written. Leave reads it while Run goes on.
 	registered atomic.Bool
 	storeLost  bool
+	retry      chan struct{}
 	joined     bool // enough other nodes joined before the record was written
 	rewrite    bool // the record may have been lost in an epoch change
 	// skipRecord reports that, when this process started, enough other nodes of the failure
@@ -102,7 +103,7 @@
 
 // New returns an Agent for the node that owns the table.
 func New(s Store, t *membership.Table, j Join, r *timeline.Recorder, first bool) *Agent {
-	return (&Agent{store: s, table: t, join: j, recorder: r, firstStart: first}).WithEpoch(epoch.New())
+	return (&Agent{store: s, table: t, join: j, recorder: r, firstStart: first, retry: make(chan struct{}, 1)}).WithEpoch(epoch.New())
 }
 
 // WithEpoch sets the epoch of the store. A lease is valid only in its own epoch: in the
@@ -131,12 +132,42 @@
 			backoff = renewBackoff
 		}
 
-		if idle.Unless(ctx, next, r.epochChanged) {
+		if r.pause(ctx, next, err != nil) {
 			r.beginEpoch(ctx)
 		}
 	}
 }
 
+// pause waits between two steps and reports whether an epoch has ended. After a failed step
+// [Agent.Retry] ends the wait.
+func (r *Agent) pause(ctx context.Context, d time.Duration, failed bool) bool {
+	retry := r.retry
+	if !failed {
+		retry = nil
+	}
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return false
+	case <-retry:
+		return false
+	case <-r.epochChanged:
+		return true
+	}
+}
+
+// Retry ends the backoff after a failed step: the store has answered another part of this node.
+// Without it a node that started while the store was away gets its version and takes calls up to
+// maxBackoff before it joins any other node.
+func (r *Agent) Retry() {
+	select {
+	case r.retry <- struct{}{}:
+	default:
+	}
+}
+
 // beginEpoch drops the lease at an epoch change. It no longer belongs to this node, even if
 // the store accepts its number.
 func (r *Agent) beginEpoch(ctx context.Context) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -273,6 +273,36 @@
 	})
 }
 
+// A node starts while the store is away, and another part of it reaches the store first. Guards against
+// a node that takes calls for seconds before it joins any other.
+func TestRetryEndsTheBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		start(t, s, "n1")
+		time.Sleep(time.Second)
+		s.set(func() { s.unavailable = true })
+
+		var joined []string
+
+		r := discovery.New(s, table("n2"), func(_ context.Context, address string) bool {
+			joined = append(joined, address)
+
+			return true
+		}, timeline.New(), false)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+
+		go r.Run(ctx)
+
+		time.Sleep(20 * time.Second)
+		s.set(func() { s.unavailable = false })
+		r.Retry()
+		time.Sleep(50 * time.Millisecond)
+		assert.Assert(t, slices.Contains(joined, address("n1")))
+	})
+}
+
 // The store deletes the record of a live node together with its lease. The node writes the
 // record again at its next renewal.
 func TestDeletedRecordIsRewritten(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -364,5 +364,6 @@
 	}
 
 	n.recorder.Record(event.NodeReady, timeline.Entry{Version: n.holder.Number()})
+	n.discovery.Retry()
 	n.host.Find(ctx)
 }
