poison: the first call of a gate waits until its node has looked for others

What callers saw: a third backend server ended by a call to a node that had started while the store was down, right after the store was back.

Cause: the first call waits for other gates until a second after the start of the process, or half a second more if the node knows any other node. A node that started without the store knows nobody. It takes calls as soon as the store gives it a version, and reads from the store whom to join after a backoff of its own. Calls in between found no gate to pull from and ran unjudged.

Change: the first pull of a gate waits up to three seconds until discovery has read the records of others and joined one, if there are any, or another node has joined this one. A node that reads that there are no others waits no longer than before.

What it costs: calls through a node that started without the store are refused as not run, or wait, for that time. If all records are of terminated nodes, the first call waits for three seconds.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -90,6 +90,7 @@
 	lease platform.Lease
 	// registered reports that the record was written. Leave reads it while Run goes on.
 	registered atomic.Bool
+	searched   atomic.Bool
 	storeLost  bool
 	retry      chan struct{}
 	joined     bool // enough other nodes joined before the record was written
@@ -114,6 +115,10 @@
 	return r
 }
 
+// Searched reports whether this node has read the records of others since its start and joined one of
+// them, if there are any, or knows another node already.
+func (r *Agent) Searched() bool { return r.searched.Load() || r.table.CountLive() > 1 }
+
 // Run maintains the record and joins other nodes until ctx ends.
 func (r *Agent) Run(ctx context.Context) {
 	backoff := minBackoff
--- a/internal/discovery/meet.go
+++ b/internal/discovery/meet.go
@@ -74,6 +74,7 @@
 	byDomain := r.addresses(entries)
 	own := r.table.Self().FailureDomain
 	out := joinResult{sameDomain: len(byDomain[own])}
+	empty := len(byDomain) == 0
 	out.joined = r.joinSome(ctx, byDomain[own], joinCount)
 	delete(byDomain, own)
 
@@ -87,6 +88,10 @@
 		out.joined += r.joinSome(ctx, addresses, 1)
 	}
 
+	if empty || out.joined > 0 {
+		r.searched.Store(true)
+	}
+
 	return out, nil
 }
 
--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -32,6 +32,10 @@
 	// node that found no peers for a while takes calls as soon as it has joined one, and knows the
 	// gates of its service some rounds of gossip later.
 	firstPullWait = 500 * time.Millisecond
+	// searchTimeout is how long the first call waits at most while this node has not looked for others
+	// yet. A node that started while the store was down takes calls as soon as the store gives it a
+	// version, which may be seconds before it reads from the store whom to join.
+	searchTimeout = 3 * time.Second
 )
 
 // pulls tracks whether reports of other gates may be missing here, and the pull that
@@ -125,8 +129,14 @@
 func (w *Watch) waitForGates(service string) {
 	end := w.began.Add(discoveryTimeout)
 
-	if w.pulls.first.CompareAndSwap(false, true) && w.members.CountLive() > 1 {
-		end = time.Now().Add(max(firstPullWait, time.Until(end)))
+	if w.pulls.first.CompareAndSwap(false, true) {
+		for limit := time.Now().Add(searchTimeout); !w.search.Searched() && time.Now().Before(limit); {
+			time.Sleep(discoveryPollInterval)
+		}
+
+		if w.members.CountLive() > 1 {
+			end = time.Now().Add(max(firstPullWait, time.Until(end)))
+		}
 	}
 
 	for len(w.otherGates(service, live)) == 0 && time.Now().Before(end) {
--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,6 +116,33 @@
 	})
 }
 
+// searched is a search for other nodes.
+type searched struct{ atomic.Bool }
+
+// Searched reports whether it has ended.
+func (s *searched) Searched() bool { return s.Load() }
+
+// A gate that has joined no node yet must not run its first call unjudged, also if it has been alone
+// for a while since its start.
+func TestOrderFirstCallOfGateThatKnowsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b"}, "b": {"a"}, "c": {}})
+		m.gates["c"].start()
+
+		var found searched
+
+		m.gates["c"].watch.WithSearch(&found)
+		time.Sleep(2 * time.Second)
+
+		time.AfterFunc(200*time.Millisecond, func() {
+			m.gates["c"].sees("a")
+			found.Store(true)
+		})
+		m.sendInOrder("a", "b", "c")
+		m.assertAtMostTwo()
+	})
+}
+
 // A notified gate that does not know the gate of the crash must not permit itself a run that the
 // gate of the crash never learns of.
 func TestOrderSubstituteRunsThenGranterGrants(t *testing.T) {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -45,6 +45,15 @@
 
 func (neverStalls) LastStall() time.Duration { return 0 }
 
+// Search reports whether this node has looked for others since its start.
+type Search interface {
+	Searched() bool
+}
+
+type alwaysSearched struct{}
+
+func (alwaysSearched) Searched() bool { return true }
+
 // Self identifies the gate that this watch belongs to.
 type Self struct {
 	Node string
@@ -61,6 +70,7 @@
 	peers          Peers
 	recorder       *timeline.Recorder
 	stalls         StallDetector
+	search         Search
 	table          *Table
 	permits        *Permits
 	recentFinishes recentFinishes
@@ -80,8 +90,8 @@
 // NewWatch returns a watch that has seen no crash.
 func NewWatch(self Self, m Members, p Peers, r *timeline.Recorder) *Watch {
 	w := &Watch{
-		self: self, members: m, peers: p, recorder: r, stalls: neverStalls{}, table: NewTable(), permits: NewPermits(),
-		began: time.Now(), wake: make(chan struct{}, 1), running: map[*run]struct{}{},
+		self: self, members: m, peers: p, recorder: r, stalls: neverStalls{}, search: alwaysSearched{}, table: NewTable(),
+		permits: NewPermits(), began: time.Now(), wake: make(chan struct{}, 1), running: map[*run]struct{}{},
 	}
 	w.notified.acks = map[string]ack{}
 	w.MarkStale()
@@ -98,6 +108,13 @@
 	return w
 }
 
+// WithSearch sets what looks for other nodes. A node that has not done so may seem to be alone.
+func (w *Watch) WithSearch(s Search) *Watch {
+	w.search = s
+
+	return w
+}
+
 // MarkStale marks that this gate may have missed reports: its process has just started, or
 // its host now has another service. The next call waits for a pull. A backend server that
 // stops and starts again is no reason, since its gate still receives reports; a pull at
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -167,7 +167,8 @@
 		poison.Self{Node: c.Node, Incarnation: n.table.Self().Incarnation, BootID: ulid.Make().String(), Address: c.PeerAddress},
 		n.table, n.client, n.recorder,
 	).
-		WithStallDetector(n.stall)
+		WithStallDetector(n.stall).
+		WithSearch(n.discovery)
 	n.host = announce.New(
 		announce.Recorder(n.recorder), announce.WithKeeper(n.tombstone), announce.Changed(n.publishBackendState), announce.Probe(n.probe),
 		announce.FirstStart(c.FirstStart), announce.Service(c.Service), announce.Permits(n.permitted),
