--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -428,3 +428,30 @@
 		m.assertAtMostTwo()
 	})
 }
+
+// Copies that wait for a run of a terminated granter's permit must not each notify all gates.
+func TestOrderSubstituteDoesNotNotifyAllForEachCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c", "d", "e", "f", "g", "h")
+		m.sendInOrder("a")
+
+		endC := m.runPoison("c")
+		m.isolate("a", true)
+
+		for _, id := range []string{"b", "c", "d", "e", "f", "g", "h"} {
+			m.gates[id].considersFailed("a")
+		}
+
+		m.runPoison("d")()
+		before := m.sentOf(poison.MethodNotify)
+
+		const copies = 50
+		for range copies {
+			m.runPoison("d")()
+		}
+
+		assert.Assert(t, m.sentOf(poison.MethodNotify)-before <= 2*copies)
+		endC()
+		m.assertAtMostTwo()
+	})
+}
--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -122,12 +122,16 @@
 
 	w.table.MergeCrashes(p.Suspect, p.Crashes)
 
+	if !w.table.Adopt(d) || !w.notifyAll(ctx, p) {
+		return errNotAllNotified
+	}
+
 	if p.Gate == "" {
 		w.table.Renew(d) // a holder of a permit of the terminated gate may still run it
-	}
 
-	if !w.table.Adopt(d) || !w.notifyAll(ctx, p) {
-		return errNotAllNotified
+		if !w.notifyAll(ctx, p) {
+			return errNotAllNotified
+		}
 	}
 
 	// Gates that do not know each other yet may choose different substitutes. One that learns of a
