poison: a permitted run that broke off keeps its permit until its outcome is known

What callers saw: a third backend server ended if the caller of a permitted run left while it ran. Found by review.

Cause: a run that broke off counted as ended: its permit was released and it was no longer reported as running, though the backend server may still run the request. Another copy was permitted meanwhile, and both crashed.

Why it works: the run stays tracked and its permit held for as long as a crash is attributed to a run that broke off (2 s). A crash in that time is recorded and notified before the permit is released, and the request is refused then.

What it costs: if the caller of a permitted run of an innocent suspect leaves, other copies wait or are refused as not run for up to two seconds.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -455,3 +455,25 @@
 		m.assertAtMostTwo()
 	})
 }
+
+// A permitted run that broke off may still crash its backend server; no other copy must run until
+// that is known.
+func TestOrderPermittedRunBreaksOffThenCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		end, err := m.gates["b"].begin("/folders/broken")
+		assert.NilError(t, err)
+		end(poison.BrokenOff)
+
+		endC := m.runPoison("c")
+
+		time.Sleep(500 * time.Millisecond)
+
+		m.gates["b"].crashes++
+		m.gates["b"].watch.Restarted(t.Context())
+		endC()
+		m.assertAtMostTwo()
+	})
+}
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -237,8 +237,18 @@
 	w.track(r)
 
 	return func(o Result) []Crash {
-		crashes := r.end(ctx, o)
-		w.releasePermit(ctx, granter, p)
+		crashes := r.conclude(ctx, o)
+		end := func() {
+			w.untrack(r)
+			w.releasePermit(ctx, granter, p)
+		}
+
+		// The backend server may still run the request and crash.
+		if o == BrokenOff {
+			time.AfterFunc(brokenOffTime, end)
+		} else {
+			end()
+		}
 
 		return crashes
 	}, nil
@@ -253,10 +263,15 @@
 	crashesBefore uint64    // number of crashes seen before it began
 }
 
+// end concludes the run and untracks it.
 func (r *run) end(ctx context.Context, o Result) []Crash {
 	// A crash is recorded before the run is untracked: a gate that asks for it learns of one of both.
 	defer r.watch.untrack(r)
 
+	return r.conclude(ctx, o)
+}
+
+func (r *run) conclude(ctx context.Context, o Result) []Crash {
 	switch o {
 	case Lost:
 	case BrokenOff:
