poison: a suspect that runs for long does not keep the others of its crash waiting

What callers saw: innocent requests that were in flight in a crash were refused as not run for as long as any other suspect of that crash ran at any gate, minutes for a long-running one.

Cause: a gate where one suspect runs counted as not notified of any report since.

Why it works: the suspects that run at a notified gate are kept beside the revision that it has. A reply to an older notification does not replace that to a newer one.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -477,3 +477,26 @@
 		m.assertAtMostTwo()
 	})
 }
+
+// A suspect that runs for long at one gate must not keep other suspects of its crash waiting.
+func TestOrderLongRunDelaysOtherSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+
+		endLong, err := m.gates["b"].begin("/folders/long")
+		assert.NilError(t, err)
+
+		endA, err := m.gates["a"].begin("/folders/long")
+		assert.NilError(t, err)
+		endOther, err := m.gates["a"].begin("/folders/other")
+		assert.NilError(t, err)
+		endA(poison.Crashed)
+		endOther(poison.Crashed)
+		time.Sleep(3 * time.Second)
+
+		end, err := m.gates["c"].begin("/folders/other")
+		assert.NilError(t, err)
+		end(poison.Finished)
+		endLong(poison.Finished)
+	})
+}
--- a/internal/poison/permission.go
+++ b/internal/poison/permission.go
@@ -171,11 +171,15 @@
 	return !w.table.Evaluate(d).Refused
 }
 
-// notifyAll notifies the live gates that do not know of the crashes of a request yet, and
-// reports whether all of them know now.
+// notifyAll notifies the live gates that do not know of the crashes of a request yet or run it, and
+// reports whether all of them know now and none runs it.
 func (w *Watch) notifyAll(ctx context.Context, p PermitRequest) bool {
 	revision := w.table.Revision(p.Suspect.Digest)
-	unnotified := func(m membership.Record) bool { return m.Live() && w.notified.ackOf(m).revision < revision }
+	unnotified := func(m membership.Record) bool {
+		a := w.notified.ackOf(m)
+
+		return m.Live() && (a.revision < revision || a.running[p.Suspect.Digest])
+	}
 
 	if len(w.otherGates(p.Service, unnotified)) == 0 {
 		return true
@@ -183,7 +187,10 @@
 
 	w.wakeRun(p.Service)
 
-	return w.notify(ctx, p.Service, unnotified)
+	// Other suspects that run at the notified gates do not count.
+	w.notify(ctx, p.Service, unnotified)
+
+	return len(w.otherGates(p.Service, unnotified)) == 0
 }
 
 // releasePermit returns a permit together with the crashes known now. If the
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,8 @@
 	incarnation uint64
 	revision    uint64
 	failedSince time.Time // start of the current failure to notify the gate, or zero
+	// running are the suspects that still ran there when it was notified last.
+	running map[Digest]bool
 }
 
 // ackOf returns what a gate has received; one that has restarted has received nothing.
@@ -55,8 +58,8 @@
 	return a
 }
 
-// record stores the result of notifying a gate and returns the state before.
-func (t *notified) record(m membership.Record, revision uint64, err error) (before ack) {
+// record stores the result of notifying a gate of suspects and returns the state before.
+func (t *notified) record(m membership.Record, revision uint64, reports []Report, running []Suspect, err error) (before ack) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -68,9 +71,9 @@
 	before = a
 
 	switch {
-	case err == nil:
-		a.revision, a.failedSince = max(a.revision, revision), time.Time{}
-	case a.failedSince.IsZero():
+	case err == nil && revision >= a.revision: // else a later notification was replied to first
+		a.revision, a.failedSince, a.running = revision, time.Time{}, runningAfter(a.running, reports, running)
+	case err != nil && a.failedSince.IsZero():
 		a.failedSince = time.Now()
 	}
 
@@ -79,6 +82,28 @@
 	return before
 }
 
+// runningAfter returns the suspects that run at a gate after it replied to reports.
+func runningAfter(before map[Digest]bool, reports []Report, running []Suspect) map[Digest]bool {
+	if len(before) == 0 && len(running) == 0 {
+		return nil
+	}
+
+	out := maps.Clone(before)
+	if out == nil {
+		out = map[Digest]bool{}
+	}
+
+	for _, r := range reports {
+		delete(out, r.Suspect.Digest)
+	}
+
+	for _, s := range running {
+		out[s.Digest] = true
+	}
+
+	return out
+}
+
 // otherGates returns the other gates of a service that the filter includes, also those
 // whose backend server is unavailable: it may be back before the retry arrives.
 func (w *Watch) otherGates(service string, include func(membership.Record) bool) []membership.Record {
@@ -163,7 +188,9 @@
 }
 
 func (w *Watch) notifyOne(ctx context.Context, service string, known func() []uint64, m membership.Record) error {
-	reports, revision := w.table.ReportsSince(w.notified.ackOf(m).revision)
+	a := w.notified.ackOf(m)
+
+	reports, revision := w.table.reports(func(e *entry) bool { return e.revision > a.revision || a.running[e.suspect.Digest] })
 	if len(reports) == 0 {
 		return nil
 	}
@@ -174,11 +201,7 @@
 	err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodNotify, in, &out)
 	w.contacts.reached(m.ID, err == nil)
 
-	if err == nil && len(out.Running) > 0 {
-		err = errRunsElsewhere // notified again until the run has ended
-	}
-
-	before := w.notified.record(m, revision, err)
+	before := w.notified.record(m, revision, reports, out.Running, err)
 
 	switch {
 	case err != nil && before.failedSince.IsZero():
@@ -200,6 +223,10 @@
 		w.table.Finished(s)
 	}
 
+	if err == nil && len(out.Running) > 0 {
+		return errRunsElsewhere // notified again until the runs have ended
+	}
+
 	return err
 }
 
