poison: a run counts as running until its permit is returned

What callers saw: a third backend server ended if a run outlasted its permit (30 s) and then ended without a crash that its gate sees, for example by its deadline. Found by review.

Cause: the run stopped being reported as running before its release was sent. The granter could permit another run in between, whose permit the release then released.

Why it works: while the run counts as running, the granter of an expired permit grants no other one, so the release finds no permit of another run. At the granter itself the order stays: a copy that waits there would be refused otherwise.

What is left: a release that takes longer than notifyTimeout (250 ms) may still arrive after the run is untracked; a release does not name its permit.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -500,3 +500,33 @@
 		endLong(poison.Finished)
 	})
 }
+
+// A release that arrives late must not release the permit of another run.
+func TestOrderLateReleaseOfExpiredPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c", "d")
+		m.sendInOrder("a")
+
+		end, err := m.gates["b"].begin("/folders/broken")
+		assert.NilError(t, err)
+		time.Sleep(31 * time.Second)
+		m.setLatency(20 * time.Millisecond)
+
+		done := make(chan struct{})
+
+		time.AfterFunc(30*time.Millisecond, func() {
+			end(poison.Lost)
+			close(done)
+		})
+
+		endC := m.runPoison("c")
+
+		<-done
+		time.Sleep(50 * time.Millisecond)
+
+		endD := m.runPoison("d")
+		endC()
+		endD()
+		m.assertAtMostTwo()
+	})
+}
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -239,8 +239,14 @@
 	return func(o Result) []Crash {
 		crashes := r.conclude(ctx, o)
 		end := func() {
-			w.untrack(r)
+			if granter.address == "" {
+				w.untrack(r) // a copy that waits here runs next
+			}
+
+			// If the permit has expired, the run must count as running until the release has arrived,
+			// or it releases the permit of the next one.
 			w.releasePermit(ctx, granter, p)
+			w.untrack(r)
 		}
 
 		// The backend server may still run the request and crash.
