poison: forget contacts that membership has also while nothing crashes

What callers saw: innocent requests refused as not run for some ten seconds after a crash, and callers of the crash kept waiting for 250 ms, if a gate that once pulled here had terminated long ago.

Cause: contacts that membership has are forgotten when gates are listed, which happens at a crash only. If membership has dropped the record of the terminated node by then (after 24 h), the contact seems to be a live gate that only this one knows, and is named to others. Each of them notifies it in vain for unreachableTTL.

Why it works: Run looks at membership every ten seconds, also if there is nothing to notify. A contact that membership does not have is kept as before.

--- a/internal/poison/contacts.go
+++ b/internal/poison/contacts.go
@@ -17,7 +17,7 @@
 	// within that time that a node has terminated.
 	unreachableTTL = 10 * time.Second
 	// contactTTL is how long a contact is kept if there are maxContacts. Membership has the node by
-	// then.
+	// then. Also how often contacts that membership has are forgotten at least.
 	contactTTL  = 10 * time.Second
 	maxContacts = 1024
 )
@@ -142,6 +142,27 @@
 	return known
 }
 
+// services returns the services of the contacts.
+func (c *contacts) services() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	out := map[string]bool{}
+	for _, k := range c.gates {
+		out[k.gate.Service] = true
+	}
+
+	return out
+}
+
+// forgetContacts forgets the contacts that membership has. Without it, a contact would stay until the
+// next crash, and be notified in vain if membership has forgotten the node by then.
+func (w *Watch) forgetContacts() {
+	for s := range w.contacts.services() {
+		w.contacts.merge(s, w.candidates(s), anyContact)
+	}
+}
+
 func anyContact(contact) bool { return true }
 
 func directContact(k contact) bool { return k.direct }
--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -530,3 +530,28 @@
 		m.assertAtMostTwo()
 	})
 }
+
+// A gate that pulled here long ago and has terminated since must not keep suspects waiting.
+func TestOrderContactThatMembershipForgot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newPartialMesh(t, views{"a": {"b", "d"}, "b": {"a", "d"}, "c": {"b"}, "d": {"a", "b"}})
+		m.startLate("c")
+
+		for _, id := range []string{"a", "b", "d"} {
+			m.gates[id].sees("a", "b", "c", "d")
+		}
+
+		time.Sleep(time.Hour)
+		m.isolate("c", true)
+
+		for _, id := range []string{"a", "b", "d"} {
+			m.gates[id].sees("a", "b", "d")
+		}
+
+		m.sendInOrder("a")
+
+		end, err := m.gates["b"].begin("/folders/broken")
+		assert.NilError(t, err)
+		end(poison.Finished)
+	})
+}
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -242,14 +242,14 @@
 	}
 }
 
-// Run notifies gates that missed reports, and pulls reports that were missed here, until
-// ctx ends.
+// Run notifies gates that missed reports, pulls reports that were missed here, and forgets contacts
+// that membership has, until ctx ends.
 //
 // Without it, a gate that was stalled, unreachable or slow for 0.25 s during the first
 // notification misses the report until the suspicion ends, and the next retry that
 // reaches it crashes a third backend server.
 func (w *Watch) Run(ctx context.Context) {
-	var timer <-chan time.Time // a nil channel is never ready
+	timer := time.After(contactTTL)
 
 	for {
 		select {
@@ -259,20 +259,18 @@
 		case <-timer:
 		}
 
-		timer = nil
-		if pause := w.reconcile(ctx); pause > 0 {
-			timer = time.After(pause)
-		}
+		timer = time.After(w.reconcile(ctx))
 	}
 }
 
-// reconcile notifies and pulls once, and returns when to do so again, 0 if nothing is
-// left to notify or pull.
+// reconcile notifies and pulls once, and returns when to do so again.
 func (w *Watch) reconcile(ctx context.Context) time.Duration {
 	w.mu.Lock()
 	service := w.service
 	w.mu.Unlock()
 
+	w.forgetContacts()
+
 	notified := w.notify(ctx, service, notLeft) // first, since a pull may wait for a slow gate
 	pulled := !w.pulls.failed.Load() || w.pull(ctx, service)
 	reports, _ := w.table.ReportsSince(0)
@@ -284,5 +282,5 @@
 		return reconcileInterval
 	}
 
-	return 0
+	return contactTTL
 }
