poison: a gate counts as notified once its reply is merged

What callers saw: a third backend server could end when a link came back between two gates that had each seen a crash of one request.

Cause: a notified gate was recorded as such, and the line of that was written, before the crashes and gates in its reply were taken over. A permit that was requested in between was granted, though two crashes were known.

Why it works: who finds the gate notified also finds its crashes in the table and the gates that it named among the contacts.

--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -201,17 +201,7 @@
 	err := w.peers.Do(ctx, m.PeerAddress, peer.LaneControl, MethodNotify, in, &out)
 	w.contacts.reached(m.ID, err == nil)
 
-	before := w.notified.record(m, revision, reports, out.Running, err)
-
-	switch {
-	case err != nil && before.failedSince.IsZero():
-		w.recorder.Record(event.PoisonUntold, timeline.Entry{Peer: m.ID, Detail: m.State.String() + ": " + err.Error()})
-	case err == nil && !before.failedSince.IsZero():
-		w.recorder.Record(event.PoisonTold, timeline.Entry{
-			Peer: m.ID, Detail: "after " + time.Since(before.failedSince).Round(time.Millisecond).String(),
-		})
-	}
-
+	// The reply is merged before the gate counts as notified: a permit may be granted from then on.
 	w.table.Merge(out.Known)
 
 	for _, g := range out.Gates {
@@ -223,6 +213,17 @@
 		w.table.Finished(s)
 	}
 
+	before := w.notified.record(m, revision, reports, out.Running, err)
+
+	switch {
+	case err != nil && before.failedSince.IsZero():
+		w.recorder.Record(event.PoisonUntold, timeline.Entry{Peer: m.ID, Detail: m.State.String() + ": " + err.Error()})
+	case err == nil && !before.failedSince.IsZero():
+		w.recorder.Record(event.PoisonTold, timeline.Entry{
+			Peer: m.ID, Detail: "after " + time.Since(before.failedSince).Round(time.Millisecond).String(),
+		})
+	}
+
 	if err == nil && len(out.Running) > 0 {
 		return errRunsElsewhere // notified again until the runs have ended
 	}
