poison: a run that breaks off after the next start of its backend server is a crash

What callers saw: a third backend server ended by a copy that ran with a permit, two seconds after a permitted run had ended one at a gate that saw no crash.

Cause: runs that broke off count as crashed when the start of the next instance becomes known. If that comes first, while the run is still being judged, no later start follows, and the run is forgotten after two seconds.

Change: a run that breaks off within two seconds after a start which became known while it lasted counts as crashed at once.

What it costs: a call that is canceled within two seconds after its backend server was replaced, and began before, becomes a suspect until a copy of it finishes.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -328,6 +328,45 @@
 	})
 }
 
+// A permit must not be granted again before it is known whether a permitted run that broke off ended
+// in a crash.
+func TestOrderPermittedRunBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		end, err := m.gates["b"].begin("/folders/broken")
+		assert.NilError(t, err)
+
+		m.gates["b"].crashes++
+		end(poison.BrokenOff)
+		time.AfterFunc(300*time.Millisecond, func() { m.gates["b"].watch.Restarted(t.Context()) })
+		m.sendInOrder("c")
+		m.assertAtMostTwo()
+	})
+}
+
+// A run must count as crashed if the next instance of the backend server is known before the run
+// breaks off.
+func TestOrderRunBreaksOffAfterRestartIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+		m.sendInOrder("a")
+
+		end, err := m.gates["b"].begin("/folders/broken")
+		assert.NilError(t, err)
+		time.Sleep(time.Millisecond)
+
+		m.gates["b"].crashes++
+		m.gates["b"].watch.Restarted(t.Context())
+		time.Sleep(time.Millisecond)
+		end(poison.BrokenOff)
+		time.Sleep(3 * time.Second)
+		m.sendInOrder("c")
+		m.assertAtMostTwo()
+	})
+}
+
 // A granter that restarts before the permit is returned must know the crash of the permitted run.
 func TestOrderPermitReturnedToRestartedGranter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -82,9 +82,10 @@
 
 	mu        sync.Mutex
 	running   map[*run]struct{}
-	lastCrash uint64 // number of the last crash seen here
-	service   string // service of the last call
-	brokenOff []*run // runs that broke off, of which it is unknown whether a crash ended them
+	lastCrash uint64    // number of the last crash seen here
+	service   string    // service of the last call
+	brokenOff []*run    // runs that broke off, of which it is unknown whether a crash ended them
+	restarted time.Time // when the last start of the backend server became known
 }
 
 // NewWatch returns a watch that has seen no crash.
@@ -281,7 +282,9 @@
 	switch o {
 	case Lost:
 	case BrokenOff:
-		r.watch.keepBrokenOff(r)
+		if !r.watch.keepBrokenOff(r) {
+			return r.watch.reportCrash(ctx, r)
+		}
 	case Finished:
 		r.finished()
 	case Crashed:
@@ -388,23 +391,36 @@
 	brokenOffTime = 2 * time.Second
 )
 
-// keepBrokenOff keeps a run that broke off until it is known whether the backend server
-// crashed.
-func (w *Watch) keepBrokenOff(r *run) {
+// keepBrokenOff keeps a run that broke off until it is known whether the backend server crashed. It
+// reports false if that is known already: the start of the next process
+// became known within brokenOffTime before, while the run lasted.
+func (w *Watch) keepBrokenOff(r *run) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	r.ended = time.Now()
 
+	if w.restarted.After(r.began) && r.ended.Sub(w.restarted) < brokenOffTime {
+		return false
+	}
+
 	w.brokenOff = append(w.brokenOff, r)
 	w.brokenOff = w.brokenOff[max(0, len(w.brokenOff)-maxBrokenOff):]
+
+	return true
 }
 
 // Restarted reports that the backend server crashed or is another process than before, so
 // runs that broke off within brokenOffTime ended in a crash. The gate's own check misses
 // a crash if the backend server restarts before the gate tests its address, as on a busy
 // host, and is skipped if the entry node of the call terminates at the same moment.
-func (w *Watch) Restarted(ctx context.Context) { w.reportCrash(ctx, w.takeBrokenOff()...) }
+func (w *Watch) Restarted(ctx context.Context) {
+	w.mu.Lock()
+	w.restarted = time.Now()
+	w.mu.Unlock()
+
+	w.reportCrash(ctx, w.takeBrokenOff()...)
+}
 
 // takeBrokenOff removes and returns the runs that broke off recently.
 func (w *Watch) takeBrokenOff() []*run {
