discovery: a node that another one joined has not looked for others itself

What callers saw: a third backend server ended by a call to one of two nodes that had started while the store was down and met each other first.

Cause: the first call of a gate waits until its node has looked for others. A node that knew any other counted as having done so. Two that have just started pulled from each other, and neither knew of the crashes.

TestNodeJoinedByAnotherHasNotSearched fails without this change, 20 of 20 runs.

Change: only records that were read since the start count, with a node of them joined.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -116,8 +116,8 @@
 }
 
 // Searched reports whether this node has read the records of others since its start and joined one of
-// them, if there are any, or knows another node already.
-func (r *Agent) Searched() bool { return r.searched.Load() || r.table.CountLive() > 1 }
+// them, if there are any. A node that another one has joined may know only that one.
+func (r *Agent) Searched() bool { return r.searched.Load() }
 
 // Run maintains the record and joins other nodes until ctx ends.
 func (r *Agent) Run(ctx context.Context) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -336,6 +336,33 @@
 	})
 }
 
+// A node that another one which also just started has joined must not seem to have looked for others
+// while the store is unavailable.
+func TestNodeJoinedByAnotherHasNotSearched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, known := newStore(), table("n1")
+		s.set(func() { s.unavailable = true })
+
+		r := discovery.New(s, known, func(context.Context, string) bool { return true }, timeline.New(), false)
+		ctx, cancel := context.WithCancel(t.Context())
+
+		var wg sync.WaitGroup
+
+		wg.Go(func() { r.Run(ctx) })
+		time.Sleep(time.Second)
+
+		known.Merge([]membership.Record{{ID: "n2", State: membership.StateAlive, FailureDomain: "derby", PeerAddress: address("n2")}})
+		assert.Assert(t, !r.Searched())
+
+		s.set(func() { s.unavailable = false })
+		time.Sleep(7 * time.Second)
+		assert.Assert(t, r.Searched())
+
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Another writer stores invalid values below the prefix: fields of another type, no address,
 // malformed bytes. Each is skipped and reported once, and nodes with valid records are joined.
 func TestInvalidRecordsAreSkippedAndReportedOnce(t *testing.T) {
