poison: a run that breaks off after the crash of its backend server is known is a crash

What callers saw: a third backend server ended where the first crash became known 0.3 s late, after a retry of the mesh and a permitted copy had ended two others.

Cause: when one run of an instance is seen to crash, those that broke off before count as well, but those that break off afterwards are left in doubt if the next instance listens already, until its start is known.

Change: a crash that is seen counts for runs that break off after it as the start of the next instance does.

--- a/internal/poison/order_test.go
+++ b/internal/poison/order_test.go
@@ -367,6 +367,27 @@
 	})
 }
 
+// A run must count as crashed if another run of the same instance crashed before it breaks off.
+func TestOrderRunBreaksOffAfterCrashIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a", "b", "c")
+
+		endOther, err := m.gates["a"].begin("/folders/other")
+		assert.NilError(t, err)
+
+		end, err := m.gates["a"].begin("/folders/broken")
+		assert.NilError(t, err)
+		time.Sleep(time.Millisecond)
+
+		m.gates["a"].crashes++
+		endOther(poison.Crashed)
+		time.Sleep(time.Millisecond)
+		end(poison.BrokenOff)
+		m.sendInOrder("b", "c")
+		m.assertAtMostTwo()
+	})
+}
+
 // A granter that restarts before the permit is returned must know the crash of the permitted run.
 func TestOrderPermitReturnedToRestartedGranter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -85,7 +85,7 @@
 	lastCrash uint64    // number of the last crash seen here
 	service   string    // service of the last call
 	brokenOff []*run    // runs that broke off, of which it is unknown whether a crash ended them
-	restarted time.Time // when the last start of the backend server became known
+	replaced  time.Time // when the last end of the backend server became known
 }
 
 // NewWatch returns a watch that has seen no crash.
@@ -288,6 +288,8 @@
 	case Finished:
 		r.finished()
 	case Crashed:
+		r.watch.markReplaced()
+
 		return r.watch.reportCrash(ctx, append([]*run{r}, r.watch.takeBrokenOff()...)...)
 	case Down:
 		r.watch.Restarted(ctx)
@@ -392,15 +394,15 @@
 )
 
 // keepBrokenOff keeps a run that broke off until it is known whether the backend server crashed. It
-// reports false if that is known already: the start of the next process
-// became known within brokenOffTime before, while the run lasted.
+// reports false if that is known already: the crash or
+// the start of the next process became known within brokenOffTime before, while the run lasted.
 func (w *Watch) keepBrokenOff(r *run) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	r.ended = time.Now()
 
-	if w.restarted.After(r.began) && r.ended.Sub(w.restarted) < brokenOffTime {
+	if w.replaced.After(r.began) && r.ended.Sub(w.replaced) < brokenOffTime {
 		return false
 	}
 
@@ -415,11 +417,16 @@
 // a crash if the backend server restarts before the gate tests its address, as on a busy
 // host, and is skipped if the entry node of the call terminates at the same moment.
 func (w *Watch) Restarted(ctx context.Context) {
+	w.markReplaced()
+	w.reportCrash(ctx, w.takeBrokenOff()...)
+}
+
+// markReplaced marks that the backend server that ran calls until now has ended.
+func (w *Watch) markReplaced() {
 	w.mu.Lock()
-	w.restarted = time.Now()
-	w.mu.Unlock()
+	defer w.mu.Unlock()
 
-	w.reportCrash(ctx, w.takeBrokenOff()...)
+	w.replaced = time.Now()
 }
 
 // takeBrokenOff removes and returns the runs that broke off recently.
