poison: a node that others join while the store is down does not wait long for its own search

A node that restarts while the store is down, and gets a version from a node that joins it, would have held its first calls for three seconds.

Change: if another node has joined this one, the first pull waits a quarter of a second for the search, as it does for a gate to become known (half a second before).

--- a/internal/poison/ask.go
+++ b/internal/poison/ask.go
@@ -31,7 +31,7 @@
 	// firstPullWait is how long the first call waits at least if other nodes are known, but no gate. A
 	// node that found no peers for a while takes calls as soon as it has joined one, and knows the
 	// gates of its service some rounds of gossip later.
-	firstPullWait = 500 * time.Millisecond
+	firstPullWait = 250 * time.Millisecond
 	// searchTimeout is how long the first call waits at most while this node has not looked for others
 	// yet. A node that started while the store was down takes calls as soon as the store gives it a
 	// version, which may be seconds before it reads from the store whom to join.
@@ -130,9 +130,7 @@
 	end := w.began.Add(discoveryTimeout)
 
 	if w.pulls.first.CompareAndSwap(false, true) {
-		for limit := time.Now().Add(searchTimeout); !w.search.Searched() && time.Now().Before(limit); {
-			time.Sleep(discoveryPollInterval)
-		}
+		w.waitForSearch()
 
 		if w.members.CountLive() > 1 {
 			end = time.Now().Add(max(firstPullWait, time.Until(end)))
@@ -144,6 +142,21 @@
 	}
 }
 
+// waitForSearch waits until this node has looked for others: searchTimeout at most, and firstPullWait
+// if another node has joined this one. While the store is down nodes get versions from those that
+// join them, and serve.
+func (w *Watch) waitForSearch() {
+	began := time.Now()
+
+	for limit := searchTimeout; !w.search.Searched() && time.Since(began) < limit; {
+		time.Sleep(discoveryPollInterval)
+
+		if w.members.CountLive() > 1 {
+			limit = firstPullWait
+		}
+	}
+}
+
 // pullOldest and pullRandom are how many gates a pull contacts: those with the oldest
 // incarnations, which have most likely received every report, and some random others,
 // since the clocks of hosts may order incarnations wrongly. Contacting all gates of a
