--- a/internal/poison/contacts.go
+++ b/internal/poison/contacts.go
@@ -16,10 +16,12 @@
 	// unreachableTTL is how long a contact that can't be reached is remembered. Membership notices
 	// within that time that a node has terminated.
 	unreachableTTL = 10 * time.Second
-	// contactTTL is how long a contact is kept if there are maxContacts. Membership has the node by
-	// then. Also how often contacts that membership has are forgotten at least.
-	contactTTL  = 10 * time.Second
+	// maxContacts bounds the contacts. If there are as many, those older than contactTTL are dropped;
+	// membership has these nodes by then.
 	maxContacts = 1024
+	contactTTL  = 10 * time.Second
+	// contactSweepInterval is how often contacts that membership has are forgotten.
+	contactSweepInterval = 10 * time.Second
 )
 
 // Gate identifies the process of a gate to other gates.
@@ -52,7 +54,8 @@
 	}
 }
 
-// contacts are the gates that have contacted this one recently, or that others have named to it.
+// contacts are the gates that have contacted this one, or that others have named to it, until
+// membership has them.
 //
 // Gates that start at the same time run calls before membership has told each of them of all others.
 // Without contacts, a crash at one of them is not reported to those that membership does not have yet,
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -250,7 +250,7 @@
 // notification misses the report until the suspicion ends, and the next retry that
 // reaches it crashes a third backend server.
 func (w *Watch) Run(ctx context.Context) {
-	timer := time.After(contactTTL)
+	timer := time.After(contactSweepInterval)
 
 	for {
 		select {
@@ -283,5 +283,5 @@
 		return reconcileInterval
 	}
 
-	return contactTTL
+	return contactSweepInterval
 }
