--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -291,14 +291,17 @@
 		}, timeline.New(), false)
 
 		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 
-		go r.Run(ctx)
+		var wg sync.WaitGroup
+
+		wg.Go(func() { r.Run(ctx) })
 
 		time.Sleep(20 * time.Second)
 		s.set(func() { s.unavailable = false })
 		r.Retry()
 		time.Sleep(50 * time.Millisecond)
+		cancel()
+		wg.Wait()
 		assert.Assert(t, slices.Contains(joined, address("n1")))
 	})
 }
