runner: lines for what a backend server says of itself in its answers

Callers see nothing. A backend server that names a limit, or says that it leaves, got calls as before, and no line said that a node had read either, nor at which entry the calls began. Change: the gate reads both from the head of each answer to its own call, and records when a limit begins, changes, ends or can't be read, and when a leaving was learned (events 319 to 322). Nothing is decided by it yet. Replies and requests have room for a notice, at their end: older nodes skip it. Nobody acts on the limit.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -121,12 +121,18 @@
 			continue
 		}
 
+		id := response.Header.Get(names.Call)
+
+		// An answer without the call ID may be a leftover, and 421 comes from another instance.
+		if id == r.ID && r.Signaled != nil && response.StatusCode != http.StatusMisdirectedRequest {
+			r.Signaled(names.Signals(response.Header))
+		}
+
 		body, err := io.ReadAll(response.Body)
 		if err != nil {
 			return Answer{}, false, ErrLost.Wrap(err)
 		}
 
-		id := response.Header.Get(names.Call)
 		if id != "" && id != r.ID {
 			if response.Close {
 				return Answer{}, false, ErrLost.With("only an answer to another call came")
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -61,6 +61,9 @@
 	Header     []call.Field
 	Body       []byte
 	Idempotent bool
+	// Signaled, if set, is called with what the backend server says of itself once the head of
+	// its answer to this request is read. The answer may still break off.
+	Signaled func(s header.Signals)
 }
 
 // Answer is the backend server's answer to a call.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -87,6 +87,14 @@
 	LeavingKept    = add(315, "LeavingKept", slog.LevelInfo, "The departure of a backend server is recorded durably and can be confirmed.")
 	LeavingNotKept = add(316, "LeavingNotKept", slog.LevelWarn,
 		"The departure of a backend server could not be recorded durably; it stays unconfirmed and the write is retried.")
+	LimitNamed = add(319, "LimitNamed", slog.LevelWarn,
+		"The local backend server named a limit in calls a second, or changed it; the detail has the source and its age.")
+	LimitEnded = add(320, "LimitEnded", slog.LevelInfo,
+		"The local backend server no longer names a limit; the detail has how long it did and the calls started meanwhile.")
+	LimitInvalid = add(321, "LimitInvalid", slog.LevelWarn,
+		"The local backend server named a limit that is not a decimal number; the limit before it stays in force. Logged once for each value.")
+	LeavingLearned = add(322, "LeavingLearned", slog.LevelInfo,
+		"An answer of the local backend server, or another node that passed one on, said that it is leaving; it receives no more calls.")
 	GateAvoided = add(317, "GateAvoided", slog.LevelWarn,
 		"A gate node or its backend server is failing; calls are temporarily routed to other nodes.")
 )
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,9 @@
 	// Nearby is set if another node of the same failure domain may have a free slot, in case
 	// this one has none.
 	Nearby bool `msgpack:"Nearby"`
+	// Notice is what the sender knows of the backend server from earlier replies, or nil. The
+	// process that runs the call may have started after them.
+	Notice *Notice `msgpack:"Notice"`
 }
 
 // Check returns an error if a decoded request is invalid.
@@ -60,7 +63,7 @@
 		return ErrMessage.With("ID, Service, Method or URI is missing")
 	}
 
-	return nil
+	return r.Notice.Check()
 }
 
 // Remaining returns the time until the caller's deadline.
@@ -149,6 +152,8 @@
 	// Crashes lists the backend server crashes during which the call is known to have been
 	// running.
 	Crashes []call.Crash `msgpack:"Crashes"`
+	// Notice is what the backend server said of itself in its answers, or nil.
+	Notice *Notice `msgpack:"Notice"`
 }
 
 // Check returns an error if a decoded reply is invalid.
@@ -157,7 +162,7 @@
 		return ErrMessage.With("result %d", r.Result)
 	}
 
-	return nil
+	return r.Notice.Check()
 }
 
 // Elsewhere reports whether the node rejected the call in favor of other nodes, and would
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -30,6 +30,10 @@
 	Instance string
 	// Load holds the numbers of running calls, waiting calls and slots of a backend server.
 	Load string
+	// Limit holds the calls a second that a backend server in need takes from all nodes together.
+	Limit string
+	// Leaving is set to 1 on the answers of a backend server that is leaving.
+	Leaving string
 	// NotRun is set on answers to calls that the backend server did not run.
 	NotRun string
 	// Signature proves that an answer comes from the backend server.
@@ -45,6 +49,8 @@
 		Expected:  "Pollencart-Expected-Instance",
 		Instance:  "Pollencart-Instance",
 		Load:      "Pollencart-Load",
+		Limit:     "Pollencart-Limit",
+		Leaving:   "Pollencart-Leaving",
 		NotRun:    "Pollencart-Not-Run",
 		Signature: "Pollencart-Signature",
 	}
@@ -54,7 +60,7 @@
 // hop-by-hop headers and those that nodes or backend servers set, since a caller could use
 // the latter to forge its service or to choose an instance.
 func (n Names) Forwarded(h http.Header) []call.Field {
-	return n.filter(h, n.Call, n.Deadline, n.Caller, n.Expected, n.Instance, n.Load, n.NotRun, n.Signature,
+	return n.filter(h, n.Call, n.Deadline, n.Caller, n.Expected, n.Instance, n.Load, n.Limit, n.Leaving, n.NotRun, n.Signature,
 		"Host", "Content-Length", "Expect")
 }
 
--- /dev/null
+++ b/internal/runner/notice.go
@@ -0,0 +1,71 @@
+package runner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/header"
+	"github.com/pollencart/pollencart/internal/notice"
+	"github.com/pollencart/pollencart/internal/timeline"
+)
+
+// Instance sets the start of the backend server that calls go to from now on. What an earlier one said
+// no longer holds.
+func (r *Runner) Instance(instance string, started int64) {
+	r.noticeChange.Lock()
+	defer r.noticeChange.Unlock()
+
+	r.notices.Reset(instance, started)
+}
+
+// listener returns a function that takes in what the backend server says in its answer to a call.
+func (r *Runner) listener(id, instance string, sent time.Time) func(header.Signals) {
+	return func(s header.Signals) {
+		if s.Invalid != "" {
+			r.options.Recorder.Once(event.LimitInvalid, timeline.Entry{Call: id, Detail: instance + " limit " + s.Invalid})
+		}
+
+		r.follow(id, "answer", func() (notice.Change, bool) { return r.notices.Heard(instance, sent, time.Now(), s) })
+	}
+}
+
+// told takes in what the sender of a call knows of the backend server.
+func (r *Runner) told(in *forward.Request) {
+	if in.Notice != nil {
+		source := fmt.Sprintf("node, age ms %d", in.Notice.AgeMs)
+
+		r.follow(in.ID, source, func() (notice.Change, bool) { return r.notices.Told(in.Notice, time.Now()) })
+	}
+}
+
+// follow records what was learned with a call.
+func (r *Runner) follow(id, source string, learn func() (notice.Change, bool)) {
+	r.noticeChange.Lock()
+
+	change, ok := learn()
+	if ok {
+		r.limit(id, source, change.Before, change.After)
+	}
+
+	r.noticeChange.Unlock()
+
+	if after := change.After; ok && after.Leaving && !change.Before.Leaving {
+		r.options.Recorder.Record(event.LeavingLearned, timeline.Entry{Call: id, Detail: after.Instance + ", from " + source})
+	}
+}
+
+// limit records a changed limit.
+func (r *Runner) limit(id, source string, before, after forward.Notice) {
+	switch {
+	case after.Limited && (!before.Limited || after.Limit != before.Limit):
+		r.options.Recorder.Record(event.LimitNamed, timeline.Entry{Call: id, Detail: fmt.Sprintf(
+			"%s limit %g, before %g, from %s", after.Instance, after.Limit, before.Limit, source,
+		)})
+	case before.Limited && !after.Limited:
+		r.options.Recorder.Record(event.LimitEnded, timeline.Entry{Call: id, Detail: fmt.Sprintf(
+			"%s limit %g, from %s", after.Instance, before.Limit, source,
+		)})
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/nestedcall"
+	"github.com/pollencart/pollencart/internal/notice"
 	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/rollout/evidence"
 	"github.com/pollencart/pollencart/internal/slots"
@@ -69,12 +71,15 @@
 type Runner struct {
 	options    Options
 	nestedcall *nestedcall.Detector
+	notices    *notice.Keeper
+	// noticeChange keeps the lines in the order of the changes of notices.
+	noticeChange sync.Mutex
 	closed     atomic.Bool
 	inFlight   atomic.Int64
 }
 
 // New returns a runner.
-func New(o Options) *Runner { return &Runner{options: o, nestedcall: nestedcall.New()} }
+func New(o Options) *Runner { return &Runner{options: o, nestedcall: nestedcall.New(), notices: notice.New()} }
 
 // Close rejects waiting calls and all later ones. Calls that the backend server is running
 // continue.
@@ -98,6 +103,7 @@
 	began := time.Now()
 	reply := r.serve(ctx, &in, w)
 	reply.Load = r.load(w)
+	reply.Notice = r.notices.Current(time.Now())
 	r.record(&in, w, reply, time.Since(began))
 
 	return reply, nil
@@ -141,6 +147,10 @@
 		return refused(forward.ReasonNone, downRetryAfter)
 	}
 
+	if r.told(in); !r.options.Host.State().Takes {
+		return refused(forward.ReasonNone, downRetryAfter)
+	}
+
 	r.options.Suspects.Freshen(ctx, in.Service)
 
 	c := toCall(in)
@@ -205,7 +215,7 @@
 	began := time.Now()
 	a, err := r.options.Pool.Do(ctx, backend.Request{
 		ID: in.ID, Origin: in.Origin, Instance: state.Instance, Method: in.Method, Host: in.Host, URI: in.URI, Header: in.Header,
-		Body: in.Body, Idempotent: in.Idempotent,
+		Body: in.Body, Idempotent: in.Idempotent, Signaled: r.listener(in.ID, state.Instance, began),
 	})
 	serviceTime := time.Since(began)
 	reply, result := r.classify(ctx, state, a, err)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -290,6 +290,7 @@
 	if start := (tombstone.Instance{ID: s.Instance, Started: s.Started}); start != n.instance {
 		n.instance = start
 		n.pool.CloseIdle()
+		n.runner.Instance(start.ID, start.Started)
 
 		go n.watch.Restarted(context.Background())
 	}
