runner, slots: calls to a backend server keep to the limit that it names

Cause: a signal in answers that nobody acted on. The gate passed it on with the other headers. Why this works: all calls to a backend server, those of its own host, nested ones and repeats too, pass the queue of its gate, so one pace there holds for all nodes and any span of time: limit * (T + 0.25 s) + 1 starts in T. The wait that the queue reports counts the pace, so calls go elsewhere or are refused at once, urgent ones start first. A limit that begins or falls counts at once; one that rises or ends only from an answer to a call sent after the newest answer with the old one, since answers overlap. A gate that restarts knows nothing, so replies carry the limit to the nodes that pass the answers on and these send it back with their next calls: every node that the limit binds brings it along, whether or not the store or the others can be reached. A new process begins without an allowance. Its notice belongs to one start of one backend server. Below 0.5 calls a second one call in 2 s is let through: without any call the end could not be told.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,6 +21,7 @@
 //   - Failures: failed calls add a penalty to a node's cost, and an unreachable node
 //     is avoided with exponential backoff. Otherwise calls would repeatedly wait on a
 //     dead route.
+//   - Limits: a node whose backend server names a limit is sampled by that limit, as by its slots.
 //   - Exploration: a node that this one has never used gets an occasional call.
 //     Otherwise a new backend server in another failure domain would stay idle.
 //
@@ -83,6 +84,9 @@
 	failing = 0.05
 	// failureDecay is the time constant with which a failure rate decays without new failures.
 	failureDecay = 4 * time.Second
+	// limitTTL is how long a reported limit reduces the calls that are sent to a node. After it, a
+	// call finds out whether the limit still holds.
+	limitTTL = 3 * time.Second
 	// reportTTL is how long a reported wait is used.
 	reportTTL = 500 * time.Millisecond
 )
@@ -148,6 +152,7 @@
 	defer p.mu.Unlock()
 
 	now := time.Now()
+	mean := p.routeStats(n.Route).mean
 	var near, far reservoir.Two[sampled]
 
 	spare := cheapest{}
@@ -174,7 +179,7 @@
 			tier = &near
 		}
 
-		tier.Add(sampled{c, m}, rand.ExpFloat64()*m.slowdown/float64(max(c.Slots, 1)))
+		tier.Add(sampled{c, m}, rand.ExpFloat64()*m.sampleWeight(c.Slots, mean, now))
 	}
 
 	if c, ok := p.chooseDomain(p.cheaper(near, n, now), p.cheaper(far, n, now), n); ok {
--- a/internal/balancer/node.go
+++ b/internal/balancer/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/pacing"
 )
 
 // routeStats holds a route's service times over all nodes, and the size of its answers.
@@ -69,6 +70,10 @@
 	reportedAt  time.Time
 	avoidUntil  time.Time
 	backoff     time.Duration
+	// limit is the calls a second that the node's backend server takes from all nodes, if limitedAt
+	// is not zero.
+	limit     float64
+	limitedAt time.Time
 }
 
 func (p *Balancer) shouldProbe(m *node, n Need, now time.Time) bool {
@@ -146,6 +151,8 @@
 
 	m.inFlight--
 
+	m.observeLimit(r, reply.Notice)
+
 	if reply.Load.Slots > 0 {
 		m.report, m.reportedAt = reply.Load, time.Now()
 	}
@@ -181,6 +188,26 @@
 	m.slowdown += (ratio - m.slowdown) / smoothing
 }
 
+func (m *node) observeLimit(r Result, n *forward.Notice) {
+	switch {
+	case n != nil && n.Limited:
+		m.limit, m.limitedAt = max(n.Limit, pacing.MinRate), time.Now()
+	case r == Answered:
+		m.limitedAt = time.Time{}
+	}
+}
+
+// sampleWeight returns the inverse of the node's capacity for calls with the given mean service time.
+func (m *node) sampleWeight(slots int, mean time.Duration, now time.Time) float64 {
+	weight := m.slowdown / float64(max(slots, 1))
+
+	if !m.limitedAt.IsZero() && now.Sub(m.limitedAt) < limitTTL {
+		weight = max(weight, 1/(m.limit*max(mean, time.Millisecond).Seconds()))
+	}
+
+	return weight
+}
+
 func (m *node) unreached(now time.Time) bool {
 	if now.Before(m.avoidUntil) {
 		return false
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/notice/memory"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -55,11 +56,14 @@
 	splitter      *splitter
 	retryDetector *retryDetector
 	subsets       *subsets
+	notices       *memory.Memory
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{options: o, splitter: newSplitter(), retryDetector: newRetryDetector(), subsets: newSubsets(o)}
+	return &Dispatcher{
+		options: o, splitter: newSplitter(), retryDetector: newRetryDetector(), subsets: newSubsets(o), notices: memory.New(),
+	}
 }
 
 var _ ingress.Handler = (*Dispatcher)(nil)
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -87,8 +87,14 @@
 
 	s.request.TargetMs = time.Until(s.target).Milliseconds()
 
+	sent := time.Now()
+	if s.request.Notice = nil; !c.Own {
+		s.request.Notice = d.notices.About(c.ID, sent)
+	}
+
 	attempt := d.options.Balancer.Start(c.ID, s.route.Name)
 	reply, err := s.send(c)
+	d.notices.Replied(c.ID, sent, time.Now(), reply)
 	result := s.classify(reply, err)
 
 	if attempt.End(result, reply) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -53,8 +53,8 @@
 	// this one has none.
 	Nearby bool `msgpack:"Nearby"`
 	// Notice is what the sender knows of the backend server from earlier replies, or nil. The
-	// process that runs the call may have started after them.
-	Notice *Notice `msgpack:"Notice"`
+	// process that runs the call may have started after them. It follows the message.
+	Notice *Notice `msgpack:"-"`
 }
 
 // Check returns an error if a decoded request is invalid.
@@ -152,8 +152,9 @@
 	// Crashes lists the backend server crashes during which the call is known to have been
 	// running.
 	Crashes []call.Crash `msgpack:"Crashes"`
-	// Notice is what the backend server said of itself in its answers, or nil.
-	Notice *Notice `msgpack:"Notice"`
+	// Notice is what the backend server said of itself in its answers, or nil. It follows the
+	// message.
+	Notice *Notice `msgpack:"-"`
 }
 
 // Check returns an error if a decoded reply is invalid.
--- a/internal/runner/describe.go
+++ b/internal/runner/describe.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/forward"
@@ -9,7 +10,7 @@
 )
 
 // describe formats the inputs and the outcome of a call as the Detail of its event.
-func describe(in *forward.Request, w slots.Work, reply forward.Reply, took time.Duration) string {
+func describe(in *forward.Request, w slots.Work, reply forward.Reply, l slots.Limit, took time.Duration) string {
 	const typicalSize = 128
 
 	b := make([]byte, 0, typicalSize)
@@ -28,6 +29,12 @@
 		b = append(b, " nested"...)
 	}
 
+	if l.Limited {
+		b = append(b, " limit "+strconv.FormatFloat(l.PerSecond, 'g', -1, 64)...)
+		b = timeline.AppendNumber(b, " limited ms ", time.Since(l.Since).Milliseconds())
+		b = timeline.AppendNumber(b, " started ", int64(l.Started))
+	}
+
 	if reply.Reason != "" {
 		b = append(b, " reason "...)
 		b = append(b, reply.Reason...)
--- a/internal/runner/notice.go
+++ b/internal/runner/notice.go
@@ -18,6 +18,10 @@
 	defer r.noticeChange.Unlock()
 
 	r.notices.Reset(instance, started)
+
+	if n := r.notices.Current(time.Now()); n == nil || !n.Limited {
+		r.options.Queue.ClearLimit()
+	}
 }
 
 // listener returns a function that takes in what the backend server says in its answer to a call.
@@ -40,7 +44,7 @@
 	}
 }
 
-// follow records what was learned with a call.
+// follow lets the queue and the host follow what was learned with a call.
 func (r *Runner) follow(id, source string, learn func() (notice.Change, bool)) {
 	r.noticeChange.Lock()
 
@@ -56,16 +60,19 @@
 	}
 }
 
-// limit records a changed limit.
+// limit lets the queue follow a changed limit.
 func (r *Runner) limit(id, source string, before, after forward.Notice) {
 	switch {
 	case after.Limited && (!before.Limited || after.Limit != before.Limit):
+		r.options.Queue.SetLimit(after.Limit)
 		r.options.Recorder.Record(event.LimitNamed, timeline.Entry{Call: id, Detail: fmt.Sprintf(
 			"%s limit %g, before %g, from %s", after.Instance, after.Limit, before.Limit, source,
 		)})
 	case before.Limited && !after.Limited:
+		limit := r.options.Queue.Limit()
+		r.options.Queue.ClearLimit()
 		r.options.Recorder.Record(event.LimitEnded, timeline.Entry{Call: id, Detail: fmt.Sprintf(
-			"%s limit %g, from %s", after.Instance, before.Limit, source,
+			"%s limit %g, after ms %d, started %d, from %s", after.Instance, before.Limit, time.Since(limit.Since).Milliseconds(), limit.Started, source,
 		)})
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -72,14 +72,16 @@
 	options    Options
 	nestedcall *nestedcall.Detector
 	notices    *notice.Keeper
-	// noticeChange keeps the lines in the order of the changes of notices.
+	// noticeChange keeps the queue in the order of the changes of notices.
 	noticeChange sync.Mutex
-	closed     atomic.Bool
-	inFlight   atomic.Int64
+	closed       atomic.Bool
+	inFlight     atomic.Int64
 }
 
 // New returns a runner.
-func New(o Options) *Runner { return &Runner{options: o, nestedcall: nestedcall.New(), notices: notice.New()} }
+func New(o Options) *Runner {
+	return &Runner{options: o, nestedcall: nestedcall.New(), notices: notice.New()}
+}
 
 // Close rejects waiting calls and all later ones. Calls that the backend server is running
 // continue.
@@ -309,5 +311,5 @@
 		e = event.CallRunFailed
 	}
 
-	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, took)})
+	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, r.options.Queue.Limit(), took)})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -236,11 +236,38 @@
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
 		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
+		{
+			"pollencart_backend_limit", "Limit that the backend server here names, in calls a second; -1 for none.",
+			func() float64 { return n.limitOr(-1, func(l slots.Limit) float64 { return l.PerSecond }) },
+		},
+		{
+			"pollencart_backend_limit_seconds", "Time since the backend server here first named a limit; 0 for none.",
+			func() float64 {
+				return n.limitOr(0, func(l slots.Limit) float64 { return time.Since(l.Since).Seconds() })
+			},
+		},
+		{
+			"pollencart_backend_limit_starts", "Calls started since the backend server here first named a limit; 0 for none.",
+			func() float64 { return n.limitOr(0, func(l slots.Limit) float64 { return float64(l.Started) }) },
+		},
+		{
+			"pollencart_backend_limit_rejections", "Calls rejected here because of a limit.",
+			func() float64 { return float64(n.queue.Limit().Rejected) },
+		},
 	} {
 		n.meter.Gauge(g.name, g.help, g.value)
 	}
 }
 
+// limitOr returns a value of the backend server's limit, or another one if there is no limit.
+func (n *Sidecar) limitOr(none float64, value func(slots.Limit) float64) float64 {
+	if l := n.queue.Limit(); l.Limited {
+		return value(l)
+	}
+
+	return none
+}
+
 // probe checks the health of the backend server, which reports its instance.
 func (n *Sidecar) probe(ctx context.Context) backend.Health {
 	return n.pool.Probe(ctx, n.healthPath())
--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,8 +27,8 @@
 	limitedText = "8.2"
 )
 
-// allowedCalls is the number of calls in a window that a limit allows: the limit and half of it, and 5.
-func allowedCalls(limit float64) int { return int(1.5*limit*limitWindow.Seconds() + 5) }
+// allowedCalls is the number of calls in a window that the limit allows: the limit and half of it, and 5.
+func allowedCalls() int { return int(1.5*limited*limitWindow.Seconds() + 5) }
 
 // load is a steady rate of calls at each host, and what they came to.
 type load struct {
@@ -36,9 +37,11 @@
 	calls        sync.WaitGroup
 }
 
-func (f *fleet) startLoad(perHost int) *load {
+func (f *fleet) startLoad() *load {
+	const perHost = 30 // calls a second
+
 	l := &load{stop: make(chan struct{})}
-	pause := time.Second / time.Duration(perHost)
+	pause := time.Second / perHost
 
 	for i, h := range f.hosts {
 		l.calls.Go(func() {
@@ -69,13 +72,10 @@
 }
 
 // newServingFleet returns hosts of one service that all serve.
-func newServingFleet(t *testing.T, count int) *fleet {
+func newServingFleet(t *testing.T) *fleet {
 	t.Helper()
 
-	services := make([]string, count)
-	for i := range services {
-		services[i] = "ledger"
-	}
+	services := slices.Repeat([]string{"ledger"}, 6)
 
 	f := newConfiguredFleet(t, func(_ int, h *host) { h.backend.Work = 20 * time.Millisecond }, services...)
 	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
@@ -100,11 +100,11 @@
 
 // A backend server that names a limit in its answers gets more calls from all nodes together.
 func TestBackendServerGetsNoMoreCallsThanItsLimit(t *testing.T) {
-	f := newServingFleet(t, 6)
+	f := newServingFleet(t)
 	b := f.hosts[0].backend
 	b.SetLimit(limitedText)
 
-	l := f.startLoad(30)
+	l := f.startLoad()
 	named := time.Now()
 
 	time.Sleep(limitSettles + 2*limitWindow)
@@ -113,19 +113,19 @@
 	most, used := b.MostInWindow(since, limitWindow), float64(b.ArrivedSince(since))/time.Since(since).Seconds()
 
 	l.end()
-	t.Logf("most %d in %s, allowed %d, used %.1f a second of %s, served %d of %d", most, limitWindow, allowedCalls(limited), used, limitedText,
+	t.Logf("most %d in %s, allowed %d, used %.1f a second of %s, served %d of %d", most, limitWindow, allowedCalls(), used, limitedText,
 		l.served.Load(), l.sent.Load())
-	assert.Assert(t, most <= allowedCalls(limited))
+	assert.Assert(t, most <= allowedCalls())
 	assert.Equal(t, l.served.Load(), l.sent.Load())
 }
 
 // The node beside a backend server with a limit restarts and no longer holds the limit.
 func TestLimitHoldsWhenTheNodeOfTheBackendServerRestarts(t *testing.T) {
-	f := newServingFleet(t, 6)
+	f := newServingFleet(t)
 	b := f.hosts[0].backend
 	b.SetLimit(limitedText)
 
-	l := f.startLoad(30)
+	l := f.startLoad()
 	named := time.Now()
 
 	time.Sleep(limitSettles + limitWindow/2)
@@ -135,16 +135,16 @@
 	most := b.MostInWindow(named.Add(limitSettles), limitWindow)
 
 	l.end()
-	t.Logf("most %d in %s, allowed %d", most, limitWindow, allowedCalls(limited))
-	assert.Assert(t, most <= allowedCalls(limited))
+	t.Logf("most %d in %s, allowed %d", most, limitWindow, allowedCalls())
+	assert.Assert(t, most <= allowedCalls())
 }
 
 // A backend server says only in its answers that it leaves, and gets calls on.
 func TestBackendServerThatSaysInAnswersThatItLeavesGetsNoMoreCalls(t *testing.T) {
-	f := newServingFleet(t, 6)
+	f := newServingFleet(t)
 	b := f.hosts[0].backend
 
-	l := f.startLoad(30)
+	l := f.startLoad()
 	time.Sleep(time.Second)
 	b.SetLeaving(true)
 
@@ -163,10 +163,10 @@
 
 // The node beside a backend server that said in an answer that it leaves restarts, with the store away.
 func TestLeavingToldInAnswersHoldsWhenTheNodeRestarts(t *testing.T) {
-	f := newServingFleet(t, 6)
+	f := newServingFleet(t)
 	b := f.hosts[0].backend
 
-	l := f.startLoad(30)
+	l := f.startLoad()
 	time.Sleep(time.Second)
 	b.SetLeaving(true)
 
--- a/internal/slots/estimate.go
+++ b/internal/slots/estimate.go
@@ -52,11 +52,16 @@
 	return max(1-taken/(float64(usageWindow)*float64(q.slots)), 1.0/StarvedStartInterval)
 }
 
-// expectedWait estimates how long the call waits for a slot. It assigns the running calls and
+// expectedWait estimates how long the call waits for a slot and for the pace.
+func (q *Queue) expectedWait(s *Slot, now time.Time) time.Duration {
+	return max(q.slotWait(s, now), q.paceWait(s, now))
+}
+
+// slotWait estimates how long the call waits for a slot. It assigns the running calls and
 // those ahead in the queue to the slots, each to the slot that becomes free first. The mean
 // over all slots would overestimate the wait: behind long calls, a short call would appear
 // to wait for half of one, however many slots there are.
-func (q *Queue) expectedWait(s *Slot, now time.Time) time.Duration {
+func (q *Queue) slotWait(s *Slot, now time.Time) time.Duration {
 	if len(q.running)+len(q.waiting) < q.slots {
 		return 0
 	}
--- a/internal/slots/load.go
+++ b/internal/slots/load.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Load is a snapshot of the queue's occupancy.
 type Load struct {
@@ -45,5 +48,10 @@
 // RetryAfter estimates when a retry of this call is likely to get a slot: after the current
 // backlog has drained.
 func (q *Queue) RetryAfter(w Work) time.Duration {
-	return min(max(q.EstimateWait(w, w.Rank), minRetryAfter), maxRetryAfter)
+	wait := q.EstimateWait(w, w.Rank)
+	if q.Limit().Limited {
+		wait += rand.N(max(wait, minRetryAfter)) // callers that come back together find one start
+	}
+
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -31,6 +31,12 @@
 //
 // Service times are learned per route because they differ by a factor of ten.
 //
+// # Limits
+//
+// A backend server in need may name a limit in calls a second. Calls that wait start at that pace, in the
+// same order. The expected wait counts the pace too, so that a call that can't start in time under the
+// limit is rejected at once or goes to another node.
+//
 // # Usage
 //
 //	q := slots.New()
@@ -50,6 +56,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/bounded"
+	"github.com/pollencart/pollencart/internal/pacing"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -57,6 +64,7 @@
 var (
 	ErrClosed    = errs.New("slots.closed", http.StatusServiceUnavailable, "the backend server takes no calls")
 	ErrTooLate   = errs.New("slots.too_late", http.StatusServiceUnavailable, "the call can't end in time")
+	ErrLimited   = errs.New("slots.limited", http.StatusServiceUnavailable, "the limit of the backend server leaves no time for the call")
 	ErrElsewhere = errs.New("slots.elsewhere", http.StatusServiceUnavailable, "the call would be late here and may go elsewhere")
 	ErrWouldWait = errs.New("slots.waits", http.StatusServiceUnavailable, "the call would wait here and others near may have a slot free")
 	ErrCanceled  = errs.New("slots.gone", http.StatusServiceUnavailable, "the caller gave up while the call waited")
@@ -127,7 +135,10 @@
 	closed        bool
 	running       map[*Slot]struct{}
 	waiting       []*Slot
-	waitingSince  time.Time // when the queue last became non-empty
+	pacer         *pacing.Pacer
+	paceTimer     *time.Timer // for the next start that the pacer holds back
+	limited       int         // calls rejected because of the limit
+	waitingSince  time.Time   // when the queue last became non-empty
 	serviceTimes  *bounded.Map[serviceTimeEstimate]
 	startCount    int
 	usage         [rankCount]usage
@@ -146,7 +157,7 @@
 
 // New returns a queue without slots.
 func New() *Queue {
-	q := &Queue{running: map[*Slot]struct{}{}, serviceTimes: bounded.New[serviceTimeEstimate](maxRoutes)}
+	q := &Queue{running: map[*Slot]struct{}{}, serviceTimes: bounded.New[serviceTimeEstimate](maxRoutes), pacer: pacing.New()}
 	for i := range q.admittedShare {
 		q.admittedShare[i] = 1
 	}
@@ -204,7 +215,7 @@
 			}
 
 			if q.hopeless(s) {
-				return nil, q.abandon(s, ErrTooLate)
+				return nil, q.abandon(s, q.tooLate())
 			}
 
 			recheck.Reset(time.Until(s.latestStart()))
@@ -237,6 +248,8 @@
 	if err := q.evaluateWait(s, now, expectedWait); expectedWait > 0 && err != nil {
 		if errors.Is(err, ErrTooLate) {
 			q.recordOutcome(s.work, 0)
+
+			err = q.tooLateLocked(now)
 		}
 
 		return err
@@ -274,6 +287,12 @@
 // start admits waiting calls while slots are free.
 func (q *Queue) start(now time.Time) {
 	for len(q.waiting) > 0 && len(q.running) < q.slots {
+		if wait := q.pacer.Wait(1, now); wait > 0 {
+			q.startAfter(wait)
+
+			break
+		}
+
 		s := q.dequeue(now)
 
 		// A call that has less than half of its expected time left is not worth starting.
@@ -284,6 +303,7 @@
 		}
 
 		s.started = now
+		q.pacer.Start(now)
 		q.running[s] = struct{}{}
 		q.recordOutcome(s.work, 1)
 		s.decision <- nil
