runner, announce: a backend server that says in an answer that it leaves gets no more calls

Callers saw nothing while it served on; calls that it could not end in time would have been cut off. Only heartbeats told of a departure; answers that did went on to callers. There is one mechanism, so a heartbeat that says ready comes too late and one that says draining is confirmed.

--- a/internal/announce/host_test.go
+++ b/internal/announce/host_test.go
@@ -337,3 +337,27 @@
 		assert.Equal(t, len(recorder.Entries(timeline.Filter{})), 1)
 	})
 }
+
+// A backend server said in an answer that it leaves. A later heartbeat, or the next process, revives it.
+func TestWithdrawnInstanceStaysUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newEnvironment()
+		h := w.startProcess()
+		handle(t, h, heartbeat("i-1", 1))
+		h.Withdraw(context.Background(), "i-1", 0)
+		assert.Assert(t, !h.State().Takes)
+		handle(t, h, heartbeat("i-1", 2))
+		assert.Assert(t, !h.State().Takes)
+
+		next := w.startProcess()
+		handle(t, next, heartbeat("i-1", 3))
+		assert.Assert(t, !next.State().Takes)
+
+		// Its announced departure is confirmed as any other.
+		handle(t, h, drainingHeartbeat(4))
+
+		w.running = "i-2"
+		handle(t, h, heartbeat("i-2", 1))
+		assert.Assert(t, h.State().Takes)
+	})
+}
--- a/internal/announce/leaving.go
+++ b/internal/announce/leaving.go
@@ -28,11 +28,37 @@
 // for later processes on this host. A start time of 0 means the running instance, which must
 // not get calls after the confirmation either. ErrForeign means that a later instance runs.
 func (h *Host) Deregister(ctx context.Context, instance string, started int64) error {
+	d := h.depart(ctx, instance, started)
+	if d == nil {
+		return ErrForeign
+	}
+
+	select {
+	case <-d.persisted:
+		return nil
+	case <-ctx.Done():
+		return ErrNotKept.Wrap(ctx.Err())
+	case <-time.After(confirmTimeout):
+		h.options.Recorder.Record(event.LeavingNotKept, timeline.Entry{Detail: instance})
+
+		return ErrNotKept
+	}
+}
+
+// Withdraw stops sending calls to an instance that said in an answer that it is leaving. Like a
+// confirmed departure, this one is persisted for later processes, but nobody waits for it.
+func (h *Host) Withdraw(ctx context.Context, instance string, started int64) {
+	h.depart(ctx, instance, started)
+}
+
+// depart stops sending calls to an instance and persists its departure. It returns nil if a later
+// instance is running.
+func (h *Host) depart(ctx context.Context, instance string, started int64) *departure {
 	d, first := h.beginDeparture(instance, started)
 	if d == nil {
 		h.Doubt(instance, "departure of the instance started at "+strconv.FormatInt(started, 10)+" rejected: a later instance is running")
 
-		return ErrForeign
+		return nil
 	}
 
 	h.update(func(s State) State {
@@ -47,16 +73,7 @@
 		go h.persist(context.WithoutCancel(ctx), instance, d)
 	}
 
-	select {
-	case <-d.persisted:
-		return nil
-	case <-ctx.Done():
-		return ErrNotKept.Wrap(ctx.Err())
-	case <-time.After(confirmTimeout):
-		h.options.Recorder.Record(event.LeavingNotKept, timeline.Entry{Detail: instance})
-
-		return ErrNotKept
-	}
+	return d
 }
 
 // beginDeparture returns the departure of an instance and whether it is new. It returns nil
--- a/internal/runner/notice.go
+++ b/internal/runner/notice.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -57,6 +58,7 @@
 
 	if after := change.After; ok && after.Leaving && !change.Before.Leaving {
 		r.options.Recorder.Record(event.LeavingLearned, timeline.Entry{Call: id, Detail: after.Instance + ", from " + source})
+		r.options.Host.Withdraw(context.Background(), after.Instance, after.Started)
 	}
 }
 
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -37,6 +37,13 @@
 	return func(poison.Result) []poison.Crash { return nil }, nil
 }
 
+// noKeeper keeps departures for no later process.
+type noKeeper struct{}
+
+func (noKeeper) Keep(context.Context, string, int64) error { return nil }
+
+func (noKeeper) Departed(context.Context, string, int64) (bool, error) { return false, nil }
+
 // newRunner returns the runner of a backend server with four slots.
 func newRunner(t *testing.T, h http.HandlerFunc) *runner.Runner {
 	t.Helper()
@@ -68,7 +75,7 @@
 	t.Cleanup(pool.CloseIdle)
 
 	host := announce.New(
-		announce.FirstStart(true),
+		announce.FirstStart(true), announce.WithKeeper(noKeeper{}),
 		announce.Changed(func(s announce.State) { queue.Resize(s.Slots) }),
 		announce.Probe(func(context.Context) backend.Health { return backend.Health{Instance: "i-1", Healthy: true, Slots: 4} }),
 	)
