runner: the retry delay that a backend server names reaches the caller

Callers whose call a backend server turned away were told to come back after 20 ms, whatever its answer named. Change: its Retry-After counts, 10 s at most; 20 ms without a valid one. Measured: the test failed before with 20 ms for 0.5 s. Looked at beside it: Connection: close in answers ends the connection and says nothing of a departure; a 429 without the header of calls that did not run goes to the caller as any answer.

--- a/internal/runner/notice_test.go
+++ b/internal/runner/notice_test.go
@@ -153,3 +153,22 @@
 		assert.Assert(t, !queue.Limit().Limited, "%v", head)
 	}
 }
+
+// A backend server turns calls away and says when to come back, and callers come back at once.
+func TestRetryAfterOfBackendServerReachesTheCaller(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 20 * time.Millisecond, "0.5": 500 * time.Millisecond, "0": 20 * time.Millisecond, "soon": 20 * time.Millisecond,
+		"NaN": 20 * time.Millisecond, "1e300": 10 * time.Second,
+	} {
+		r := newRunner(t, func(w http.ResponseWriter, r *http.Request) {
+			names := header.Default()
+			w.Header().Set(names.Call, r.Header.Get(names.Call))
+			w.Header().Set(names.NotRun, "1")
+			w.Header().Set("Retry-After", text)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		reply := serve(t, r, request())
+		assert.Equal(t, reply.Result, forward.Shed)
+		assert.Equal(t, reply.RetryAfter(), want, text)
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,6 +10,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,9 @@
 // With 200 ms, callers with a target of 300 ms missed it.
 const shedRetryAfter = 20 * time.Millisecond
 
+// maxRetryAfter bounds the retry delay that a backend server asks for.
+const maxRetryAfter = 10 * time.Second
+
 // Suspects tracks requests that were running when a backend server crashed.
 type Suspects interface {
 	Freshen(ctx context.Context, service string)
@@ -266,12 +271,24 @@
 
 		return refused(forward.ReasonNone, downRetryAfter), poison.Down
 	case a.NotRun:
-		return forward.Reply{Result: forward.Shed, Reason: "the backend server turned it away", RetryMs: shedRetryAfter.Milliseconds()}, poison.Lost
+		return forward.Reply{Result: forward.Shed, Reason: "the backend server turned it away", RetryMs: retryAfter(a).Milliseconds()}, poison.Lost
 	}
 
 	return forward.Reply{Result: forward.Answered, Status: a.Status, Header: a.Header, Body: a.Body}, poison.Finished
 }
 
+// retryAfter returns the retry delay after the backend server shed a call: the one that its answer
+// names in seconds, if any.
+func retryAfter(a backend.Answer) time.Duration {
+	for _, f := range a.Header {
+		if seconds, err := strconv.ParseFloat(f.Value, 64); err == nil && seconds > 0 && strings.EqualFold(f.Name, "Retry-After") {
+			return max(time.Duration(min(seconds, maxRetryAfter.Seconds())*float64(time.Second)), shedRetryAfter)
+		}
+	}
+
+	return shedRetryAfter
+}
+
 // classifyLost determines whether the backend server crashed while it ran the call. If its
 // address refuses connections, the process has terminated. After a canceled call, or a broken
 // connection while the address accepts new ones, a crash shows only later.
