soak: backend servers name limits and leave in answers alone

The soak could order neither, so no seed could find that nobody read them. Change: with Signals, series of their own (schedules of earlier seeds stay as they are) have backend servers name limits that change, fall to 0 and end, and leave without an announcement, beside kills, stops, pauses and outages of the store.

--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -21,6 +21,7 @@
 	program := c.Flag("program", "The binary.").Default("bin/pollencart").String()
 	rollout := c.Flag("rollout", "Order a roll-out of a version, which is bad for even seeds.").Bool()
 	poison := c.Flag("poison", "Send requests that crash each backend server that runs them; all hosts have one service.").Bool()
+	signals := c.Flag("signals", "Have backend servers name limits, and leave without an announcement.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -32,7 +33,7 @@
 		for seed := *first; seed < *first+*count; seed++ {
 			broken, err := oneSeed(ctx, hosts.Options{
 				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
-				Poison: *poison,
+				Poison: *poison, Signals: *signals,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -25,6 +25,7 @@
 	address string
 	report  *Report
 	poisons *poisons
+	signals *signals
 
 	restart sync.Mutex // one start of the host's process at a time
 
@@ -52,7 +53,7 @@
 func (r *run) newBackend(h *host, name, service, version string) *backend {
 	b := &backend{
 		name: name, service: service, version: version, trial: r.trial, host: h, work: r.options.work(), address: standin.FreeAddress(),
-		report: r.report, poisons: r.poisons, confirmed: map[string]time.Time{},
+		report: r.report, poisons: r.poisons, signals: r.signals, confirmed: map[string]time.Time{},
 	}
 	b.up()
 
@@ -109,6 +110,7 @@
 // ran notes a call that an instance begins to run.
 func (b *backend) ran(instance, id string) {
 	b.report.ran(id, b.name)
+	b.signals.arrived(instance, id)
 
 	if b.trial != nil && b.service == rolledOut {
 		b.trial.ran(b.version, id)
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -51,6 +51,8 @@
 	// Poison sends requests that crash each backend server that runs them. All hosts then have one
 	// service, since what is known of such a request is known for a service.
 	Poison bool
+	// Signals has backend servers name limits, and leave without an announcement.
+	Signals bool
 }
 
 func (o Options) work() time.Duration {
@@ -109,6 +111,7 @@
 	stalls  stalls
 	trial   *trial // nil without a roll-out
 	poisons *poisons
+	signals *signals
 	calling sync.WaitGroup
 }
 
@@ -116,7 +119,7 @@
 func Run(ctx context.Context, o Options) (*Report, error) {
 	r := &run{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), report: newReport(o.Seed), store: standin.NewStore(),
-		poisons: &poisons{client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		signals: newSignals(), poisons: &poisons{client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
 	}
 
 	if o.Rollout {
--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -58,3 +58,8 @@
 func TestPoisonRequestCrashesAtMostTwoBackendServersBesideFaults(t *testing.T) {
 	play(t, hosts.Options{Seed: 1, Length: 6 * time.Second, Hosts: 12, Rate: 60, Poison: true})
 }
+
+// A limit or a leaving that is told in answers alone is lost in restarts, pauses and store outages.
+func TestSignalsInAnswersHoldBesideFaults(t *testing.T) {
+	play(t, hosts.Options{Seed: 1, Length: 16 * time.Second, Hosts: 9, Rate: 180, Signals: true})
+}
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -65,6 +65,14 @@
 		troubles.Go(func() { r.poisonSeries(ctx, random, end) })
 	}
 
+	if r.options.Signals {
+		for i := range uint64(1 + len(r.hosts)/hostsPerSignals) {
+			random := rand.New(rand.NewPCG(r.options.Seed, signalStream+i))
+
+			troubles.Go(func() { r.signalSeries(ctx, random, end) })
+		}
+	}
+
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := faults()[r.random.IntN(len(faults()))]
 		h := r.hosts[r.random.IntN(len(r.hosts))]
@@ -84,6 +92,7 @@
 	stop()
 	r.calling.Wait()
 	r.judgeStayed()
+	r.judgeSignals()
 
 	r.judgePoisons()
 
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -25,6 +25,8 @@
 	Stayed Stayed
 	// Poison counts poison requests.
 	Poison Poison
+	// Signals counts what backend servers said in their answers.
+	Signals Signals
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -137,6 +139,11 @@
 			p.Requests, p.Copies, p.Crashes, p.InTouch+len(p.Excused), p.InTouch, p.Excused)
 	}
 
+	if s := r.Signals; err == nil && s.Limits+s.Leavings > 0 {
+		_, err = fmt.Fprintf(out, "limits %d, leavings in answers %d, calls checked %d, excused %d, most of what is allowed %.2f\n",
+			s.Limits, s.Leavings, s.Checked, s.Excused, s.Most)
+	}
+
 	for _, b := range r.Broken {
 		if err == nil {
 			_, err = fmt.Fprintln(out, " ", b)
--- a/internal/soak/hosts/stayers.go
+++ b/internal/soak/hosts/stayers.go
@@ -153,6 +153,10 @@
 		c.run.report.upload(id)
 	}
 
+	if c.run.options.Signals {
+		c.run.signals.send(id, c.host)
+	}
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -198,6 +202,7 @@
 	c.mu.Unlock()
 
 	s.status = r.StatusCode
+	c.run.signals.answered(c.host, r.Header)
 	c.run.report.compare(s, r, string(body))
 	c.run.report.stayed(s)
 
