--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 )
 
@@ -47,18 +46,3 @@
 
 // Age returns the time since the newest answer that said so.
 func (n *Notice) Age() time.Duration { return time.Duration(n.AgeMs) * time.Millisecond }
-
-// String describes the notice for a log line.
-func (n *Notice) String() string {
-	text := n.Instance
-
-	if n.Limited {
-		text += " limit " + strconv.FormatFloat(n.Limit, 'g', -1, 64) + " a second"
-	}
-
-	if n.Leaving {
-		text += " leaving"
-	}
-
-	return text + " age ms " + strconv.FormatInt(n.AgeMs, 10)
-}
--- a/internal/header/signals.go
+++ b/internal/header/signals.go
@@ -18,6 +18,9 @@
 	Leaving bool
 }
 
+// maxInvalid is the length of an invalid value, in bytes, that is kept for log lines.
+const maxInvalid = 32
+
 // Signals returns what the headers of an answer say of the backend server. Of several limits the
 // lowest counts.
 func (n Names) Signals(h http.Header) Signals {
@@ -28,7 +31,7 @@
 
 		switch {
 		case !ok:
-			s.Invalid = strconv.Quote(text)
+			s.Invalid = strconv.Quote(text[:min(len(text), maxInvalid)])
 		case !s.Limited || limit < s.Limit:
 			s.Limit, s.Limited = limit, true
 		}
--- a/internal/runner/notice.go
+++ b/internal/runner/notice.go
@@ -20,11 +20,14 @@
 
 	r.notices.Reset(instance, started)
 
-	if n := r.notices.Current(time.Now()); n == nil || !n.Limited {
+	if n := r.Notice(); n == nil || !n.Limited {
 		r.options.Queue.ClearLimit()
 	}
 }
 
+// Notice returns what the backend server says of itself, or nil if it is neither limited nor leaving.
+func (r *Runner) Notice() *forward.Notice { return r.notices.Current(time.Now()) }
+
 // listener returns a function that takes in what the backend server says in its answer to a call.
 func (r *Runner) listener(id, instance string, sent time.Time) func(header.Signals) {
 	return func(s header.Signals) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -110,7 +110,7 @@
 	began := time.Now()
 	reply := r.serve(ctx, &in, w)
 	reply.Load = r.load(w)
-	reply.Notice = r.notices.Current(time.Now())
+	reply.Notice = r.Notice()
 	r.record(&in, w, reply, time.Since(began))
 
 	return reply, nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -224,50 +224,6 @@
 	}
 }
 
-func (n *Sidecar) registerGauges() {
-	for _, g := range []struct {
-		name, help string
-		value      func() float64
-	}{
-		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
-		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
-		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
-		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
-		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
-		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
-		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
-		{
-			"pollencart_backend_limit", "Limit that the backend server here names, in calls a second; -1 for none.",
-			func() float64 { return n.limitOr(-1, func(l slots.Limit) float64 { return l.PerSecond }) },
-		},
-		{
-			"pollencart_backend_limit_seconds", "Time since the backend server here first named a limit; 0 for none.",
-			func() float64 {
-				return n.limitOr(0, func(l slots.Limit) float64 { return time.Since(l.Since).Seconds() })
-			},
-		},
-		{
-			"pollencart_backend_limit_starts", "Calls started since the backend server here first named a limit; 0 for none.",
-			func() float64 { return n.limitOr(0, func(l slots.Limit) float64 { return float64(l.Started) }) },
-		},
-		{
-			"pollencart_backend_limit_rejections", "Calls rejected here because of a limit.",
-			func() float64 { return float64(n.queue.Limit().Rejected) },
-		},
-	} {
-		n.meter.Gauge(g.name, g.help, g.value)
-	}
-}
-
-// limitOr returns a value of the backend server's limit, or another one if there is no limit.
-func (n *Sidecar) limitOr(none float64, value func(slots.Limit) float64) float64 {
-	if l := n.queue.Limit(); l.Limited {
-		return value(l)
-	}
-
-	return none
-}
-
 // probe checks the health of the backend server, which reports its instance.
 func (n *Sidecar) probe(ctx context.Context) backend.Health {
 	return n.pool.Probe(ctx, n.healthPath())
