--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -34,8 +35,8 @@
 	limitSettles = 3 * time.Second
 	// toldBefore is the least age of an answer that binds the node that passed it on.
 	toldBefore  = 500 * time.Millisecond
-	limitedWork = 20 * time.Millisecond
-	limitSlots  = 4
+	shortWork   = 20 * time.Millisecond
+	fewSlots    = 4
 	largeLength = 9 * time.Second // of a run with hundreds of nodes
 )
 
@@ -43,6 +44,8 @@
 type limitedGate struct {
 	server string
 	limit  float64 // from the begin of the run, -1 for none
+	work   time.Duration
+	slots  int
 
 	mu      sync.Mutex
 	queue   *slots.Queue
@@ -59,8 +62,10 @@
 	at    time.Time
 }
 
-func newLimitedGate(server string, limit float64) *limitedGate {
-	g := &limitedGate{server: server, limit: limit, told: map[string]time.Time{}}
+func (p limitPlay) newGate(server string, limit float64) *limitedGate {
+	g := &limitedGate{
+		server: server, limit: limit, work: cmp.Or(p.work, shortWork), slots: cmp.Or(p.slots, fewSlots), told: map[string]time.Time{},
+	}
 	g.restart()
 
 	return g
@@ -72,7 +77,7 @@
 	defer g.mu.Unlock()
 
 	g.queue, g.keeper = slots.New(), notice.New()
-	g.queue.Resize(limitSlots)
+	g.queue.Resize(g.slots)
 	g.keeper.Reset(g.server, 0)
 	g.process++
 }
@@ -117,13 +122,13 @@
 		sent := time.Now()
 
 		g.arrived(in.Origin, process)
-		time.Sleep(limitedWork)
-		slot.Leave(limitedWork)
+		time.Sleep(g.work)
+		slot.Leave(g.work)
 
 		change, ok := keeper.Heard(g.server, sent, time.Now(), header.Signals{Limited: g.limit >= 0, Limit: max(g.limit, 0)})
 		g.follow(queue, change, ok)
 
-		reply = forward.Reply{Result: forward.Answered, Status: http.StatusOK, HeldMs: limitedWork.Milliseconds(), Body: responseBody}
+		reply = forward.Reply{Result: forward.Answered, Status: http.StatusOK, HeldMs: g.work.Milliseconds(), Body: responseBody}
 	}
 
 	reply.Load, reply.Notice = (&simulatedBackends{}).load(queue, w), keeper.Current(time.Now())
@@ -195,6 +200,11 @@
 	nodes, entries, limited int
 	callsPerSecond          int
 	length                  time.Duration
+	// highest is the highest limit, 20 calls a second if not set; work and slots are those of each
+	// backend server, shortWork and fewSlots if not set.
+	highest float64
+	work    time.Duration
+	slots   int
 	// faults restarts, freezes and cuts off limited nodes at random.
 	faults bool
 }
@@ -222,13 +232,13 @@
 	for i := range f.records {
 		limit := -1.0
 		if i < p.limited {
-			limit = 0.5 + 20*r.Float64()
+			limit = 0.5 + cmp.Or(p.highest, 20)*r.Float64()
 		}
 
-		g := newLimitedGate(f.records[i].ID, limit)
+		g := p.newGate(f.records[i].ID, limit)
 		gates[f.records[i].PeerAddress] = g
 		out.gates = append(out.gates, g)
-		f.records[i].Upstream.Slots = limitSlots
+		f.records[i].Upstream.Slots = g.slots
 	}
 
 	f.reply = func(ctx context.Context, address string, in forward.Request) (forward.Reply, error) {
@@ -350,6 +360,19 @@
 	}
 }
 
+// A process that has just started fills all slots before the first answer names the limit.
+func TestRestartedNodesKeepLowLimitsOfSlowBackendServers(t *testing.T) {
+	for seed := range *limitSeeds {
+		synctest.Test(t, func(t *testing.T) {
+			p := limitPlay{
+				nodes: 3, entries: 12, limited: 3, callsPerSecond: 100, length: 20 * time.Second, faults: true,
+				highest: 1.5, work: 400 * time.Millisecond, slots: 24,
+			}
+			p.play(t, seed).check(t, seed)
+		})
+	}
+}
+
 // 300 nodes each send a few calls to a limited backend server before they know.
 func TestThreeHundredNodesKeepLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
