soak: a staying caller judges by the time limit that it sent

By the lines of n1 the header had 666 ms and the gate got 642 of them (20 for the way to the caller, 3 for the reply, one for rounding); the call waited 620 ms for a slot and ran until its deadline. The check took 666.67 ms, a third of two seconds, which no header names. Change: the limit is cut to whole milliseconds before it is sent and judged; the check and its bound of 24 ms stay.

--- a/internal/soak/hosts/stayers.go
+++ b/internal/soak/hosts/stayers.go
@@ -143,7 +143,7 @@
 func (c *connection) send(upload bool) bool {
 	id := fmt.Sprintf("s%d", lastID.Add(1))
 	names := platform.Headers()
-	limit := callTime / time.Duration(1+rand.IntN(shortest))
+	limit := (callTime / time.Duration(1+rand.IntN(shortest))).Truncate(time.Millisecond) // as the header has it
 	head := fmt.Sprintf("Host: 127.0.0.1\r\n%s: %s\r\n%s: %d\r\n", names.Call, id, names.Deadline, limit.Milliseconds())
 	text := "GET /safe/" + id + " HTTP/1.1\r\n" + head + "\r\n"
 
