--- a/internal/soak/hosts/callers.go
+++ b/internal/soak/hosts/callers.go
@@ -113,7 +113,10 @@
 
 		body, err = io.ReadAll(response.Body)
 		o.status = response.StatusCode
-		r.signals.answered(h, response.Header)
+
+		if r.options.Signals {
+			r.signals.answered(h, response.Header)
+		}
 
 		if err == nil && o.status == http.StatusOK && string(body) != path+m.name+" "+m.name {
 			r.report.broken("call %s got the answer %.60q", o.id, body)
--- a/internal/soak/hosts/stayers.go
+++ b/internal/soak/hosts/stayers.go
@@ -202,7 +202,11 @@
 	c.mu.Unlock()
 
 	s.status = r.StatusCode
-	c.run.signals.answered(c.host, r.Header)
+
+	if c.run.options.Signals {
+		c.run.signals.answered(c.host, r.Header)
+	}
+
 	c.run.report.compare(s, r, string(body))
 	c.run.report.stayed(s)
 
