memory: a leaving is kept whatever order replies come in

Callers saw nothing. An entry could forget that a backend server leaves, and a restarted gate would not have learned it from there. Cause: of two notices of one instance the newer replaced the other whole, and its age is that of the limit; a leaving after a limit looked older, and a reply made before the leaving and read after it took it back. Found by reading. Change: the leaving of either is kept. The example of package notice has its argument. Measured: the test failed before; package tests and lint pass.

--- a/internal/notice/memory/memory.go
+++ b/internal/notice/memory/memory.go
@@ -51,12 +51,20 @@
 	e, known := m.nodes.Get(node)
 
 	if r.Notice != nil {
-		at := now.Add(-r.Notice.Age())
-		if known && e.notice != nil && e.notice.IsAbout(r.Notice.Instance, r.Notice.Started) && at.Before(e.at) {
-			return
+		newest := entry{r.Notice, now.Add(-r.Notice.Age()), now}
+
+		if known && e.notice != nil && e.notice.IsAbout(r.Notice.Instance, r.Notice.Started) {
+			leaving := e.notice.Leaving || r.Notice.Leaving
+			if newest.at.Before(e.at) {
+				newest.notice, newest.at = e.notice, e.at
+			}
+
+			kept := *newest.notice
+			kept.Leaving = leaving
+			newest.notice = &kept
 		}
 
-		*m.nodes.At(node) = entry{r.Notice, at, now}
+		*m.nodes.At(node) = newest
 
 		return
 	}
--- a/internal/notice/memory/memory_test.go
+++ b/internal/notice/memory/memory_test.go
@@ -57,3 +57,18 @@
 	assert.Assert(t, m.About("n1", at(200_000)) == nil)
 	assert.Assert(t, m.About("n2", at(20)) == nil)
 }
+
+// A reply that is older, or was made before the departure, takes the departure back.
+func TestLeavingIsKeptWhateverOrderRepliesComeIn(t *testing.T) {
+	leaving := &forward.Notice{Instance: "i-1", Leaving: true, AgeMs: 400}
+
+	m := memory.New()
+	m.Replied("n1", at(0), at(100), reply(limit(8, 0)))
+	m.Replied("n1", at(0), at(110), reply(leaving)) // its age is that of the limit before
+	assert.Assert(t, m.About("n1", at(120)).Leaving)
+
+	m = memory.New()
+	m.Replied("n1", at(0), at(100), reply(leaving))
+	m.Replied("n1", at(0), at(110), reply(limit(8, 0))) // made before it, read after it
+	assert.Assert(t, m.About("n1", at(120)).Leaving)
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -18,7 +18,7 @@
 //
 //	k := notice.New()
 //	k.Reset("i-1", 0)
-//	change, ok := k.Heard(sent, time.Now(), signals)
+//	change, ok := k.Heard("i-1", sent, time.Now(), signals)
 //	current := k.Current(time.Now()) // for replies
 package notice
 
