configsync: lines and gauges of a version that a node lacks

Cause: the lines of the nodes could not tell whether a late node had not heard of the version, trusted a source without it, or could not get it.

Change: package freshness keeps the newest versions that other nodes have and how old the knowledge of the store is. Lines 205 to 207 and three gauges show it.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -38,6 +38,7 @@
 
 	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/freshness"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/platform"
@@ -115,6 +116,9 @@
 	newest  notice        // the notice with the highest version
 
 	pushing sync.Map // addresses with a push in flight
+
+	fresh      *freshness.Tracker
+	sourceName string // what this node gets versions from; mu is held
 }
 
 // source is the origin of a document.
@@ -141,6 +145,7 @@
 	return &Syncer{
 		options: o, restartWatch: make(chan struct{}, 1), activated: make(chan struct{}, 1), pullNow: make(chan struct{}, 1),
 		queued: make(chan struct{}, 1), noticed: make(chan struct{}, 1), pending: map[source]document{},
+		fresh: freshness.New(o.Holder.Number),
 	}
 }
 
@@ -156,7 +161,7 @@
 func (s *Syncer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 
-	for _, loop := range []func(context.Context){s.follow, s.pollRevision, s.pullLoop, s.pushLoop, s.decodeLoop, s.fetchNoticed} {
+	for _, loop := range []func(context.Context){s.follow, s.pollRevision, s.pullLoop, s.pushLoop, s.decodeLoop, s.fetchNoticed, s.closeGaps} {
 		wg.Go(func() { loop(ctx) })
 	}
 
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/freshness"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -137,8 +138,15 @@
 		self := s.options.Members.Self()
 		watchers := membership.Without(s.options.Members.FirstOf(self.FailureDomain, Watchers), self.ID)
 
-		if s.pullFromAny(ctx, watchers) || (!s.storeReachable.Load() && s.pullFromAny(ctx, membership.Without(s.allWatchers(), self.ID))) {
+		switch {
+		case s.pullFromAny(ctx, watchers):
 			s.informedAt.Store(monotonic())
+			s.useSource(sourceWatchers, "a watcher is up to date")
+		case s.storeReachable.Load():
+			s.useSource(sourceStore, "no watcher is up to date")
+		case s.pullFromAny(ctx, membership.Without(s.allWatchers(), self.ID)):
+			s.informedAt.Store(monotonic())
+			s.useSource(sourceOthers, "no watcher of this failure domain is up to date")
 		}
 	}
 }
@@ -170,6 +178,11 @@
 	}
 
 	s.answeredAt.Store(monotonic())
+	s.fresh.Hear(freshness.Report{Version: n.Version, Address: address, Grace: gossipGrace})
+
+	if n.Current {
+		s.fresh.Confirm(n.Version, time.Now())
+	}
 
 	return s.queueUpdate(n) == nil && n.Current
 }
--- a/internal/configsync/tell.go
+++ b/internal/configsync/tell.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/freshness"
 	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
@@ -82,6 +83,7 @@
 // at the same moment; otherwise fetchNoticed pulls it from the sender.
 func (s *Syncer) serveNotify(_ context.Context, in notice) (versionMessage, error) {
 	s.informedAt.Store(monotonic())
+	s.fresh.Hear(freshness.Report{Version: in.Version, Address: in.Address, Grace: noticeGrace})
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,6 +130,8 @@
 // arrive from the store or a watcher. Only if it does not arrive in time is it pulled, if
 // necessary from another failure domain.
 func (s *Syncer) ObserveVersion(ctx context.Context, address string, version uint64) {
+	s.fresh.Hear(freshness.Report{Version: version, Address: address, Grace: gossipGrace})
+
 	if version <= s.options.Holder.Number() || s.awaitingVersion.Swap(true) {
 		return
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,11 @@
 	VersionLost  = add(204, "VersionLost", slog.LevelError,
 		"Different copies of the platform accepted two versions that change the same branches; "+
 			"this version was discarded, accept it again.")
+	VersionBehind = add(205, "VersionBehind", slog.LevelWarn,
+		"A newer version is known and did not become active in time; the detail has what is known of it, and of the last source.")
+	VersionCaughtUp = add(206, "VersionCaughtUp", slog.LevelInfo, "A version that the node lacked is active; the detail has for how long.")
+	VersionSource   = add(207, "VersionSource", slog.LevelInfo,
+		"The node gets versions from another source than before; the detail names both and the reason.")
 	PlatformLost     = add(210, "PlatformLost", slog.LevelWarn, "The platform is unreachable; the node continues with its stored version.")
 	PlatformBack     = add(211, "PlatformBack", slog.LevelInfo, "The platform is reachable again.")
 	PlatformRepaired = add(212, "PlatformRepaired", slog.LevelWarn,
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,137 @@
+package freshness_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/freshness"
+)
+
+const grace = 600 * time.Millisecond
+
+// node is a node whose active version the test sets.
+type node struct{ version uint64 }
+
+func (n *node) number() uint64 { return n.version }
+
+func newTracker(version uint64) (*freshness.Tracker, *node) {
+	n := &node{version}
+
+	return freshness.New(n.number), n
+}
+
+// A node that lacks a version must not count as up to date, however young its contact is.
+func TestNodeThatLacksAVersionIsNotUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, n := newTracker(7)
+
+		_, ok := tracker.Age()
+		assert.Assert(t, !ok, "nothing is known of the store")
+
+		tracker.Confirm(7, time.Now())
+		time.Sleep(time.Second)
+
+		age, ok := tracker.Age()
+		assert.Assert(t, ok)
+		assert.Equal(t, age, time.Second)
+
+		tracker.Hear(freshness.Report{Version: 8, Address: "a", Grace: grace})
+		tracker.Confirm(7, time.Now())
+
+		_, ok = tracker.Age()
+		assert.Assert(t, !ok)
+
+		n.version = 8
+		_, ok = tracker.Age()
+		assert.Assert(t, ok)
+	})
+}
+
+// The store had a newer version than the active one: knowledge of it is no proof for the active one.
+func TestNewerVersionOfTheStoreIsNoProofForTheActiveOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, _ := newTracker(7)
+		tracker.Confirm(8, time.Now())
+
+		_, ok := tracker.Age()
+		assert.Assert(t, !ok)
+	})
+}
+
+// Reports of further versions must not postpone the end of the grace time of a node that is stuck.
+func TestFurtherReportsDoNotPostponeTheRescue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, n := newTracker(7)
+		start := time.Now()
+
+		for v := uint64(8); v < 20; v++ {
+			tracker.Hear(freshness.Report{Version: v, Address: "a", Grace: grace})
+			time.Sleep(200 * time.Millisecond)
+		}
+
+		gap, lacks := tracker.Gap()
+		assert.Assert(t, lacks)
+		assert.Equal(t, gap.Version, uint64(19))
+		assert.Equal(t, gap.Due, start.Add(grace))
+
+		n.version = 18 // progress
+		gap, lacks = tracker.Gap()
+		assert.Assert(t, lacks)
+		assert.Equal(t, gap.Due, time.Now().Add(grace))
+	})
+}
+
+// A version that nobody can deliver must be forgotten, or the node would count as behind for good.
+func TestReportThatIsNotRepeatedIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, _ := newTracker(7)
+		tracker.Confirm(7, time.Now())
+		tracker.Hear(freshness.Report{Version: 8, Address: "a"})
+		time.Sleep(11 * time.Second)
+
+		_, lacks := tracker.Gap()
+		assert.Assert(t, !lacks)
+
+		_, ok := tracker.Age()
+		assert.Assert(t, ok)
+	})
+}
+
+func TestGapNamesTheNewestSourcesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, _ := newTracker(7)
+		tracker.Hear(freshness.Report{Version: 9, Address: "relayed", Relayed: true, Grace: grace})
+		tracker.Hear(freshness.Report{Version: 8, Address: "old", Grace: grace / 2})
+		time.Sleep(time.Millisecond)
+		tracker.Hear(freshness.Report{Version: 9, Address: "new", Grace: grace})
+		tracker.Hear(freshness.Report{Version: 6, Address: "behind"})
+
+		gap, lacks := tracker.Gap()
+		assert.Assert(t, lacks)
+		assert.Equal(t, gap.Version, uint64(9))
+		assert.DeepEqual(t, gap.Addresses, []string{"new", "relayed", "old"})
+		assert.Equal(t, gap.Direct, "new")
+		assert.Equal(t, gap.Due.Sub(gap.Since), grace/2)
+
+		for _, address := range []string{"b", "c", "d", "e"} {
+			tracker.Hear(freshness.Report{Version: 10, Address: address})
+		}
+
+		gap, _ = tracker.Gap()
+		assert.Equal(t, len(gap.Addresses), 4)
+	})
+}
+
+// An older confirmation that arrives late must not replace a younger one.
+func TestLateConfirmationIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, _ := newTracker(7)
+		now := time.Now()
+		tracker.Confirm(7, now)
+		tracker.Confirm(6, now.Add(-time.Second))
+		assert.Equal(t, tracker.ConfirmedAt(), now)
+	})
+}
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -12,6 +12,34 @@
 		value      func() float64
 	}{
 		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
+		{
+			"pollencart_settings_missing_version", "Newest version that other nodes have and this one lacks; 0 for none.",
+			func() float64 {
+				gap, _ := n.configsync.Freshness().Gap()
+
+				return float64(gap.Version)
+			},
+		},
+		{
+			"pollencart_settings_missing_seconds", "Time for which this node has lacked a version; 0 for none.",
+			func() float64 {
+				if gap, lacks := n.configsync.Freshness().Gap(); lacks {
+					return time.Since(gap.Since).Seconds()
+				}
+
+				return 0
+			},
+		},
+		{
+			"pollencart_settings_age_seconds", "Time since the version in force was known to be the store's newest; -1 if it is not known to be.",
+			func() float64 {
+				if age, ok := n.configsync.Freshness().Age(); ok {
+					return age.Seconds()
+				}
+
+				return -1
+			},
+		},
 		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
 		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
