configsync: failing tests of watchers that lag or whose watches are silent

Nodes that are well get a version later than the target (2 s in small fleets, 2.5 s in grown ones) because the watchers of their failure domain vouch for it without having it. The lines show it: node n8 has version 1 "up to date as of 174 ms ago" while both its watchers write that they have lacked version 2 since 200 ms.

--- a/internal/configsync/store_test.go
+++ b/internal/configsync/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -67,9 +68,13 @@
 		n.calls++
 	})
 
+	n.pause(ctx)
+
 	if n.isSilent() {
 		<-ctx.Done()
+	}
 
+	if ctx.Err() != nil {
 		return contents{}, ctx.Err()
 	}
 
@@ -95,6 +100,11 @@
 func (n *node) Get(ctx context.Context, _ string) (platform.Entry, int64, error) {
 	c, err := n.call(ctx)
 	time.Sleep(4 * time.Millisecond)
+	n.simulation.transfer(ctx, storedBytes, n.id)
+
+	if err == nil {
+		err = ctx.Err()
+	}
 
 	n.simulation.locked(func() {
 		if n.failingReads > 0 && err == nil {
@@ -137,8 +147,11 @@
 		c, changed, watchesSilent := n.simulation.contents(), n.simulation.changed, n.simulation.watchesSilent
 		n.simulation.mu.Unlock()
 
-		if c.written > after && !watchesSilent {
-			return c.changes(), n.observeEpoch(c.epochNumber)
+		if c.written > after && !watchesSilent && !n.isSilent() {
+			n.pause(ctx)
+			n.simulation.transfer(ctx, storedBytes, n.id)
+
+			return c.changes(), errors.Join(ctx.Err(), n.observeEpoch(c.epochNumber))
 		}
 
 		select {
--- a/internal/configsync/world_test.go
+++ b/internal/configsync/world_test.go
@@ -36,6 +36,7 @@
 	records       []membership.Record
 	isolated      map[string]bool // nodes that can't communicate with other nodes
 	hung          map[string]bool // nodes that accept connections and never answer
+	faults        faults
 }
 
 type node struct {
@@ -62,7 +63,7 @@
 
 	sim := &simulation{
 		domains: domains, epochNumber: 1, changed: make(chan struct{}), rejected: map[string]bool{}, silent: map[string]bool{},
-		isolated: map[string]bool{}, hung: map[string]bool{}, nodes: map[string]*node{},
+		isolated: map[string]bool{}, hung: map[string]bool{}, nodes: map[string]*node{}, faults: newFaults(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 
@@ -79,14 +80,23 @@
 
 	for _, n := range sim.nodes {
 		nodeCtx, stop := context.WithCancel(ctx)
-		n.stop = stop
+		ended := make(chan struct{})
+		n.stop = func() {
+			stop()
+			<-ended
+		}
+
+		wg.Go(func() {
+			defer close(ended)
 
-		wg.Go(func() { n.syncer.Run(nodeCtx) })
+			n.syncer.Run(nodeCtx)
+		})
 	}
 
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
+		time.Sleep(time.Second) // messages in flight end
 	})
 
 	return sim
@@ -96,7 +106,7 @@
 func (sim *simulation) newNode(id string, opts ...func(*Options)) *node {
 	n := &node{id: id, simulation: sim, holder: &route.Holder{}, epoch: epoch.New(), reported: timeline.New()}
 
-	o := Options{Key: storeKey, Decode: decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: n.reported, Epoch: n.epoch}
+	o := Options{Key: storeKey, Decode: n.decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: n.reported, Epoch: n.epoch}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -124,6 +134,22 @@
 	}
 }
 
+func (n *node) decode(data []byte) (*route.Table, error) {
+	n.pause(context.Background())
+
+	const step = 20 * time.Millisecond
+
+	for start := time.Now(); ; time.Sleep(step) {
+		var takes time.Duration
+
+		n.simulation.locked(func() { takes = n.simulation.faults.decodes[n.id] })
+
+		if time.Since(start) >= takes {
+			return decode(data)
+		}
+	}
+}
+
 func decode(data []byte) (*route.Table, error) {
 	var version uint64
 	if err := json.Unmarshal(data, &version); err != nil {
@@ -190,7 +216,7 @@
 func (n *node) Neighbours() []membership.Record {
 	self := n.Self()
 
-	return slices.DeleteFunc(slices.Clone(n.simulation.records), func(r membership.Record) bool {
+	return slices.DeleteFunc(n.simulation.listedRecords(), func(r membership.Record) bool {
 		return r.ID == self.ID || r.FailureDomain != self.FailureDomain
 	})
 }
@@ -223,7 +249,7 @@
 func (n *node) FirstOf(domain string, count int) []membership.Record {
 	var out []membership.Record
 
-	for _, r := range n.simulation.records {
+	for _, r := range n.simulation.listedRecords() {
 		if r.FailureDomain == domain && len(out) < count {
 			out = append(out, r)
 		}
@@ -238,9 +264,12 @@
 
 func (n *node) Do(ctx context.Context, address string, _ peer.Lane, method string, in, out any) error {
 	time.Sleep(time.Millisecond)
+	n.pause(ctx)
 
 	n.simulation.mu.Lock()
-	isolated, hung := n.simulation.isolated[address] || n.simulation.isolated[n.id], n.simulation.hung[address]
+	isolated := n.simulation.isolated[address] || n.simulation.isolated[n.id]
+	hung := n.simulation.hung[address] || n.simulation.unreachable(n.id, address)
+	_, dead := n.simulation.faults.deadAt[address]
 	n.simulation.mu.Unlock()
 
 	if hung {
@@ -249,24 +278,40 @@
 		return peer.ErrBroken
 	}
 
-	if isolated {
+	if isolated || dead {
 		return peer.ErrUnreachable
 	}
 
-	s := n.simulation.node(address).syncer
+	other := n.simulation.node(address)
+	other.pause(ctx)
+
+	if ctx.Err() != nil {
+		return peer.ErrBroken
+	}
+
+	s := other.syncer
 
 	var err error
 
 	switch method {
 	case methodPull:
 		*out.(*versionUpdate), err = s.servePull(ctx, in.(versionMessage))
+		n.simulation.transfer(ctx, wireBytes(*out.(*versionUpdate)), address, n.id)
 	case methodPush:
-		*out.(*versionMessage), err = s.servePush(ctx, in.(versionUpdate))
+		n.simulation.transfer(ctx, wireBytes(in.(versionUpdate)), n.id, address)
+
+		if ctx.Err() == nil {
+			*out.(*versionMessage), err = s.servePush(ctx, in.(versionUpdate))
+		}
 	case methodNotify:
 		*out.(*versionMessage), err = s.serveNotify(ctx, in.(notice))
 	case methodHint:
 		*out.(*versionMessage), err = s.serveHint(ctx, in.(versionMessage))
 	}
 
+	if ctx.Err() != nil {
+		return peer.ErrBroken
+	}
+
 	return err
 }
