configsync: a node vouches for a version, not for its connection

Callers saw calls handled as an older version allows, later than a confirmed version has to be active, at hosts without any impairment.

Cause: the flag in replies to pulls said that the store answers the sender, not that the sender has what the store has. A watcher with a version on its way answered with the old one and the flag, so all nodes of its failure domain counted as informed: they neither read the store nor pulled elsewhere, and what gossip told them was dropped. A notice calmed its receiver in the same way, and an open watch counted as knowledge however long it had been silent.

Change: a reply tells up to which version the sender knows, who has that version, and how old its knowledge of the store is. A node vouches only while its version is known to be the newest as of 1.2 s ago. One check of the store by any watcher proves that to all of them, so that checks come every 0.4 s and need fewer calls than one check by each. A node that has heard of a newer version trusts no source that lacks it, gets the version from a node that has it, and forgets versions that nobody can deliver. Stand-ins for watchers push. An invalid document confirms the active version, so that it does not make other nodes read the store. New fields are left out by nodes of the version before.

--- a/internal/configsync/behind.go
+++ b/internal/configsync/behind.go
@@ -3,16 +3,25 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/freshness"
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
-// gapInterval is the pause between looks at a version that is missing.
-const gapInterval = 50 * time.Millisecond
+const (
+	// minGapPause and maxGapPause bound the pause between attempts to get a missing version. It
+	// doubles with each attempt.
+	minGapPause     = 50 * time.Millisecond
+	maxGapPause     = 800 * time.Millisecond
+	maxGapDoublings = 4
+	// minSourceTime is the time within which a change of the source is not recorded again.
+	minSourceTime = 2 * time.Second
+)
 
 // Freshness returns what this node knows of newer versions than the active one.
 func (s *Syncer) Freshness() *freshness.Tracker { return s.fresh }
@@ -30,30 +39,38 @@
 	}
 }
 
-// closeGap returns once this node lacks no version.
+// closeGap gets a version that this node lacks from a node that has it. It returns once no version
+// is missing.
 func (s *Syncer) closeGap(ctx context.Context) {
 	var since time.Time // of a gap that was recorded
 
-	for ctx.Err() == nil {
+	limit := requestTimeout
+
+	for attempt := 0; ctx.Err() == nil; {
 		gap, lacks := s.fresh.Gap()
 		if !lacks {
 			break
 		}
 
-		if wait := time.Until(gap.Due); wait > 0 {
-			idle.For(ctx, wait)
+		if wait := time.Until(gap.Due); wait > 0 || s.isQueued(gap.Version) {
+			idle.For(ctx, max(wait, minGapPause))
 
 			continue
 		}
 
 		if since.IsZero() {
 			since = gap.Since
-			s.options.Recorder.Record(event.VersionBehind, timeline.Entry{
-				Version: gap.Version, Peer: gap.Addresses[0], Detail: s.describeGap(gap),
-			})
+			s.reportGap(gap)
+		}
+
+		if _, err := s.pullWithin(ctx, s.sourceFor(gap, attempt), limit); err != nil {
+			limit = min(2*limit, maxPullTimeout)
 		}
 
-		idle.For(ctx, gapInterval)
+		pause := min(minGapPause<<min(attempt, maxGapDoublings), maxGapPause)
+		idle.For(ctx, pause/2+rand.N(pause))
+
+		attempt++
 	}
 
 	if !since.IsZero() && ctx.Err() == nil {
@@ -63,6 +80,36 @@
 	}
 }
 
+// sourceFor returns the address to pull a missing version from: by turns a node that has it, a
+// watcher of any failure domain and a node of this one.
+func (s *Syncer) sourceFor(gap freshness.Gap, attempt int) string {
+	var others []membership.Record
+
+	switch attempt % 3 {
+	case 1:
+		others = s.allWatchers()
+	case 2:
+		others = s.options.Members.Neighbours()
+	}
+
+	if others = membership.Without(others, s.options.Members.Self().ID); len(others) > 0 {
+		return others[rand.IntN(len(others))].PeerAddress
+	}
+
+	return gap.Sources[rand.IntN(len(gap.Sources))].Address
+}
+
+// reportGap records that a version is missing, and restarts a watch that did not return it.
+func (s *Syncer) reportGap(gap freshness.Gap) {
+	s.options.Recorder.Record(event.VersionBehind, timeline.Entry{
+		Version: gap.Version, Peer: gap.Sources[0].Address, Detail: s.describeGap(gap),
+	})
+
+	if s.watchOpen.Load() {
+		signal(s.restartWatch)
+	}
+}
+
 func (s *Syncer) describeGap(gap freshness.Gap) string {
 	confirmed := "never"
 	if at := s.fresh.ConfirmedAt(); !at.IsZero() {
@@ -70,18 +117,21 @@
 	}
 
 	return fmt.Sprintf("active %d, missing for %d ms, known from %d nodes, store known %s, source %s",
-		s.options.Holder.Number(), time.Since(gap.Since).Milliseconds(), len(gap.Addresses), confirmed, s.source())
+		s.options.Holder.Number(), time.Since(gap.Since).Milliseconds(), len(gap.Sources), confirmed, s.source())
 }
 
-// useSource records a change of the source that this node gets versions from. Single failures
-// change nothing: the source is the one that vouched last.
+// useSource records a change of the source that this node gets versions from.
 func (s *Syncer) useSource(next, reason string) {
 	s.mu.Lock()
 	before := s.sourceName
-	s.sourceName = next
+	changes := before != next && time.Since(s.sourceAt) > minSourceTime
+
+	if changes {
+		s.sourceName, s.sourceAt = next, time.Now()
+	}
 	s.mu.Unlock()
 
-	if before != next && before != "" {
+	if changes && before != "" {
 		s.options.Recorder.Record(event.VersionSource, timeline.Entry{
 			Version: s.options.Holder.Number(), Detail: fmt.Sprintf("from %s to %s: %s", before, next, reason),
 		})
--- a/internal/configsync/check.go
+++ b/internal/configsync/check.go
@@ -6,57 +6,100 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/platform"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
-// checkInterval is the mean time between two revision checks by all watchers together.
-// Each watcher multiplies it by the number of watchers, so that the load on the store does
-// not grow with their number. A missed change is found after 0.4 s on average, well within
-// the 2 s in which a version has to become active.
-const checkInterval = 800 * time.Millisecond
+const (
+	// checkInterval is the least time between two checks of the store by all watchers together. A
+	// check proves to all watchers which version was the newest, so that one check is enough.
+	checkInterval = 400 * time.Millisecond
+	// checkSpread is the additional time for each watcher over which the watchers draw their next
+	// check. The first one has told the others before the second one is due.
+	checkSpread = 25 * time.Millisecond
+)
 
-// pollRevision compares the store's revision with the one seen last, to find changes that
-// the watch has missed.
-func (s *Syncer) pollRevision(ctx context.Context) {
-	var lastRevision int64 // valid until lastChanged is closed
+// storeState is what a watcher read from the store last.
+type storeState struct {
+	revision int64
+	version  uint64
+	changed  <-chan struct{} // closed when the epoch of the revision ends
+}
 
-	lastChanged := s.options.Epoch.Changed()
+// checkLoop compares the store's revision with the one seen last. It finds changes that the watch has
+// missed, and proves that there are none. A watcher whose active version was proved meanwhile by
+// another one puts its own check off.
+func (s *Syncer) checkLoop(ctx context.Context) {
+	var (
+		last                storeState
+		interval            time.Duration
+		drawnFor, attempted = time.Time{}, time.Now()
+	)
 
 	for ctx.Err() == nil {
-		interval := checkInterval * time.Duration(max(len(s.allWatchers()), 1))
-		idle.For(ctx, interval/2+rand.N(interval))
-
 		if !s.storeReachable.Load() || !s.needsStore() {
+			idle.For(ctx, checkInterval)
+
 			continue
 		}
 
-		nextChanged := s.options.Epoch.Changed()
-
-		at, err := s.revision(ctx)
-		if err != nil {
-			// The connection of the watch may be dead without an error.
-			s.reportUnreachable(err)
-			signal(s.restartWatch)
+		latest := attempted
+		if at := s.fresh.ConfirmedAt(); at.After(latest) {
+			latest = at
+		}
 
-			continue
+		if latest != drawnFor {
+			drawnFor, interval = latest, checkInterval+rand.N(checkSpread*time.Duration(len(s.allWatchers())+1))
 		}
 
-		if at == lastRevision && !idle.Closed(lastChanged) {
+		if wait := time.Until(latest.Add(interval)); wait > 0 {
+			idle.For(ctx, wait)
+
 			continue
 		}
 
-		before := s.options.Holder.Number()
+		attempted = time.Now()
+		s.check(ctx, &last)
+	}
+}
+
+func (s *Syncer) check(ctx context.Context, last *storeState) {
+	began := time.Now()
+	changed := s.options.Epoch.Changed()
 
-		if s.readMissed(ctx) != nil {
-			continue // the next check retries
-		}
+	at, err := s.revision(ctx)
+	if err != nil {
+		// The connection of the watch may be dead without an error.
+		s.reportUnreachable(err)
+		signal(s.restartWatch)
 
-		lastRevision, lastChanged = at, nextChanged
+		return
+	}
+
+	before, watched := s.options.Holder.Number(), s.watchOpen.Load()
 
-		if s.options.Holder.Number() > before {
-			s.hint(ctx)
+	if at != last.revision || last.changed == nil || idle.Closed(last.changed) {
+		version, readAt, err := s.readMissed(ctx)
+		if err != nil || readAt < at {
+			return // the next check retries
 		}
+
+		*last = storeState{at, version, changed}
+	}
+
+	s.fresh.Confirm(last.version, began)
+
+	// A watch that is still open has missed the version, and so may those of other watchers.
+	message := versionMessage{Version: s.options.Holder.Number()}
+	if message.Version == before || !watched || !s.watchOpen.Load() {
+		message.Claim = s.claim()
+	}
+
+	for _, r := range membership.Without(s.allWatchers(), s.options.Members.Self().ID) {
+		go s.sendHint(ctx, r.PeerAddress, message)
 	}
 }
 
@@ -67,19 +110,25 @@
 	return s.options.Store.Revision(ctx)
 }
 
-// readMissed reads the configuration and activates it if it is newer.
-func (s *Syncer) readMissed(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+// readMissed reads the configuration and activates it if it is newer. It returns the version that
+// the store has, or the active one if that of the store is invalid, and the store's revision.
+func (s *Syncer) readMissed(ctx context.Context) (uint64, int64, error) {
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 
-	entry, _, err := s.options.Store.Get(ctx, s.options.Key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
-	}
+	entry, at, err := s.options.Store.Get(readCtx, s.options.Key)
 
-	if err == nil {
-		s.apply(ctx, fromStore, document{data: entry.Value})
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return 0, at, nil
+	case err != nil:
+		return 0, 0, err
 	}
 
-	return err
+	return s.apply(ctx, fromStore, document{data: entry.Value}), at, nil
+}
+
+// reportRefused records an invalid document once, however often it is read.
+func (s *Syncer) reportRefused(from source, err error) {
+	s.options.Recorder.Once(event.VersionRefused, timeline.Entry{Detail: string(from) + ": " + err.Error()})
 }
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -8,12 +8,16 @@
 // # Failures
 //
 //   - A watch may miss a change without an error, because its connection is dead or the
-//     store lost history. Each watcher therefore also polls the store's revision. The first
-//     watcher that finds a missed change notifies the watchers of all failure domains.
-//   - A watcher may be rejected by the store, isolated or terminated. Every other node
-//     pulls from a watcher of its failure domain twice a second, and on failure from a
-//     watcher of any failure domain. While no watcher is up to date, a growing number of
-//     nodes of the failure domain read the store themselves.
+//     store lost history. The watchers therefore also check the store's revision by turns.
+//     The first one that finds a missed change notifies the watchers of all failure domains.
+//   - A watcher may be rejected by the store, isolated, terminated or slow. Every other node
+//     pulls from a watcher of its failure domain twice a second, and unless that one vouches
+//     for its version, from a watcher of any failure domain. While no watcher does, a growing
+//     number of nodes of the failure domain read the store themselves.
+//   - A connection that works proves nothing about versions. A node vouches for its version
+//     only for as long as the version is known to be the newest, and tells how old that
+//     knowledge is. A node that has heard of a newer version trusts no source that lacks it,
+//     and gets the version from a node that has it.
 //   - The store may stop answering a whole failure domain without an error. A node that
 //     gets a version from the store notifies one watcher of each other failure domain.
 //   - Versions may arrive faster than a small host can decode them. Only the newest
@@ -99,26 +103,25 @@
 type Syncer struct {
 	options Options
 
-	storeReachable  atomic.Bool   // the store answers this node
-	informedAt      atomic.Int64  // monotonic time of the last contact with an up-to-date watcher
-	answeredAt      atomic.Int64  // monotonic time of the last answer of another node
-	awaitingVersion atomic.Bool   // a version announced by gossip is awaited
-	restartWatch    chan struct{} // signals that the running watch has to be restarted
-	pullNow         chan struct{} // signals that a push could not be applied
-	activated       chan struct{} // signals that a newer version is active and has to be pushed
-	noticed         chan struct{} // signals a notice of a version that this node lacks
+	storeReachable atomic.Bool   // the store answers this node
+	watchOpen      atomic.Bool   // a watch waits for changes
+	restartWatch   chan struct{} // signals that the running watch has to be restarted
+	pullNow        chan struct{} // signals that a push could not be applied
+	activated      chan struct{} // signals that a newer version is active and has to be pushed
 
 	epochChanged bool // the epoch changed since the last read of the configuration
 
-	mu      sync.Mutex
-	pending map[source]document
+	pushing sync.Map      // addresses with a push in flight
 	queued  chan struct{} // signals that pending is not empty
-	newest  notice        // the notice with the highest version
-
-	pushing sync.Map // addresses with a push in flight
-
-	fresh      *freshness.Tracker
-	sourceName string // what this node gets versions from; mu is held
+	fresh   *freshness.Tracker
+
+	mu         sync.Mutex
+	pending    map[source]document
+	decoding   uint64    // version of another node that is being decoded
+	informedAt time.Time // when the active version was the newest, as another node vouched
+	answeredAt time.Time // last answer of another node
+	sourceName string    // what this node gets versions from
+	sourceAt   time.Time // when sourceName changed
 }
 
 // source is the origin of a document.
@@ -134,6 +137,8 @@
 	version      uint64 // 0 if unknown until decoded
 	data         []byte
 	epochChanged bool // first read after a change of the epoch
+	// readAt is when the call to the store began that returned the document, or zero.
+	readAt time.Time
 }
 
 // New returns a syncer that is not running yet.
@@ -142,10 +147,11 @@
 		o.Epoch = epoch.New()
 	}
 
+	now := time.Now()
+
 	return &Syncer{
 		options: o, restartWatch: make(chan struct{}, 1), activated: make(chan struct{}, 1), pullNow: make(chan struct{}, 1),
-		queued: make(chan struct{}, 1), noticed: make(chan struct{}, 1), pending: map[source]document{},
-		fresh: freshness.New(o.Holder.Number),
+		queued: make(chan struct{}, 1), pending: map[source]document{}, fresh: freshness.New(o.Holder.Number), informedAt: now, answeredAt: now,
 	}
 }
 
@@ -161,7 +167,7 @@
 func (s *Syncer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 
-	for _, loop := range []func(context.Context){s.follow, s.pollRevision, s.pullLoop, s.pushLoop, s.decodeLoop, s.fetchNoticed, s.closeGaps} {
+	for _, loop := range []func(context.Context){s.follow, s.checkLoop, s.pullLoop, s.pushLoop, s.decodeLoop, s.closeGaps} {
 		wg.Go(func() { loop(ctx) })
 	}
 
@@ -228,19 +234,26 @@
 	return out
 }
 
-func (s *Syncer) apply(ctx context.Context, from source, d document) {
-	if d.version != 0 && d.version <= s.options.Holder.Number() {
-		return
+// apply decodes a document and activates it if it is newer. It returns the version of the document,
+// or the active one if the document is invalid: a newer valid one does not exist then.
+func (s *Syncer) apply(ctx context.Context, from source, d document) uint64 {
+	held := s.options.Holder.Number()
+	if d.version != 0 && d.version <= held {
+		return held
 	}
 
+	s.setDecoding(d.version)
+	defer s.setDecoding(0)
+
 	table, err := s.options.Decode(d.data)
 	if err != nil {
-		s.options.Recorder.Record(event.VersionRefused, timeline.Entry{Detail: string(from) + ": " + err.Error()})
+		s.reportRefused(from, err)
+		s.confirmRead(held, d)
 
-		return
+		return held
 	}
 
-	if held := s.options.Holder.Number(); d.epochChanged && table.Version() < held {
+	if held = s.options.Holder.Number(); d.epochChanged && table.Version() < held {
 		s.options.Recorder.Record(event.VersionOlder, timeline.Entry{
 			Version: table.Version(), Detail: "store, version " + strconv.FormatUint(held, 10) + " is active",
 		})
@@ -255,9 +268,30 @@
 			s.notifyDomains(ctx, table.Version())
 		}
 	}
+
+	s.confirmRead(table.Version(), d)
+
+	return table.Version()
+}
+
+// confirmRead records that the store had a version when it was read.
+func (s *Syncer) confirmRead(version uint64, d document) {
+	if !d.readAt.IsZero() {
+		s.fresh.Confirm(version, d.readAt)
+	}
+}
+
+func (s *Syncer) setDecoding(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.decoding = version
 }
 
-// processStart is the origin of monotonic.
-var processStart = time.Now()
+// isQueued reports whether a version that is not older waits to be decoded, or is being decoded.
+func (s *Syncer) isQueued(version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-func monotonic() int64 { return int64(time.Since(processStart)) }
+	return max(s.pending[fromPeer].version, s.decoding) >= version
+}
--- a/internal/configsync/faults_test.go
+++ b/internal/configsync/faults_test.go
@@ -24,7 +24,7 @@
 	decodes map[string]time.Duration // how long the process takes to decode a version
 	cut     map[string]bool          // cut off from all other nodes without an error
 	deadAt  map[string]time.Time     // the process ended
-	listed  time.Duration            // how long an ended process stays in the membership view
+	lingers time.Duration            // how long an ended process stays in the membership view
 	links   map[string]*link         // links that are not instantaneous
 }
 
@@ -37,7 +37,7 @@
 func newFaults() faults {
 	return faults{
 		frozen: map[string]bool{}, delay: map[string]time.Duration{}, decodes: map[string]time.Duration{}, cut: map[string]bool{},
-		deadAt: map[string]time.Time{}, listed: 3 * time.Second, links: map[string]*link{},
+		deadAt: map[string]time.Time{}, lingers: 3 * time.Second, links: map[string]*link{},
 	}
 }
 
@@ -120,6 +120,13 @@
 	return f.cut[one] || f.cut[other] || f.frozen[other]
 }
 
+// listed reports whether a node is in the membership view; sim.mu is held.
+func (sim *simulation) listed(id string) bool {
+	at, dead := sim.faults.deadAt[id]
+
+	return !dead || time.Since(at) < sim.faults.lingers
+}
+
 // listedRecords returns the records of the nodes in the membership view.
 func (sim *simulation) listedRecords() []membership.Record {
 	sim.mu.Lock()
@@ -128,7 +135,7 @@
 	out := make([]membership.Record, 0, len(sim.records))
 
 	for _, r := range sim.records {
-		if at, dead := sim.faults.deadAt[r.ID]; !dead || time.Since(at) < sim.faults.listed {
+		if sim.listed(r.ID) {
 			out = append(out, r)
 		}
 	}
--- a/internal/configsync/first.go
+++ b/internal/configsync/first.go
@@ -28,8 +28,8 @@
 // A restarted process can't serve calls before it has a version. Read from the store, the
 // configuration is uncompressed text, a third of a megabyte for 1,600 routes, which takes half
 // a second on a link of 5 Mbit/s; another node sends it compressed, 19 times smaller. Only a
-// node that the store answers is accepted as source, so that this node does not start with an
-// outdated version.
+// node that vouches for its version is accepted as source, so that this node does not start with an
+// outdated one.
 func (s *Syncer) pullFirst(ctx context.Context) {
 	if s.options.FirstStart {
 		idle.For(ctx, joinDelay)
@@ -51,7 +51,6 @@
 		}
 
 		if firstPull.succeeded.Load() {
-			s.informedAt.Store(monotonic())
 			s.awaitFirstVersion(ctx)
 
 			return
--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -31,8 +31,9 @@
 	// roleCheckInterval is how often a node that is not a watcher checks whether it has to
 	// read the store itself.
 	roleCheckInterval = 200 * time.Millisecond
-	// informedTimeout is how long a node waits for contact with an up-to-date watcher before
-	// it reads the store itself: two pulls.
+	// informedTimeout is the age of the knowledge that a version is the newest, after which a
+	// node no longer vouches for it, and nodes read the store themselves: a check of the store
+	// and a pull take less.
 	informedTimeout = 1200 * time.Millisecond
 	// fallbackDoublingInterval is the time after which twice as many nodes of a failure domain
 	// read the store while no watcher is up to date. If all nodes did at once, an unavailable
@@ -59,19 +60,20 @@
 		return true
 	}
 
-	now := monotonic()
+	s.mu.Lock()
+	uninformedFor, unansweredFor := time.Since(s.informedAt)-informedTimeout, time.Since(s.answeredAt)
+	s.mu.Unlock()
 
-	uninformedFor := now - s.informedAt.Load() - int64(informedTimeout)
 	if uninformedFor < 0 {
 		return false
 	}
 
 	// A node that no other node answers may be the only one that reaches the store.
-	if now-s.answeredAt.Load() > int64(informedTimeout) {
+	if unansweredFor > informedTimeout {
 		return true
 	}
 
-	return s.isAmongFirst(Watchers << min(1+uninformedFor/int64(fallbackDoublingInterval), maxFallbackDoublings))
+	return s.isAmongFirst(Watchers << min(1+uninformedFor/fallbackDoublingInterval, maxFallbackDoublings))
 }
 
 // backoffAfterError returns the first pause after a failed store call. A node that stands in
@@ -147,6 +149,8 @@
 	s.reportReachable()
 
 	for s.needsStore() && !idle.Closed(changed) {
+		began := time.Now()
+
 		changes, err := s.wait(ctx, at, changed)
 		if err != nil {
 			return err
@@ -155,7 +159,7 @@
 		at = max(at, changes.Revision)
 
 		if n := len(changes.Entries); n > 0 && !changes.Entries[n-1].Deleted {
-			s.enqueue(fromStore, document{data: changes.Entries[n-1].Value})
+			s.enqueue(fromStore, document{data: changes.Entries[n-1].Value, readAt: began})
 			idle.Unless(ctx, minWatchInterval, changed)
 		}
 	}
@@ -167,13 +171,17 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 
+	began := time.Now()
+
 	entry, at, err := s.options.Store.Get(ctx, s.options.Key)
 	if errors.Is(err, platform.ErrNotFound) {
+		s.fresh.Confirm(0, began)
+
 		return at, nil
 	}
 
 	if err == nil {
-		s.enqueue(fromStore, document{data: entry.Value, epochChanged: s.epochChanged})
+		s.enqueue(fromStore, document{data: entry.Value, epochChanged: s.epochChanged, readAt: began})
 		s.epochChanged = false
 	}
 
@@ -203,8 +211,11 @@
 		}
 	}()
 
+	s.watchOpen.Store(true)
+
 	changes, err := s.options.Store.Watch(ctx, s.options.Key, at, watchTimeout)
 
+	s.watchOpen.Store(false)
 	close(done)
 
 	if <-interrupted && err != nil {
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pollencart/pollencart/internal/freshness"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -20,11 +19,15 @@
 
 const (
 	// pullInterval is the mean pause between pulls from a watcher.
-	pullInterval = 500 * time.Millisecond
+	pullInterval = 400 * time.Millisecond
 	// requestTimeout bounds a request to another node, pushTimeout a push to a host with a
 	// slow link.
 	requestTimeout = 400 * time.Millisecond
 	pushTimeout    = 2 * time.Second
+	// maxPullTimeout bounds a pull of a version that this node lacks. The limit starts with
+	// requestTimeout and doubles with each failure: many nodes may pull a whole document from
+	// one host with a slow link.
+	maxPullTimeout = 4 * time.Second
 	// maxDocument is the maximum size of a configuration in bytes: the largest value that the
 	// store accepts.
 	maxDocument = 2 << 20
@@ -36,6 +39,8 @@
 // versionMessage reports the active version of a node.
 type versionMessage struct {
 	Version uint64 `msgpack:"Version"`
+	// Claim is nil if the message is not about the store.
+	Claim *claim `msgpack:"Claim,omitempty"`
 }
 
 // versionUpdate carries the active version of a node, with its document if the receiver has
@@ -45,9 +50,9 @@
 	// Base is the version that Packed was compressed against, 0 if none.
 	Base   uint64 `msgpack:"Base"`
 	Packed []byte `msgpack:"Packed"`
-	// Current is true if the store answers the sender, so that the sender has the newest
-	// version.
-	Current bool `msgpack:"Current"`
+	// Current is true if the sender vouches for its version. Nodes that know Claim use that.
+	Current bool   `msgpack:"Current"`
+	Claim   *claim `msgpack:"Claim,omitempty"`
 }
 
 // Check reports whether a decoded message is valid.
@@ -69,8 +74,9 @@
 	}
 
 	packed, err := pack(document, raw)
+	c := s.claim()
 
-	return versionUpdate{Version: version, Base: base, Packed: packed, Current: s.storeReachable.Load()}, err
+	return versionUpdate{Version: version, Base: base, Packed: packed, Current: c.isCurrent(), Claim: c}, err
 }
 
 // queueUpdate queues the version of another node for decoding. It fails if the document was
@@ -103,15 +109,17 @@
 
 func (s *Syncer) servePull(_ context.Context, in versionMessage) (versionUpdate, error) {
 	if s.options.Holder.Number() <= in.Version {
-		return versionUpdate{Version: s.options.Holder.Number(), Current: s.storeReachable.Load()}, nil
+		c := s.claim()
+
+		return versionUpdate{Version: s.options.Holder.Number(), Current: c.isCurrent(), Claim: c}, nil
 	}
 
 	return s.versionUpdate(in.Version)
 }
 
 func (s *Syncer) servePush(_ context.Context, in versionUpdate) (versionMessage, error) {
-	if in.Current {
-		s.informedAt.Store(monotonic())
+	if in.Claim != nil && in.Claim.Address != "" {
+		s.learn(said{address: in.Claim.Address, version: in.Version, claim: in.Claim, at: time.Now()})
 	}
 
 	if s.queueUpdate(in) != nil {
@@ -128,7 +136,7 @@
 		select {
 		case <-ctx.Done():
 		case <-s.pullNow:
-		case <-time.After(pullInterval/2 + rand.N(pullInterval)):
+		case <-time.After(pullInterval*3/4 + rand.N(pullInterval/2)):
 		}
 
 		if s.storeReachable.Load() && s.isWatcher() {
@@ -140,12 +148,10 @@
 
 		switch {
 		case s.pullFromAny(ctx, watchers):
-			s.informedAt.Store(monotonic())
 			s.useSource(sourceWatchers, "a watcher is up to date")
 		case s.storeReachable.Load():
 			s.useSource(sourceStore, "no watcher is up to date")
 		case s.pullFromAny(ctx, membership.Without(s.allWatchers(), self.ID)):
-			s.informedAt.Store(monotonic())
 			s.useSource(sourceOthers, "no watcher of this failure domain is up to date")
 		}
 	}
@@ -156,8 +162,8 @@
 	return membership.FirstOfEach(s.options.Members, Watchers)
 }
 
-// pullFromAny pulls from a random one of the nodes and reports whether that node is up to
-// date.
+// pullFromAny pulls from a random one of the nodes and reports whether that node vouches for its
+// version.
 func (s *Syncer) pullFromAny(ctx context.Context, nodes []membership.Record) bool {
 	if len(nodes) == 0 {
 		return false
@@ -167,28 +173,37 @@
 }
 
 func (s *Syncer) pull(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	vouched, err := s.pullWithin(ctx, address, requestTimeout)
+
+	return err == nil && vouched // the next pull picks another node
+}
+
+// pullWithin pulls from a node within a time limit and reports whether that node vouches for its
+// version.
+func (s *Syncer) pullWithin(ctx context.Context, address string, limit time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	var n versionUpdate
 
+	sent := time.Now()
+
 	err := s.options.Peers.Do(ctx, address, peer.LaneControl, methodPull, versionMessage{Version: s.options.Holder.Number()}, &n)
 	if err != nil {
-		return false // the next pull picks another node
+		return false, err
 	}
 
-	s.answeredAt.Store(monotonic())
-	s.fresh.Hear(freshness.Report{Version: n.Version, Address: address, Grace: gossipGrace})
+	s.mu.Lock()
+	s.answeredAt = time.Now()
+	s.mu.Unlock()
 
-	if n.Current {
-		s.fresh.Confirm(n.Version, time.Now())
-	}
+	vouched := s.learn(said{address: address, version: n.Version, claim: claimOf(n.Claim, n.Version, address, n.Current), at: sent})
 
-	return s.queueUpdate(n) == nil && n.Current
+	return vouched, s.queueUpdate(n)
 }
 
 // pushLoop pushes each newly activated version to the other nodes of the failure domain while
-// this node is a watcher.
+// this node is a watcher or stands in for one.
 func (s *Syncer) pushLoop(ctx context.Context) {
 	for {
 		select {
@@ -197,7 +212,7 @@
 		case <-s.activated:
 		}
 
-		if !s.isWatcher() {
+		if !s.isWatcher() && !s.storeReachable.Load() {
 			continue
 		}
 
--- a/internal/configsync/tell.go
+++ b/internal/configsync/tell.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/freshness"
-	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 )
@@ -80,46 +79,20 @@
 }
 
 // serveNotify handles a notice of a version. Usually this node's own watch returns the version
-// at the same moment; otherwise fetchNoticed pulls it from the sender.
+// at the same moment; otherwise closeGaps pulls it from the sender.
 func (s *Syncer) serveNotify(_ context.Context, in notice) (versionMessage, error) {
-	s.informedAt.Store(monotonic())
 	s.fresh.Hear(freshness.Report{Version: in.Version, Address: in.Address, Grace: noticeGrace})
 
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if in.Version > max(s.newest.Version, s.options.Holder.Number()) {
-		s.newest = in
-		signal(s.noticed)
-	}
-
 	return versionMessage{Version: s.options.Holder.Number()}, nil
 }
 
-// fetchNoticed pulls noticed versions that do not arrive within noticeGrace.
-func (s *Syncer) fetchNoticed(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.noticed:
-		}
-
-		idle.For(ctx, noticeGrace)
-
-		s.mu.Lock()
-		newest := s.newest
-		s.mu.Unlock()
-
-		if newest.Version > s.options.Holder.Number() {
-			s.pullMissed(ctx, newest.Address)
-		}
-	}
-}
-
-// serveHint handles a hint that this node's watch may have missed a version.
+// serveHint handles what a watcher of any failure domain found in a check of the store. Without a
+// claim it found a version that the watches have missed.
 func (s *Syncer) serveHint(_ context.Context, in versionMessage) (versionMessage, error) {
-	if in.Version > s.options.Holder.Number() {
+	switch c := in.Claim; {
+	case c != nil:
+		s.learn(said{address: c.Address, version: in.Version, claim: c, at: time.Now()})
+	case in.Version > s.options.Holder.Number() && s.watchOpen.Load():
 		signal(s.restartWatch)
 	}
 
@@ -129,46 +102,16 @@
 // ObserveVersion handles gossip that the node at address has a version. Usually the version is about to
 // arrive from the store or a watcher. Only if it does not arrive in time is it pulled, if
 // necessary from another failure domain.
-func (s *Syncer) ObserveVersion(ctx context.Context, address string, version uint64) {
+func (s *Syncer) ObserveVersion(_ context.Context, address string, version uint64) {
 	s.fresh.Hear(freshness.Report{Version: version, Address: address, Grace: gossipGrace})
-
-	if version <= s.options.Holder.Number() || s.awaitingVersion.Swap(true) {
-		return
-	}
-	defer s.awaitingVersion.Store(false)
-
-	idle.For(ctx, gossipGrace)
-
-	switch {
-	case version <= s.options.Holder.Number():
-	case s.storeReachable.Load():
-		s.pullMissed(ctx, address)
-	case monotonic()-s.informedAt.Load() > int64(informedTimeout):
-		s.pull(ctx, address)
-	}
-}
-
-// pullMissed restarts the watch, which did not return a version that another node has, and
-// pulls that version.
-func (s *Syncer) pullMissed(ctx context.Context, address string) {
-	signal(s.restartWatch)
-	s.pull(ctx, address)
-}
-
-// hint notifies the watchers of all failure domains that their watch may have missed a
-// version.
-func (s *Syncer) hint(ctx context.Context) {
-	for _, r := range membership.Without(s.allWatchers(), s.options.Members.Self().ID) {
-		go s.sendHint(ctx, r.PeerAddress)
-	}
 }
 
-func (s *Syncer) sendHint(ctx context.Context, address string) {
+func (s *Syncer) sendHint(ctx context.Context, address string, message versionMessage) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 
 	var held versionMessage
 
-	// A watcher that misses the hint finds the change when it polls the revision.
-	_ = s.options.Peers.Do(ctx, address, peer.LaneControl, methodHint, versionMessage{Version: s.options.Holder.Number()}, &held)
+	// A watcher that misses the hint checks the store itself.
+	_ = s.options.Peers.Do(ctx, address, peer.LaneControl, methodHint, message, &held)
 }
--- a/internal/configsync/world_test.go
+++ b/internal/configsync/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +42,7 @@
 
 type node struct {
 	id           string
+	record       membership.Record
 	simulation   *simulation
 	holder       *route.Holder
 	epoch        *epoch.Current
@@ -104,7 +106,8 @@
 
 // newNode returns a new process of a node, which is not running yet.
 func (sim *simulation) newNode(id string, opts ...func(*Options)) *node {
-	n := &node{id: id, simulation: sim, holder: &route.Holder{}, epoch: epoch.New(), reported: timeline.New()}
+	i, _ := strconv.Atoi(strings.TrimPrefix(id, "n"))
+	n := &node{id: id, record: sim.record(i), simulation: sim, holder: &route.Holder{}, epoch: epoch.New(), reported: timeline.New()}
 
 	o := Options{Key: storeKey, Decode: n.decode, Store: n, Holder: n.holder, Peers: n, Members: n, Recorder: n.reported, Epoch: n.epoch}
 	for _, opt := range opts {
@@ -236,22 +239,17 @@
 	return membership.Record{ID: id, PeerAddress: id, FailureDomain: "d" + strconv.Itoa(i%sim.domains)}
 }
 
-func (n *node) Self() membership.Record {
-	for _, r := range n.simulation.records {
-		if r.ID == n.id {
-			return r
-		}
-	}
-
-	return membership.Record{}
-}
+func (n *node) Self() membership.Record { return n.record }
 
 func (n *node) FirstOf(domain string, count int) []membership.Record {
+	n.simulation.mu.Lock()
+	defer n.simulation.mu.Unlock()
+
 	var out []membership.Record
 
-	for _, r := range n.simulation.listedRecords() {
-		if r.FailureDomain == domain && len(out) < count {
-			out = append(out, r)
+	for i := range n.simulation.records {
+		if r := &n.simulation.records[i]; len(out) < count && r.FailureDomain == domain && n.simulation.listed(r.ID) {
+			out = append(out, *r)
 		}
 	}
 
@@ -266,6 +264,22 @@
 	time.Sleep(time.Millisecond)
 	n.pause(ctx)
 
+	other, err := n.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+
+	err = n.send(ctx, other, method, in, out)
+
+	if ctx.Err() != nil {
+		return peer.ErrBroken
+	}
+
+	return err
+}
+
+// connect returns the node at an address once it handles a message.
+func (n *node) connect(ctx context.Context, address string) (*node, error) {
 	n.simulation.mu.Lock()
 	isolated := n.simulation.isolated[address] || n.simulation.isolated[n.id]
 	hung := n.simulation.hung[address] || n.simulation.unreachable(n.id, address)
@@ -275,30 +289,32 @@
 	if hung {
 		<-ctx.Done()
 
-		return peer.ErrBroken
+		return nil, peer.ErrBroken
 	}
 
 	if isolated || dead {
-		return peer.ErrUnreachable
+		return nil, peer.ErrUnreachable
 	}
 
 	other := n.simulation.node(address)
 	other.pause(ctx)
 
 	if ctx.Err() != nil {
-		return peer.ErrBroken
+		return nil, peer.ErrBroken
 	}
 
-	s := other.syncer
+	return other, nil
+}
 
-	var err error
+func (n *node) send(ctx context.Context, other *node, method string, in, out any) (err error) {
+	s := other.syncer
 
 	switch method {
 	case methodPull:
 		*out.(*versionUpdate), err = s.servePull(ctx, in.(versionMessage))
-		n.simulation.transfer(ctx, wireBytes(*out.(*versionUpdate)), address, n.id)
+		n.simulation.transfer(ctx, wireBytes(*out.(*versionUpdate)), other.id, n.id)
 	case methodPush:
-		n.simulation.transfer(ctx, wireBytes(in.(versionUpdate)), n.id, address)
+		n.simulation.transfer(ctx, wireBytes(in.(versionUpdate)), n.id, other.id)
 
 		if ctx.Err() == nil {
 			*out.(*versionMessage), err = s.servePush(ctx, in.(versionUpdate))
@@ -309,9 +325,5 @@
 		*out.(*versionMessage), err = s.serveHint(ctx, in.(versionMessage))
 	}
 
-	if ctx.Err() != nil {
-		return peer.ErrBroken
-	}
-
 	return err
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -10,7 +10,7 @@
 //	t := freshness.New(holder.Number)
 //	t.Hear(freshness.Report{Version: 8, Address: "10.0.0.7:7000", Grace: 600 * time.Millisecond})
 //	if gap, lacks := t.Gap(); lacks {
-//		// after gap.Due, get gap.Version from one of gap.Addresses
+//		// after gap.Due, get gap.Version from one of gap.Sources
 //	}
 //	t.Confirm(8, time.Now())
 //	age, ok := t.Age()
@@ -48,10 +48,18 @@
 	// Since is when the node began to lack a version, or last made progress. Due is the end of the
 	// time within which the version usually arrives by itself.
 	Since, Due time.Time
-	// Addresses are the nodes that have a newer version, the newest version first.
-	Addresses []string
-	// Direct is one of Addresses that was not reported by a third node, or "".
-	Direct string
+	// Sources are nodes with a newer version than the active one, the newest version first.
+	Sources []Report
+}
+
+// Direct returns the first source that was not reported by a third node, if there is one.
+func (g Gap) Direct() (Report, bool) {
+	i := slices.IndexFunc(g.Sources, func(r Report) bool { return !r.Relayed })
+	if i < 0 {
+		return Report{}, false
+	}
+
+	return g.Sources[i], true
 }
 
 // Tracker compares the active version of a node with what it has heard.
@@ -163,12 +171,8 @@
 	grace := t.reports[0].Grace
 
 	for _, r := range t.reports {
-		gap.Addresses = append(gap.Addresses, r.Address)
+		gap.Sources = append(gap.Sources, r.Report)
 		grace = min(grace, r.Grace)
-
-		if !r.Relayed && gap.Direct == "" {
-			gap.Direct = r.Address
-		}
 	}
 
 	gap.Due = t.since.Add(grace)
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -17,8 +17,8 @@
 
 func (n *node) number() uint64 { return n.version }
 
-func newTracker(version uint64) (*freshness.Tracker, *node) {
-	n := &node{version}
+func newTracker() (*freshness.Tracker, *node) {
+	n := &node{7}
 
 	return freshness.New(n.number), n
 }
@@ -26,7 +26,7 @@
 // A node that lacks a version must not count as up to date, however young its contact is.
 func TestNodeThatLacksAVersionIsNotUpToDate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker, n := newTracker(7)
+		tracker, n := newTracker()
 
 		_, ok := tracker.Age()
 		assert.Assert(t, !ok, "nothing is known of the store")
@@ -53,7 +53,7 @@
 // The store had a newer version than the active one: knowledge of it is no proof for the active one.
 func TestNewerVersionOfTheStoreIsNoProofForTheActiveOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker, _ := newTracker(7)
+		tracker, _ := newTracker()
 		tracker.Confirm(8, time.Now())
 
 		_, ok := tracker.Age()
@@ -64,7 +64,7 @@
 // Reports of further versions must not postpone the end of the grace time of a node that is stuck.
 func TestFurtherReportsDoNotPostponeTheRescue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker, n := newTracker(7)
+		tracker, n := newTracker()
 		start := time.Now()
 
 		for v := uint64(8); v < 20; v++ {
@@ -87,7 +87,7 @@
 // A version that nobody can deliver must be forgotten, or the node would count as behind for good.
 func TestReportThatIsNotRepeatedIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker, _ := newTracker(7)
+		tracker, _ := newTracker()
 		tracker.Confirm(7, time.Now())
 		tracker.Hear(freshness.Report{Version: 8, Address: "a"})
 		time.Sleep(11 * time.Second)
@@ -102,7 +102,7 @@
 
 func TestGapNamesTheNewestSourcesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker, _ := newTracker(7)
+		tracker, _ := newTracker()
 		tracker.Hear(freshness.Report{Version: 9, Address: "relayed", Relayed: true, Grace: grace})
 		tracker.Hear(freshness.Report{Version: 8, Address: "old", Grace: grace / 2})
 		time.Sleep(time.Millisecond)
@@ -112,8 +112,15 @@
 		gap, lacks := tracker.Gap()
 		assert.Assert(t, lacks)
 		assert.Equal(t, gap.Version, uint64(9))
-		assert.DeepEqual(t, gap.Addresses, []string{"new", "relayed", "old"})
-		assert.Equal(t, gap.Direct, "new")
+		assert.Equal(t, len(gap.Sources), 3)
+
+		for i, address := range []string{"new", "relayed", "old"} {
+			assert.Equal(t, gap.Sources[i].Address, address)
+		}
+
+		direct, ok := gap.Direct()
+		assert.Assert(t, ok)
+		assert.Equal(t, direct.Address, "new")
 		assert.Equal(t, gap.Due.Sub(gap.Since), grace/2)
 
 		for _, address := range []string{"b", "c", "d", "e"} {
@@ -121,14 +128,14 @@
 		}
 
 		gap, _ = tracker.Gap()
-		assert.Equal(t, len(gap.Addresses), 4)
+		assert.Equal(t, len(gap.Sources), 4)
 	})
 }
 
 // An older confirmation that arrives late must not replace a younger one.
 func TestLateConfirmationIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tracker, _ := newTracker(7)
+		tracker, _ := newTracker()
 		now := time.Now()
 		tracker.Confirm(7, now)
 		tracker.Confirm(6, now.Add(-time.Second))
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -7,39 +7,13 @@
 )
 
 func (n *Sidecar) registerGauges() {
+	n.registerVersionGauges()
+
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
 	}{
 		{"pollencart_settings_version", "Version in force on this node.", func() float64 { return float64(n.holder.Number()) }},
-		{
-			"pollencart_settings_missing_version", "Newest version that other nodes have and this one lacks; 0 for none.",
-			func() float64 {
-				gap, _ := n.configsync.Freshness().Gap()
-
-				return float64(gap.Version)
-			},
-		},
-		{
-			"pollencart_settings_missing_seconds", "Time for which this node has lacked a version; 0 for none.",
-			func() float64 {
-				if gap, lacks := n.configsync.Freshness().Gap(); lacks {
-					return time.Since(gap.Since).Seconds()
-				}
-
-				return 0
-			},
-		},
-		{
-			"pollencart_settings_age_seconds", "Time since the version in force was known to be the store's newest; -1 if it is not known to be.",
-			func() float64 {
-				if age, ok := n.configsync.Freshness().Age(); ok {
-					return age.Seconds()
-				}
-
-				return -1
-			},
-		},
 		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
 		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
@@ -79,6 +53,33 @@
 	}
 }
 
+func (n *Sidecar) registerVersionGauges() {
+	fresh := n.configsync.Freshness()
+
+	n.meter.Gauge("pollencart_settings_missing_version", "Newest version that other nodes have and this one lacks; 0 for none.", func() float64 {
+		gap, _ := fresh.Gap()
+
+		return float64(gap.Version)
+	})
+	n.meter.Gauge("pollencart_settings_missing_seconds", "Time for which this node has lacked a version; 0 for none.", func() float64 {
+		if gap, lacks := fresh.Gap(); lacks {
+			return time.Since(gap.Since).Seconds()
+		}
+
+		return 0
+	})
+	n.meter.Gauge(
+		"pollencart_settings_age_seconds", "Time since the version in force was known to be the store's newest; -1 if it is not known to be.",
+		func() float64 {
+			if age, ok := fresh.Age(); ok {
+				return age.Seconds()
+			}
+
+			return -1
+		},
+	)
+}
+
 // limitOr returns a value of the backend server's limit, or another one if there is no limit.
 func (n *Sidecar) limitOr(none float64, value func(slots.Limit) float64) float64 {
 	if l := n.queue.Limit(); l.Limited {
