freshness: reports of a version that nobody has end

Cause: a message that went one way named no sender, and a relayed report renewed a direct one. Knowledge of the store that is younger than a report did not count against it.

Change: a claim names its sender, a relayed report renews no direct one, and a report is dropped once the store is known, a second after it, to have no such version. A stand-in whose watch only runs out no longer pushes.

--- a/internal/configsync/claim.go
+++ b/internal/configsync/claim.go
@@ -8,6 +8,8 @@
 
 // claim is what a node knows of the newest version. It goes along with the node's active version.
 type claim struct {
+	// From is the sender's address.
+	From string `msgpack:"From"`
 	// Newest is the newest version that the sender knows of, Address a node that has it.
 	Newest  uint64 `msgpack:"Newest"`
 	Address string `msgpack:"Address"`
@@ -23,9 +25,8 @@
 
 // claim returns what this node can tell others. Only what it knows at first hand is passed on.
 func (s *Syncer) claim() *claim {
-	c := &claim{
-		Newest: s.options.Holder.Number(), Address: s.options.Members.Self().PeerAddress, AgeMs: unknownAge, Reads: s.storeReachable.Load(),
-	}
+	own := s.options.Members.Self().PeerAddress
+	c := &claim{From: own, Newest: s.options.Holder.Number(), Address: own, AgeMs: unknownAge, Reads: s.storeReachable.Load()}
 
 	if gap, lacks := s.fresh.Gap(); lacks {
 		if direct, ok := gap.Direct(); ok {
@@ -49,7 +50,6 @@
 
 // said is what another node told about versions.
 type said struct {
-	address string
 	version uint64
 	claim   *claim
 	at      time.Time // not later than the moment for which the claim holds
@@ -58,21 +58,22 @@
 // learn records what another node told. It reports whether that node vouches for its version: the
 // version was the newest in the store a short time ago, and this node has not heard of a newer one.
 func (s *Syncer) learn(w said) bool {
-	s.fresh.Hear(freshness.Report{Version: w.version, Address: w.address, Grace: gossipGrace})
+	s.fresh.Hear(freshness.Report{Version: w.version, Address: w.claim.From, Grace: gossipGrace})
 	s.fresh.Hear(freshness.Report{
-		Version: w.claim.Newest, Address: w.claim.Address, Relayed: w.claim.Address != w.address, Grace: gossipGrace,
+		Version: w.claim.Newest, Address: w.claim.Address, Relayed: w.claim.Address != w.claim.From, Grace: gossipGrace,
 	})
 
 	if !w.claim.isCurrent() {
 		return false
 	}
 
+	at := w.at.Add(-time.Duration(w.claim.AgeMs) * time.Millisecond)
+	s.fresh.Confirm(w.version, at)
+
 	if gap, lacks := s.fresh.Gap(); lacks && gap.Version > w.version && time.Now().After(gap.Due) {
 		return false
 	}
 
-	at := w.at.Add(-time.Duration(w.claim.AgeMs) * time.Millisecond)
-	s.fresh.Confirm(w.version, at)
 	s.inform(at, w.claim.Reads)
 
 	return true
@@ -100,7 +101,7 @@
 		return c
 	}
 
-	c = &claim{Newest: version, Address: address, AgeMs: unknownAge, Reads: current}
+	c = &claim{From: address, Newest: version, Address: address, AgeMs: unknownAge, Reads: current}
 	if current {
 		c.AgeMs = 0
 	}
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -118,8 +118,8 @@
 }
 
 func (s *Syncer) servePush(_ context.Context, in versionUpdate) (versionMessage, error) {
-	if in.Claim != nil && in.Claim.Address != "" {
-		s.learn(said{address: in.Claim.Address, version: in.Version, claim: in.Claim, at: time.Now()})
+	if in.Claim != nil {
+		s.learn(said{version: in.Version, claim: in.Claim, at: time.Now()})
 	}
 
 	if s.queueUpdate(in) != nil {
@@ -197,7 +197,7 @@
 	s.answeredAt = time.Now()
 	s.mu.Unlock()
 
-	vouched := s.learn(said{address: address, version: n.Version, claim: claimOf(n.Claim, n.Version, address, n.Current), at: sent})
+	vouched := s.learn(said{version: n.Version, claim: claimOf(n.Claim, n.Version, address, n.Current), at: sent})
 
 	return vouched, s.queueUpdate(n)
 }
@@ -212,7 +212,7 @@
 		case <-s.activated:
 		}
 
-		if !s.isWatcher() && !s.storeReachable.Load() {
+		if !s.storeReachable.Load() && !s.isWatcher() || !s.needsStore() {
 			continue
 		}
 
--- a/internal/configsync/tell.go
+++ b/internal/configsync/tell.go
@@ -91,7 +91,7 @@
 func (s *Syncer) serveHint(_ context.Context, in versionMessage) (versionMessage, error) {
 	switch c := in.Claim; {
 	case c != nil:
-		s.learn(said{address: c.Address, version: in.Version, claim: c, at: time.Now()})
+		s.learn(said{version: in.Version, claim: c, at: time.Now()})
 	case in.Version > s.options.Holder.Number() && s.watchOpen.Load():
 		signal(s.restartWatch)
 	}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -28,6 +28,9 @@
 	// reportTTL is how long a report is believed without being repeated. A version that no
 	// reachable node has is forgotten after it.
 	reportTTL = 10 * time.Second
+	// refutedAfter is how much younger than a report the knowledge must be that the store has no
+	// such version. It is more than messages take that can cross each other.
+	refutedAfter = time.Second
 )
 
 // Report says that a node has a version.
@@ -86,6 +89,11 @@
 	at      time.Time
 }
 
+// refutes reports whether the store had no version as new as reported, well after the report.
+func (c confirmation) refutes(r received) bool {
+	return c.version < r.Version && c.at.Sub(r.at) > refutedAfter
+}
+
 // New returns a tracker for a node whose active version the function returns.
 func New(active func() uint64) *Tracker {
 	return &Tracker{active: active, missing: make(chan struct{}, 1)}
@@ -106,8 +114,7 @@
 	switch {
 	case i < 0:
 		t.reports = append(t.reports, received{r, now})
-	case r.Version >= t.reports[i].Version:
-		r.Relayed = r.Relayed && t.reports[i].Relayed
+	case r.Version > t.reports[i].Version, r.Version == t.reports[i].Version && (!r.Relayed || t.reports[i].Relayed):
 		t.reports[i] = received{r, now}
 	}
 
@@ -122,10 +129,12 @@
 // Missing signals that a version may be missing.
 func (t *Tracker) Missing() <-chan struct{} { return t.missing }
 
-// refresh drops reports that are settled or expired; t.mu is held.
+// refresh drops reports that are settled, expired or refuted; t.mu is held.
 func (t *Tracker) refresh(now time.Time) {
 	active := t.active()
-	t.reports = slices.DeleteFunc(t.reports, func(r received) bool { return r.Version <= active || now.Sub(r.at) > reportTTL })
+	t.reports = slices.DeleteFunc(t.reports, func(r received) bool {
+		return r.Version <= active || now.Sub(r.at) > reportTTL || t.confirmed.refutes(r)
+	})
 
 	// The newest versions come first, and of these the latest reports.
 	slices.SortStableFunc(t.reports, func(a, b received) int {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -100,6 +100,43 @@
 	})
 }
 
+// Nodes tell each other of a version that is gone. Their reports must not keep each other alive.
+func TestRelayedReportDoesNotRenewADirectOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, _ := newTracker()
+		tracker.Hear(freshness.Report{Version: 8, Address: "a"})
+
+		for i := range 20 {
+			time.Sleep(time.Second)
+			tracker.Hear(freshness.Report{Version: 8, Address: "a", Relayed: true})
+
+			gap, _ := tracker.Gap()
+			_, direct := gap.Direct()
+			assert.Equal(t, direct, i < 10)
+		}
+	})
+}
+
+// The store is known to have no such version: reading it can't help, so the report must not keep the
+// node from counting as up to date.
+func TestReportThatTheStoreRefutesIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, _ := newTracker()
+		tracker.Hear(freshness.Report{Version: 8, Address: "a"})
+		time.Sleep(900 * time.Millisecond)
+		tracker.Confirm(7, time.Now()) // may have been on its way before the report
+
+		_, lacks := tracker.Gap()
+		assert.Assert(t, lacks)
+
+		time.Sleep(200 * time.Millisecond)
+		tracker.Confirm(7, time.Now())
+
+		_, lacks = tracker.Gap()
+		assert.Assert(t, !lacks)
+	})
+}
+
 func TestGapNamesTheNewestSourcesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker, _ := newTracker()
