route: a version with a negative number, or a prefix without a slash at the end, is rejected

Callers would have got another share of the calls than the operator wrote, or none: weights 2 and -1 were taken as they add up to 1, and a negative number of attempts, target or limit was taken as well. A prefix "/shop" also took calls for "/shopping".

Cause: the check summed up the weights and looked at the first character of a prefix only.

Evidence: TestInvalidRouteRejectsTheVersion and TestInvalidLimitsRejectTheVersion with the new cases failed before. No store is known to have delivered such a version; found by reading for the incident of versions that are not in force.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -83,6 +83,10 @@
 		services: make(map[string]Service, len(services)), hosts: map[string]*prefixes{},
 	}
 
+	if err := limits.check(); err != nil {
+		return nil, err
+	}
+
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
@@ -126,13 +130,21 @@
 	return nil
 }
 
-// check returns an error if the route has no valid host, prefix or timeout, no destination
-// with a weight, or a destination that is not declared.
+// check returns an error if the route has no valid host, prefix or timeout, a number below zero, no
+// destination with a weight, or a destination that is not declared.
 func (t *Table) check(r *Route) error {
-	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return ErrTable.With("%s: host %q, prefix %q", r.Name, r.Host, r.Prefix)
 	}
 
+	if r.Timeout <= 0 || r.Target < 0 || r.Attempts < 0 || r.Priority < 0 {
+		return ErrTable.With("%s: timeout %s, target %s, attempts %d, priority %d", r.Name, r.Timeout, r.Target, r.Attempts, r.Priority)
+	}
+
+	return t.checkDestinations(r)
+}
+
+func (t *Table) checkDestinations(r *Route) error {
 	total := 0
 
 	for _, d := range r.Destinations {
@@ -140,6 +152,11 @@
 			return ErrTable.With("%s: service %q is not declared", r.Name, d.Service)
 		}
 
+		// A negative weight would take calls away from the other destinations.
+		if d.Weight < 0 {
+			return ErrTable.With("%s: weight %d of service %q", r.Name, d.Weight, d.Service)
+		}
+
 		total += d.Weight
 	}
 
@@ -147,8 +164,14 @@
 		return ErrTable.With("%s leads nowhere", r.Name)
 	}
 
-	if r.Timeout <= 0 {
-		return ErrTable.With("%s: timeout %s", r.Name, r.Timeout)
+	return nil
+}
+
+// check returns an error if a limit is below zero.
+func (l Limits) check() error {
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return ErrTable.With("limits: header %d bytes, body %d bytes, header timeout %s, idle timeout %s",
+			l.HeaderBytes, l.BodyBytes, l.HeaderTimeout, l.IdleTimeout)
 	}
 
 	return nil
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -47,6 +47,13 @@
 		func(r *route.Route) { r.Host = "" },
 		func(r *route.Route) { r.Timeout = 0 },
 		func(r *route.Route) { r.Prefix = "/" },
+		func(r *route.Route) { r.Prefix = "/bad" },
+		func(r *route.Route) { r.Target = -1 },
+		func(r *route.Route) { r.Attempts = -1 },
+		func(r *route.Route) { r.Priority = -1 },
+		func(r *route.Route) {
+			r.Destinations = []route.Destination{{Service: "s", Weight: 2}, {Service: "s", Weight: -1}}
+		},
 	} {
 		bad := newRoute("bad", "/bad/")
 		change(bad)
@@ -56,6 +63,14 @@
 	}
 }
 
+// A limit below zero would make a node reject all callers, or none.
+func TestInvalidLimitsRejectTheVersion(t *testing.T) {
+	for _, l := range []route.Limits{{HeaderBytes: -1}, {BodyBytes: -1}, {HeaderTimeout: -1}, {IdleTimeout: -1}} {
+		_, err := route.New(1, l, nil, nil)
+		assert.ErrorIs(t, err, route.ErrTable)
+	}
+}
+
 // A delayed answer of the store or of a partitioned node contains an older version. It must
 // not replace the newer active version.
 func TestHolderRejectsOlderVersions(t *testing.T) {
