dispatch: large weights do not delay the first call of a route

Callers of a route that was just added or changed got no answer while the node stepped through the cycle of its weights with a lock held; with weights in the billions that takes longer than any caller waits.

Change: a new round robin skips 1,000 calls at most. The shares are exact from any start.

Found by reading, no deployment is known to have such weights.

--- a/internal/dispatch/split.go
+++ b/internal/dispatch/split.go
@@ -18,6 +18,10 @@
 	routes map[string]*roundRobin
 }
 
+// maxStartSteps bounds the calls that a new round robin skips. Weights may be large, and a cycle has
+// as many calls as their sum.
+const maxStartSteps = 1000
+
 // roundRobin is a smooth weighted round robin over the destinations of one route.
 type roundRobin struct {
 	destinations []route.Destination
@@ -56,7 +60,7 @@
 	d := &roundRobin{destinations: r.Destinations, credit: make([]int, len(r.Destinations))}
 
 	// A random start keeps nodes that start together from choosing the same destination first.
-	for range rand.IntN(d.total()) {
+	for range rand.IntN(min(d.total(), maxStartSteps)) {
 		d.next()
 	}
 
--- a/internal/dispatch/split_test.go
+++ b/internal/dispatch/split_test.go
@@ -113,3 +113,31 @@
 		assert.Assert(t, math.Abs(float64(ledger)/(nodes*each)-0.3) < 0.03, "%d", ledger)
 	})
 }
+
+// An operator names weights in the billions. A node that steps through a whole cycle before its first
+// call answers no call of the route for many seconds.
+func TestLargeWeightsDoNotDelayTheFirstCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls, weight = 300, 2_000_000_000
+
+		f := newFleet(2)
+		f.records[1].Upstream.Service = "ledger"
+		d := newDispatcher(f, holder(t, func(r *route.Route) {
+			r.Destinations = []route.Destination{{Service: "browse", Weight: 3*weight - 1}, {Service: "ledger", Weight: weight}}
+		}))
+
+		for range calls {
+			send(d, "/safe/x")
+		}
+
+		ledger := 0
+
+		for _, r := range f.requests {
+			if r.Service == "ledger" {
+				ledger++
+			}
+		}
+
+		assert.Assert(t, ledger >= calls/4-1 && ledger <= calls/4+1, "%d", ledger)
+	})
+}
