--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -137,7 +137,8 @@
 type document struct {
 	version      uint64 // 0 if unknown until decoded
 	data         []byte
-	epochChanged bool // first read after a change of the epoch
+	from         string // address of the node that sent it, if known
+	epochChanged bool   // first read after a change of the epoch
 	// readAt is when the call to the store began that returned the document, or zero.
 	readAt time.Time
 }
@@ -261,7 +262,7 @@
 	}
 
 	if s.options.Holder.Offer(table, d.data) {
-		s.options.Recorder.Record(event.VersionInForce, timeline.Entry{Version: table.Version(), Detail: string(from)})
+		s.options.Recorder.Record(event.VersionInForce, timeline.Entry{Version: table.Version(), Peer: d.from, Detail: string(from)})
 		signal(s.activated)
 
 		// The first version of a process is not announced: other nodes have it already.
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -81,7 +81,7 @@
 
 // queueUpdate queues the version of another node for decoding. It fails if the document was
 // compressed against a version that is not the active one; the caller then pulls it in full.
-func (s *Syncer) queueUpdate(n versionUpdate) error {
+func (s *Syncer) queueUpdate(n versionUpdate, from string) error {
 	if n.Version <= s.options.Holder.Number() || len(n.Packed) == 0 {
 		return nil
 	}
@@ -102,7 +102,7 @@
 		return err
 	}
 
-	s.enqueue(fromPeer, document{version: n.Version, data: data})
+	s.enqueue(fromPeer, document{version: n.Version, data: data, from: from})
 
 	return nil
 }
@@ -118,11 +118,14 @@
 }
 
 func (s *Syncer) servePush(_ context.Context, in versionUpdate) (versionMessage, error) {
+	from := ""
+
 	if in.Claim != nil {
+		from = in.Claim.From
 		s.learn(said{version: in.Version, claim: in.Claim, at: time.Now()})
 	}
 
-	if s.queueUpdate(in) != nil {
+	if s.queueUpdate(in, from) != nil {
 		signal(s.pullNow)
 	}
 
@@ -199,7 +202,7 @@
 
 	vouched := s.learn(said{version: n.Version, claim: claimOf(n.Claim, n.Version, address, n.Current), at: sent})
 
-	return vouched, s.queueUpdate(n)
+	return vouched, s.queueUpdate(n, address)
 }
 
 // pushLoop pushes each newly activated version to the other nodes of the failure domain while
