soak: versions beside slowed hosts; configsync: stand-ins tell each other of their checks

The soak of sidecars writes versions with 2,000 routes often and in storms, slows hosts of one failure domain by stopping and continuing them in short turns, and asks each host that is well which version is active, as callers see it.

--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -22,6 +22,7 @@
 	rollout := c.Flag("rollout", "Order a roll-out of a version, which is bad for even seeds.").Bool()
 	poison := c.Flag("poison", "Send requests that crash each backend server that runs them; all hosts have one service.").Bool()
 	signals := c.Flag("signals", "Have backend servers name limits, and leave without an announcement.").Bool()
+	versions := c.Flag("versions", "Have large versions come often beside slowed hosts, and check which one is active.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -33,7 +34,7 @@
 		for seed := *first; seed < *first+*count; seed++ {
 			broken, err := oneSeed(ctx, hosts.Options{
 				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
-				Poison: *poison, Signals: *signals,
+				Poison: *poison, Signals: *signals, Versions: *versions,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/configsync/check.go
+++ b/internal/configsync/check.go
@@ -20,6 +20,8 @@
 	// checkSpread is the additional time for each watcher over which the watchers draw their next
 	// check. The first one has told the others before the second one is due.
 	checkSpread = 25 * time.Millisecond
+	// maxStandIns is the number of nodes of a failure domain that tell each other of their checks.
+	maxStandIns = 4 * Watchers
 )
 
 // storeState is what a watcher read from the store last.
@@ -98,11 +100,31 @@
 		message.Claim = s.claim()
 	}
 
-	for _, r := range membership.Without(s.allWatchers(), s.options.Members.Self().ID) {
+	for _, r := range s.checkers() {
 		go s.sendHint(ctx, r.PeerAddress, message)
 	}
 }
 
+// checkers returns the other nodes that check the store: the watchers of all failure domains, and
+// those that stand in for the watchers of this one while this node does.
+func (s *Syncer) checkers() []membership.Record {
+	self := s.options.Members.Self()
+	out := s.allWatchers()
+
+	if !s.isWatcher() {
+		out = append(out, s.standIns(self.FailureDomain)...)
+	}
+
+	return membership.Without(out, self.ID)
+}
+
+// standIns returns the nodes of a failure domain that are the first to stand in for its watchers.
+func (s *Syncer) standIns(domain string) []membership.Record {
+	first := s.options.Members.FirstOf(domain, maxStandIns)
+
+	return first[min(len(first), Watchers):]
+}
+
 func (s *Syncer) revision(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, revisionTimeout)
 	defer cancel()
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -53,6 +53,9 @@
 	Poison bool
 	// Signals has backend servers name limits, and leave without an announcement.
 	Signals bool
+	// Versions has versions with many routes come often, beside hosts that are slowed, and checks which
+	// one is active on each host.
+	Versions bool
 }
 
 func (o Options) work() time.Duration {
@@ -97,6 +100,9 @@
 	pauses []span
 	// planned is when a stop was asked for, zero while the process is to run.
 	planned time.Time
+	// troubles counts the troubles that go on, troubledAt is when the last one ended.
+	troubles   int
+	troubledAt time.Time
 }
 
 // run is one run.
@@ -108,11 +114,14 @@
 	link    *link
 	hosts   []*host
 	version int
-	stalls  stalls
-	trial   *trial // nil without a roll-out
-	poisons *poisons
-	signals *signals
-	calling sync.WaitGroup
+	// versions is when the versions were written and what was seen of them.
+	versions versions
+	writing  sync.Mutex
+	stalls   stalls
+	trial    *trial // nil without a roll-out
+	poisons  *poisons
+	signals  *signals
+	calling  sync.WaitGroup
 }
 
 // Run plays the schedule of the seed.
@@ -247,8 +256,17 @@
 // write is the operator's next version. Its number stands in a route's name, so that
 // what is in force can be seen.
 func (r *run) write() {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+
+	routes := 0
+	if r.options.Versions {
+		routes = idleRoutes
+	}
+
 	r.version++
-	r.store.Write(platform.ConfigurationKey, standin.Document(r.version, r.options.services()...))
+	r.store.Write(platform.ConfigurationKey, standin.DocumentWith(routes, r.version, r.options.services()...))
+	r.versions.wrote(r.version)
 }
 
 func (h *host) start(program string) error {
@@ -263,7 +281,7 @@
 		return err
 	}
 
-	l := &life{process: process, ended: make(chan struct{})}
+	l := &life{process: process, ended: make(chan struct{}), started: time.Now()}
 	h.lives = append(h.lives, l)
 
 	go func() {
--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -63,3 +63,8 @@
 func TestSignalsInAnswersHoldBesideFaults(t *testing.T) {
 	play(t, hosts.Options{Seed: 1, Length: 16 * time.Second, Hosts: 9, Rate: 180, Signals: true})
 }
+
+// A host that is well handles calls by an older version while watchers of its failure domain are slowed.
+func TestVersionsAreActiveInTimeBesideSlowHosts(t *testing.T) {
+	play(t, hosts.Options{Seed: 1, Length: 12 * time.Second, Hosts: 9, Rate: 60, Versions: true})
+}
--- a/internal/soak/hosts/lives.go
+++ b/internal/soak/hosts/lives.go
@@ -11,6 +11,7 @@
 type life struct {
 	process *exec.Cmd
 	ended   chan struct{}
+	started time.Time
 	// asked is when it was first sent SIGTERM, killed when SIGKILL, over when it ended;
 	// zero before.
 	asked, killed, over time.Time
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -45,6 +45,10 @@
 	for _, h := range r.hosts {
 		r.calling.Go(func() { r.call(callers, h) })
 		r.calling.Go(func() { r.stay(callers, h) })
+
+		if r.options.Versions {
+			r.calling.Go(func() { r.checkVersions(callers, h) })
+		}
 	}
 
 	if r.trial != nil {
@@ -59,22 +63,10 @@
 		troubles.Go(func() { r.series(ctx, random, end) })
 	}
 
-	if r.options.Poison {
-		random := rand.New(rand.NewPCG(r.options.Seed, poisonStream))
-
-		troubles.Go(func() { r.poisonSeries(ctx, random, end) })
-	}
-
-	if r.options.Signals {
-		for i := range uint64(1 + len(r.hosts)/hostsPerSignals) {
-			random := rand.New(rand.NewPCG(r.options.Seed, signalStream+i))
-
-			troubles.Go(func() { r.signalSeries(ctx, random, end) })
-		}
-	}
+	r.beginSeries(ctx, &troubles, end)
 
 	for time.Now().Before(end) && ctx.Err() == nil {
-		f := faults()[r.random.IntN(len(faults()))]
+		f := r.drawFault()
 		h := r.hosts[r.random.IntN(len(r.hosts))]
 		random := rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
 
@@ -93,6 +85,7 @@
 	r.calling.Wait()
 	r.judgeStayed()
 	r.judgeSignals()
+	r.reportVersions()
 
 	r.judgePoisons()
 
@@ -101,6 +94,32 @@
 	}
 }
 
+// beginSeries starts the series of poison requests and of signals.
+func (r *run) beginSeries(ctx context.Context, troubles *sync.WaitGroup, end time.Time) {
+	if r.options.Poison {
+		random := rand.New(rand.NewPCG(r.options.Seed, poisonStream))
+
+		troubles.Go(func() { r.poisonSeries(ctx, random, end) })
+	}
+
+	if r.options.Signals {
+		for i := range uint64(1 + len(r.hosts)/hostsPerSignals) {
+			random := rand.New(rand.NewPCG(r.options.Seed, signalStream+i))
+
+			troubles.Go(func() { r.signalSeries(ctx, random, end) })
+		}
+	}
+}
+
+func (r *run) drawFault() fault {
+	all := faults()
+	if r.options.Versions {
+		all = versionFaults(r.random)
+	}
+
+	return all[r.random.IntN(len(all))]
+}
+
 // settle gives the fleet its time, and then asks for calls and the newest version.
 func (r *run) settle(ctx context.Context) {
 	deadline := time.Now().Add(settle)
@@ -154,6 +173,8 @@
 }
 
 func (r *run) kill(random *rand.Rand, h *host) {
+	defer h.trouble()()
+
 	l := h.current()
 
 	h.plan()
@@ -163,6 +184,8 @@
 
 // stop is a planned stop: nothing that was taken may be cut off by it.
 func (r *run) stop(random *rand.Rand, h *host) {
+	defer h.trouble()()
+
 	l := h.current()
 
 	h.plan()
@@ -194,6 +217,8 @@
 }
 
 func (r *run) pause(random *rand.Rand, h *host) {
+	defer h.trouble()()
+
 	from := time.Now()
 
 	h.plan()
@@ -208,6 +233,8 @@
 }
 
 func (r *run) storeDown(random *rand.Rand, _ *host) {
+	defer r.versions.troubleStore()()
+
 	r.store.Fault(func(string) int { return http.StatusServiceUnavailable })
 	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	r.store.Fault(nil)
@@ -215,6 +242,8 @@
 
 // storeLoses has writes carried out and not answered.
 func (r *run) storeLoses(random *rand.Rand, _ *host) {
+	defer r.versions.troubleStore()()
+
 	r.store.Fault(func(path string) int {
 		if strings.Contains(path, "txn") {
 			return -1
@@ -227,6 +256,8 @@
 }
 
 func (r *run) storeSilent(random *rand.Rand, _ *host) {
+	defer r.versions.troubleStore()()
+
 	r.link.silence(true)
 	time.Sleep(time.Duration(random.Int64N(int64(longest))))
 	r.link.silence(false)
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -27,6 +27,8 @@
 	Poison Poison
 	// Signals counts what backend servers said in their answers.
 	Signals Signals
+	// Versions counts the versions, and the questions of which one was active.
+	Versions Versions
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -134,7 +136,22 @@
 		"uploads %d, stalls of the machine %d, broken %d\n",
 		r.Stops, r.LongestStop.Round(time.Millisecond), r.LongestAt, r.StopsLeftOut, r.Stayed, len(r.uploads), r.Stalls, len(r.Broken))
 
-	if p := r.Poison; err == nil && p.Requests > 0 {
+	if err == nil {
+		err = r.printChecks(out)
+	}
+
+	for _, b := range r.Broken {
+		if err == nil {
+			_, err = fmt.Fprintln(out, " ", b)
+		}
+	}
+
+	return err
+}
+
+// printChecks writes what was counted in runs with poison requests, signals or versions.
+func (r *Report) printChecks(out io.Writer) (err error) {
+	if p := r.Poison; p.Requests > 0 {
 		_, err = fmt.Fprintf(out, "poison requests %d, copies %d, crashes %d, more than two %d, in touch %d, excused %q\n",
 			p.Requests, p.Copies, p.Crashes, p.InTouch+len(p.Excused), p.InTouch, p.Excused)
 	}
@@ -144,10 +161,8 @@
 			s.Limits, s.Leavings, s.Checked, s.Excused, s.Most)
 	}
 
-	for _, b := range r.Broken {
-		if err == nil {
-			_, err = fmt.Fprintln(out, " ", b)
-		}
+	if err == nil && r.Versions.Asked > 0 {
+		_, err = fmt.Fprintln(out, r.Versions)
 	}
 
 	return err
--- a/internal/soak/hosts/series.go
+++ b/internal/soak/hosts/series.go
@@ -77,6 +77,8 @@
 
 // planned stops a host with what the schedule has beside it, and starts it again.
 func (r *run) planned(random *rand.Rand, h *host) {
+	defer h.trouble()()
+
 	if random.IntN(2) == 0 {
 		h.signal(syscall.SIGHUP)
 		time.Sleep(time.Duration(random.Int64N(int64(rightBefore))))
