configsync: a node that was cut off is not held up by hosts that do not answer

Change: pulls have the short time limit; beside them one with the long limit goes on, for slow links. A new report ends the pause and its source is next.

--- a/internal/configsync/behind.go
+++ b/internal/configsync/behind.go
@@ -17,8 +17,12 @@
 	// minGapPause and maxGapPause bound the pause between attempts to get a missing version. It
 	// doubles with each attempt.
 	minGapPause     = 50 * time.Millisecond
-	maxGapPause     = 800 * time.Millisecond
-	maxGapDoublings = 4
+	maxGapPause     = 400 * time.Millisecond
+	maxGapDoublings = 3
+	// sourceKinds is the number of kinds of sources that attempts alternate between.
+	sourceKinds = 3
+	// patientAfter is the number of attempts after which a pull may take longer.
+	patientAfter = 2
 	// minSourceTime is the time within which a change of the source is not recorded again.
 	minSourceTime = 2 * time.Second
 )
@@ -44,7 +48,7 @@
 func (s *Syncer) closeGap(ctx context.Context) {
 	var since time.Time // of a gap that was recorded
 
-	limit := requestTimeout
+	patient := make(chan struct{}, 1) // holds the one pull with a long time limit
 
 	for attempt := 0; ctx.Err() == nil; {
 		gap, lacks := s.fresh.Gap()
@@ -63,14 +67,14 @@
 			s.reportGap(gap)
 		}
 
-		if _, err := s.pullWithin(ctx, s.sourceFor(gap, attempt), limit); err != nil {
-			limit = min(2*limit, maxPullTimeout)
+		// The short time limit passes over hosts that do not answer, which the long one would wait for.
+		if attempt >= patientAfter {
+			s.pullPatiently(ctx, s.sourceFor(gap, attempt), patient)
 		}
 
-		pause := min(minGapPause<<min(attempt, maxGapDoublings), maxGapPause)
-		idle.For(ctx, pause/2+rand.N(pause))
+		s.pull(ctx, s.sourceFor(gap, attempt))
 
-		attempt++
+		attempt = s.pauseInGap(ctx, attempt)
 	}
 
 	if !since.IsZero() && ctx.Err() == nil {
@@ -80,12 +84,45 @@
 	}
 }
 
+// pauseInGap waits after an attempt to get a version and returns the number of the next one. A new
+// report ends the wait, and the next attempt is at its source.
+func (s *Syncer) pauseInGap(ctx context.Context, attempt int) int {
+	pause := min(minGapPause<<min(attempt, maxGapDoublings), maxGapPause)
+
+	idle.For(ctx, minGapPause)
+
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause/2 + rand.N(pause)):
+		attempt++
+	case <-s.fresh.Missing():
+		attempt += sourceKinds - attempt%sourceKinds
+	}
+
+	return attempt
+}
+
+// pullPatiently starts a pull with a long time limit, unless one is running.
+func (s *Syncer) pullPatiently(ctx context.Context, address string, running chan struct{}) {
+	select {
+	case running <- struct{}{}:
+	default:
+		return
+	}
+
+	go func() {
+		defer func() { <-running }()
+
+		_, _ = s.pullWithin(ctx, address, maxPullTimeout) // the next attempt follows
+	}()
+}
+
 // sourceFor returns the address to pull a missing version from: by turns a node that has it, a
 // watcher of any failure domain and a node of this one.
 func (s *Syncer) sourceFor(gap freshness.Gap, attempt int) string {
 	var others []membership.Record
 
-	switch attempt % 3 {
+	switch attempt % sourceKinds {
 	case 1:
 		others = s.allWatchers()
 	case 2:
@@ -96,7 +133,12 @@
 		return others[rand.IntN(len(others))].PeerAddress
 	}
 
-	return gap.Sources[rand.IntN(len(gap.Sources))].Address
+	// The first attempts of many nodes are spread; later ones go to the node that reported last.
+	if attempt == 0 {
+		return gap.Sources[rand.IntN(len(gap.Sources))].Address
+	}
+
+	return gap.Sources[0].Address
 }
 
 // reportGap records that a version is missing, and restarts a watch that did not return it.
--- a/internal/configsync/calm_test.go
+++ b/internal/configsync/calm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -145,7 +146,7 @@
 
 func (d *calmScenario) note(s string) {
 	d.history = append(d.history, time.Now().Format("05.000 ")+s)
-	if len(d.history) > 12 {
+	if len(d.history) > 40 {
 		d.history = d.history[1:]
 	}
 }
@@ -277,7 +278,8 @@
 
 		if version < uint64(due) {
 			late := now.Sub(d.confirmed[version+1])
-			d.t.Errorf("%s %s has version %d, version %d is confirmed for %s; %q", now.Format("05.000"), r.ID, version, version+1, late, d.history)
+			d.t.Errorf("%s %s has version %d, version %d is confirmed for %s; %s; %q",
+				now.Format("05.000"), r.ID, version, version+1, late, n.syncer.describe(), d.history)
 
 			return true
 		}
@@ -429,3 +431,16 @@
 		t.Errorf("version %d is not active on %d nodes after %s", version, late, bound)
 	}
 }
+
+// describe returns what a node knows of versions.
+func (s *Syncer) describe() string {
+	gap, lacks := s.fresh.Gap()
+	age, known := s.fresh.Age()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return fmt.Sprintf("lacks %t %v, age %s %t, confirmed %s ago, from %s, informed %s ago, answered %s ago, reads %t, watch %t, decoding %d",
+		lacks, gap.Sources, age, known, time.Since(s.fresh.ConfirmedAt()), s.sourceName, time.Since(s.informedAt),
+		time.Since(s.answeredAt), s.storeReachable.Load(), s.watchOpen.Load(), s.decoding)
+}
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -24,9 +24,8 @@
 	// slow link.
 	requestTimeout = 400 * time.Millisecond
 	pushTimeout    = 2 * time.Second
-	// maxPullTimeout bounds a pull of a version that this node lacks. The limit starts with
-	// requestTimeout and doubles with each failure: many nodes may pull a whole document from
-	// one host with a slow link.
+	// maxPullTimeout bounds a pull of a version that this node lacks and did not get within
+	// requestTimeout: many nodes may pull a whole document from one host with a slow link.
 	maxPullTimeout = 4 * time.Second
 	// maxDocument is the maximum size of a configuration in bytes: the largest value that the
 	// store accepts.
--- a/internal/configsync/slow_test.go
+++ b/internal/configsync/slow_test.go
@@ -1,6 +1,9 @@
 package configsync
 
 import (
+	"context"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,3 +55,30 @@
 		assert.Equal(t, sim.lowestVersion(), uint64(2))
 	})
 }
+
+// A node is cut off, and the watchers of its failure domain stay cut off. Pulls from hosts that
+// do not answer, with time limits that grow, would hold it up for seconds when the others are back.
+func TestNodeThatWasCutOffGetsVersionSoonAfterwards(t *testing.T) {
+	for seconds := 3; seconds < 10; seconds++ {
+		t.Run(strconv.Itoa(seconds)+"s", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := newSimulationIn(t, 4, 24)
+				sim.gossipNearby(t, rand.New(rand.NewPCG(1, 2)))
+				sim.write(1)
+				sim.awaitVersion(t, 1, 2*time.Second)
+				sim.locked(func() { sim.faults.cut["n0"], sim.faults.cut["n4"] = true, true })
+				time.Sleep(5 * time.Second)
+				sim.locked(func() { sim.faults.cut["n8"], sim.silent["n8"] = true, true })
+				sim.write(2)
+				sim.node("n8").syncer.ObserveVersion(context.Background(), "n1", 2)
+				time.Sleep(time.Duration(seconds) * time.Second)
+				sim.locked(func() {
+					delete(sim.faults.cut, "n8")
+					delete(sim.silent, "n8")
+				})
+				sim.write(3)
+				sim.awaitOthers(t, 3, 2*time.Second, "n0", "n4")
+			})
+		})
+	}
+}
