--- a/internal/soak/hosts/versions.go
+++ b/internal/soak/hosts/versions.go
@@ -170,13 +170,13 @@
 	defer h.trouble()()
 
 	from := time.Now()
-	h.plan()
 
 	for end := from.Add(length); time.Now().Before(end); {
 		h.signal(syscall.SIGSTOP)
 		time.Sleep(slowTurn - slowRun)
 		h.signal(syscall.SIGCONT)
 		time.Sleep(slowRun)
+		h.plan()
 	}
 
 	h.mu.Lock()
