--- a/internal/standin/platform/write.go
+++ b/internal/standin/platform/write.go
@@ -115,8 +115,8 @@
 }
 
 // puts reports whether the write concerns a key with the prefix.
-func (in txnIn) puts(prefix string) bool {
-	return slices.ContainsFunc(in.Success, func(op txnOp) bool {
+func (t txnIn) puts(prefix string) bool {
+	return slices.ContainsFunc(t.Success, func(op txnOp) bool {
 		return op.RequestPut != nil && bytes.HasPrefix(op.RequestPut.Key, []byte(prefix))
 	})
 }
