configsync: a push that was delayed is no young knowledge of the store

Cause: a push carries a claim with its age at the sender, and counted from its arrival. Over a slow link it arrives up to 2 s later, so that a node took its version for the newest for longer than 1.2 s while the store had a newer one.

Change: the claim of a push counts from the earliest moment at which it can have been made. Pulls already count from when they were sent.

--- a/internal/configsync/claim.go
+++ b/internal/configsync/claim.go
@@ -52,7 +52,7 @@
 type said struct {
 	version uint64
 	claim   *claim
-	at      time.Time // not later than the moment for which the claim holds
+	at      time.Time // when the claim was made
 }
 
 // learn records what another node told. It reports whether that node vouches for its version: the
--- a/internal/configsync/claim_test.go
+++ b/internal/configsync/claim_test.go
@@ -64,6 +64,25 @@
 	assert.NilError(t, peer.Decode(data, out))
 }
 
+// A push waits for a slow link while the store gets a newer version. Its claim must not count as if it
+// was made when it arrived.
+func TestPushThatWasDelayedDoesNotCountAsYoungKnowledge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, 4)
+		sim.write(1)
+		sim.awaitVersion(t, 1, 2*time.Second)
+
+		n := sim.newNode("n3")
+		_, err := n.syncer.servePush(context.Background(), versionUpdate{
+			Version: 0, Current: true, Claim: &claim{From: "n0", Newest: 0, Address: "n0"},
+		})
+		assert.NilError(t, err)
+
+		age, ok := n.syncer.fresh.Age()
+		assert.Assert(t, !ok || age >= pushTimeout, "%s", age)
+	})
+}
+
 // A report that came from a third node must not be passed on, or nodes would keep the report of a
 // version alive that no node has any more.
 func TestRelayedReportIsNotPassedOn(t *testing.T) {
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -11,7 +11,7 @@
 //     store lost history. The watchers therefore also check the store's revision by turns.
 //     The first one that finds a missed change notifies the watchers of all failure domains.
 //   - A watcher may be rejected by the store, isolated, terminated or slow. Every other node
-//     pulls from a watcher of its failure domain twice a second, and unless that one vouches
+//     pulls from a watcher of its failure domain several times a second, and unless that one vouches
 //     for its version, from a watcher of any failure domain. While no watcher does, a growing
 //     number of nodes of the failure domain read the store themselves.
 //   - A connection that works proves nothing about versions. A node vouches for its version
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -121,7 +121,8 @@
 
 	if in.Claim != nil {
 		from = in.Claim.From
-		s.learn(said{version: in.Version, claim: in.Claim, at: time.Now()})
+		// A push may take up to pushTimeout to arrive.
+		s.learn(said{version: in.Version, claim: in.Claim, at: time.Now().Add(-pushTimeout)})
 	}
 
 	if s.queueUpdate(in, from) != nil {
