workspace: the workspaces of a version, and the interfaces of keys and limits

Cause: nothing reads the workspaces of a configuration, their keys and their limits. Change: package workspace with an immutable directory that is checked whole; a route may be public; a routing table carries the directory of its version; names of the two headers; the interface by which the dispatcher asks whether a call fits the limit of its workspace.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -12,6 +12,7 @@
 	"github.com/pollencart/pollencart/internal/retrybudget"
 	"github.com/pollencart/pollencart/internal/route"
 	"github.com/pollencart/pollencart/internal/timeline"
+	"github.com/pollencart/pollencart/internal/workspace"
 )
 
 // Members is the membership view.
@@ -66,6 +67,24 @@
 	Unassign(service, route string)
 }
 
+// Quotas decides whether calls fit the limits of their workspaces.
+type Quotas interface {
+	// Take takes one call from the limit of the workspace. It may ask another node, and no longer than
+	// the context lasts.
+	Take(ctx context.Context, w *workspace.Workspace) QuotaDecision
+	// Return gives back a call that certainly did not run and will not.
+	Return(w *workspace.Workspace)
+}
+
+// QuotaDecision is the answer of [Quotas].
+type QuotaDecision struct {
+	// Allowed reports whether the call may run. Otherwise RetryAfter is when there will be room, and
+	// Reason says which limit refused it, with its counts and their age.
+	Allowed    bool
+	RetryAfter time.Duration
+	Reason     string
+}
+
 // Options of a dispatcher.
 type Options struct {
 	Node          string
@@ -84,4 +103,6 @@
 	Meter    Meter
 	// Trials is nil if versions are not told apart.
 	Trials Trials
+	// Quotas is nil if no limits are kept.
+	Quotas Quotas
 }
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -36,6 +36,10 @@
 	Leaving string
 	// NotRun is set on answers to calls that the backend server did not run.
 	NotRun string
+	// Key holds the caller's key. It is a secret and stays at the node that the caller reached.
+	Key string
+	// Workspace holds the name of the workspace that a call runs for. Only nodes set it.
+	Workspace string
 	// Signature proves that an answer comes from the backend server.
 	Signature string
 }
@@ -53,6 +57,8 @@
 		Leaving:   "Pollencart-Leaving",
 		NotRun:    "Pollencart-Not-Run",
 		Signature: "Pollencart-Signature",
+		Key:       "Pollencart-Caller-Key",
+		Workspace: "Pollencart-Workspace",
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/workspace"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -39,6 +40,8 @@
 	Target  time.Duration
 	// Attempts is the maximum number of backend servers that a call is sent to.
 	Attempts int
+	// Public routes take calls without a key, also where the version has workspaces.
+	Public bool
 	// Priority is the rank of the calls; 0 is the most urgent.
 	Priority int
 	// Destinations has at least one element. Calls are distributed by weight.
@@ -67,6 +70,8 @@
 	limits   Limits
 	services map[string]Service
 	hosts    map[string]*prefixes
+	// workspaces is nil if the version has none.
+	workspaces *workspace.Directory
 }
 
 // prefixes holds the routes of one host and the lengths of their prefixes, longest first.
@@ -180,6 +185,17 @@
 // Version returns the version number.
 func (t *Table) Version() uint64 { return t.version }
 
+// WithWorkspaces returns a copy of the table with the workspaces of its version.
+func (t *Table) WithWorkspaces(d *workspace.Directory) *Table {
+	out := *t
+	out.workspaces = d
+
+	return &out
+}
+
+// Workspaces returns the workspaces of the version, or nil if it has none. Callers then need no keys.
+func (t *Table) Workspaces() *workspace.Directory { return t.workspaces }
+
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.limits }
 
