pollencart: SIGHUP before main does not end a node

Cause: the handler was installed by the command, after the initialization of all packages, the command line and the settings file. SIGHUP before that ends the process; a soak saw it once.

Change: package reload installs the handler while packages are initialized, for the commands that run a node only, and keeps one signal until the node reads it.

--- a/cmd/pollencart/node.go
+++ b/cmd/pollencart/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/pollencart/pollencart/internal/config"
 	"github.com/pollencart/pollencart/internal/node"
+	"github.com/pollencart/pollencart/internal/reload"
 )
 
 func addNode(app *kingpin.Application) {
@@ -33,11 +34,8 @@
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 
-		reloads := make(chan os.Signal, 1)
-		signal.Notify(reloads, syscall.SIGHUP)
-
 		n := node.New(conf, logger)
-		go n.Follow(ctx, reloads, func() (config.Config, error) { return config.Load(*file) })
+		go n.Follow(ctx, reload.Signals(), func() (config.Config, error) { return config.Load(*file) })
 
 		return n.Run(ctx)
 	}))
--- a/cmd/pollencart/node_test.go
+++ b/cmd/pollencart/node_test.go
@@ -17,11 +17,19 @@
 	"github.com/pollencart/pollencart/internal/harness"
 )
 
-// runMainVariable is the environment variable that makes the test binary run main.
-const runMainVariable = "POLLENCART_TEST_PROGRAM"
+// runMainVariable is the environment variable that makes the test binary run main, and
+// earlySignalVariable the one that makes it send itself SIGHUP before.
+const (
+	runMainVariable     = "POLLENCART_TEST_PROGRAM"
+	earlySignalVariable = "POLLENCART_TEST_EARLY_SIGNAL"
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runMainVariable) != "" {
+		if os.Getenv(earlySignalVariable) != "" {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		}
+
 		main()
 
 		return
--- a/cmd/pollencart/sidecar.go
+++ b/cmd/pollencart/sidecar.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/pollencart/pollencart/internal/logsink"
+	"github.com/pollencart/pollencart/internal/reload"
 	"github.com/pollencart/pollencart/internal/sidecar"
 	"github.com/pollencart/pollencart/internal/sidecar/config"
 )
@@ -48,11 +49,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-
 	n := sidecar.New(conf, slog.New(sink.Handler(slog.LevelDebug)))
-	go n.Follow(ctx, file, reloads)
+	go n.Follow(ctx, file, reload.Signals())
 
 	return n.Run(ctx)
 }
