runner: a call that was given up keeps its slot until the backend server stops

Cause: the slot was free when the node closed the connection, and the backend server ran the call until it noticed. One call more than the slots ran, and full backend servers may reset connections.

Change: the connection is closed for writing, and the slot is free once the backend server has closed it or answered, after 500 ms at most. The reply to the entry node isn't delayed.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -33,6 +33,22 @@
 
 func (c *conn) close() { _ = c.raw.Close() }
 
+// interrupt ends reads and writes and leaves the connection open.
+func (c *conn) interrupt() { _ = c.raw.SetDeadline(time.Unix(1, 0)) }
+
+// giveUp tells the backend server that nobody waits for the answer, and waits until it has closed
+// the connection. A backend server that runs the call to its end answers first.
+func (c *conn) giveUp() {
+	defer c.close()
+
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.raw.SetReadDeadline(time.Now().Add(giveUpTimeout)) != nil {
+		return
+	}
+
+	_, _ = io.Copy(io.Discard, c.raw)
+}
+
 // reusableAfter reports whether the connection may carry a call after it was idle for the given
 // time.
 func (c *conn) reusableAfter(idle time.Duration, idempotent bool) bool {
@@ -73,7 +89,7 @@
 // exchange sends the request and reads its answer. It also returns whether the connection
 // is reusable for another request.
 func (c *conn) exchange(ctx context.Context, r Request, names header.Names) (a Answer, reusable bool, err error) {
-	stop := context.AfterFunc(ctx, c.close)
+	stop := context.AfterFunc(ctx, c.interrupt)
 	defer stop()
 
 	head := encode(ctx, r, names)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -48,6 +48,9 @@
 	// non-idempotent call. After a reset it is unknown whether the call ran, so it can't be
 	// retried.
 	nonIdempotentIdleLimit = 2 * time.Second
+	// giveUpTimeout bounds the wait for the end of a call that was given up. It is longer than
+	// a busy host takes to notice a closed connection; a backend server that hangs longer runs nothing.
+	giveUpTimeout = 500 * time.Millisecond
 )
 
 // Request is a call to send to the backend server.
@@ -75,6 +78,9 @@
 	NotRun bool
 	// Other is set if another instance answered; the call was not run.
 	Other bool
+	// Ending is set if the call was given up after it was sent. It is closed once the backend
+	// server has closed the connection, so that it no longer runs the call, or did not in time.
+	Ending <-chan struct{}
 }
 
 // Pool manages the connections to one backend server.
@@ -108,9 +114,20 @@
 	}
 
 	a, reusable, err := c.exchange(ctx, r, p.names)
-	if err != nil || !reusable {
+
+	switch {
+	case err != nil && ctx.Err() != nil:
+		ending := make(chan struct{})
+		a.Ending = ending
+
+		go func() {
+			defer close(ending)
+
+			c.giveUp()
+		}()
+	case err != nil || !reusable:
 		c.close()
-	} else {
+	default:
 		p.release(c)
 	}
 
--- a/internal/backend/script_test.go
+++ b/internal/backend/script_test.go
@@ -295,6 +295,52 @@
 	}
 }
 
+// A call that was given up ends when the backend server closes the connection, whether it drops the
+// call or answers it; the wait for one that hangs is bounded.
+func TestGivenUpCallEndsWithTheBackendServer(t *testing.T) {
+	const work = 50 * time.Millisecond
+
+	for name, end := range map[string]func(c *peerConn){
+		"drops":   func(c *peerConn) { _, _ = io.Copy(io.Discard, c) },
+		"answers": func(c *peerConn) { time.Sleep(work); c.answer("id-1", "late") },
+		"hangs":   func(*peerConn) { time.Sleep(time.Second) },
+	} {
+		began, ended := make(chan struct{}), make(chan struct{})
+		p := serve(t, func(c *peerConn) {
+			if _, _, err := c.request(); err != nil {
+				return
+			}
+
+			close(began)
+			end(c)
+			close(ended)
+		})
+
+		ctx, cancel := context.WithCancel(t.Context())
+
+		go func() {
+			<-began
+			cancel()
+		}()
+
+		a, err := p.Do(ctx, backend.Request{ID: "id-1", Method: http.MethodGet, Host: "a", URI: "/"})
+		assert.ErrorIs(t, err, backend.ErrLost)
+
+		select {
+		case <-a.Ending:
+		case <-time.After(waitLimit):
+			t.Fatalf("%s: the call does not end", name)
+		}
+
+		select {
+		case <-ended:
+			assert.Assert(t, name != "hangs")
+		default:
+			assert.Equal(t, name, "hangs", "the call ended before the backend server did")
+		}
+	}
+}
+
 // ErrDown means that nothing was sent, so the call may be sent to another node.
 func TestRefusedConnectionReturnsErrDown(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -171,13 +171,28 @@
 	}
 
 	busy := r.isBusy()
-	reply, serviceTime := r.run(ctx, in, c)
-	slot.Leave(routeSample(reply, serviceTime))
+	reply, serviceTime, ending := r.run(ctx, in, c)
+	leave(slot, routeSample(reply, serviceTime), ending)
 	r.count(ctx, in, reply, serviceTime, busy)
 
 	return reply
 }
 
+// leave frees the slot, of a call that was given up only once the backend server has ended it.
+// A call that starts before would be one more than the backend server has slots.
+func leave(s *slots.Slot, sample time.Duration, ending <-chan struct{}) {
+	if ending == nil {
+		s.Leave(sample)
+
+		return
+	}
+
+	go func() {
+		<-ending
+		s.Leave(sample)
+	}()
+}
+
 // routeSample returns the service time as a sample for the route, or 0 if the call was not
 // answered.
 func routeSample(reply forward.Reply, serviceTime time.Duration) time.Duration {
@@ -204,19 +219,20 @@
 
 // run sends the call to the backend server, unless the server began to drain while the call
 // waited or the call is suspected of crashing backend servers. It also returns the service time
-// of the backend server. The wait for permission to run is left out: a node that has just
-// started waits for answers of other nodes, and would rate its backend server as slow.
-func (r *Runner) run(ctx context.Context, in *forward.Request, c call.Call) (forward.Reply, time.Duration) {
+// of the backend server and, for a call that was given up, a channel that is closed when it ends.
+// The wait for permission to run is left out: a node that has just started waits for answers of
+// other nodes, and would rate its backend server as slow.
+func (r *Runner) run(ctx context.Context, in *forward.Request, c call.Call) (forward.Reply, time.Duration, <-chan struct{}) {
 	end, err := r.options.Suspects.Begin(ctx, c)
 	if err != nil {
-		return suspected(err), 0
+		return suspected(err), 0, nil
 	}
 
 	state := r.options.Host.State()
 	if !state.Takes || r.closed.Load() {
 		end(poison.Lost)
 
-		return refused(forward.ReasonNone, downRetryAfter), 0
+		return refused(forward.ReasonNone, downRetryAfter), 0, nil
 	}
 
 	began := time.Now()
@@ -229,7 +245,7 @@
 	reply.Crashes = end(result)
 	reply.HeldMs = serviceTime.Milliseconds()
 
-	return reply, serviceTime
+	return reply, serviceTime, a.Ending
 }
 
 // suspected returns the reply to a call suspected of crashing backend servers. Its retry delay
