--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -47,6 +47,7 @@
 type Directory struct {
 	names   map[string]*Workspace
 	holders map[string]*Workspace // by key
+	ranked  bool                  // a workspace is ranked
 }
 
 // New validates the workspaces of a version and builds their directory.
@@ -73,13 +74,14 @@
 	}
 
 	d.names[w.Name] = w
+	d.ranked = d.ranked || w.Ranked
 
 	for _, key := range e.Keys {
 		if key == "" {
 			return ErrDirectory.With("workspace %q has an empty key", w.Name)
 		}
 
-		if holder := d.holders[key]; holder != nil {
+		if holder := d.holders[key]; holder != nil && holder != w {
 			return ErrDirectory.With("a key is held by workspaces %q and %q", holder.Name, w.Name)
 		}
 
@@ -120,3 +122,23 @@
 
 // Count returns the number of workspaces.
 func (d *Directory) Count() int { return len(d.names) }
+
+// priorities is the number of priorities of workspaces and of routes that are told apart; less
+// urgent ones count as the last.
+const priorities = 3
+
+// Rank returns the rank of a call: the priority of its workspace goes before that of its route, which
+// also stands in for the workspace's if that has none, or if the call runs for no workspace (w is nil).
+// While no workspace is ranked, the rank is the priority of the route.
+func (d *Directory) Rank(w *Workspace, route int) int {
+	if !d.ranked {
+		return route
+	}
+
+	first := route
+	if w != nil && w.Ranked {
+		first = w.Priority
+	}
+
+	return priorities*min(first, priorities-1) + min(route, priorities-1)
+}
