configsync: each invalid document has a line of its own

Change: invalid documents are told apart by a hash that stays in memory, not by the text of their error.

--- a/internal/configsync/check.go
+++ b/internal/configsync/check.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/idle"
 	"github.com/pollencart/pollencart/internal/membership"
@@ -150,7 +153,19 @@
 	return s.apply(ctx, fromStore, document{data: entry.Value}), at, nil
 }
 
+// maxRefused limits the remembered invalid documents.
+const maxRefused = 256
+
 // reportRefused records an invalid document once, however often it is read.
-func (s *Syncer) reportRefused(from source, err error) {
-	s.options.Recorder.Once(event.VersionRefused, timeline.Entry{Detail: string(from) + ": " + err.Error()})
+func (s *Syncer) reportRefused(from source, d document, err error) {
+	name := string(from) + strconv.FormatUint(xxhash.Sum64(d.data), 16)
+
+	s.mu.Lock()
+	_, known := s.refused.Get(name)
+	s.refused.At(name)
+	s.mu.Unlock()
+
+	if !known {
+		s.options.Recorder.Record(event.VersionRefused, timeline.Entry{Version: d.version, Peer: d.from, Detail: string(from) + ": " + err.Error()})
+	}
 }
--- a/internal/configsync/claim_test.go
+++ b/internal/configsync/claim_test.go
@@ -172,3 +172,33 @@
 		sim.awaitVersion(t, 3, 2*time.Second)
 	})
 }
+
+// An operator stores a second document with the same fault as the first. Its rejection must have a line of
+// its own, or the operator takes the second document for accepted.
+func TestEachInvalidDocumentIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		invalid := errors.New("invalid")
+
+		sim := newSimulationIn(t, 1, 2, func(o *Options) {
+			inner := o.Decode
+			o.Decode = func(data []byte) (*route.Table, error) {
+				table, err := inner(data)
+				if err == nil && table.Version() > 1 {
+					err = invalid
+				}
+
+				return table, err
+			}
+		})
+
+		for version := range int64(3) {
+			sim.write(version + 1)
+			time.Sleep(2 * time.Second)
+		}
+
+		for _, n := range sim.nodes {
+			assert.Equal(t, n.holder.Number(), uint64(1))
+			assert.Equal(t, len(n.reported.Entries(timeline.Filter{Event: event.VersionRefused.Name})), 2, n.id)
+		}
+	})
+}
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -40,6 +40,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/bounded"
 	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/freshness"
@@ -123,6 +124,7 @@
 	answeredAt time.Time // last answer of another node
 	sourceName string    // what this node gets versions from
 	sourceAt   time.Time // when sourceName changed
+	refused    *bounded.Map[struct{}]
 }
 
 // source is the origin of a document.
@@ -153,7 +155,8 @@
 
 	return &Syncer{
 		options: o, restartWatch: make(chan struct{}, 1), activated: make(chan struct{}, 1), pullNow: make(chan struct{}, 1),
-		queued: make(chan struct{}, 1), pending: map[source]document{}, fresh: freshness.New(o.Holder.Number), informedAt: now, answeredAt: now,
+		refused: bounded.New[struct{}](maxRefused),
+		queued:  make(chan struct{}, 1), pending: map[source]document{}, fresh: freshness.New(o.Holder.Number), informedAt: now, answeredAt: now,
 	}
 }
 
@@ -249,7 +252,7 @@
 
 	table, err := s.options.Decode(d.data)
 	if err != nil {
-		s.reportRefused(from, err)
+		s.reportRefused(from, d, err)
 		s.confirmRead(held, d)
 
 		return held
