dispatch: calls run for the workspace that holds their key

Cause: a caller's key went on to the backend server, and unknown keys ran. Change: where the version has workspaces, the key decides for whom a call runs, an unknown one gets 401 at once unless the route is public or the node lacks a version (503), the key is not forwarded, and the workspace header is set by nodes alone. The workspace's priority goes before the route's. A call of a workspace with a limit asks Quotas before anything is sent, and is returned if it certainly did not run. Event 230 with at most two lines a second, and a counter.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -57,6 +57,7 @@
 	retryDetector *retryDetector
 	subsets       *subsets
 	notices       *memory.Memory
+	refusedKeys   refusals
 }
 
 // New returns a dispatcher.
@@ -70,14 +71,20 @@
 
 // Outcome is the response that a caller got, with its cause.
 type Outcome struct {
-	ID     string
-	Route  string
-	Status int
-	Reason string
-	Sent   int           // attempts that may have reached a backend server
-	Asked  int           // nodes contacted
-	Waited time.Duration // since the caller's first attempt, if this is a detected retry
-	Node   string
+	ID    string
+	Route string
+	// Workspace is the workspace that the call runs for, or "".
+	Workspace string
+	// KeyRefused reports that the caller's key was unknown, OverLimit that the call was beyond the limit of
+	// its workspace.
+	KeyRefused bool
+	OverLimit  bool
+	Status     int
+	Reason     string
+	Sent       int           // attempts that may have reached a backend server
+	Asked      int           // nodes contacted
+	Waited     time.Duration // since the caller's first attempt, if this is a detected retry
+	Node       string
 	// Canary is the version on trial that the call was sent to, or "".
 	Canary  string
 	Took    time.Duration
@@ -126,9 +133,28 @@
 
 	o.Route = matched.Name
 
+	w, ok := d.holder(table, matched, r.Header)
+	if !ok {
+		// The next version may have become active after the table was loaded.
+		if d.options.Tables.Load() != table {
+			return d.serve(ctx, r, o)
+		}
+
+		return d.refuseKey(o)
+	}
+
+	if w != nil {
+		o.Workspace = w.Name
+	}
+
+	return d.run(ctx, r, o, permit{table, matched, w})
+}
+
+// run runs a call that the active version permits.
+func (d *Dispatcher) run(ctx context.Context, r ingress.Request, o *Outcome, p permit) ingress.Response {
 	callerTimeout := d.callerTimeout(r)
 	current := waitingCaller{firstArrival: r.Arrived, deadline: r.Arrived.Add(callerTimeout)}
-	timeLimit := matched.Timeout
+	timeLimit := p.route.Timeout
 
 	if callerTimeout > 0 {
 		timeLimit = min(timeLimit, callerTimeout-min(callerRoundTrip, callerTimeout/callerRoundTripDivisor))
@@ -144,18 +170,32 @@
 	ctx, cancel := context.WithDeadline(ctx, callDeadline)
 	defer cancel()
 
-	current.service = d.splitter.pick(matched, current.service)
+	if decision := d.takeQuota(ctx, p.workspace); !decision.Allowed {
+		if o.Waited > 0 {
+			d.retryDetector.remember(r, current)
+		}
+
+		o.OverLimit = true
+
+		return d.rejectWith(o, http.StatusTooManyRequests, decision.Reason, decision.RetryAfter)
+	}
+
+	current.service = d.splitter.pick(p.route, current.service)
 	d.options.Budget.CountCall(current.service)
 
 	state := &callState{
-		dispatcher: d, ctx: ctx, route: matched, outcome: o, target: r.Arrived.Add(min(matched.Target-o.Waited, timeLimit)),
+		dispatcher: d, ctx: ctx, route: p.route, outcome: o, target: r.Arrived.Add(min(p.route.Target-o.Waited, timeLimit)),
 		request: forward.Request{
-			ID: o.ID, Service: current.service, Route: matched.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
-			Header: d.options.Names.Forwarded(r.Header), Body: r.Body, Idempotent: matched.Idempotent, Rank: matched.Priority,
+			ID: o.ID, Service: current.service, Route: p.route.Name, Origin: d.options.Service, Method: r.Method, Host: r.Host, URI: r.URI,
+			Header: p.header(d.options.Names, r.Header), Body: r.Body, Idempotent: p.route.Idempotent, Rank: p.rank(),
 		},
 	}
 
 	response := state.run()
+	if !state.reached {
+		d.returnQuota(p.workspace)
+	}
+
 	if callerTimeout > 0 && response.Status >= http.StatusInternalServerError {
 		d.retryDetector.remember(r, current)
 	}
@@ -182,9 +222,13 @@
 
 // reject returns the response to a call that did not run and will not be attempted again.
 func (d *Dispatcher) reject(o *Outcome, reason string, after time.Duration) ingress.Response {
+	return d.rejectWith(o, http.StatusServiceUnavailable, reason, after)
+}
+
+func (d *Dispatcher) rejectWith(o *Outcome, status int, reason string, after time.Duration) ingress.Response {
 	o.Reason = reason
 
-	response := d.localResponse(o, http.StatusServiceUnavailable)
+	response := d.localResponse(o, status)
 	response.Header = append(response.Header, call.Field{
 		Name: "Retry-After", Value: strconv.FormatFloat(after.Seconds(), 'f', 3, 64),
 	})
@@ -217,6 +261,12 @@
 		e = event.CallFailed
 	case ctx.Err() != nil:
 		e = event.CallAbandoned
+	case o.KeyRefused:
+		d.recordKeyRefused(o)
+
+		return
+	case o.OverLimit:
+		e = event.CallTurnedAway
 	case o.Reason != "", o.Status >= http.StatusInternalServerError:
 		e = event.CallFailed
 	}
@@ -240,6 +290,11 @@
 	b = append(b, " sent "...)
 	b = strconv.AppendInt(b, int64(o.Sent), 10)
 
+	if o.Workspace != "" {
+		b = append(b, " workspace "...)
+		b = append(b, o.Workspace...)
+	}
+
 	if o.Waited > 0 {
 		b = append(b, " waited "...)
 		b = strconv.AppendInt(b, o.Waited.Milliseconds(), 10)
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -67,6 +67,12 @@
 	Unassign(service, route string)
 }
 
+// Versions tells whether the active version is the newest.
+type Versions interface {
+	// Lacks reports whether this node has heard of a newer version than the active one.
+	Lacks() bool
+}
+
 // Quotas decides whether calls fit the limits of their workspaces.
 type Quotas interface {
 	// Take takes one call from the limit of the workspace. It may ask another node, and no longer than
@@ -103,6 +109,8 @@
 	Meter    Meter
 	// Trials is nil if versions are not told apart.
 	Trials Trials
+	// Versions is nil if the active version counts as the newest.
+	Versions Versions
 	// Quotas is nil if no limits are kept.
 	Quotas Quotas
 }
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -39,6 +39,8 @@
 	otherCandidates int
 	// mayHaveRun is set once it is unknown whether an attempt ran.
 	mayHaveRun bool
+	// reached is set once a backend server ran the call or may have.
+	reached bool
 }
 
 func (s *callState) run() ingress.Response {
@@ -129,6 +131,14 @@
 	if reply.Result == forward.Lost {
 		s.mayHaveRun = true
 	}
+
+	switch reply.Result {
+	case forward.Refused, forward.Shed, forward.Suspected:
+	case forward.Answered, forward.Lost:
+		s.reached = true
+	default:
+		s.reached = true // an invalid reply proves nothing
+	}
 }
 
 func (s *callState) send(c balancer.Candidate) (forward.Reply, error) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,13 @@
 		"The platform's store was restored from an older copy; this node rewrote the records that other nodes need; the detail lists them.")
 )
 
+// Workspaces and their keys.
+var (
+	KeyRefused = add(230, "KeyRefused", slog.LevelWarn,
+		"A caller's key is not known and its route is not public; the call was refused. "+
+			"Of many such calls some have no line; the next line has their number.")
+)
+
 // Fleet membership.
 var (
 	MemberJoined  = add(300, "MemberJoined", slog.LevelInfo, "The node learned of a new member.")
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -189,6 +189,16 @@
 	return gap, true
 }
 
+// Lacks reports whether the node lacks a version that it has heard of.
+func (t *Tracker) Lacks() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.refresh(time.Now())
+
+	return len(t.reports) > 0
+}
+
 // Confirm records that a version was the newest in the store at a moment.
 func (t *Tracker) Confirm(version uint64, at time.Time) {
 	t.mu.Lock()
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -47,6 +47,7 @@
 		n.version = 8
 		_, ok = tracker.Age()
 		assert.Assert(t, ok)
+		assert.Assert(t, !tracker.Lacks())
 	})
 }
 
@@ -74,6 +75,7 @@
 
 		gap, lacks := tracker.Gap()
 		assert.Assert(t, lacks)
+		assert.Assert(t, tracker.Lacks())
 		assert.Equal(t, gap.Version, uint64(19))
 		assert.Equal(t, gap.Due, start.Add(grace))
 
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -70,6 +71,19 @@
 		"Host", "Content-Length", "Expect")
 }
 
+// ForwardedFor returns the headers of a request while callers need keys. It also omits the key, and the
+// workspace that the caller named: the backend server learns the given one, or none if it is empty.
+func (n Names) ForwardedFor(h http.Header, workspace string) []call.Field {
+	out := slices.DeleteFunc(n.Forwarded(h), func(f call.Field) bool {
+		return strings.EqualFold(f.Name, n.Key) || strings.EqualFold(f.Name, n.Workspace)
+	})
+	if workspace != "" {
+		out = append(out, call.Field{Name: n.Workspace, Value: workspace})
+	}
+
+	return out
+}
+
 // Returned returns the headers of an answer that are sent to the caller. It omits
 // hop-by-hop headers, those that are meant for nodes, and the length, which is set anew.
 func (n Names) Returned(h http.Header) []call.Field {
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -44,6 +44,7 @@
 	messages     *prometheus.CounterVec
 	bytes        *prometheus.CounterVec
 	versionRuns  *prometheus.CounterVec
+	unknownKeys  prometheus.Counter
 }
 
 // New returns a meter with its metrics registered and all counters at zero.
@@ -88,9 +89,12 @@
 		versionRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollencart_version_runs_total", Help: "Calls that the backend server here ran during a roll-out of its service, by version.",
 		}, []string{"Version", "Failed"}),
+		unknownKeys: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pollencart_unknown_keys_total", Help: "Calls that were refused because their key is not known.",
+		}),
 	}
 	m.registry.MustRegister(m.calls, m.latency, m.sends, m.contacted, m.undelivered, m.runs, m.queueTime, m.serviceTime, m.storeCalls,
-		m.epochChanges, m.retries, m.messages, m.bytes, m.versionRuns, invariant.Collector{}, collectors.NewGoCollector())
+		m.epochChanges, m.retries, m.messages, m.bytes, m.versionRuns, m.unknownKeys, invariant.Collector{}, collectors.NewGoCollector())
 
 	return m
 }
@@ -106,6 +110,10 @@
 	m.latency.WithLabelValues(o.Route).Observe(o.Took.Seconds())
 	m.sends.Add(float64(o.Sent))
 	m.contacted.Add(float64(o.Asked))
+
+	if o.KeyRefused {
+		m.unknownKeys.Inc()
+	}
 }
 
 // Undelivered counts a response that could not be sent to a caller that still waited.
