--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -54,7 +54,7 @@
 }
 
 // outcomePattern matches the detail of the event that the dispatcher records for a finished call.
-var outcomePattern = regexp.MustCompile(`^status (\d+) route (\S*) ms (\d+) asked (\d+) sent \d+(?: waited \d+)?` +
+var outcomePattern = regexp.MustCompile(`^status (\d+) route (\S*) ms (\d+) asked (\d+) sent \d+(?: workspace .+?)?(?: waited \d+)?` +
 	`(?: canary \S+)?(?: stopping, connected \d+ ahead \d+)?(?: reason (.*))?$`)
 
 // variablePart matches the parts of a reason that differ between calls, such as addresses and IDs.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -44,6 +45,18 @@
 	golden.Assert(t, out.String(), "losses.golden")
 }
 
+// Lines of calls that ran for a workspace have its name. Their causes must be counted as those of others.
+func TestCausesCountsCallsOfWorkspaces(t *testing.T) {
+	log, err := os.ReadFile("testdata/losses.log")
+	assert.NilError(t, err)
+
+	var out bytes.Buffer
+
+	named := regexp.MustCompile(`sent \d+`).ReplaceAllString(string(log), "$0 workspace a school")
+	assert.NilError(t, explain.Causes(&out, strings.NewReader(named)))
+	golden.Assert(t, out.String(), "losses.golden")
+}
+
 // Many nodes write that a version was rolled back. The output must show the verdict and its evidence
 // once.
 func TestRolloutShowsVerdictAndEvidence(t *testing.T) {
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -14,6 +14,8 @@
 import (
 	"math"
 	"net/http"
+	"strings"
+	"unicode"
 
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -97,6 +99,11 @@
 		return ErrDirectory.With("a workspace without a name")
 	}
 
+	// Backend servers get the name in a header.
+	if strings.ContainsFunc(w.Name, unicode.IsControl) || strings.TrimSpace(w.Name) != w.Name {
+		return ErrDirectory.With("name %q has control characters, or spaces around it", w.Name)
+	}
+
 	if w.Priority < 0 || !isAmount(w.Rate) || !isAmount(w.Burst) {
 		return ErrDirectory.With("workspace %q: priority %d, rate %g, burst %g", w.Name, w.Priority, w.Rate, w.Burst)
 	}
--- a/internal/workspace/workspace_test.go
+++ b/internal/workspace/workspace_test.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// Backend servers get the name in a header, in which such a name would be another one, or a second header.
+func TestNameThatNoHeaderHoldsIsRejected(t *testing.T) {
+	for _, name := range []string{"", " a", "a\t", "a\r\nTenant: b", "a\x7f"} {
+		_, err := workspace.New([]workspace.Entry{{Workspace: &workspace.Workspace{Name: name}}})
+		assert.ErrorIs(t, err, workspace.ErrDirectory, "%q", name)
+	}
+
+	newDirectory(t, &workspace.Workspace{Name: "Schule Süd 7"})
+}
+
 // A key that is listed twice in its own workspace has one holder.
 func TestKeyListedTwiceHasOneHolder(t *testing.T) {
 	w := &workspace.Workspace{Name: "a"}
