soak: keys of callers come, move and go with versions

Cause: no run beside faults checked keys. Change: a run that checks versions gives each version a new key and moves that of the version before to another workspace. Hosts that are well must refuse a key that was taken away and know the one that was added; no backend server gets a key and no line has one. Result: TestVersionsAreActiveInTimeBesideSlowHosts passes, 42 calls with keys taken away and 42 with added ones counted.

--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -80,6 +80,7 @@
 	b.leaving = false
 	b.current = &standin.Backend{
 		Instance: fmt.Sprintf("%s-%d", b.name, b.number), Service: b.service, Version: b.version, Slots: backendSlots, Work: b.work, Ran: b.ran,
+		Got:   b.gotHeaders,
 		Fails: func() bool { return b.trial.fails(b.version) },
 	}
 	b.listener = l
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -54,7 +54,7 @@
 	// Signals has backend servers name limits, and leave without an announcement.
 	Signals bool
 	// Versions has versions with many routes come often, beside hosts that are slowed, and checks which
-	// one is active on each host.
+	// one is active on each host, and which keys of callers it takes.
 	Versions bool
 }
 
@@ -265,7 +265,13 @@
 	}
 
 	r.version++
-	r.store.Write(platform.ConfigurationKey, standin.DocumentWith(routes, r.version, r.options.services()...))
+	document := standin.DocumentWith(routes, r.version, r.options.services()...)
+
+	if r.options.Versions {
+		document = standin.WithTenants(document, keysOf(r.version))
+	}
+
+	r.store.Write(platform.ConfigurationKey, document)
 	r.versions.wrote(r.version)
 }
 
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -136,6 +136,8 @@
 	for _, h := range r.hosts {
 		h.backend.check()
 	}
+
+	r.checkLines()
 }
 
 // missing says what keeps the fleet from being whole: every host answers by the newest
--- a/internal/soak/hosts/versions.go
+++ b/internal/soak/hosts/versions.go
@@ -38,11 +38,14 @@
 	storeTrouble int
 	storeAt      time.Time
 	asked        int
+	gone, added  int
 }
 
 // Versions counts the questions of which version was active.
 type Versions struct {
 	Written, Asked int
+	// Gone and Added are the calls with keys that a version took away or added, as far as they told something.
+	Gone, Added int
 }
 
 func (v *versions) wrote(version int) {
@@ -210,6 +213,7 @@
 	}
 
 	status := ask(ctx, newest(h, latest))
+	keys := askKeys(ctx, h, due)
 	end := time.Now()
 
 	if l != h.current() || r.stalls.overlap(now.Add(-wellFor), end) {
@@ -222,6 +226,7 @@
 
 	if well && h.isWell(end) && r.versions.storeIsWell(end) {
 		r.judgeVersion(h, now, due, latest, before, status)
+		r.judgeKeys(h, now, due, latest, keys)
 	}
 
 	if status == http.StatusOK {
@@ -252,9 +257,10 @@
 	r.versions.mu.Lock()
 	defer r.versions.mu.Unlock()
 
-	r.report.Versions = Versions{Written: len(r.versions.written) - 1, Asked: r.versions.asked}
+	r.report.Versions = Versions{Written: len(r.versions.written) - 1, Asked: r.versions.asked, Gone: r.versions.gone, Added: r.versions.added}
 }
 
 func (v Versions) String() string {
-	return fmt.Sprintf("versions %d, asked %d times on hosts that were well", v.Written, v.Asked)
+	return fmt.Sprintf("versions %d, asked %d times on hosts that were well, calls with keys taken away %d, added %d",
+		v.Written, v.Asked, v.Gone, v.Added)
 }
