quota: limits of workspaces by delegated shares, wired into the sidecar

Cause: a version names limits of workspaces and nothing keeps them. Change: each node owns an equal share of every limit and delegates it with a short lease to the home of the workspace, which grants calls to the entries; an entry whose home does not answer goes on with its own share. Settings QuotaWindowSeconds, QuotaOverage, QuotaSlack; events 240 to 243.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,16 @@
 			"Of many such calls some have no line; the next line has their number.")
 )
 
+// Limits of workspaces.
+var (
+	QuotaHomeLost = add(240, "QuotaHomeLost", slog.LevelWarn,
+		"A home of limits does not answer; the node uses its own share of these limits until it answers or another home is used.")
+	QuotaHomeFound = add(241, "QuotaHomeFound", slog.LevelInfo, "A home of limits that was lost answers again.")
+	QuotaHomes     = add(242, "QuotaHomes", slog.LevelInfo, "The node uses another set of homes of limits; the detail lists them.")
+	QuotaExceeded  = add(243, "QuotaExceeded", slog.LevelWarn,
+		"Calls of a workspace were refused by its limit in the last second; the detail has how many of how many.")
+)
+
 // Fleet membership.
 var (
 	MemberJoined  = add(300, "MemberJoined", slog.LevelInfo, "The node learned of a new member.")
--- /dev/null
+++ b/internal/quota/ledger/ledger.go
@@ -0,0 +1,303 @@
+// Package ledger decides at a home how many calls of a workspace its entries may run.
+//
+// # How the limit holds over all nodes
+//
+// Each node owns an equal share of every limit: rate / known nodes. It delegates its share to the home
+// of the workspace with each ask, for [Lease]. A home refills a token bucket at the sum of the shares
+// that are delegated to it, so the homes of all sides of a partition together never refill more than
+// the limit, whatever they think of each other.
+//
+// A delegation is counted from the time at which the home sent its last answer that the node has
+// received. The node waits for [Lease] from the receipt before it delegates its share to another home
+// or uses it alone. The home's time is over first, also if either was frozen or a message was late.
+// A node that delegates to another set of homes names the set before, which may still count its share.
+//
+// A bucket starts empty, loses what it holds beyond its share, and is emptied after a freeze.
+//
+// # Usage
+//
+//	l := ledger.New("node-1", 5*time.Second)
+//	answer := l.Ask(ask, knownNodes)
+//	l.Tick(knownNodes) // every TickInterval
+package ledger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pollencart/pollencart/internal/quota/home"
+)
+
+const (
+	// Lease is how long a delegation lasts. After a cut the home counts the shares of the nodes that
+	// are cut off for this long while they go on alone.
+	Lease = time.Second
+	// TickInterval is how often Tick is called. A gap of more than maxGap is a freeze of the process.
+	TickInterval = 100 * time.Millisecond
+	maxGap       = 500 * time.Millisecond
+	// groupInterval is how often lapsed delegations are looked for.
+	groupInterval = 20 * time.Millisecond
+	// dropAfter is when the bucket of a workspace that nobody asks for is dropped.
+	dropAfter = 10 * time.Second
+	// maxSets bounds the sets of homes that entries have named.
+	maxSets = 64
+)
+
+// Ledger holds the delegations to one home and its buckets.
+type Ledger struct {
+	self   string
+	boot   uint64
+	window time.Duration
+	start  time.Time
+
+	mu      sync.Mutex
+	nodes   map[string]*delegation
+	sets    map[uint64]*home.Set
+	groups  map[groupKey]group
+	known   int       // nodes that share a limit
+	grouped time.Time // of the last regroup
+	// steady is since when the delegated shares have not grown. A new bucket is refilled from then on.
+	steady  time.Time
+	buckets map[string]*bucket
+}
+
+// delegation is that of one node.
+type delegation struct {
+	set, prior *home.Set
+	priorEnds  time.Time
+	ends       time.Time
+	known      int
+}
+
+// groupKey and group count the nodes that delegate in the same way.
+type groupKey struct{ set, prior uint64 }
+
+type group struct {
+	set, prior *home.Set
+	count      int
+}
+
+// New returns the ledger of a process that has just started. window is that in which granted calls
+// are counted for the operator.
+func New(self string, boot uint64, window time.Duration) *Ledger {
+	now := time.Now()
+
+	return &Ledger{
+		self: self, boot: boot, window: window, start: now, nodes: map[string]*delegation{}, sets: map[uint64]*home.Set{},
+		groups: map[groupKey]group{}, grouped: now, steady: now, buckets: map[string]*bucket{},
+	}
+}
+
+// Ask renews a delegation and grants calls. known is the number of nodes that this node knows of.
+func (l *Ledger) Ask(in Ask, known int) Answer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	now := time.Now()
+	l.unfreeze(now)
+	out := Answer{Boot: l.boot, Stamp: l.stamp(now), Set: l.delegate(in, now)}
+	l.regroup(known, now)
+
+	for _, i := range in.Items {
+		b := l.bucket(i, now)
+		b.adopt(i.Limit, now)
+		out.Grants = append(out.Grants, b.take(i, l.window, now))
+	}
+
+	return out
+}
+
+// stamp returns the time of this home that an answer carries, in milliseconds and never 0.
+func (l *Ledger) stamp(now time.Time) int64 { return now.Sub(l.start).Milliseconds() + 1 }
+
+// delegate stores the delegation of an ask, and returns the hash of its set of homes if it is known.
+func (l *Ledger) delegate(in Ask, now time.Time) uint64 {
+	set := l.sets[in.Set]
+	if len(in.Homes) > 0 {
+		set = home.New(in.Homes)
+		l.sets[set.Hash()] = set
+	}
+
+	if set == nil {
+		return 0
+	}
+
+	ends := l.start.Add(time.Duration(in.Stamp-1)*time.Millisecond + Lease)
+	if in.Boot != l.boot || in.Stamp <= 0 || !now.Before(ends) {
+		return set.Hash()
+	}
+
+	d := l.nodes[in.Node]
+	if d == nil {
+		d = &delegation{}
+		l.nodes[in.Node] = d
+		l.grouped = now.Add(-groupInterval)
+	}
+
+	d.set, d.known, d.prior = set, in.Known, nil
+	if ends.After(d.ends) {
+		d.ends = ends
+	}
+
+	if in.PriorMs > 0 && len(in.Prior) > 0 {
+		d.prior, d.priorEnds = home.New(in.Prior), now.Add(time.Duration(in.PriorMs)*time.Millisecond)
+	}
+
+	return set.Hash()
+}
+
+// Tick finds lapsed delegations and drops what is not used. It must be called every TickInterval.
+func (l *Ledger) Tick(known int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	now := time.Now()
+	l.unfreeze(now)
+	l.regroup(known, now)
+
+	for name, b := range l.buckets {
+		if b.refill(now); now.Sub(b.asked) > dropAfter && b.tokens >= b.depth() {
+			delete(l.buckets, name)
+		}
+	}
+
+	if len(l.nodes) == 0 || len(l.sets) > maxSets {
+		clear(l.sets) // entries send the nodes of their set again
+	}
+}
+
+// Idle reports whether the ledger holds nothing.
+func (l *Ledger) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return len(l.nodes) == 0 && len(l.buckets) == 0
+}
+
+// unfreeze empties all buckets if the process was frozen.
+func (l *Ledger) unfreeze(now time.Time) {
+	if now.Sub(l.grouped) <= maxGap {
+		return
+	}
+
+	for _, b := range l.buckets {
+		b.tokens, b.at = 0, now
+	}
+
+	l.steady = now
+}
+
+// regroup counts the delegations that hold now, and applies a change to all buckets.
+func (l *Ledger) regroup(known int, now time.Time) {
+	if now.Sub(l.grouped) < groupInterval {
+		return
+	}
+
+	l.grouped = now
+	groups := map[groupKey]group{}
+	before, nodes := l.known, 0
+
+	l.known = known
+
+	for id, d := range l.nodes {
+		if !now.Before(d.ends) {
+			delete(l.nodes, id)
+
+			continue
+		}
+
+		if d.prior != nil && !now.Before(d.priorEnds) {
+			d.prior = nil
+		}
+
+		k := groupKey{set: d.set.Hash()}
+		if d.prior != nil {
+			k.prior = d.prior.Hash()
+		}
+
+		groups[k] = group{set: d.set, prior: d.prior, count: groups[k].count + 1}
+		l.known, nodes = max(l.known, d.known), nodes+1
+	}
+
+	l.known = max(l.known, nodes)
+	if l.known == before && sameGroups(groups, l.groups) {
+		return
+	}
+
+	if l.known < before || grows(groups, l.groups) {
+		l.steady = now
+	}
+
+	l.groups = groups
+	for name, b := range l.buckets {
+		b.setShare(l.share(name), now)
+	}
+}
+
+func sameGroups(a, b map[groupKey]group) bool {
+	return len(a) == len(b) && !grows(a, b) && !grows(b, a)
+}
+
+// grows reports whether a group has more nodes than before.
+func grows(a, b map[groupKey]group) bool {
+	for k, g := range a {
+		if g.count > b[k].count {
+			return true
+		}
+	}
+
+	return false
+}
+
+// share returns the part of a workspace's limit that is delegated to this home.
+func (l *Ledger) share(workspace string) float64 {
+	nodes := 0
+
+	for _, g := range l.groups {
+		if g.set.Of(workspace) == l.self && (g.prior == nil || g.prior.Of(workspace) == l.self) {
+			nodes += g.count
+		}
+	}
+
+	return float64(nodes) / float64(max(l.known, 1))
+}
+
+// bucket returns the bucket of a workspace. A new one has what was refilled since the shares are
+// steady: nobody asked for it meanwhile.
+func (l *Ledger) bucket(i Item, now time.Time) *bucket {
+	b := l.buckets[i.Workspace]
+	if b == nil {
+		b = &bucket{limit: i.Limit, limitSeen: now, share: l.share(i.Workspace), at: l.steady, asked: now}
+		l.buckets[i.Workspace] = b
+	}
+
+	return b
+}
+
+// Use is the use of a workspace's limit by this home's count.
+type Use struct {
+	Workspace string
+	Limit     Limit
+	// Share is the part of the limit that is delegated to this home, Counted the calls granted in the
+	// last window.
+	Share   float64
+	Counted int
+	Tokens  float64
+}
+
+// Uses returns the use of all limits that this home has counted lately, unordered.
+func (l *Ledger) Uses() []Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	now := time.Now()
+	out := make([]Use, 0, len(l.buckets))
+
+	for name, b := range l.buckets {
+		b.refill(now)
+		b.count(0, l.window, now)
+		out = append(out, Use{Workspace: name, Limit: b.limit, Share: b.share, Counted: b.counted(), Tokens: b.tokens})
+	}
+
+	return out
+}
--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -69,6 +69,12 @@
 	// receive before it is known to be good. With 0, versions are not told apart and orders of
 	// roll-outs are not read. A change needs a restart.
 	ExposeShare float64 `json:"ExposeShare"`
+	// QuotaOverage and QuotaSlack bound the calls of a workspace beyond its limit in any window of
+	// QuotaWindowSeconds, over all nodes together: limit x QuotaOverage + QuotaSlack. With a window of 0
+	// no limits are kept. A change needs a restart.
+	QuotaWindowSeconds float64 `json:"QuotaWindowSeconds"`
+	QuotaOverage       float64 `json:"QuotaOverage"`
+	QuotaSlack         float64 `json:"QuotaSlack"`
 }
 
 // WithBounds returns a copy of the settings with other bounds.
@@ -144,5 +150,16 @@
 		return "Bounds.ExposeShare", "want 0 to 1"
 	}
 
+	for _, f := range []struct {
+		key   string
+		value float64
+	}{
+		{"Bounds.QuotaWindowSeconds", b.QuotaWindowSeconds}, {"Bounds.QuotaOverage", b.QuotaOverage}, {"Bounds.QuotaSlack", b.QuotaSlack},
+	} {
+		if f.value < 0 {
+			return f.key, "want 0 or more"
+		}
+	}
+
 	return "", ""
 }
--- a/internal/sidecar/config/config_test.go
+++ b/internal/sidecar/config/config_test.go
@@ -30,6 +30,7 @@
 		`"10.0.0.2:1"->"10.0.0.2"`:                "key StoreAddress",
 		`"GraceSeconds": 6->"GraceSeconds": 0`:    "key Bounds.GraceSeconds",
 		`"LinkMbps": 5->"LinkMbps": "fast"`:       "LinkMbps",
+		`"RetryRatio": 0.2->"QuotaSlack": -1`:     "key Bounds.QuotaSlack",
 		`"FirstStart": true->"SecondStart": true`: "SecondStart",
 	} {
 		from, to, _ := strings.Cut(change, "->")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,6 +37,8 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/poison"
+	"github.com/pollencart/pollencart/internal/quota"
+	"github.com/pollencart/pollencart/internal/quota/wallet"
 	"github.com/pollencart/pollencart/internal/retrybudget"
 	"github.com/pollencart/pollencart/internal/rollout"
 	"github.com/pollencart/pollencart/internal/rollout/control"
@@ -82,6 +84,7 @@
 	discovery  *discovery.Agent
 	tombstone  *tombstone.Registry
 	rollouts   *control.Agent // nil if versions are not told apart
+	quotas     *quota.Agent   // nil if no limits are kept
 
 	host  *announce.Host
 	queue *slots.Queue
@@ -112,6 +115,7 @@
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(timelineSize))
 	n.store = platform.NewStore(c.StoreAddress, n.epoch, m.StoreCalled, n.recordSkippedEntry)
 	n.initMembership()
+	n.initQuotas()
 	n.backend()
 	n.initIngress()
 	n.registerPeerMethods()
@@ -155,6 +159,19 @@
 	}
 }
 
+// initQuotas creates the component that keeps the limits of workspaces.
+func (n *Sidecar) initQuotas() {
+	b := n.config.Bounds
+	if b.QuotaWindowSeconds == 0 {
+		return
+	}
+
+	n.quotas = quota.New(quota.Options{
+		Bound:  wallet.Bound{Window: config.Seconds(b.QuotaWindowSeconds), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
+		Tables: n.holder, Members: n.table, Peers: n.client, Recorder: n.recorder,
+	})
+}
+
 // permitted reports whether the version of the local backend server may receive calls.
 func (n *Sidecar) permitted() bool { return n.rollouts == nil || n.rollouts.Role() != rollout.Excluded }
 
@@ -195,6 +212,10 @@
 		options.Trials = n.rollouts
 	}
 
+	if n.quotas != nil {
+		options.Quotas = n.quotas
+	}
+
 	n.dispatcher = dispatch.New(options)
 	n.ingress = ingress.New(n.dispatcher, ingress.Limits(n.holder), ingress.WithObserver(deliveryObserver{n.recorder, n.meter}))
 }
@@ -215,6 +236,10 @@
 		n.server.Handle(method, h)
 	}
 
+	if n.quotas != nil {
+		n.quotas.Register(n.server)
+	}
+
 	if n.rollouts == nil {
 		return
 	}
@@ -321,6 +346,10 @@
 		parts = append(parts, n.rollouts.Run)
 	}
 
+	if n.quotas != nil {
+		parts = append(parts, n.quotas.Run)
+	}
+
 	for _, f := range parts {
 		running.Go(func() { f(work) })
 	}
