--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -121,6 +121,10 @@
 
 	var out ledger.Answer
 
+	if t.address == "" {
+		return out, peer.ErrUnreachable.With("%s: no address", t.id)
+	}
+
 	err := a.options.Peers.DoElsewhere(ctx, t.address, peer.LaneCalls, MethodAsk, in, &out)
 
 	return out, err
--- a/internal/quota/homes.go
+++ b/internal/quota/homes.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -18,11 +19,13 @@
 	// lostAfter is how long a home may answer nothing before a failed ask means that it is lost.
 	lostAfter = 250 * time.Millisecond
 	// replaceAfter is how long a home may be lost before it is left out of the set.
-	replaceAfter = 700 * time.Millisecond
+	replaceAfter = 300 * time.Millisecond
 	// returnAfter is how long a candidate must answer before it is taken into the set again.
 	returnAfter = 3 * time.Second
-	// settleTime is how long a new choice of homes must stay the same before it is used.
-	settleTime = 200 * time.Millisecond
+	// settleTime is how long a choice with new homes must stay the same before it is used. The first one
+	// is taken sooner.
+	settleTime      = 2 * time.Second
+	firstSettleTime = 200 * time.Millisecond
 	// domainHomes is the number of homes in the own failure domain while no better one is reachable.
 	domainHomes = 2
 )
@@ -32,10 +35,13 @@
 	self    string
 	started time.Time
 
-	mu          sync.Mutex
-	set, prior  *home.Set
-	priorEnds   time.Time // until when homes of the prior set may count this node
-	wanted      uint64    // the set chosen last
+	mu  sync.Mutex
+	set *home.Set // nil before the first choice
+	// next replaces set at moveAt, when no home that loses workspaces counts this node any more. It is
+	// nil if the choice stands.
+	next        *home.Set
+	moveAt      time.Time
+	wanted      uint64 // the set chosen last
 	wantedSince time.Time
 	states      map[string]*state
 }
@@ -45,6 +51,8 @@
 	id, address string
 	boot        uint64
 	stamp       int64
+	// renewed is the stamp to send while the delegation must not be renewed, 0 if it is.
+	renewed     int64
 	silentUntil time.Time // until when a process before this one may count the delegation
 	confirmed   uint64    // the set that the home knows
 	asked       time.Time
@@ -114,6 +122,10 @@
 		in.Boot, in.Stamp = s.boot, s.stamp
 	}
 
+	if s.renewed != 0 {
+		in.Stamp = s.renewed
+	}
+
 	if h.set == nil {
 		return in
 	}
@@ -123,10 +135,6 @@
 		in.Homes = h.set.IDs()
 	}
 
-	if h.prior != nil && now.Before(h.priorEnds) {
-		in.Prior, in.PriorMs = h.prior.IDs(), h.priorEnds.Sub(now).Milliseconds()+1
-	}
-
 	return in
 }
 
@@ -147,6 +155,7 @@
 		fallthrough
 	default:
 		s.boot, s.stamp = out.Boot, out.Stamp
+		s.asked = time.Time{} // the next ask delegates
 	}
 
 	s.confirmed, s.received = out.Set, now
@@ -182,7 +191,11 @@
 	defer h.mu.Unlock()
 
 	now := time.Now()
-	h.forget(live, now)
+	h.forget(live)
+
+	if h.next != nil {
+		return h.move(now)
+	}
 
 	wanted := h.eligible(home.Strongest(live, home.MaxHomes), now)
 	if len(wanted) == 0 {
@@ -198,39 +211,88 @@
 		h.wanted, h.wantedSince = next.Hash(), now
 	}
 
-	if h.set != nil && h.set.Hash() == h.wanted || now.Sub(h.wantedSince) < settleTime || now.Before(h.priorEnds) {
+	h.prepare(next, now)
+
+	return h.next != nil && h.move(now)
+}
+
+// prepare starts the move to a chosen set. Homes that are lost are left out first: only their
+// workspaces move, and what the others hold goes on.
+func (h *homes) prepare(chosen *home.Set, now time.Time) {
+	if h.set == nil {
+		if now.Sub(h.wantedSince) >= firstSettleTime {
+			h.next = chosen
+		}
+
+		return
+	}
+
+	remaining := slices.DeleteFunc(slices.Clone(h.set.IDs()), func(id string) bool { return !chosen.Has(id) })
+
+	switch {
+	case len(remaining) < len(h.set.IDs()) && len(remaining) > 0:
+		h.next = home.New(remaining)
+	case chosen.Hash() != h.set.Hash() && (len(remaining) == 0 || now.Sub(h.wantedSince) >= settleTime):
+		h.next = chosen
+	default:
+		return
+	}
+
+	h.moveAt = now
+
+	for _, id := range h.set.IDs() {
+		s := h.state(id)
+		if loses := len(remaining) == len(h.set.IDs()) || !h.next.Has(id); !loses {
+			continue
+		}
+
+		s.renewed = max(s.stamp, 1)
+
+		if ends := s.received.Add(ledger.Lease); ends.After(h.moveAt) {
+			h.moveAt = ends
+		}
+	}
+}
+
+// move replaces the set once no home that loses workspaces counts this node.
+func (h *homes) move(now time.Time) bool {
+	if now.Before(h.moveAt) {
 		return false
 	}
 
-	h.prior, h.set = h.set, next
+	h.set, h.next = h.next, nil
 
 	for _, s := range h.states {
-		if ends := s.received.Add(ledger.Lease); h.prior != nil && h.prior.Has(s.id) && ends.After(h.priorEnds) {
-			h.priorEnds = ends
-		}
+		s.renewed, s.asked = 0, time.Time{}
 	}
 
 	return true
 }
 
 // forget drops the states of nodes that are gone and count no delegation.
-func (h *homes) forget(live []membership.Record, now time.Time) {
-	if !now.After(h.priorEnds) {
-		return
-	}
-
+func (h *homes) forget(live []membership.Record) {
 	alive := make(map[string]bool, len(live))
+
 	for _, r := range live {
 		alive[r.ID] = true
+
+		if s := h.states[r.ID]; s != nil {
+			s.address = r.PeerAddress
+		}
 	}
 
 	for id := range h.states {
-		if !alive[id] && (h.set == nil || !h.set.Has(id)) {
+		if !alive[id] && !h.uses(id) {
 			delete(h.states, id)
 		}
 	}
 }
 
+// uses reports whether a node is a home now or soon.
+func (h *homes) uses(id string) bool {
+	return h.set != nil && h.set.Has(id) || h.next != nil && h.next.Has(id)
+}
+
 // eligible returns the IDs of the candidates that answer, and updates their addresses.
 func (h *homes) eligible(candidates []membership.Record, now time.Time) []string {
 	var out []string
@@ -239,8 +301,8 @@
 		s := h.state(r.ID)
 		s.address = r.PeerAddress
 
-		lost := !s.lost.IsZero() && now.Sub(s.lost) > replaceAfter
-		if back := h.set == nil || h.set.Has(r.ID) || now.Sub(s.back) > returnAfter; r.ID == h.self || !lost && back {
+		lost := !s.lost.IsZero() && (now.Sub(s.lost) > replaceAfter || !h.uses(r.ID))
+		if back := h.set == nil || h.uses(r.ID) || now.Sub(s.back) > returnAfter; r.ID == h.self || !lost && back {
 			out = append(out, r.ID)
 		}
 	}
@@ -260,19 +322,16 @@
 
 	for id, s := range h.states {
 		interval := renewInterval
-		if h.set == nil || !h.set.Has(id) {
+		if !h.uses(id) {
 			interval = probeInterval
 
 			if s.lost.IsZero() && now.Sub(s.back) > returnAfter {
-				if now.After(h.priorEnds) {
-					delete(h.states, id)
-				}
-
 				continue
 			}
 		}
 
 		if now.Sub(s.asked) >= interval {
+			s.asked = now
 			out = append(out, target{id: id, address: s.address})
 		}
 	}
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -8,9 +8,9 @@
 // the limit, whatever they think of each other.
 //
 // A delegation is counted from the time at which the home sent its last answer that the node has
-// received. The node waits for [Lease] from the receipt before it delegates its share to another home
-// or uses it alone. The home's time is over first, also if either was frozen or a message was late.
-// A node that delegates to another set of homes names the set before, which may still count its share.
+// received. Before a node uses another set of homes, it stops to renew at those that lose workspaces by
+// that, and waits for [Lease] from the receipt. The home's time is over first, also if either was
+// frozen or a message was late.
 //
 // A bucket starts empty, loses what it holds beyond its share, and is emptied after a freeze.
 //
@@ -53,7 +53,7 @@
 	mu      sync.Mutex
 	nodes   map[string]*delegation
 	sets    map[uint64]*home.Set
-	groups  map[groupKey]group
+	groups  map[uint64]group
 	known   int       // nodes that share a limit
 	grouped time.Time // of the last regroup
 	// steady is since when the delegated shares have not grown. A new bucket is refilled from then on.
@@ -63,18 +63,15 @@
 
 // delegation is that of one node.
 type delegation struct {
-	set, prior *home.Set
-	priorEnds  time.Time
-	ends       time.Time
-	known      int
+	set   *home.Set
+	ends  time.Time
+	known int
 }
 
-// groupKey and group count the nodes that delegate in the same way.
-type groupKey struct{ set, prior uint64 }
-
+// group counts the nodes that use the same set of homes.
 type group struct {
-	set, prior *home.Set
-	count      int
+	set   *home.Set
+	count int
 }
 
 // New returns the ledger of a process that has just started. window is that in which granted calls
@@ -84,7 +81,7 @@
 
 	return &Ledger{
 		self: self, boot: boot, window: window, start: now, nodes: map[string]*delegation{}, sets: map[uint64]*home.Set{},
-		groups: map[groupKey]group{}, grouped: now, steady: now, buckets: map[string]*bucket{},
+		groups: map[uint64]group{}, grouped: now, steady: now, buckets: map[string]*bucket{},
 	}
 }
 
@@ -134,15 +131,11 @@
 		l.grouped = now.Add(-groupInterval)
 	}
 
-	d.set, d.known, d.prior = set, in.Known, nil
+	d.set, d.known = set, in.Known
 	if ends.After(d.ends) {
 		d.ends = ends
 	}
 
-	if in.PriorMs > 0 && len(in.Prior) > 0 {
-		d.prior, d.priorEnds = home.New(in.Prior), now.Add(time.Duration(in.PriorMs)*time.Millisecond)
-	}
-
 	return set.Hash()
 }
 
@@ -194,7 +187,7 @@
 	}
 
 	l.grouped = now
-	groups := map[groupKey]group{}
+	groups := map[uint64]group{}
 	before, nodes := l.known, 0
 
 	l.known = known
@@ -206,16 +199,8 @@
 			continue
 		}
 
-		if d.prior != nil && !now.Before(d.priorEnds) {
-			d.prior = nil
-		}
-
-		k := groupKey{set: d.set.Hash()}
-		if d.prior != nil {
-			k.prior = d.prior.Hash()
-		}
-
-		groups[k] = group{set: d.set, prior: d.prior, count: groups[k].count + 1}
+		k := d.set.Hash()
+		groups[k] = group{set: d.set, count: groups[k].count + 1}
 		l.known, nodes = max(l.known, d.known), nodes+1
 	}
 
@@ -234,12 +219,12 @@
 	}
 }
 
-func sameGroups(a, b map[groupKey]group) bool {
+func sameGroups(a, b map[uint64]group) bool {
 	return len(a) == len(b) && !grows(a, b) && !grows(b, a)
 }
 
 // grows reports whether a group has more nodes than before.
-func grows(a, b map[groupKey]group) bool {
+func grows(a, b map[uint64]group) bool {
 	for k, g := range a {
 		if g.count > b[k].count {
 			return true
@@ -254,7 +239,7 @@
 	nodes := 0
 
 	for _, g := range l.groups {
-		if g.set.Of(workspace) == l.self && (g.prior == nil || g.prior.Of(workspace) == l.self) {
+		if g.set.Of(workspace) == l.self {
 			nodes += g.count
 		}
 	}
--- a/internal/quota/ledger/message.go
+++ b/internal/quota/ledger/message.go
@@ -51,15 +51,12 @@
 	// Set identifies the homes that the node uses; Homes lists them if this home has not confirmed them.
 	Set   uint64   `msgpack:"Set"`
 	Homes []string `msgpack:"Homes"`
-	// Prior are the homes that the node used before. They may count its delegation for PriorMs.
-	Prior   []string `msgpack:"Prior"`
-	PriorMs int64    `msgpack:"PriorMs"`
-	Items   []Item   `msgpack:"Items"`
+	Items []Item   `msgpack:"Items"`
 }
 
 // Check reports whether a decoded ask is valid.
 func (a *Ask) Check() error {
-	if a.Node == "" || a.Known < 0 || len(a.Items) > maxItems || len(a.Homes) > maxHomes || len(a.Prior) > maxHomes {
+	if a.Node == "" || a.Known < 0 || len(a.Items) > maxItems || len(a.Homes) > maxHomes {
 		return ErrMessage.With("ask of %q with %d items", a.Node, len(a.Items))
 	}
 
--- a/internal/quota/run.go
+++ b/internal/quota/run.go
@@ -83,3 +83,11 @@
 		a.options.Recorder.Record(event.QuotaExceeded, timeline.Entry{Detail: line})
 	}
 }
+
+// Held returns the number of wallets and buckets that this node holds.
+func (a *Agent) Held() (wallets, buckets int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return len(a.entries), len(a.ledger.Uses())
+}
