quota: a young process corrects its choice of homes sooner

Cause: while a process learns of others its first homes are not those of all. Change: it waits 0.4 s before its first choice and its corrections, 2 s later on.

--- a/internal/quota/homes.go
+++ b/internal/quota/homes.go
@@ -22,10 +22,11 @@
 	replaceAfter = 300 * time.Millisecond
 	// returnAfter is how long a candidate must answer before it is taken into the set again.
 	returnAfter = 3 * time.Second
-	// settleTime is how long a choice with new homes must stay the same before it is used. The first one
-	// is taken sooner.
+	// settleTime is how long a choice with new homes must stay the same before it is used. A process
+	// younger than youngTime, which still learns of other nodes, corrects its choice sooner.
 	settleTime      = 2 * time.Second
-	firstSettleTime = 200 * time.Millisecond
+	youngSettleTime = 400 * time.Millisecond
+	youngTime       = 4 * time.Second
 	// domainHomes is the number of homes in the own failure domain while no better one is reachable.
 	domainHomes = 2
 )
@@ -219,8 +220,13 @@
 // prepare starts the move to a chosen set. Homes that are lost are left out first: only their
 // workspaces move, and what the others hold goes on.
 func (h *homes) prepare(chosen *home.Set, now time.Time) {
+	settle := settleTime
+	if now.Sub(h.started) < youngTime {
+		settle = youngSettleTime
+	}
+
 	if h.set == nil {
-		if now.Sub(h.wantedSince) >= firstSettleTime {
+		if now.Sub(h.wantedSince) >= settle {
 			h.next = chosen
 		}
 
@@ -232,7 +238,7 @@
 	switch {
 	case len(remaining) < len(h.set.IDs()) && len(remaining) > 0:
 		h.next = home.New(remaining)
-	case chosen.Hash() != h.set.Hash() && (len(remaining) == 0 || now.Sub(h.wantedSince) >= settleTime):
+	case chosen.Hash() != h.set.Hash() && (len(remaining) == 0 || now.Sub(h.wantedSince) >= settle):
 		h.next = chosen
 	default:
 		return
