quota: more of a window's calls, and calls wait for a home that starts

Cause: with a bucket of the whole burst a workspace that asks for more gets its rate only, though a window allows more; after a kill of all nodes calls were refused for a second. Change: the pace of a bucket comes from the calls of a whole window, with room for shares that are used twice; a home says when it has the delegations of most nodes, and calls wait for it up to 0.8 s, 64 at a node at most.

--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -13,9 +13,17 @@
 // askTimeout bounds an ask: some tens of round trips, and a busy host's scheduling delay.
 const askTimeout = 150 * time.Millisecond
 
-// wait asks the home of a workspace for the calls that wait, or waits for the ask in flight. It
-// reports false if the home did not answer.
-func (a *Agent) wait(ctx context.Context, e *entry, t target, l ledger.Limit) bool {
+// outcome is what came of an ask.
+type outcome uint8
+
+const (
+	answered outcome = iota + 1
+	unanswered
+	unready // the home grants nothing yet
+)
+
+// wait asks the home of a workspace for the calls that wait, or waits for the ask in flight.
+func (a *Agent) wait(ctx context.Context, e *entry, t target, l ledger.Limit) outcome {
 	e.mu.Lock()
 	e.waiting++
 	e.limit = l
@@ -31,16 +39,16 @@
 
 	select {
 	case <-flight.done:
-		return flight.err == nil
+		return flight.outcome
 	case <-ctx.Done():
-		return false
+		return unanswered
 	}
 }
 
 // flight is an ask whose answer several calls may wait for.
 type flight struct {
-	done chan struct{}
-	err  error
+	done    chan struct{}
+	outcome outcome
 }
 
 // fly returns the ask in flight, or sends one. e.mu must be held.
@@ -59,12 +67,19 @@
 		sent := time.Now()
 		out, err := a.ask(t, item)
 
+		f.outcome = unanswered
+
 		if err == nil && len(out.Grants) == 1 {
 			e.wallet.Granted(out.Grants[0], sent)
+
+			f.outcome = answered
+			if out.Grants[0].Unready {
+				f.outcome = unready
+			}
 		}
 
 		e.mu.Lock()
-		e.flight, f.err = nil, err
+		e.flight = nil
 		e.mu.Unlock()
 		close(f.done)
 	}()
--- a/internal/quota/homes.go
+++ b/internal/quota/homes.go
@@ -14,6 +14,8 @@
 	// renewInterval is the longest pause between two asks to a home. It lets one renewal get lost within
 	// a lease.
 	renewInterval = 400 * time.Millisecond
+	// tolerance is how much earlier than due a home may be asked.
+	tolerance = 10 * time.Millisecond
 	// probeInterval is the pause between asks to a candidate that is not in use.
 	probeInterval = time.Second
 	// lostAfter is how long a home may answer nothing before a failed ask means that it is lost.
@@ -23,9 +25,10 @@
 	// returnAfter is how long a candidate must answer before it is taken into the set again.
 	returnAfter = 3 * time.Second
 	// settleTime is how long a choice with new homes must stay the same before it is used. A process
-	// younger than youngTime, which still learns of other nodes, corrects its choice sooner.
+	// younger than youngTime, which still learns of other nodes, corrects its choice sooner, and at once
+	// before its first delegation.
 	settleTime      = 2 * time.Second
-	youngSettleTime = 400 * time.Millisecond
+	youngSettleTime = 250 * time.Millisecond
 	youngTime       = 4 * time.Second
 	// domainHomes is the number of homes in the own failure domain while no better one is reachable.
 	domainHomes = 2
@@ -44,6 +47,7 @@
 	moveAt      time.Time
 	wanted      uint64 // the set chosen last
 	wantedSince time.Time
+	delegated   bool // a share was delegated since the start
 	states      map[string]*state
 }
 
@@ -56,6 +60,7 @@
 	renewed     int64
 	silentUntil time.Time // until when a process before this one may count the delegation
 	confirmed   uint64    // the set that the home knows
+	ready       bool      // the home grants calls
 	asked       time.Time
 	received    time.Time // of the last answer
 	lost        time.Time // zero while it answers
@@ -86,7 +91,11 @@
 	}
 
 	s := h.state(h.set.Of(workspace))
-	t := target{id: s.id, address: s.address, reachable: s.lost.IsZero(), lost: s.lost, own: s.received.Add(ledger.Lease)}
+	t := target{id: s.id, address: s.address, reachable: s.lost.IsZero() && s.ready, lost: s.lost, own: s.received.Add(ledger.Lease)}
+
+	if s.lost.IsZero() {
+		t.lost = s.received
+	}
 
 	if t.lost.Before(ready) {
 		t.lost = ready
@@ -119,8 +128,9 @@
 	s.asked = now
 	in := ledger.Ask{Node: h.self, Known: known}
 
-	if !now.Before(s.silentUntil) {
+	if !now.Before(s.silentUntil) && (h.delegated || h.set != nil && now.Sub(h.wantedSince) >= youngSettleTime) {
 		in.Boot, in.Stamp = s.boot, s.stamp
+		h.delegated = h.delegated || s.stamp != 0
 	}
 
 	if s.renewed != 0 {
@@ -159,7 +169,7 @@
 		s.asked = time.Time{} // the next ask delegates
 	}
 
-	s.confirmed, s.received = out.Set, now
+	s.confirmed, s.received, s.ready = out.Set, now, out.Ready
 
 	found := !s.lost.IsZero()
 	if found {
@@ -225,8 +235,8 @@
 		settle = youngSettleTime
 	}
 
-	if h.set == nil {
-		if now.Sub(h.wantedSince) >= settle {
+	if h.set == nil || !h.delegated {
+		if h.set == nil || h.set.Hash() != chosen.Hash() {
 			h.next = chosen
 		}
 
@@ -328,6 +338,10 @@
 
 	for id, s := range h.states {
 		interval := renewInterval
+		if !h.delegated || !s.ready && s.lost.IsZero() {
+			interval = ledger.TickInterval
+		}
+
 		if !h.uses(id) {
 			interval = probeInterval
 
@@ -336,7 +350,7 @@
 			}
 		}
 
-		if now.Sub(s.asked) >= interval {
+		if now.Sub(s.asked) >= interval-tolerance {
 			s.asked = now
 			out = append(out, target{id: id, address: s.address})
 		}
--- a/internal/quota/ledger/bucket.go
+++ b/internal/quota/ledger/bucket.go
@@ -23,6 +23,7 @@
 
 // bucket is the token bucket of one workspace at its home.
 type bucket struct {
+	bound     Bound
 	limit     Limit
 	limitSeen time.Time
 	share     float64 // part of the limit that is delegated to this home
@@ -52,13 +53,16 @@
 		return 0
 	}
 
-	return max(1, b.limit.Burst*b.share, b.limit.Rate*b.share*minDepth)
+	return max(1, b.bound.Depth(b.limit)*b.share, b.pace()*minDepth)
 }
 
+// pace returns the calls a second that are refilled.
+func (b *bucket) pace() float64 { return b.bound.Pace(b.limit) * b.share }
+
 // refill adds the tokens of the time since the last refill.
 func (b *bucket) refill(now time.Time) {
 	if dt := now.Sub(b.at).Seconds(); dt > 0 {
-		b.tokens += b.limit.Rate * b.share * dt
+		b.tokens += b.pace() * dt
 	}
 
 	b.tokens, b.at = min(b.tokens, b.depth()), now
@@ -72,7 +76,7 @@
 }
 
 // take grants an item as far as there are tokens.
-func (b *bucket) take(i Item, window time.Duration, now time.Time) Grant {
+func (b *bucket) take(i Item, now time.Time) Grant {
 	b.refill(now)
 
 	b.asked = now
@@ -84,9 +88,9 @@
 
 	n := min(want, int(b.tokens))
 	b.tokens -= float64(n)
-	b.count(n, window, now)
+	b.count(n, now)
 
-	g := Grant{Calls: n, Version: b.limit.Version, Counted: b.counted()}
+	g := Grant{Calls: n, Version: b.limit.Version, Counted: b.counted(), Unready: b.share <= 0}
 	if missing := max(i.Need-n, 0); missing+i.Refused > 0 {
 		g.Short = missing > 0
 		g.WaitMs, g.SpreadMs = b.reserve(missing+i.Refused, now)
@@ -97,7 +101,7 @@
 
 // reserve finds room for refused calls behind those that were refused before.
 func (b *bucket) reserve(calls int, now time.Time) (waitMs, spreadMs int64) {
-	refill := b.limit.Rate * b.share
+	refill := b.pace()
 	if refill <= 0 {
 		return (maxWait / 2).Milliseconds(), (maxWait / 2).Milliseconds()
 	}
@@ -129,8 +133,8 @@
 }
 
 // count counts granted calls.
-func (b *bucket) count(n int, window time.Duration, now time.Time) {
-	part := now.UnixNano() / int64(window/parts)
+func (b *bucket) count(n int, now time.Time) {
+	part := now.UnixNano() / int64(b.bound.Window/parts)
 	for p := max(b.part+1, part-parts+1); p <= part; p++ {
 		b.counts[p%parts] = 0
 	}
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	l := ledger.New("node-1", 5*time.Second)
+//	l := ledger.New("node-1", boot, bound)
 //	answer := l.Ask(ask, knownNodes)
 //	l.Tick(knownNodes) // every TickInterval
 package ledger
@@ -39,16 +39,23 @@
 	groupInterval = 20 * time.Millisecond
 	// dropAfter is when the bucket of a workspace that nobody asks for is dropped.
 	dropAfter = 10 * time.Second
+	// warmUp is how long a process grants nothing: it may not know enough nodes.
+	warmUp = 500 * time.Millisecond
+	// youngTime is how long new buckets are refilled from the start of the process on: the processes
+	// before have stopped at the same time, or their callers waited meanwhile.
+	youngTime = 1500 * time.Millisecond
+	// readyShare is the part of the nodes whose delegations a young home waits for.
+	readyShare = 0.8
 	// maxSets bounds the sets of homes that entries have named.
 	maxSets = 64
 )
 
 // Ledger holds the delegations to one home and its buckets.
 type Ledger struct {
-	self   string
-	boot   uint64
-	window time.Duration
-	start  time.Time
+	self  string
+	boot  uint64
+	bound Bound
+	start time.Time
 
 	mu      sync.Mutex
 	nodes   map[string]*delegation
@@ -74,13 +81,12 @@
 	count int
 }
 
-// New returns the ledger of a process that has just started. window is that in which granted calls
-// are counted for the operator.
-func New(self string, boot uint64, window time.Duration) *Ledger {
+// New returns the ledger of a process that has just started.
+func New(self string, boot uint64, b Bound) *Ledger {
 	now := time.Now()
 
 	return &Ledger{
-		self: self, boot: boot, window: window, start: now, nodes: map[string]*delegation{}, sets: map[uint64]*home.Set{},
+		self: self, boot: boot, bound: b, start: now, nodes: map[string]*delegation{}, sets: map[uint64]*home.Set{},
 		groups: map[uint64]group{}, grouped: now, steady: now, buckets: map[string]*bucket{},
 	}
 }
@@ -94,16 +100,24 @@
 	l.unfreeze(now)
 	out := Answer{Boot: l.boot, Stamp: l.stamp(now), Set: l.delegate(in, now)}
 	l.regroup(known, now)
+	out.Ready = l.ready(now)
 
 	for _, i := range in.Items {
 		b := l.bucket(i, now)
 		b.adopt(i.Limit, now)
-		out.Grants = append(out.Grants, b.take(i, l.window, now))
+		out.Grants = append(out.Grants, b.take(i, now))
 	}
 
 	return out
 }
 
+// ready reports whether the home has the delegations that it can expect.
+func (l *Ledger) ready(now time.Time) bool {
+	age := now.Sub(l.start)
+
+	return age >= youngTime || age >= warmUp && float64(len(l.nodes)) >= readyShare*float64(l.known)
+}
+
 // stamp returns the time of this home that an answer carries, in milliseconds and never 0.
 func (l *Ledger) stamp(now time.Time) int64 { return now.Sub(l.start).Milliseconds() + 1 }
 
@@ -199,6 +213,10 @@
 			continue
 		}
 
+		if now.Sub(l.start) < warmUp {
+			continue
+		}
+
 		k := d.set.Hash()
 		groups[k] = group{set: d.set, count: groups[k].count + 1}
 		l.known, nodes = max(l.known, d.known), nodes+1
@@ -209,7 +227,7 @@
 		return
 	}
 
-	if l.known < before || grows(groups, l.groups) {
+	if young := now.Sub(l.start) < youngTime; !young && (l.known < before || grows(groups, l.groups)) {
 		l.steady = now
 	}
 
@@ -252,7 +270,7 @@
 func (l *Ledger) bucket(i Item, now time.Time) *bucket {
 	b := l.buckets[i.Workspace]
 	if b == nil {
-		b = &bucket{limit: i.Limit, limitSeen: now, share: l.share(i.Workspace), at: l.steady, asked: now}
+		b = &bucket{bound: l.bound, limit: i.Limit, limitSeen: now, share: l.share(i.Workspace), at: l.steady, asked: now}
 		l.buckets[i.Workspace] = b
 	}
 
@@ -280,7 +298,7 @@
 
 	for name, b := range l.buckets {
 		b.refill(now)
-		b.count(0, l.window, now)
+		b.count(0, now)
 		out = append(out, Use{Workspace: name, Limit: b.limit, Share: b.share, Counted: b.counted(), Tokens: b.tokens})
 	}
 
--- a/internal/quota/ledger/message.go
+++ b/internal/quota/ledger/message.go
@@ -87,6 +87,8 @@
 	// Counted is the number of calls granted in the last window, Version the version of the limit.
 	Counted int    `msgpack:"Counted"`
 	Version uint64 `msgpack:"Version"`
+	// Unready reports that no share of the limit is delegated to this home yet.
+	Unready bool `msgpack:"Unready"`
 }
 
 // Answer answers an [Ask].
@@ -96,7 +98,9 @@
 	Boot  uint64 `msgpack:"Boot"`
 	Stamp int64  `msgpack:"Stamp"`
 	// Set is the set of homes of the ask, or 0 if the home does not know its nodes.
-	Set    uint64  `msgpack:"Set"`
+	Set uint64 `msgpack:"Set"`
+	// Ready is false while the home has just started and waits for delegations.
+	Ready  bool    `msgpack:"Ready"`
 	Grants []Grant `msgpack:"Grants"`
 }
 
--- a/internal/quota/options.go
+++ b/internal/quota/options.go
@@ -6,7 +6,7 @@
 
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
-	"github.com/pollencart/pollencart/internal/quota/wallet"
+	"github.com/pollencart/pollencart/internal/quota/ledger"
 	"github.com/pollencart/pollencart/internal/route"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -35,7 +35,7 @@
 
 // Options of an agent.
 type Options struct {
-	Bound    wallet.Bound
+	Bound    ledger.Bound
 	Tables   Tables
 	Members  Members
 	Peers    Peers
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -16,6 +16,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/dispatch"
@@ -38,6 +39,11 @@
 	maxTries = 3
 	// contendedWait is the time to come back for a call that got nothing in them.
 	contendedWait = 100 * time.Millisecond
+	// maxPatience is how long a call waits for a home that grants, looking each patienceStep, and maxHeld
+	// the number of calls that do so at the same time.
+	maxPatience  = 800 * time.Millisecond
+	patienceStep = 40 * time.Millisecond
+	maxHeld      = 64
 )
 
 // Agent keeps the limits at one node, as an entry and as a home.
@@ -47,6 +53,8 @@
 	ledger  *ledger.Ledger
 	homes   *homes
 
+	held atomic.Int64 // calls that wait for a home
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	counts  *counts
@@ -75,7 +83,7 @@
 	self := o.Members.Self()
 
 	return &Agent{
-		options: o, self: self.ID, ledger: ledger.New(self.ID, self.Incarnation, o.Bound.Window), homes: newHomes(self.ID),
+		options: o, self: self.ID, ledger: ledger.New(self.ID, self.Incarnation, o.Bound), homes: newHomes(self.ID),
 		entries: map[string]*entry{}, counts: newCounts(),
 	}
 }
@@ -107,8 +115,9 @@
 
 func (a *Agent) decide(ctx context.Context, e *entry, w *workspace.Workspace) dispatch.QuotaDecision {
 	limit := ledger.Limit{Rate: w.Rate, Burst: w.Burst, Version: a.version()}
+	began := time.Now()
 
-	for range maxTries {
+	for tries := 0; tries < maxTries; tries++ {
 		switch e.wallet.Take() {
 		case wallet.Run:
 			a.prefetch(e, limit)
@@ -120,22 +129,29 @@
 		}
 
 		t := a.homes.of(w.Name)
-		if !t.reachable || !a.wait(ctx, e, t, limit) {
-			return a.alone(e, w)
+		if t.reachable && a.wait(ctx, e, t, limit) == answered {
+			continue
+		}
+
+		d := a.alone(e, w, limit)
+		if d.Allowed || !a.patient(ctx, began) {
+			return d
 		}
+
+		tries = 0
 	}
 
 	return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "other calls took what was granted")}
 }
 
 // alone decides with this entry's own share of the limit.
-func (a *Agent) alone(e *entry, w *workspace.Workspace) dispatch.QuotaDecision {
+func (a *Agent) alone(e *entry, w *workspace.Workspace, l ledger.Limit) dispatch.QuotaDecision {
 	t := a.homes.of(w.Name)
-	if t.lost.IsZero() { // an ask failed, but the home answers others
-		return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "the home of the limit did not answer in time")}
+	if t.reachable { // an ask failed, but the home answers others
+		return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "its home does not grant calls yet")}
 	}
 
-	share := wallet.Share{Rate: w.Rate, Burst: w.Burst, Nodes: a.known(), Lost: t.lost, Own: t.own}
+	share := wallet.Share{Limit: l, Nodes: a.known(), Lost: t.lost, Own: t.own}
 	if e.wallet.TakeAlone(share) == wallet.Run {
 		return dispatch.QuotaDecision{Allowed: true}
 	}
@@ -143,6 +159,29 @@
 	return a.refuse(e, w)
 }
 
+// patient waits a moment for a home, and reports whether the call may wait longer. While no home
+// grants, a call that waits costs less than a caller that comes back on a new connection.
+func (a *Agent) patient(ctx context.Context, began time.Time) bool {
+	if time.Since(began) >= maxPatience {
+		return false
+	}
+
+	if a.held.Add(1) > maxHeld {
+		a.held.Add(-1)
+
+		return false
+	}
+
+	defer a.held.Add(-1)
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(patienceStep):
+		return true
+	}
+}
+
 // refuse returns the refusal that the wallet holds.
 func (a *Agent) refuse(e *entry, w *workspace.Workspace) dispatch.QuotaDecision {
 	r := e.wallet.Last()
--- a/internal/quota/wallet/alone.go
+++ b/internal/quota/wallet/alone.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/quota/ledger"
 )
 
 // alone is the entry's own share of a limit, which it uses while no home counts it.
@@ -21,7 +23,7 @@
 
 // Share is the entry's own share of a limit.
 type Share struct {
-	Rate, Burst float64
+	Limit ledger.Limit
 	// Nodes is the number of nodes that share the limit.
 	Nodes int
 	// Lost is when the home was lost, Own from when on no home counts this entry's share.
@@ -38,8 +40,9 @@
 		return Run
 	}
 
-	rate := s.Rate / float64(max(s.Nodes, 1))
-	life := (s.Burst + slackPart*w.bound.Slack) / s.Rate
+	pace := w.bound.Pace(s.Limit)
+	rate := pace / float64(max(s.Nodes, 1))
+	life := w.bound.Depth(s.Limit) / pace
 	w.alone.refill(rate, life, s, now)
 
 	if w.alone.level < 1 {
--- a/internal/quota/wallet/wallet.go
+++ b/internal/quota/wallet/wallet.go
@@ -24,36 +24,16 @@
 	demandMemory = time.Second
 	// batchTime is the demand that an entry asks for in advance.
 	batchTime = 250 * time.Millisecond
-	// lifePart is the part of the overage that granted calls may use by running later than they were
-	// granted. minLife and maxLife bound their life.
-	lifePart = 0.6
-	minLife  = 20 * time.Millisecond
-	maxLife  = time.Second
 	// returnLife is the life of a call that was given back.
 	returnLife = 100 * time.Millisecond
 	// minHold and maxHold bound how long a refusal is remembered. Every entry asks again after it, so
 	// that room at the home is used.
 	minHold = 25 * time.Millisecond
 	maxHold = 150 * time.Millisecond
-	// slackPart is the part of the slack that entries on their own may hold as unused calls.
-	slackPart = 0.5
 	// overlapEvery is how often an entry may use its own share while a home may still count it.
 	overlapEvery = 5 * time.Second
 )
 
-// Bound is what the deployment tolerates beyond a limit: in any Window, Overage as a part of the limit
-// and Slack calls.
-type Bound struct {
-	Window  time.Duration
-	Overage float64
-	Slack   float64
-}
-
-// Life returns how long granted calls may wait for callers.
-func (b Bound) Life() time.Duration {
-	return min(max(time.Duration(lifePart*b.Overage*float64(b.Window)), minLife), maxLife)
-}
-
 // Decision is what an entry does with a call.
 type Decision uint8
 
@@ -87,7 +67,7 @@
 
 // Wallet holds the granted calls of one workspace at one entry.
 type Wallet struct {
-	bound Bound
+	bound ledger.Bound
 
 	mu      sync.Mutex
 	lots    []lot
@@ -101,7 +81,7 @@
 }
 
 // New returns an empty wallet.
-func New(b Bound) *Wallet { return &Wallet{bound: b, used: time.Now()} }
+func New(b ledger.Bound) *Wallet { return &Wallet{bound: b, used: time.Now()} }
 
 // Offer counts a call that a caller sent.
 func (w *Wallet) Offer() {
@@ -218,7 +198,7 @@
 		w.lots = append(w.lots, lot{calls: g.Calls, ends: sent.Add(w.bound.Life())})
 	}
 
-	if !g.Short {
+	if !g.Short || g.Unready {
 		return
 	}
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -38,7 +38,7 @@
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/quota"
-	"github.com/pollencart/pollencart/internal/quota/wallet"
+	"github.com/pollencart/pollencart/internal/quota/ledger"
 	"github.com/pollencart/pollencart/internal/retrybudget"
 	"github.com/pollencart/pollencart/internal/rollout"
 	"github.com/pollencart/pollencart/internal/rollout/control"
@@ -167,7 +167,7 @@
 	}
 
 	n.quotas = quota.New(quota.Options{
-		Bound:  wallet.Bound{Window: config.Seconds(b.QuotaWindowSeconds), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
+		Bound:  ledger.Bound{Window: config.Seconds(b.QuotaWindowSeconds), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
 		Tables: n.holder, Members: n.table, Peers: n.client, Recorder: n.recorder,
 	})
 }
