--- a/internal/quota/homes.go
+++ b/internal/quota/homes.go
@@ -227,14 +227,8 @@
 	return h.next != nil && h.move(now)
 }
 
-// prepare starts the move to a chosen set. Homes that are lost are left out first: only their
-// workspaces move, and what the others hold goes on.
+// prepare starts the move to a chosen set.
 func (h *homes) prepare(chosen *home.Set, now time.Time) {
-	settle := settleTime
-	if now.Sub(h.started) < youngTime {
-		settle = youngSettleTime
-	}
-
 	if h.set == nil || !h.delegated {
 		if h.set == nil || h.set.Hash() != chosen.Hash() {
 			h.next = chosen
@@ -243,25 +237,42 @@
 		return
 	}
 
+	// Homes that are lost are left out first: only their workspaces move, and what the others hold goes on.
 	remaining := slices.DeleteFunc(slices.Clone(h.set.IDs()), func(id string) bool { return !chosen.Has(id) })
+	lost := len(remaining) < len(h.set.IDs())
 
 	switch {
-	case len(remaining) < len(h.set.IDs()) && len(remaining) > 0:
+	case lost && len(remaining) > 0:
 		h.next = home.New(remaining)
-	case chosen.Hash() != h.set.Hash() && (len(remaining) == 0 || now.Sub(h.wantedSince) >= settle):
+	case chosen.Hash() != h.set.Hash() && (lost || now.Sub(h.wantedSince) >= h.settle(now)):
 		h.next = chosen
 	default:
 		return
 	}
 
+	h.release(!lost, now)
+}
+
+// settle returns how long a choice must stay the same.
+func (h *homes) settle(now time.Time) time.Duration {
+	if now.Sub(h.started) < youngTime {
+		return youngSettleTime
+	}
+
+	return settleTime
+}
+
+// release stops renewing the delegations to the homes that lose workspaces: all of them, or those that
+// are not in the next set.
+func (h *homes) release(all bool, now time.Time) {
 	h.moveAt = now
 
 	for _, id := range h.set.IDs() {
-		s := h.state(id)
-		if loses := len(remaining) == len(h.set.IDs()) || !h.next.Has(id); !loses {
+		if !all && h.next.Has(id) {
 			continue
 		}
 
+		s := h.state(id)
 		s.renewed = max(s.stamp, 1)
 
 		if ends := s.received.Add(ledger.Lease); ends.After(h.moveAt) {
--- a/internal/quota/ledger/bucket.go
+++ b/internal/quota/ledger/bucket.go
@@ -15,8 +15,9 @@
 	// spareDepth is the part of the depth below which only calls that wait are granted: spare calls may
 	// end unused.
 	spareDepth = 0.25
-	// maxWait is the longest wait told to a caller. Callers that would have to wait longer give up.
-	maxWait = 2 * time.Second
+	// maxWait is the longest wait told to a caller: a third of the time that most callers have. Callers
+	// that would have to wait longer give up.
+	maxWait = 1200 * time.Millisecond
 	// parts divide the window in which granted calls are counted.
 	parts = 10
 )
