header: the figures of the load header are read by position

Cause: the last figure of the load header was taken for the slots. Backend servers may send a fourth one, how long work takes on their host at this moment in percent: 3,0,8,250 gave 250 slots. announce.Host.Find takes these slots when only the node restarts, until the next heartbeat. Change: one type with running, waiting, slots and slowness; later figures are ignored; a header with a missing or invalid figure says nothing. Signals carries it for each answer, Health for a health answer. The lists and records that other packages read were looked through: none is read by its end.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -199,9 +199,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 
+	load := names.Reported(response.Header)
+
 	return Health{
 		Instance: response.Header.Get(names.Instance), Healthy: response.StatusCode == http.StatusOK,
-		Slots: names.Slots(response.Header),
+		Slots: load.Slots, Slowness: load.Slowness,
 	}
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -220,8 +220,10 @@
 	Instance string
 	// Healthy is also false while the backend server drains.
 	Healthy bool
-	// Slots is 0 if the answer has no load header.
+	// Slots is 0 if the answer has no valid load header.
 	Slots int
+	// Slowness is that of [header.Load].
+	Slowness float64
 }
 
 // Probe requests the instance ID and health of the backend server from its health path, on
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -9,7 +9,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/pollencart/pollencart/internal/call"
@@ -28,7 +27,7 @@
 	Expected string
 	// Instance holds the instance that sends the answer.
 	Instance string
-	// Load holds the numbers of running calls, waiting calls and slots of a backend server.
+	// Load holds the figures of a [Load].
 	Load string
 	// Limit holds the calls a second that a backend server in need takes from all nodes together.
 	Limit string
@@ -76,19 +75,6 @@
 	return n.filter(h, n.Load, n.NotRun, n.Instance, "Content-Length")
 }
 
-// Slots returns the number of calls that the backend server runs concurrently according to
-// the load header, or 0 if that header is missing or invalid.
-func (n Names) Slots(h http.Header) int {
-	parts := strings.Split(h.Get(n.Load), ",")
-
-	slots, err := strconv.Atoi(parts[len(parts)-1])
-	if err != nil || slots < 0 {
-		return 0
-	}
-
-	return slots
-}
-
 func (n Names) filter(h http.Header, excluded ...string) []call.Field {
 	out := make([]call.Field, 0, len(h))
 	connectionValues := h.Values("Connection")
--- a/internal/header/signals.go
+++ b/internal/header/signals.go
@@ -16,6 +16,7 @@
 	Invalid string
 	// Leaving is set if it is about to end.
 	Leaving bool
+	Load    Load
 }
 
 // maxInvalid is the length of an invalid value, in bytes, that is kept for log lines.
@@ -24,7 +25,7 @@
 // Signals returns what the headers of an answer say of the backend server. Of several limits the
 // lowest counts.
 func (n Names) Signals(h http.Header) Signals {
-	s := Signals{Leaving: strings.TrimSpace(h.Get(n.Leaving)) == "1"}
+	s := Signals{Leaving: strings.TrimSpace(h.Get(n.Leaving)) == "1", Load: n.Reported(h)}
 
 	for _, text := range h.Values(n.Limit) {
 		limit, ok := parseDecimal(strings.TrimSpace(text))
--- a/internal/header/signals_test.go
+++ b/internal/header/signals_test.go
@@ -53,3 +53,32 @@
 	names := header.Default()
 	assert.Equal(t, len(names.Forwarded(http.Header{names.Limit: {"1"}, names.Leaving: {"1"}})), 0)
 }
+
+// A figure of the load header is taken for another one, or part of an invalid header is believed.
+func TestLoadIsReadByPosition(t *testing.T) {
+	names := header.Default()
+
+	for _, test := range []struct {
+		value string
+		want  header.Load
+	}{
+		{"3,0,8", header.Load{Running: 3, Slots: 8}},
+		{" 3, 1 ,8 ", header.Load{Running: 3, Waiting: 1, Slots: 8}},
+		{"3,0,8,100", header.Load{Running: 3, Slots: 8, Slowness: 1}},
+		{"3,0,8,250", header.Load{Running: 3, Slots: 8, Slowness: 2.5}},
+		{"3,0,8,250,x", header.Load{Running: 3, Slots: 8, Slowness: 2.5}},
+		{"3,0,8,0", header.Load{Running: 3, Slots: 8}},
+		{"3,0,8,", header.Load{}},
+		{"3,0,8,-1", header.Load{}},
+		{"3,0,8,NaN", header.Load{}},
+		{"3,0,8,1e2", header.Load{}},
+		{"3,,8", header.Load{}},
+		{"3,0,-8", header.Load{}},
+		{"3,0,99999999999", header.Load{}},
+		{"0,8", header.Load{}},
+		{"8", header.Load{}},
+		{"", header.Load{}},
+	} {
+		assert.Check(t, names.Reported(http.Header{names.Load: {test.value}}) == test.want, "%q", test.value)
+	}
+}
