slots: the queue knows when its host is slow for a moment

Cause: backend servers state how long work takes on their host at this moment, and nothing used it. A call that found a free slot always started, also on a host where it would be late, and service times learned in a slow moment were taken for the speed of the host. The expected service time is the learned time, for a slowness of 1, times the slowness, which returns to the median of the last seconds with 0.5 s. A call that may be late for it goes to another node also when a slot is free. The waits in replies include what a new call loses, and the service time in replies, from which entry nodes learn, is that at the usual speed of the host.

--- a/internal/runner/describe.go
+++ b/internal/runner/describe.go
@@ -10,7 +10,7 @@
 )
 
 // describe formats the inputs and the outcome of a call as the Detail of its event.
-func describe(in *forward.Request, w slots.Work, reply forward.Reply, l slots.Limit, took time.Duration) string {
+func (r *Runner) describe(in *forward.Request, w slots.Work, reply forward.Reply, took time.Duration) string {
 	const typicalSize = 128
 
 	b := make([]byte, 0, typicalSize)
@@ -29,12 +29,17 @@
 		b = append(b, " nested"...)
 	}
 
-	if l.Limited {
+	if l := r.options.Queue.Limit(); l.Limited {
 		b = append(b, " limit "+strconv.FormatFloat(l.PerSecond, 'g', -1, 64)...)
 		b = timeline.AppendNumber(b, " limited ms ", time.Since(l.Since).Milliseconds())
 		b = timeline.AppendNumber(b, " started ", int64(l.Started))
 	}
 
+	if s := r.options.Queue.Slowness(); s.Factor > 0 {
+		b = append(b, " slowness "+strconv.FormatFloat(s.Factor, 'g', -1, 64)...)
+		b = timeline.AppendNumber(b, " age ms ", s.Age.Milliseconds())
+	}
+
 	if reply.Reason != "" {
 		b = append(b, " reason "...)
 		b = append(b, reply.Reason...)
--- a/internal/runner/notice.go
+++ b/internal/runner/notice.go
@@ -31,6 +31,10 @@
 // listener returns a function that takes in what the backend server says in its answer to a call.
 func (r *Runner) listener(id, instance string, sent time.Time) func(header.Signals) {
 	return func(s header.Signals) {
+		if s.Load.Slowness > 0 {
+			r.options.Queue.SetSlowness(s.Load.Slowness)
+		}
+
 		if s.Invalid != "" {
 			r.options.Recorder.Once(event.LimitInvalid, timeline.Entry{Call: id, Detail: instance + " limit " + s.Invalid})
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -108,10 +108,11 @@
 
 	w := r.work(&in)
 	began := time.Now()
-	reply := r.serve(ctx, &in, w)
+	reply, usual := r.serve(ctx, &in, w)
 	reply.Load = r.load(w)
 	reply.Notice = r.Notice()
 	r.record(&in, w, reply, time.Since(began))
+	reply.HeldMs = usual.Milliseconds()
 
 	return reply, nil
 }
@@ -149,33 +150,35 @@
 	return forward.Reply{Result: forward.Refused, Reason: reason, RetryMs: after.Milliseconds()}
 }
 
-func (r *Runner) serve(ctx context.Context, in *forward.Request, w slots.Work) forward.Reply {
+// serve also returns the service time at the usual speed of the host, from which others learn.
+func (r *Runner) serve(ctx context.Context, in *forward.Request, w slots.Work) (forward.Reply, time.Duration) {
 	if r.closed.Load() || in.Service != r.options.Service || !r.options.Host.State().Takes {
-		return refused(forward.ReasonNone, downRetryAfter)
+		return refused(forward.ReasonNone, downRetryAfter), 0
 	}
 
 	if r.told(in); !r.options.Host.State().Takes {
-		return refused(forward.ReasonNone, downRetryAfter)
+		return refused(forward.ReasonNone, downRetryAfter), 0
 	}
 
 	r.options.Suspects.Freshen(ctx, in.Service)
 
 	c := toCall(in)
 	if err := r.options.Suspects.Refused(c); err != nil {
-		return suspected(err)
+		return suspected(err), 0
 	}
 
 	slot, err := r.options.Queue.Enter(ctx, w)
 	if err != nil {
-		return r.rejected(err, w)
+		return r.rejected(err, w), 0
 	}
 
 	busy := r.isBusy()
 	reply, serviceTime := r.run(ctx, in, c)
+	usual := slot.AtUsualSpeed(serviceTime)
 	slot.Leave(routeSample(reply, serviceTime))
 	r.count(ctx, in, reply, serviceTime, busy)
 
-	return reply
+	return reply, usual
 }
 
 // routeSample returns the service time as a sample for the route, or 0 if the call was not
@@ -328,5 +331,5 @@
 		e = event.CallRunFailed
 	}
 
-	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, r.options.Queue.Limit(), took)})
+	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: r.describe(in, w, reply, took)})
 }
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -17,6 +17,10 @@
 		{"pollencart_members_live", "Nodes thought to run.", func() float64 { return float64(n.table.CountLive()) }},
 		{"pollencart_slots", "Slots of the backend server here.", func() float64 { return float64(n.queue.Load().Slots) }},
 		{"pollencart_busy", "Calls that run or wait here.", func() float64 { return float64(n.queue.Busy()) }},
+		{
+			"pollencart_backend_slowness", "How long work takes on this host at this moment, as a multiple of the usual time; 0 if it is not known.",
+			func() float64 { return n.queue.Slowness().Factor },
+		},
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
 		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -224,25 +224,6 @@
 	}
 }
 
-// probe checks the health of the backend server, which reports its instance.
-func (n *Sidecar) probe(ctx context.Context) backend.Health {
-	return n.pool.Probe(ctx, n.healthPath())
-}
-
-// defaultHealthPath is used if the active version names no health path for the service, or no version
-// is stored.
-const defaultHealthPath = "/health"
-
-func (n *Sidecar) healthPath() string {
-	if t := n.holder.Load(); t != nil {
-		if s, ok := t.Service(n.config.Service); ok && s.HealthPath != "" {
-			return s.HealthPath
-		}
-	}
-
-	return defaultHealthPath
-}
-
 // recordSkippedEntry records a store entry that can't be read and was left out of a list or watch.
 func (n *Sidecar) recordSkippedEntry(key, reason string) {
 	n.recorder.Once(event.EntryDoubted, timeline.Entry{Detail: key + ": " + reason})
--- a/internal/slots/estimate.go
+++ b/internal/slots/estimate.go
@@ -111,14 +111,16 @@
 	return &free[best]
 }
 
-// serviceTime returns the expected service time of a route's calls and a margin that most
-// calls don't exceed.
+// serviceTime returns the expected service time of a route's calls that start now and a margin that
+// most calls don't exceed.
 func (q *Queue) serviceTime(route string, now time.Time) (expected, margin time.Duration) {
+	factor := q.slowness.now(now)
+
 	if s, ok := q.serviceTimes.Get(route); ok {
-		return s.mean, time.Duration(q.marginDeviations(now) * float64(s.deviation))
+		return time.Duration(factor * float64(s.mean)), time.Duration(factor * q.marginDeviations(now) * float64(s.deviation))
 	}
 
-	return defaultServiceTime, 0
+	return time.Duration(factor * float64(defaultServiceTime)), 0
 }
 
 // marginDeviations returns the margin in mean deviations of the service time.
@@ -134,7 +136,8 @@
 	q.serviceTimes.At(route).observe(took)
 }
 
-// serviceTimeEstimate is the observed service time of a route's calls at this backend server.
+// serviceTimeEstimate is the observed service time of a route's calls at this backend server, for a
+// slowness of 1.
 type serviceTimeEstimate struct {
 	mean      time.Duration
 	deviation time.Duration // mean absolute deviation
--- a/internal/slots/load.go
+++ b/internal/slots/load.go
@@ -20,7 +20,9 @@
 	return Load{Slots: q.slots, Running: len(q.running), Waiting: len(q.waiting)}
 }
 
-// EstimateWait estimates how long a call of the work's route would wait at the given rank.
+// EstimateWait estimates how much longer a call of the work's route would take here at the given rank
+// than its service time at the usual speed of the host: the wait for a slot and the loss to a slow
+// moment.
 func (q *Queue) EstimateWait(w Work, rank int) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -34,7 +36,7 @@
 	s := &Slot{work: w}
 	s.serviceTime, s.margin = q.serviceTime(w.Route, now)
 
-	return q.expectedWait(s, now)
+	return q.expectedWait(s, now) + q.slownessLoss(w.Route, now)
 }
 
 // Busy returns the number of running and waiting calls.
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -143,6 +143,7 @@
 	startCount    int
 	usage         [rankCount]usage
 	admittedShare [rankCount]float64 // recent share of admitted calls per rank
+	slowness      slowness
 }
 
 // Slot is a running or waiting call.
@@ -152,6 +153,7 @@
 	serviceTime time.Duration
 	margin      time.Duration // extra time that most calls of the route don't exceed
 	started     time.Time
+	slowness    float64 // of the host at the start, 0 if not known
 	decision    chan error
 }
 
@@ -245,7 +247,7 @@
 	}
 
 	expectedWait := q.expectedWait(s, now)
-	if err := q.evaluateWait(s, now, expectedWait); expectedWait > 0 && err != nil {
+	if err := q.evaluate(s, now, expectedWait); err != nil {
 		if errors.Is(err, ErrTooLate) {
 			q.recordOutcome(s.work, 0)
 
@@ -302,7 +304,7 @@
 			continue
 		}
 
-		s.started = now
+		s.started, s.slowness = now, q.startSlowness(now)
 		q.pacer.Start(now)
 		q.running[s] = struct{}{}
 		q.recordOutcome(s.work, 1)
@@ -336,7 +338,7 @@
 	q.usage[rankIndex(s.work)].add(now.Sub(s.started), now)
 
 	if took > 0 {
-		q.observe(s.work.Route, took)
+		q.observe(s.work.Route, time.Duration(float64(took)/s.meanSlowness(now)))
 	}
 
 	q.start(now)
