balancer: stated slowness of hosts, and slowdowns that age

Cause: an entry node learns how fast a host is from a call a second with service times that spread widely, and forgets nothing: a node that looked slow gets no calls and never looks faster. Change: a reply carries the usual slowness of the host where the backend server states it, after the notice; nodes that don't know it read an empty notice there. The balancer takes it as the speed of the node and learns only what differs from it. Slowdowns return to 1 with a time constant of 5 s without observations. The usual slowness is the median of 6.4 s of statements: with 3.2 s, a host that was slow for 3 s kept the slowness of that time for good.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -84,6 +84,9 @@
 	failing = 0.05
 	// failureDecay is the time constant with which a failure rate decays without new failures.
 	failureDecay = 4 * time.Second
+	// slowdownDecay is the time constant with which a slowdown returns to 1 without observations. A
+	// node that is thought slow gets few calls and would otherwise never look faster.
+	slowdownDecay = 5 * time.Second
 	// limitTTL is how long a reported limit reduces the calls that are sent to a node. After it, a
 	// call finds out whether the limit still holds.
 	limitTTL = 3 * time.Second
--- a/internal/balancer/node.go
+++ b/internal/balancer/node.go
@@ -62,8 +62,12 @@
 type node struct {
 	used     bool
 	inFlight int
-	// slowdown is the ratio of the node's service times to the mean of their routes.
-	slowdown    float64
+	// slowdown is the ratio of the node's service times to the mean of their routes, both at a
+	// slowness of 1.
+	slowdown float64
+	// slowness is what the backend server states of its host, 1 without a statement.
+	slowness    float64
+	observedAt  time.Time // of the last service time
 	failureRate float64
 	lastFailure time.Time
 	report      forward.Load
@@ -98,7 +102,7 @@
 
 // expected returns the estimated time until a call is answered.
 func (p *Balancer) expected(m *node, c *Candidate, n Need, now time.Time) time.Duration {
-	serviceTime := time.Duration(float64(p.routeStats(n.Route).mean) * m.slowdown)
+	serviceTime := time.Duration(float64(p.routeStats(n.Route).mean) * m.aged(m.slowdown*m.slowness, now))
 	wait := time.Duration(0)
 
 	if age := now.Sub(m.reportedAt); !m.reportedAt.IsZero() && age < reportTTL {
@@ -128,7 +132,7 @@
 func (p *Balancer) node(id string) *node {
 	m := p.nodes[id]
 	if m == nil {
-		m = &node{slowdown: 1}
+		m = &node{slowdown: 1, slowness: 1}
 		p.nodes[id] = m
 	}
 
@@ -157,9 +161,14 @@
 		m.report, m.reportedAt = reply.Load, time.Now()
 	}
 
+	if reply.Slowness > 0 {
+		m.slowness = reply.Slowness
+	}
+
 	switch r {
 	case Answered:
-		m.answered(p, a.route, time.Duration(reply.HeldMs)*time.Millisecond, len(reply.Body))
+		serviceTime := time.Duration(float64(reply.HeldMs) / m.slowness * float64(time.Millisecond))
+		m.answered(p, a.route, serviceTime, len(reply.Body))
 	case Failed:
 		m.failureRate += (1 - m.failureRate) / smoothing
 		m.lastFailure = time.Now()
@@ -184,8 +193,10 @@
 
 	s.observe(serviceTime, answerBytes)
 
-	ratio := min(float64(serviceTime)/float64(max(s.mean, time.Millisecond)), maxSampleRatio*m.slowdown)
-	m.slowdown += (ratio - m.slowdown) / smoothing
+	now := time.Now()
+	believed := m.aged(m.slowdown, now)
+	ratio := min(float64(serviceTime)/float64(max(s.mean, time.Millisecond)), maxSampleRatio*believed)
+	m.slowdown, m.observedAt = believed+(ratio-believed)/smoothing, now
 }
 
 func (m *node) observeLimit(r Result, n *forward.Notice) {
@@ -199,7 +210,7 @@
 
 // sampleWeight returns the inverse of the node's capacity for calls with the given mean service time.
 func (m *node) sampleWeight(slots int, mean time.Duration, now time.Time) float64 {
-	weight := m.slowdown / float64(max(slots, 1))
+	weight := m.aged(m.slowdown*m.slowness, now) / float64(max(slots, 1))
 
 	if !m.limitedAt.IsZero() && now.Sub(m.limitedAt) < limitTTL {
 		weight = max(weight, 1/(m.limit*max(mean, time.Millisecond).Seconds()))
@@ -218,3 +229,8 @@
 
 	return true
 }
+
+// aged returns what is left of a slowdown after the time without observations.
+func (m *node) aged(slowdown float64, now time.Time) float64 {
+	return 1 + (slowdown-1)*math.Exp(-float64(now.Sub(m.observedAt))/float64(slowdownDecay))
+}
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -65,27 +65,14 @@
 
 	serviceTime := b.serviceTime(address, in)
 	queue := b.queues[address]
-	now := time.Now()
-	w := slots.Work{
-		Route: in.Route, Rank: in.Rank, Target: now.Add(in.Target()), Deadline: now.Add(in.Remaining()), Elsewhere: in.Elsewhere,
-		Nearby: in.Nearby,
-	}
+	w := newWork(in)
 
 	time.Sleep(oneWayDelay)
 	defer time.Sleep(oneWayDelay)
 
 	slot, err := queue.Enter(ctx, w)
 	if err != nil {
-		reason := err.Error()
-
-		switch {
-		case errors.Is(err, slots.ErrElsewhere):
-			reason = forward.ReasonElsewhere
-		case errors.Is(err, slots.ErrWouldWait):
-			reason = forward.ReasonWaits
-		}
-
-		return forward.Reply{Result: forward.Refused, Reason: reason, Load: b.load(queue, w)}, nil
+		return forward.Reply{Result: forward.Refused, Reason: reasonFor(err), Load: b.load(queue, w)}, nil
 	}
 
 	time.Sleep(serviceTime)
@@ -96,6 +83,27 @@
 	}, nil
 }
 
+func newWork(in forward.Request) slots.Work {
+	now := time.Now()
+
+	return slots.Work{
+		Route: in.Route, Rank: in.Rank, Target: now.Add(in.Target()), Deadline: now.Add(in.Remaining()), Elsewhere: in.Elsewhere,
+		Nearby: in.Nearby,
+	}
+}
+
+// reasonFor returns the reason of a reply to a call that the queue rejected.
+func reasonFor(err error) string {
+	switch {
+	case errors.Is(err, slots.ErrElsewhere):
+		return forward.ReasonElsewhere
+	case errors.Is(err, slots.ErrWouldWait):
+		return forward.ReasonWaits
+	}
+
+	return err.Error()
+}
+
 func (b *simulatedBackends) load(q *slots.Queue, w slots.Work) forward.Load {
 	l := q.Load()
 	out := forward.Load{Slots: l.Slots, Running: l.Running, Waiting: l.Waiting}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -30,16 +31,45 @@
 
 // EncodeMsgpack implements [msgpack.CustomEncoder].
 func (r Reply) EncodeMsgpack(e *msgpack.Encoder) error {
-	return encodeWithNotice(e, (*plainReply)(&r), r.Notice)
+	n := r.Notice
+	if n == nil && r.Slowness > 0 {
+		n = &emptyNotice
+	}
+
+	if err := encodeWithNotice(e, (*plainReply)(&r), n); err != nil || r.Slowness == 0 {
+		return err
+	}
+
+	return e.EncodeInt(int64(math.Round(r.Slowness * slownessUnits)))
 }
 
 // DecodeMsgpack implements [msgpack.CustomDecoder].
 func (r *Reply) DecodeMsgpack(d *msgpack.Decoder) (err error) {
-	r.Notice, err = decodeWithNotice(d, (*plainReply)(r))
+	if r.Notice, err = decodeWithNotice(d, (*plainReply)(r)); err != nil || r.Notice == nil {
+		return err
+	}
+
+	if *r.Notice == emptyNotice {
+		r.Notice = nil
+	}
+
+	if _, err := d.PeekCode(); errors.Is(err, io.EOF) {
+		return nil
+	}
+
+	units, err := d.DecodeInt64()
+	r.Slowness = float64(units) / slownessUnits
 
 	return err
 }
 
+// slownessUnits is the number of units that a slowness of 1 is encoded as.
+const slownessUnits = 100
+
+// emptyNotice stands where nodes that don't know the slowness read a notice. It is about no backend
+// server.
+var emptyNotice = Notice{Instance: "-"}
+
 func encodeWithNotice(e *msgpack.Encoder, message any, n *Notice) error {
 	if err := e.Encode(message); err != nil || n == nil {
 		return err
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -147,7 +147,7 @@
 	Reason  string `msgpack:"Reason"`
 	RetryMs int64  `msgpack:"RetryMs"`
 	Load    Load   `msgpack:"Load"`
-	// HeldMs is the service time of the call at the backend server.
+	// HeldMs is the service time of the call at the backend server, at the usual speed of its host.
 	HeldMs int64 `msgpack:"HeldMs"`
 	// Crashes lists the backend server crashes during which the call is known to have been
 	// running.
@@ -155,6 +155,9 @@
 	// Notice is what the backend server said of itself in its answers, or nil. It follows the
 	// message.
 	Notice *Notice `msgpack:"-"`
+	// Slowness is how long work usually takes on the host of the backend server, as a multiple of
+	// a standard time, if the backend server states it; 0 otherwise. It follows the notice.
+	Slowness float64 `msgpack:"-"`
 }
 
 // Check returns an error if a decoded reply is invalid.
@@ -163,6 +166,10 @@
 		return ErrMessage.With("result %d", r.Result)
 	}
 
+	if r.Slowness < 0 {
+		return ErrMessage.With("a slowness of %f", r.Slowness)
+	}
+
 	return r.Notice.Check()
 }
 
--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -81,3 +81,31 @@
 		assert.ErrorIs(t, (&forward.Request{ID: "a", Service: "b", Method: "GET", URI: "/", Notice: &n}).Check(), forward.ErrMessage)
 	}
 }
+
+// Nodes of the version without the slowness can't read replies with one, take its place for a notice
+// about a backend server, or nodes that know it lose a notice.
+func TestRepliesAreReadByNodesWithoutSlowness(t *testing.T) {
+	notice := &forward.Notice{Instance: "i-1", Limited: true, Limit: 8.2}
+
+	for _, n := range []*forward.Notice{nil, notice} {
+		data, err := msgpack.Marshal(forward.Reply{Result: forward.Answered, Notice: n, Slowness: 0.55})
+		assert.NilError(t, err)
+
+		var reply forward.Reply
+
+		assert.NilError(t, peer.Decode(data, &reply))
+		assert.Equal(t, reply.Slowness, 0.55)
+		assert.Equal(t, reply.Notice != nil, n != nil)
+		assert.Assert(t, n == nil || *reply.Notice == *n)
+
+		plain, err := msgpack.Marshal(forward.Reply{Result: forward.Answered})
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.HasPrefix(data, plain))
+
+		var old forward.Notice
+
+		assert.NilError(t, msgpack.NewDecoder(bytes.NewReader(data[len(plain):])).Decode(&old))
+		assert.NilError(t, old.Check())
+		assert.Equal(t, old.IsAbout("i-1", 0), n != nil)
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -113,6 +113,7 @@
 	reply.Notice = r.Notice()
 	r.record(&in, w, reply, time.Since(began))
 	reply.HeldMs = usual.Milliseconds()
+	reply.Slowness = r.options.Queue.Slowness().Usual
 
 	return reply, nil
 }
--- a/internal/slots/slowness.go
+++ b/internal/slots/slowness.go
@@ -17,7 +17,7 @@
 	maxSlowness = 20.0
 	// usualSamples and usualInterval give the time from which the usual slowness is taken. A slow
 	// moment is shorter than half of it.
-	usualSamples  = 32
+	usualSamples  = 64
 	usualInterval = 100 * time.Millisecond
 	// slowFrom is the multiple of the usual slowness from which calls that may be late are sent to
 	// another node although a slot is free.
