slots: a nested call leaves a host that is slow

Cause: the target of a nested call is its deadline in the queue, so that it stayed on a slow host and the call that waits for it was late. Result: TestNestedCallLeavesSlowHost; the tests of slots pass.

--- a/internal/slots/slowness.go
+++ b/internal/slots/slowness.go
@@ -155,12 +155,16 @@
 
 // mayBeLateBySlowness reports whether the host is slow and the call meets its target only if it is
 // not much longer than expected. The margin is the larger one, since another node costs only a
-// millisecond.
+// millisecond. The target of the call that waits for a nested one is not known here.
 func (q *Queue) mayBeLateBySlowness(s *Slot, now time.Time) bool {
 	if q.slowness.overUsual(now) < slowFrom {
 		return false
 	}
 
+	if s.work.Nested {
+		return true
+	}
+
 	margin := time.Duration(0)
 	if e, ok := q.serviceTimes.Get(s.work.Route); ok {
 		margin = time.Duration(standingMarginDeviations * q.slowness.now(now) * float64(e.deviation))
--- a/internal/slots/slowness_test.go
+++ b/internal/slots/slowness_test.go
@@ -28,9 +28,14 @@
 }
 
 func enter(q *slots.Queue, target time.Duration, elsewhere bool, took time.Duration) error {
+	return enterAs(q, slots.Work{Elsewhere: elsewhere}, target, took)
+}
+
+func enterAs(q *slots.Queue, w slots.Work, target, took time.Duration) error {
 	now := time.Now()
+	w.Route, w.Target, w.Deadline = "tile", now.Add(target), now.Add(4*target)
 
-	s, err := q.Enter(context.Background(), slots.Work{Route: "tile", Target: now.Add(target), Deadline: now.Add(4 * target), Elsewhere: elsewhere})
+	s, err := q.Enter(context.Background(), w)
 	if err == nil {
 		time.Sleep(took)
 		s.Leave(took)
@@ -69,6 +74,18 @@
 	}
 }
 
+// A nested call runs on a host that is slow at this moment, and the call that waits for it is late.
+func TestNestedCallLeavesSlowHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newStatedQueue(t)
+		q.SetSlowness(1.1)
+		assert.NilError(t, enterAs(q, slots.Work{Elsewhere: true, Nested: true}, time.Second, 100*ms))
+		q.SetSlowness(2.5)
+		assert.ErrorIs(t, enterAs(q, slots.Work{Elsewhere: true, Nested: true}, time.Second, 100*ms), slots.ErrElsewhere)
+		assert.NilError(t, enterAs(q, slots.Work{Nested: true}, time.Second, 100*ms))
+	})
+}
+
 // Calls of a slow moment are taken for the speed of the host, or a host that stays slow is
 // never believed.
 func TestSlowMomentIsNotLearned(t *testing.T) {
