--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -78,7 +78,7 @@
 	QuotaHomeFound = add(241, "QuotaHomeFound", slog.LevelInfo, "A home of limits that was lost answers again.")
 	QuotaHomes     = add(242, "QuotaHomes", slog.LevelInfo, "The node uses another set of homes of limits; the detail lists them.")
 	QuotaExceeded  = add(243, "QuotaExceeded", slog.LevelWarn,
-		"Calls of a workspace were refused by its limit in the last second; the detail has how many of how many.")
+		"Calls of a workspace were refused by its limit in the last second; the detail has how many of how many, and the reason of the last.")
 )
 
 // Fleet membership.
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"sync"
+
+	"github.com/pollencart/pollencart/internal/dispatch"
 )
 
 const (
@@ -23,6 +25,8 @@
 	Workspace string
 	Calls     uint64
 	Refused   uint64
+	// Reason is that of the last refused call.
+	Reason string
 }
 
 // counts counts calls by workspace.
@@ -34,7 +38,7 @@
 
 func newCounts() *counts { return &counts{totals: map[string]*Count{}, recently: map[string]*Count{}} }
 
-func (c *counts) add(workspace string, allowed bool) {
+func (c *counts) add(workspace string, d dispatch.QuotaDecision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -53,8 +57,9 @@
 
 		n.Calls++
 
-		if !allowed {
+		if !d.Allowed {
 			n.Refused++
+			n.Reason = d.Reason
 		}
 	}
 }
@@ -71,7 +76,7 @@
 
 	for _, n := range append(named, rest) {
 		if n.Refused > 0 {
-			out = append(out, fmt.Sprintf("workspace %s: refused %d of %d calls", n.Workspace, n.Refused, n.Calls))
+			out = append(out, fmt.Sprintf("workspace %s: refused %d of %d calls; last by: %s", n.Workspace, n.Refused, n.Calls, n.Reason))
 		}
 	}
 
@@ -112,7 +117,7 @@
 
 	named = all[:min(count, len(all))]
 	for _, n := range all[len(named):] {
-		rest.Calls, rest.Refused = rest.Calls+n.Calls, rest.Refused+n.Refused
+		rest.Calls, rest.Refused, rest.Reason = rest.Calls+n.Calls, rest.Refused+n.Refused, n.Reason
 	}
 
 	return slices.Clip(named), rest
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -276,31 +276,3 @@
 
 	return b
 }
-
-// Use is the use of a workspace's limit by this home's count.
-type Use struct {
-	Workspace string
-	Limit     Limit
-	// Share is the part of the limit that is delegated to this home, Counted the calls granted in the
-	// last window.
-	Share   float64
-	Counted int
-	Tokens  float64
-}
-
-// Uses returns the use of all limits that this home has counted lately, unordered.
-func (l *Ledger) Uses() []Use {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	now := time.Now()
-	out := make([]Use, 0, len(l.buckets))
-
-	for name, b := range l.buckets {
-		b.refill(now)
-		b.count(0, now)
-		out = append(out, Use{Workspace: name, Limit: b.limit, Share: b.share, Counted: b.counted(), Tokens: b.tokens})
-	}
-
-	return out
-}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -108,7 +108,7 @@
 	e.wallet.Offer()
 
 	d := a.decide(ctx, e, w)
-	a.counts.add(w.Name, d.Allowed)
+	a.counts.add(w.Name, d)
 
 	return d
 }
--- a/internal/quota/run.go
+++ b/internal/quota/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -91,3 +92,17 @@
 
 	return len(a.entries), len(a.ledger.Uses())
 }
+
+// UsesPath is the path of the metrics address that serves [Agent.Uses].
+const UsesPath = "/limits"
+
+// Uses returns the use of the limits that this node is the home of, by workspace.
+func (a *Agent) Uses() []ledger.Use {
+	uses := a.ledger.Uses()
+	slices.SortFunc(uses, func(a, b ledger.Use) int { return strings.Compare(a.Workspace, b.Workspace) })
+
+	return uses
+}
+
+// Lost returns the number of homes that do not answer this node.
+func (a *Agent) Lost() int { return a.homes.lost() }
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -55,6 +55,7 @@
 // registerMetrics serves the metrics and, if enabled in the settings, profiles of the process.
 func (n *Sidecar) registerMetrics(e *echo.Echo) {
 	e.GET("/metrics", echo.WrapHandler(n.meter.Handler()))
+	n.registerLimits(e)
 
 	if !n.config.Profiles {
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -38,7 +38,6 @@
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/quota"
-	"github.com/pollencart/pollencart/internal/quota/ledger"
 	"github.com/pollencart/pollencart/internal/retrybudget"
 	"github.com/pollencart/pollencart/internal/rollout"
 	"github.com/pollencart/pollencart/internal/rollout/control"
@@ -159,19 +158,6 @@
 	}
 }
 
-// initQuotas creates the component that keeps the limits of workspaces.
-func (n *Sidecar) initQuotas() {
-	b := n.config.Bounds
-	if b.QuotaWindowSeconds == 0 {
-		return
-	}
-
-	n.quotas = quota.New(quota.Options{
-		Bound:  ledger.Bound{Window: config.Seconds(b.QuotaWindowSeconds), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
-		Tables: n.holder, Members: n.table, Peers: n.client, Recorder: n.recorder,
-	})
-}
-
 // permitted reports whether the version of the local backend server may receive calls.
 func (n *Sidecar) permitted() bool { return n.rollouts == nil || n.rollouts.Role() != rollout.Excluded }
 
@@ -236,10 +222,6 @@
 		n.server.Handle(method, h)
 	}
 
-	if n.quotas != nil {
-		n.quotas.Register(n.server)
-	}
-
 	if n.rollouts == nil {
 		return
 	}
@@ -363,21 +345,3 @@
 
 	return nil
 }
-
-// waitForFirstVersion waits for the first configuration version, which contains the health path, and
-// then looks for a running backend server.
-func (n *Sidecar) waitForFirstVersion(ctx context.Context) {
-	const interval = 20 * time.Millisecond
-
-	for n.holder.Number() == 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(interval):
-		}
-	}
-
-	n.recorder.Record(event.NodeReady, timeline.Entry{Version: n.holder.Number()})
-	n.discovery.Retry()
-	n.host.Find(ctx)
-}
