--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -9,7 +9,7 @@
 
 import (
 	"net/http"
-	"strconv"
+	"slices"
 	"strings"
 
 	"github.com/pollencart/pollencart/internal/call"
@@ -28,7 +28,7 @@
 	Expected string
 	// Instance holds the instance that sends the answer.
 	Instance string
-	// Load holds the numbers of running calls, waiting calls and slots of a backend server.
+	// Load holds the figures of a [Load].
 	Load string
 	// Limit holds the calls a second that a backend server in need takes from all nodes together.
 	Limit string
@@ -36,6 +36,10 @@
 	Leaving string
 	// NotRun is set on answers to calls that the backend server did not run.
 	NotRun string
+	// Key holds the caller's key. It is a secret and stays at the node that the caller reached.
+	Key string
+	// Workspace holds the name of the workspace that a call runs for. Only nodes set it.
+	Workspace string
 	// Signature proves that an answer comes from the backend server.
 	Signature string
 }
@@ -53,6 +57,8 @@
 		Leaving:   "Pollencart-Leaving",
 		NotRun:    "Pollencart-Not-Run",
 		Signature: "Pollencart-Signature",
+		Key:       "Pollencart-Caller-Key",
+		Workspace: "Pollencart-Workspace",
 	}
 }
 
@@ -64,25 +70,25 @@
 		"Host", "Content-Length", "Expect")
 }
 
+// ForwardedFor returns the headers of a request while callers need keys. It also omits the key, and the
+// workspace that the caller named: the backend server learns the given one, or none if it is empty.
+func (n Names) ForwardedFor(h http.Header, workspace string) []call.Field {
+	out := slices.DeleteFunc(n.Forwarded(h), func(f call.Field) bool {
+		return strings.EqualFold(f.Name, n.Key) || strings.EqualFold(f.Name, n.Workspace)
+	})
+	if workspace != "" {
+		out = append(out, call.Field{Name: n.Workspace, Value: workspace})
+	}
+
+	return out
+}
+
 // Returned returns the headers of an answer that are sent to the caller. It omits
 // hop-by-hop headers, those that are meant for nodes, and the length, which is set anew.
 func (n Names) Returned(h http.Header) []call.Field {
 	return n.filter(h, n.Load, n.NotRun, n.Instance, "Content-Length")
 }
 
-// Slots returns the number of calls that the backend server runs concurrently according to
-// the load header, or 0 if that header is missing or invalid.
-func (n Names) Slots(h http.Header) int {
-	parts := strings.Split(h.Get(n.Load), ",")
-
-	slots, err := strconv.Atoi(parts[len(parts)-1])
-	if err != nil || slots < 0 {
-		return 0
-	}
-
-	return slots
-}
-
 func (n Names) filter(h http.Header, excluded ...string) []call.Field {
 	out := make([]call.Field, 0, len(h))
 	connectionValues := h.Values("Connection")
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -108,10 +108,12 @@
 
 	w := r.work(&in)
 	began := time.Now()
-	reply := r.serve(ctx, &in, w)
+	reply, usual := r.serve(ctx, &in, w)
 	reply.Load = r.load(w)
 	reply.Notice = r.Notice()
 	r.record(&in, w, reply, time.Since(began))
+	reply.HeldMs = usual.Milliseconds()
+	reply.Slowness = r.options.Queue.Slowness().Usual
 
 	return reply, nil
 }
@@ -149,33 +151,50 @@
 	return forward.Reply{Result: forward.Refused, Reason: reason, RetryMs: after.Milliseconds()}
 }
 
-func (r *Runner) serve(ctx context.Context, in *forward.Request, w slots.Work) forward.Reply {
+// serve also returns the service time at the usual speed of the host, from which others learn.
+func (r *Runner) serve(ctx context.Context, in *forward.Request, w slots.Work) (forward.Reply, time.Duration) {
 	if r.closed.Load() || in.Service != r.options.Service || !r.options.Host.State().Takes {
-		return refused(forward.ReasonNone, downRetryAfter)
+		return refused(forward.ReasonNone, downRetryAfter), 0
 	}
 
 	if r.told(in); !r.options.Host.State().Takes {
-		return refused(forward.ReasonNone, downRetryAfter)
+		return refused(forward.ReasonNone, downRetryAfter), 0
 	}
 
 	r.options.Suspects.Freshen(ctx, in.Service)
 
 	c := toCall(in)
 	if err := r.options.Suspects.Refused(c); err != nil {
-		return suspected(err)
+		return suspected(err), 0
 	}
 
 	slot, err := r.options.Queue.Enter(ctx, w)
 	if err != nil {
-		return r.rejected(err, w)
+		return r.rejected(err, w), 0
 	}
 
 	busy := r.isBusy()
-	reply, serviceTime := r.run(ctx, in, c)
-	slot.Leave(routeSample(reply, serviceTime))
+	reply, serviceTime, ending := r.run(ctx, in, c)
+	usual := slot.AtUsualSpeed(serviceTime)
+	leave(slot, routeSample(reply, serviceTime), ending)
 	r.count(ctx, in, reply, serviceTime, busy)
 
-	return reply
+	return reply, usual
+}
+
+// leave frees the slot, of a call that was given up only once the backend server has ended it.
+// A call that starts before would be one more than the backend server has slots.
+func leave(s *slots.Slot, sample time.Duration, ending <-chan struct{}) {
+	if ending == nil {
+		s.Leave(sample)
+
+		return
+	}
+
+	go func() {
+		<-ending
+		s.Leave(sample)
+	}()
 }
 
 // routeSample returns the service time as a sample for the route, or 0 if the call was not
@@ -204,19 +223,20 @@
 
 // run sends the call to the backend server, unless the server began to drain while the call
 // waited or the call is suspected of crashing backend servers. It also returns the service time
-// of the backend server. The wait for permission to run is left out: a node that has just
-// started waits for answers of other nodes, and would rate its backend server as slow.
-func (r *Runner) run(ctx context.Context, in *forward.Request, c call.Call) (forward.Reply, time.Duration) {
+// of the backend server and, for a call that was given up, a channel that is closed when it ends.
+// The wait for permission to run is left out: a node that has just started waits for answers of
+// other nodes, and would rate its backend server as slow.
+func (r *Runner) run(ctx context.Context, in *forward.Request, c call.Call) (forward.Reply, time.Duration, <-chan struct{}) {
 	end, err := r.options.Suspects.Begin(ctx, c)
 	if err != nil {
-		return suspected(err), 0
+		return suspected(err), 0, nil
 	}
 
 	state := r.options.Host.State()
 	if !state.Takes || r.closed.Load() {
 		end(poison.Lost)
 
-		return refused(forward.ReasonNone, downRetryAfter), 0
+		return refused(forward.ReasonNone, downRetryAfter), 0, nil
 	}
 
 	began := time.Now()
@@ -229,7 +249,7 @@
 	reply.Crashes = end(result)
 	reply.HeldMs = serviceTime.Milliseconds()
 
-	return reply, serviceTime
+	return reply, serviceTime, a.Ending
 }
 
 // suspected returns the reply to a call suspected of crashing backend servers. Its retry delay
@@ -328,5 +348,5 @@
 		e = event.CallRunFailed
 	}
 
-	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, r.options.Queue.Limit(), took)})
+	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: r.describe(in, w, reply, took)})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/poison"
+	"github.com/pollencart/pollencart/internal/quota"
 	"github.com/pollencart/pollencart/internal/retrybudget"
 	"github.com/pollencart/pollencart/internal/rollout"
 	"github.com/pollencart/pollencart/internal/rollout/control"
@@ -82,6 +83,7 @@
 	discovery  *discovery.Agent
 	tombstone  *tombstone.Registry
 	rollouts   *control.Agent // nil if versions are not told apart
+	quotas     *quota.Agent   // nil if no limits are kept
 
 	host  *announce.Host
 	queue *slots.Queue
@@ -112,6 +114,7 @@
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(timelineSize))
 	n.store = platform.NewStore(c.StoreAddress, n.epoch, m.StoreCalled, n.recordSkippedEntry)
 	n.initMembership()
+	n.initQuotas()
 	n.backend()
 	n.initIngress()
 	n.registerPeerMethods()
@@ -189,12 +192,16 @@
 	options := dispatch.Options{
 		Node: c.Node, FailureDomain: c.FailureDomain, Service: c.Service, Names: platform.Headers(), Tables: n.holder,
 		Members: n.table, Peers: n.client, Own: n.runner, Balancer: balancer.New(), Recorder: n.recorder, Meter: n.meter,
-		Budget: n.budget, Intake: n.draining,
+		Budget: n.budget, Intake: n.draining, Versions: n.configsync.Freshness(),
 	}
 	if n.rollouts != nil {
 		options.Trials = n.rollouts
 	}
 
+	if n.quotas != nil {
+		options.Quotas = n.quotas
+	}
+
 	n.dispatcher = dispatch.New(options)
 	n.ingress = ingress.New(n.dispatcher, ingress.Limits(n.holder), ingress.WithObserver(deliveryObserver{n.recorder, n.meter}))
 }
@@ -224,25 +231,6 @@
 	}
 }
 
-// probe checks the health of the backend server, which reports its instance.
-func (n *Sidecar) probe(ctx context.Context) backend.Health {
-	return n.pool.Probe(ctx, n.healthPath())
-}
-
-// defaultHealthPath is used if the active version names no health path for the service, or no version
-// is stored.
-const defaultHealthPath = "/health"
-
-func (n *Sidecar) healthPath() string {
-	if t := n.holder.Load(); t != nil {
-		if s, ok := t.Service(n.config.Service); ok && s.HealthPath != "" {
-			return s.HealthPath
-		}
-	}
-
-	return defaultHealthPath
-}
-
 // recordSkippedEntry records a store entry that can't be read and was left out of a list or watch.
 func (n *Sidecar) recordSkippedEntry(key, reason string) {
 	n.recorder.Once(event.EntryDoubted, timeline.Entry{Detail: key + ": " + reason})
@@ -321,6 +309,10 @@
 		parts = append(parts, n.rollouts.Run)
 	}
 
+	if n.quotas != nil {
+		parts = append(parts, n.quotas.Run)
+	}
+
 	for _, f := range parts {
 		running.Go(func() { f(work) })
 	}
@@ -334,21 +326,3 @@
 
 	return nil
 }
-
-// waitForFirstVersion waits for the first configuration version, which contains the health path, and
-// then looks for a running backend server.
-func (n *Sidecar) waitForFirstVersion(ctx context.Context) {
-	const interval = 20 * time.Millisecond
-
-	for n.holder.Number() == 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(interval):
-		}
-	}
-
-	n.recorder.Record(event.NodeReady, timeline.Entry{Version: n.holder.Number()})
-	n.discovery.Retry()
-	n.host.Find(ctx)
-}
