quota: a home that is stopped says so, and entries leave it before it ends

Cause: after a planned stop entries used their own shares until the lease of the stopped home had ended. Change: answers of a home say that it is being stopped; entries move while it still grants.

--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -131,7 +131,7 @@
 
 func (a *Agent) exchange(ctx context.Context, t target, in ledger.Ask) (ledger.Answer, error) {
 	if t.id == a.self {
-		return a.ledger.Ask(in, in.Known), nil
+		return a.serve(in), nil
 	}
 
 	var out ledger.Answer
--- a/internal/quota/callers_test.go
+++ b/internal/quota/callers_test.go
@@ -48,6 +48,45 @@
 	})
 }
 
+// Calls could be refused while a home is stopped as planned.
+func TestPlannedStopOfTheHomeIsNotNoticed(t *testing.T) {
+	each(t, func(t *testing.T, seed uint64) {
+		t.Helper()
+
+		p := newPlay(t, *fleet, seed, spaces()...)
+		h := p.home()
+
+		time.Sleep(3 * time.Second)
+		p.run(4 * time.Second)
+		h.leaving.Store(true)
+		p.run(2500 * time.Millisecond)
+		h.kill()
+
+		p.place = func(*workspace.Workspace, time.Duration) *node {
+			for {
+				if n := p.nodes[p.random.IntN(len(p.nodes))]; n != h {
+					return n
+				}
+			}
+		}
+
+		p.run(8 * time.Second)
+		p.stopAll()
+		p.assertBounded(t)
+
+		offered, refused := 0, 0
+		for _, a := range p.accounts {
+			offered, refused = offered+len(a.offered), refused+len(a.refused)
+		}
+
+		if *verbose {
+			t.Logf("%d of %d refused", refused, offered)
+		}
+
+		assert.Assert(t, refused*100 <= offered, "%d of %d", refused, offered)
+	})
+}
+
 // The only caller of a workspace could be refused below the limit, and a rate below one a second never grant anything.
 func TestSmallWorkspacesAreServed(t *testing.T) {
 	each(t, func(t *testing.T, seed uint64) {
--- a/internal/quota/choose.go
+++ b/internal/quota/choose.go
@@ -141,8 +141,8 @@
 		s := h.state(r.ID)
 		s.address = r.PeerAddress
 
-		lost := !s.lost.IsZero() && (now.Sub(s.lost) > replaceAfter || !h.uses(r.ID))
-		if back := h.set == nil || h.uses(r.ID) || now.Sub(s.back) > returnAfter; r.ID == h.self || !lost && back {
+		lost := s.leaving || !s.lost.IsZero() && (now.Sub(s.lost) > replaceAfter || !h.uses(r.ID))
+		if back := h.set == nil || h.uses(r.ID) || now.Sub(s.back) > returnAfter; r.ID == h.self && !s.leaving || !lost && back {
 			out = append(out, r.ID)
 		}
 	}
--- a/internal/quota/homes.go
+++ b/internal/quota/homes.go
@@ -59,6 +59,7 @@
 	silentUntil time.Time // until when a process before this one may count the delegation
 	confirmed   uint64    // the set that the home knows
 	ready       bool      // the home grants calls
+	leaving     bool      // the home is being stopped
 	asked       time.Time
 	received    time.Time // of the last answer
 	lost        time.Time // zero while it answers
@@ -167,7 +168,7 @@
 		s.asked = time.Time{} // the next ask delegates
 	}
 
-	s.confirmed, s.received, s.ready = out.Set, now, out.Ready
+	s.confirmed, s.received, s.ready, s.leaving = out.Set, now, out.Ready, out.Leaving
 
 	found := !s.lost.IsZero()
 	if found {
@@ -213,7 +214,7 @@
 		if !h.uses(id) {
 			interval = probeInterval
 
-			if s.lost.IsZero() && now.Sub(s.back) > returnAfter {
+			if s.lost.IsZero() && !s.leaving && now.Sub(s.back) > returnAfter {
 				continue
 			}
 		}
--- a/internal/quota/ledger/message.go
+++ b/internal/quota/ledger/message.go
@@ -100,8 +100,10 @@
 	// Set is the set of homes of the ask, or 0 if the home does not know its nodes.
 	Set uint64 `msgpack:"Set"`
 	// Ready is false while the home has just started and waits for delegations.
-	Ready  bool    `msgpack:"Ready"`
-	Grants []Grant `msgpack:"Grants"`
+	Ready bool `msgpack:"Ready"`
+	// Leaving reports that the process of the home is being stopped.
+	Leaving bool    `msgpack:"Leaving"`
+	Grants  []Grant `msgpack:"Grants"`
 }
 
 // Check reports whether a decoded answer is valid.
--- a/internal/quota/options.go
+++ b/internal/quota/options.go
@@ -40,4 +40,6 @@
 	Members  Members
 	Peers    Peers
 	Recorder *timeline.Recorder
+	// Leaving reports whether the process is being stopped.
+	Leaving func() bool
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -93,7 +93,14 @@
 
 // ServeAsk answers the ask of an entry.
 func (a *Agent) ServeAsk(_ context.Context, in ledger.Ask) (ledger.Answer, error) {
-	return a.ledger.Ask(in, a.known()), nil
+	return a.serve(in), nil
+}
+
+func (a *Agent) serve(in ledger.Ask) ledger.Answer {
+	out := a.ledger.Ask(in, a.known())
+	out.Leaving = a.options.Leaving()
+
+	return out
 }
 
 func (a *Agent) known() int { return a.options.Members.CountKnown(deadCounted) }
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,7 @@
 	sided   time.Time
 	thawed  chan struct{} // closed while it is not frozen
 	table   *route.Table
+	leaving atomic.Bool
 }
 
 func newWorld(t *testing.T, count int, random *rand.Rand, limits ...*workspace.Workspace) *world {
@@ -118,7 +120,7 @@
 	n.started, n.down, n.stop = time.Now(), time.Time{}, cancel
 	n.mu.Unlock()
 
-	agent := quota.New(quota.Options{Bound: bound, Tables: n, Members: n, Peers: n, Recorder: timeline.New(timeline.Size(1))})
+	agent := quota.New(quota.Options{Bound: bound, Tables: n, Members: n, Peers: n, Recorder: timeline.New(timeline.Size(1)), Leaving: n.leaving.Load})
 
 	n.mu.Lock()
 	n.agent = agent
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -19,7 +19,7 @@
 
 	n.quotas = quota.New(quota.Options{
 		Bound:  ledger.Bound{Window: config.Seconds(b.QuotaWindowSeconds), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
-		Tables: n.holder, Members: n.table, Peers: n.client, Recorder: n.recorder,
+		Tables: n.holder, Members: n.table, Peers: n.client, Recorder: n.recorder, Leaving: n.draining.Leaving,
 	})
 	n.quotas.Register(n.server)
 	n.meter.Workspaces(n.quotas.Counts)
