--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -120,7 +120,9 @@
 	n.started, n.down, n.stop = time.Now(), time.Time{}, cancel
 	n.mu.Unlock()
 
-	agent := quota.New(quota.Options{Bound: bound, Tables: n, Members: n, Peers: n, Recorder: timeline.New(timeline.Size(1)), Leaving: n.leaving.Load})
+	agent := quota.New(quota.Options{
+		Bound: bound, Tables: n, Members: n, Peers: n, Recorder: timeline.New(timeline.Size(1)), Leaving: n.leaving.Load,
+	})
 
 	n.mu.Lock()
 	n.agent = agent
