--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -55,6 +55,8 @@
 
 	held atomic.Int64 // calls that wait for a home
 
+	counted atomic.Int64 // nodes known, 0 before they were counted
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	counts  *counts
@@ -103,7 +105,21 @@
 	return out
 }
 
-func (a *Agent) known() int { return a.options.Members.CountKnown(deadCounted) }
+// known returns the number of nodes that share the limits, as counted in the last tick.
+func (a *Agent) known() int {
+	if n := a.counted.Load(); n > 0 {
+		return int(n)
+	}
+
+	return a.countKnown()
+}
+
+func (a *Agent) countKnown() int {
+	n := a.options.Members.CountKnown(deadCounted)
+	a.counted.Store(int64(n))
+
+	return n
+}
 
 // Take implements [dispatch.Quotas].
 func (a *Agent) Take(ctx context.Context, w *workspace.Workspace) dispatch.QuotaDecision {
--- a/internal/quota/run.go
+++ b/internal/quota/run.go
@@ -20,7 +20,7 @@
 	reported := time.Now()
 
 	for {
-		a.ledger.Tick(a.known())
+		a.ledger.Tick(a.countKnown())
 
 		if a.limited() {
 			a.renew()
