--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -55,6 +55,8 @@
 
 	held atomic.Int64 // calls that wait for a home
 
+	counted atomic.Int64 // nodes known, 0 before they were counted
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	counts  *counts
@@ -93,10 +95,31 @@
 
 // ServeAsk answers the ask of an entry.
 func (a *Agent) ServeAsk(_ context.Context, in ledger.Ask) (ledger.Answer, error) {
-	return a.ledger.Ask(in, a.known()), nil
+	return a.serve(in), nil
+}
+
+func (a *Agent) serve(in ledger.Ask) ledger.Answer {
+	out := a.ledger.Ask(in, a.known())
+	out.Leaving = a.options.Leaving()
+
+	return out
+}
+
+// known returns the number of nodes that share the limits, as counted in the last tick.
+func (a *Agent) known() int {
+	if n := a.counted.Load(); n > 0 {
+		return int(n)
+	}
+
+	return a.countKnown()
 }
 
-func (a *Agent) known() int { return a.options.Members.CountKnown(deadCounted) }
+func (a *Agent) countKnown() int {
+	n := a.options.Members.CountKnown(deadCounted)
+	a.counted.Store(int64(n))
+
+	return n
+}
 
 // Take implements [dispatch.Quotas].
 func (a *Agent) Take(ctx context.Context, w *workspace.Workspace) dispatch.QuotaDecision {
