slots: calls of workspaces above their fair share go after the others of their rank

Cause: a workspace that sends several times its usual took the queue of its rank from all others. Change: package fairshare keeps the slot time of each workspace over 2 s and over a minute; within a rank, calls of a workspace that is above its usual share go after the others, in today's order among themselves, and are replaced first. A workspace whose calls are admitted half as often as all is not held back. Nested calls and calls without a workspace keep their order. The runner reads the workspace from the header field, if the version in force has one of that name; the line of a call then names it with its share; one metric counts the calls that others passed.

--- a/internal/runner/describe.go
+++ b/internal/runner/describe.go
@@ -9,8 +9,11 @@
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
+// shareDecimals is the precision of a workspace's share in lines.
+const shareDecimals = 3
+
 // describe formats the inputs and the outcome of a call as the Detail of its event.
-func describe(in *forward.Request, w slots.Work, reply forward.Reply, l slots.Limit, took time.Duration) string {
+func describe(in *forward.Request, w slots.Work, reply forward.Reply, q *slots.Queue, took time.Duration) string {
 	const typicalSize = 128
 
 	b := make([]byte, 0, typicalSize)
@@ -29,7 +32,11 @@
 		b = append(b, " nested"...)
 	}
 
-	if l.Limited {
+	if w.Workspace != "" {
+		b = append(b, " workspace "+w.Workspace+" share "+strconv.FormatFloat(q.Share(w.Workspace), 'f', shareDecimals, 64)...)
+	}
+
+	if l := q.Limit(); l.Limited {
 		b = append(b, " limit "+strconv.FormatFloat(l.PerSecond, 'g', -1, 64)...)
 		b = timeline.AppendNumber(b, " limited ms ", time.Since(l.Since).Milliseconds())
 		b = timeline.AppendNumber(b, " started ", int64(l.Started))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -70,6 +70,9 @@
 	Meter    Meter
 	// Trial is nil if versions are not compared.
 	Trial Trial
+	// Workspace returns the workspace that a call with these header fields runs for, or "". It is nil
+	// if there are none.
+	Workspace func(fields []call.Field) string
 }
 
 // Runner runs calls on one backend server.
@@ -130,6 +133,10 @@
 		w.Target = w.Deadline
 	}
 
+	if r.options.Workspace != nil {
+		w.Workspace = r.options.Workspace(in.Header)
+	}
+
 	return w
 }
 
@@ -328,5 +335,5 @@
 		e = event.CallRunFailed
 	}
 
-	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, r.options.Queue.Limit(), took)})
+	r.options.Recorder.Record(e, timeline.Entry{Call: in.ID, Detail: describe(in, w, reply, r.options.Queue, took)})
 }
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -48,6 +48,10 @@
 			"pollencart_backend_limit_rejections", "Calls rejected here because of a limit.",
 			func() float64 { return float64(n.queue.Limit().Rejected) },
 		},
+		{
+			"pollencart_fair_share_passed_over", "Calls that others passed here because their workspace was above its fair share.",
+			func() float64 { return float64(n.queue.PassedOver()) },
+		},
 	} {
 		n.meter.Gauge(g.name, g.help, g.value)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -175,6 +175,7 @@
 	)
 	options := runner.Options{
 		Service: c.Service, Host: n.host, Queue: n.queue, Pool: n.pool, Suspects: n.watch, Recorder: n.recorder, Meter: n.meter,
+		Workspace: n.workspace,
 	}
 	if n.rollouts != nil {
 		options.Trial = n.rollouts
--- a/internal/slots/load.go
+++ b/internal/slots/load.go
@@ -33,6 +33,7 @@
 	w.Rank = rank
 	s := &Slot{work: w}
 	s.serviceTime, s.margin = q.serviceTime(w.Route, now)
+	s.above = q.isAbove(w, now)
 
 	return q.expectedWait(s, now)
 }
--- a/internal/slots/order.go
+++ b/internal/slots/order.go
@@ -10,6 +10,10 @@
 func (q *Queue) recordOutcome(w Work, admitted float64) {
 	share := &q.admittedShare[rankIndex(w)]
 	*share += (admitted - *share) / admittedShareSamples
+
+	if w.Workspace != "" {
+		q.shares.Record(w.Workspace, admitted > 0)
+	}
 }
 
 // hopeless reports whether a waiting call should be rejected: it can't end before its
@@ -66,6 +70,8 @@
 
 // replace rejects the last waiting call in start order if the given call precedes it.
 func (q *Queue) replace(s *Slot, now time.Time) error {
+	q.updateAbove(now)
+
 	worst := -1
 
 	for i, o := range q.waiting {
@@ -81,6 +87,11 @@
 
 	q.waiting = slices.Delete(q.waiting, worst, worst+1)
 	q.recordOutcome(o.work, 0)
+
+	if s.passes(o) {
+		q.passedOver++
+	}
+
 	o.decision <- ErrTooLate
 
 	return nil
@@ -108,6 +119,8 @@
 		onlyRank = q.starvedRank()
 	}
 
+	q.updateAbove(now)
+
 	best := -1
 
 	for i, o := range q.waiting {
@@ -123,6 +136,10 @@
 	s := q.waiting[best]
 	q.waiting = slices.Delete(q.waiting, best, best+1)
 
+	if slices.ContainsFunc(q.waiting, func(o *Slot) bool { return s.passes(o) && o.startsBefore(s, now) }) {
+		q.passedOver++
+	}
+
 	return s
 }
 
@@ -140,7 +157,8 @@
 	return starvedRank
 }
 
-// before orders nested calls before others, then by rank, then by startsBefore.
+// before orders nested calls before others, then by rank, then calls of workspaces above their fair
+// share after others, then by startsBefore.
 func (s *Slot) before(o *Slot, now time.Time) bool {
 	if s.work.Nested != o.work.Nested {
 		return s.work.Nested
@@ -150,6 +168,10 @@
 		return s.work.Rank < o.work.Rank
 	}
 
+	if s.above != o.above {
+		return o.above
+	}
+
 	return s.startsBefore(o, now)
 }
 
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -56,6 +56,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/bounded"
+	"github.com/pollencart/pollencart/internal/fairshare"
 	"github.com/pollencart/pollencart/internal/pacing"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -112,22 +113,6 @@
 	maxRetryAfter = time.Second
 )
 
-// Work describes a call that requests a slot.
-type Work struct {
-	Route string
-	Rank  int
-	// Target is the time by which an answer is wanted, Deadline the time after which it is
-	// worthless.
-	Target   time.Time
-	Deadline time.Time
-	// Elsewhere is set if another node can run the call.
-	Elsewhere bool
-	// Nearby is set if another node of the failure domain may have a free slot.
-	Nearby bool
-	// Nested is set if a call that runs on another backend server waits for this one.
-	Nested bool
-}
-
 // Queue admits calls to one backend server.
 type Queue struct {
 	mu            sync.Mutex
@@ -143,6 +128,8 @@
 	startCount    int
 	usage         [rankCount]usage
 	admittedShare [rankCount]float64 // recent share of admitted calls per rank
+	shares        *fairshare.Shares  // slot time by workspace
+	passedOver    int                // calls passed over or replaced for fair shares
 }
 
 // Slot is a running or waiting call.
@@ -152,12 +139,15 @@
 	serviceTime time.Duration
 	margin      time.Duration // extra time that most calls of the route don't exceed
 	started     time.Time
+	above       bool // the workspace is above its fair share
 	decision    chan error
 }
 
 // New returns a queue without slots.
 func New() *Queue {
 	q := &Queue{running: map[*Slot]struct{}{}, serviceTimes: bounded.New[serviceTimeEstimate](maxRoutes), pacer: pacing.New()}
+	q.shares = fairshare.New(maxWorkspaces)
+
 	for i := range q.admittedShare {
 		q.admittedShare[i] = 1
 	}
@@ -239,6 +229,7 @@
 
 	now := time.Now()
 	s.serviceTime, s.margin = q.serviceTime(s.work.Route, now)
+	s.above = q.isAbove(s.work, now)
 
 	if q.slots == 0 {
 		return ErrClosed
@@ -278,8 +269,11 @@
 		return reason
 	}
 
+	now := time.Now()
+
+	q.uncharge(s, now)
 	delete(q.running, s)
-	q.start(time.Now())
+	q.start(now)
 
 	return reason
 }
@@ -306,6 +300,7 @@
 		q.pacer.Start(now)
 		q.running[s] = struct{}{}
 		q.recordOutcome(s.work, 1)
+		q.charge(s, s.serviceTime, now)
 		s.decision <- nil
 	}
 
@@ -334,6 +329,7 @@
 
 	delete(q.running, s)
 	q.usage[rankIndex(s.work)].add(now.Sub(s.started), now)
+	q.charge(s, now.Sub(s.started)-s.serviceTime, now)
 
 	if took > 0 {
 		q.observe(s.work.Route, took)
