--- a/internal/runner/describe.go
+++ b/internal/runner/describe.go
@@ -9,6 +9,9 @@
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
+// shareDecimals is the precision of a workspace's share in lines.
+const shareDecimals = 3
+
 // describe formats the inputs and the outcome of a call as the Detail of its event.
 func (r *Runner) describe(in *forward.Request, w slots.Work, reply forward.Reply, took time.Duration) string {
 	const typicalSize = 128
@@ -29,6 +32,10 @@
 		b = append(b, " nested"...)
 	}
 
+	if w.Workspace != "" {
+		b = append(b, " workspace "+w.Workspace+" share "+strconv.FormatFloat(r.options.Queue.Share(w.Workspace), 'f', shareDecimals, 64)...)
+	}
+
 	if l := r.options.Queue.Limit(); l.Limited {
 		b = append(b, " limit "+strconv.FormatFloat(l.PerSecond, 'g', -1, 64)...)
 		b = timeline.AppendNumber(b, " limited ms ", time.Since(l.Since).Milliseconds())
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -70,6 +70,9 @@
 	Meter    Meter
 	// Trial is nil if versions are not compared.
 	Trial Trial
+	// Workspace returns the workspace that a call with these header fields runs for, or "". It is nil
+	// if there are none.
+	Workspace func(fields []call.Field) string
 }
 
 // Runner runs calls on one backend server.
@@ -132,6 +135,10 @@
 		w.Target = w.Deadline
 	}
 
+	if r.options.Workspace != nil {
+		w.Workspace = r.options.Workspace(in.Header)
+	}
+
 	return w
 }
 
