peer: idle connections between nodes hold no write buffer

Cause: each end of a connection held a read and a write buffer of 16 KB. A node of 80 has some 160 connections to others and as many from others, most of them idle: 5 MB each way, which the collector lets double.

Change: write buffers come from a pool while something is written; read buffers hold 2 KB, the frame of a typical call, and longer frames are read past them.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -16,11 +16,15 @@
 	sent    *atomic.Int64
 
 	mu  sync.Mutex
-	buf *bufio.Writer
+	buf *bufio.Writer // nil while nothing is buffered
+	err error         // of an earlier write
 }
 
+// buffers are shared by all connections: a node has several to each other node, most of them idle.
+var buffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
+
 func newWriter(conn net.Conn, sent *atomic.Int64) *writer {
-	return &writer{conn: conn, sent: sent, buf: bufio.NewWriterSize(conn, writeBuffer)}
+	return &writer{conn: conn, sent: sent}
 }
 
 // writeTimeout bounds a write to a peer that does not read. Without it, all requests on the
@@ -29,7 +33,8 @@
 
 const (
 	writeBuffer = 16 << 10
-	readBuffer  = 16 << 10
+	// readBuffer holds the frame of a typical call. A longer one is read past the buffer.
+	readBuffer = 2 << 10
 )
 
 func (w *writer) write(data []byte) error {
@@ -37,20 +42,48 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err == nil {
-		_, err = w.buf.Write(data)
+	w.buffer(data)
+
+	if w.waiting.Add(-1) == 0 {
+		w.flushBuffer()
 	}
 
-	last := w.waiting.Add(-1) == 0
+	w.sent.Add(int64(len(data)))
+
+	return w.err
+}
 
-	if err == nil && last {
-		err = w.buf.Flush()
+// buffer adds data to the buffer. The caller holds mu.
+func (w *writer) buffer(data []byte) {
+	if w.err != nil {
+		return
 	}
 
-	w.sent.Add(int64(len(data)))
+	if w.err = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); w.err != nil {
+		return
+	}
+
+	if w.buf == nil {
+		w.buf = buffers.Get().(*bufio.Writer)
+		w.buf.Reset(w.conn)
+	}
+
+	_, w.err = w.buf.Write(data)
+}
+
+// flushBuffer writes out the buffer and gives it back. The caller holds mu.
+func (w *writer) flushBuffer() {
+	if w.buf == nil {
+		return
+	}
+
+	if err := w.buf.Flush(); w.err == nil {
+		w.err = err
+	}
 
-	return err
+	w.buf.Reset(nil)
+	buffers.Put(w.buf)
+	w.buf = nil
 }
 
 // flush writes out the buffer. The last concurrent writer normally flushes, but on a busy
@@ -61,6 +94,6 @@
 	defer w.mu.Unlock()
 
 	if w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) == nil {
-		_ = w.buf.Flush() // nothing is lost if the peer has terminated
+		w.flushBuffer() // nothing is lost if the peer has terminated
 	}
 }
