--- a/cmd/pollencart/sidecar.go
+++ b/cmd/pollencart/sidecar.go
@@ -1,18 +1,10 @@
 package main
 
 import (
-	"context"
-	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/pollencart/pollencart/internal/logsink"
-	"github.com/pollencart/pollencart/internal/reload"
-	"github.com/pollencart/pollencart/internal/sidecar"
 	"github.com/pollencart/pollencart/internal/sidecar/config"
+	"github.com/pollencart/pollencart/internal/sidecar/process"
 )
 
 func addSidecar(app *kingpin.Application) {
@@ -26,31 +18,6 @@
 			return err
 		}
 
-		return runSidecar(*file, conf)
+		return process.Run(*file, conf)
 	}))
 }
-
-func runSidecar(file string, conf config.Config) error {
-	sink := logsink.New(os.Stdout)
-	logging, stopLogging := context.WithCancel(context.Background())
-	written := make(chan struct{})
-
-	go func() {
-		defer close(written)
-
-		sink.Run(logging)
-	}()
-
-	defer func() {
-		stopLogging()
-		<-written
-	}()
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-
-	n := sidecar.New(conf, slog.New(sink.Handler(slog.LevelDebug)))
-	go n.Follow(ctx, file, reload.Signals())
-
-	return n.Run(ctx)
-}
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -16,9 +16,9 @@
 	"syscall"
 )
 
-// commands are those that run a node. For other commands SIGHUP, as from a terminal that closes,
-// ends the program as usual.
-var commands = []string{"node", "sidecar"}
+// commands are the first words of command lines that run a node. For other commands SIGHUP, as from a
+// terminal that closes, ends the program as usual.
+var commands = []string{"node", "sidecar", "--settings"}
 
 var signals = install(os.Args[1:])
 
--- /dev/null
+++ b/internal/sidecar/process/process.go
@@ -0,0 +1,52 @@
+// Package process runs a sidecar as the main part of a program: its log and signals.
+//
+// # Usage
+//
+//	conf, err := config.Load(file)
+//	err = process.Run(file, conf) // until SIGTERM, then drains
+package process
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+
+	"github.com/pollencart/pollencart/internal/logsink"
+	"github.com/pollencart/pollencart/internal/reload"
+	"github.com/pollencart/pollencart/internal/sidecar"
+	"github.com/pollencart/pollencart/internal/sidecar/config"
+)
+
+// Run runs a sidecar with the settings that were read from a file, until SIGTERM or SIGINT.
+func Run(file string, conf config.Config) error {
+	// A sample of the heap's use takes memory itself.
+	if !conf.Profiles {
+		runtime.MemProfileRate = 0
+	}
+
+	sink := logsink.New(os.Stdout)
+	logging, stopLogging := context.WithCancel(context.Background())
+	written := make(chan struct{})
+
+	go func() {
+		defer close(written)
+
+		sink.Run(logging)
+	}()
+
+	defer func() {
+		stopLogging()
+		<-written
+	}()
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	n := sidecar.New(conf, slog.New(sink.Handler(slog.LevelDebug)))
+	go n.Follow(ctx, file, reload.Signals())
+
+	return n.Run(ctx)
+}
