sidecar: how far the heap grows is a setting, and half of the usual unless set

Cause: the collector lets the heap grow to twice what is in use, and memory at its peak is dear to one customer.

Change: CollectorPercent in the settings; 50 unless set, since bursts of versions are nearly all that a node collects.

The tests of internal/sidecar and internal/dispatch pass with -race, beside a load of 11 to 18.

--- a/internal/sidecar/config/config.go
+++ b/internal/sidecar/config/config.go
@@ -17,6 +17,10 @@
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
+// DefaultCollectorPercent is half of what Go programs use. Between bursts of versions a node has
+// little to collect, so that it costs few milliseconds a version (docs/design/0905-memory-of-a-node.md).
+const DefaultCollectorPercent = 50
+
 // ErrConfig is returned for a settings file that can't be read or has invalid values.
 var ErrConfig = errs.New("sidecar.config", http.StatusBadRequest, "settings file not accepted")
 
@@ -38,6 +42,9 @@
 	MetricsAddress  string `json:"MetricsAddress"`
 	// Profiles serves CPU and memory profiles on MetricsAddress. Taking one costs CPU time and memory.
 	Profiles bool `json:"Profiles"`
+	// CollectorPercent is how far the heap may grow over what is in use, in percent, until the
+	// collector runs. Less saves memory and costs processor time; 0 means DefaultCollectorPercent.
+	CollectorPercent int `json:"CollectorPercent"`
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string `json:"StoreAddress"`
 	// LinkMbps is the bandwidth of the host's link. The nodes with the highest bandwidth in a failure
@@ -124,9 +131,22 @@
 		}
 	}
 
+	if c.CollectorPercent < 0 {
+		return "CollectorPercent", "want 0 or more"
+	}
+
 	return c.Bounds.validate()
 }
 
+// Collector returns how far the heap may grow, in percent.
+func (c Config) Collector() int {
+	if c.CollectorPercent == 0 {
+		return DefaultCollectorPercent
+	}
+
+	return c.CollectorPercent
+}
+
 func (b Bounds) validate() (key, reason string) {
 	for _, f := range []struct {
 		key   string
--- a/internal/sidecar/config/config_test.go
+++ b/internal/sidecar/config/config_test.go
@@ -22,6 +22,7 @@
 	c, err := config.Parse("f", []byte(valid))
 	assert.NilError(t, err)
 	assert.Equal(t, c.Bounds.RetrySlack, 58.0)
+	assert.Equal(t, c.Collector(), config.DefaultCollectorPercent)
 }
 
 func TestParseNamesTheInvalidKey(t *testing.T) {
@@ -29,6 +30,7 @@
 		`"Node": "n"->"Node": ""`:                 "key Node",
 		`"10.0.0.2:1"->"10.0.0.2"`:                "key StoreAddress",
 		`"GraceSeconds": 6->"GraceSeconds": 0`:    "key Bounds.GraceSeconds",
+		`"LinkMbps": 5->"CollectorPercent": -1`:   "key CollectorPercent",
 		`"LinkMbps": 5->"LinkMbps": "fast"`:       "LinkMbps",
 		`"FirstStart": true->"SecondStart": true`: "SecondStart",
 	} {
--- a/internal/sidecar/process/process.go
+++ b/internal/sidecar/process/process.go
@@ -1,4 +1,4 @@
-// Package process runs a sidecar as the main part of a program: its log and signals.
+// Package process runs a sidecar as the main part of a program: log, signals and collector.
 //
 // # Usage
 //
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pollencart/pollencart/internal/logsink"
@@ -22,10 +23,7 @@
 
 // Run runs a sidecar with the settings that were read from a file, until SIGTERM or SIGINT.
 func Run(file string, conf config.Config) error {
-	// A sample of the heap's use takes memory itself.
-	if !conf.Profiles {
-		runtime.MemProfileRate = 0
-	}
+	limitMemory(conf)
 
 	sink := logsink.New(os.Stdout)
 	logging, stopLogging := context.WithCancel(context.Background())
@@ -50,3 +48,12 @@
 
 	return n.Run(ctx)
 }
+
+// limitMemory sets the collector as the settings ask for, and takes heap samples only for profiles.
+func limitMemory(conf config.Config) {
+	if !conf.Profiles {
+		runtime.MemProfileRate = 0
+	}
+
+	debug.SetGCPercent(conf.Collector())
+}
