--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,23 @@
 		"The platform's store was restored from an older copy; this node rewrote the records that other nodes need; the detail lists them.")
 )
 
+// Workspaces and their keys.
+var (
+	KeyRefused = add(230, "KeyRefused", slog.LevelWarn,
+		"A caller's key is not known and its route is not public; the call was refused. "+
+			"Of many such calls some have no line; the next line has their number.")
+)
+
+// Limits of workspaces.
+var (
+	QuotaHomeLost = add(240, "QuotaHomeLost", slog.LevelWarn,
+		"A home of limits does not answer; the node uses its own share of these limits until it answers or another home is used.")
+	QuotaHomeFound = add(241, "QuotaHomeFound", slog.LevelInfo, "A home of limits that was lost answers again.")
+	QuotaHomes     = add(242, "QuotaHomes", slog.LevelInfo, "The node uses another set of homes of limits; the detail lists them.")
+	QuotaExceeded  = add(243, "QuotaExceeded", slog.LevelWarn,
+		"Calls of a workspace were refused by its limit in the last second; the detail has how many of how many.")
+)
+
 // Fleet membership.
 var (
 	MemberJoined  = add(300, "MemberJoined", slog.LevelInfo, "The node learned of a new member.")
--- a/internal/sidecar/config/config_test.go
+++ b/internal/sidecar/config/config_test.go
@@ -32,6 +32,7 @@
 		`"GraceSeconds": 6->"GraceSeconds": 0`:    "key Bounds.GraceSeconds",
 		`"LinkMbps": 5->"CollectorPercent": -1`:   "key CollectorPercent",
 		`"LinkMbps": 5->"LinkMbps": "fast"`:       "LinkMbps",
+		`"RetryRatio": 0.2->"QuotaSlack": -1`:     "key Bounds.QuotaSlack",
 		`"FirstStart": true->"SecondStart": true`: "SecondStart",
 	} {
 		from, to, _ := strings.Cut(change, "->")
