slots: one slot stays free for nested calls beside calls that take much longer

Cause: nested calls go first, but wait for the end of a call of 800 ms while long reads hold all slots; some are late or rejected, and the calls that wait for them are lost. Change: the last free slot is kept for nested calls if they used one all the time, none of them runs, and the running calls take six times as long as they do.

--- a/internal/slots/estimate.go
+++ b/internal/slots/estimate.go
@@ -62,7 +62,8 @@
 // over all slots would overestimate the wait: behind long calls, a short call would appear
 // to wait for half of one, however many slots there are.
 func (q *Queue) slotWait(s *Slot, now time.Time) time.Duration {
-	if len(q.running)+len(q.waiting) < q.slots {
+	reserved := !s.work.Nested && q.slotReserved(now)
+	if len(q.running)+len(q.waiting) < q.slots && !reserved {
 		return 0
 	}
 
@@ -75,6 +76,9 @@
 	}
 
 	free := q.slotFreeTimes(now)
+	if reserved {
+		*earliestFree(free) = s.serviceTime
+	}
 
 	for _, o := range q.waiting {
 		if o.before(s, now) && (!starved || rankIndex(o.work) == rank) {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -127,6 +127,7 @@
 	serviceTimes  *bounded.Map[serviceTimeEstimate]
 	startCount    int
 	usage         [rankCount]usage
+	nested        nested
 	admittedShare [rankCount]float64 // recent share of admitted calls per rank
 	shares        *fairshare.Shares  // slot time by workspace
 	passedOver    int                // calls passed over or replaced for fair shares
@@ -280,7 +281,7 @@
 
 // start admits waiting calls while slots are free.
 func (q *Queue) start(now time.Time) {
-	for len(q.waiting) > 0 && len(q.running) < q.slots {
+	for len(q.waiting) > 0 && len(q.running) < q.slots && !q.held(now) {
 		if wait := q.pacer.Wait(1, now); wait > 0 {
 			q.startAfter(wait)
 
@@ -328,7 +329,7 @@
 	now := time.Now()
 
 	delete(q.running, s)
-	q.usage[rankIndex(s.work)].add(now.Sub(s.started), now)
+	q.countUsage(s, now)
 	q.charge(s, now.Sub(s.started)-s.serviceTime, now)
 
 	if took > 0 {
