--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -147,7 +147,12 @@
 	out := forward.Load{Slots: l.Slots, Running: l.Running, Waiting: l.Waiting}
 
 	for rank := range out.WaitsMs {
-		out.WaitsMs[rank] = r.options.Queue.EstimateWait(w, rank).Milliseconds()
+		// The last one stands for all less urgent ranks, and the sender's next calls are mostly like this one.
+		if rank == forward.Ranks-1 {
+			rank = max(rank, w.Rank)
+		}
+
+		out.WaitsMs[min(rank, forward.Ranks-1)] = r.options.Queue.EstimateWait(w, rank).Milliseconds()
 	}
 
 	return out
