workspaces: who uses limits and backend servers over all nodes, by one command; explain says why a call was refused

Cause: nothing showed by workspace what calls used, nor which limit refused them.

A refusal while the limit as a whole was not known to be used up is counted apart. Deployments without workspaces have no new metric, line or message.

Result: the tests of internal/workspace, internal/explain, cmd/pollencart and, for keys, metrics and workspaces, internal/sidecar and internal/dispatch pass with -race. A first test of the survey hung, as callers waited on a mutex on the paused clock; they wait on a channel now.

--- a/cmd/pollencart/main.go
+++ b/cmd/pollencart/main.go
@@ -43,6 +43,7 @@
 	addSidecar(app)
 	addOperator(app, out)
 	addExplain(app, out)
+	addWorkspaces(app, out)
 
 	return app
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,8 +79,11 @@
 	// its workspace.
 	KeyRefused bool
 	OverLimit  bool
+	// BelowLimit reports that the limit as a whole was not known to be used up.
+	BelowLimit bool
 	Status     int
 	Reason     string
+	Held       time.Duration // that backend servers worked on the call
 	Sent       int           // attempts that may have reached a backend server
 	Asked      int           // nodes contacted
 	Waited     time.Duration // since the caller's first attempt, if this is a detected retry
@@ -175,7 +178,7 @@
 			d.retryDetector.remember(r, current)
 		}
 
-		o.OverLimit = true
+		o.OverLimit, o.BelowLimit = true, decision.BelowLimit
 
 		return d.rejectWith(o, http.StatusTooManyRequests, decision.Reason, decision.RetryAfter)
 	}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -89,6 +89,8 @@
 	Allowed    bool
 	RetryAfter time.Duration
 	Reason     string
+	// BelowLimit reports a refusal although the limit as a whole is not known to be used up.
+	BelowLimit bool
 }
 
 // Options of a dispatcher.
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -21,6 +21,7 @@
 // quotas allows a number of calls.
 type quotas struct {
 	left, taken, returned int
+	belowLimit            bool
 	deadline              time.Duration // of the last call
 }
 
@@ -32,7 +33,7 @@
 	}
 
 	if q.left == 0 {
-		return dispatch.QuotaDecision{RetryAfter: 1500 * time.Millisecond, Reason: "over the limit of 5 calls a second"}
+		return dispatch.QuotaDecision{RetryAfter: 1500 * time.Millisecond, Reason: "over the limit of 5 calls a second", BelowLimit: q.belowLimit}
 	}
 
 	q.left--
@@ -75,6 +76,40 @@
 	})
 }
 
+// meter keeps the outcomes.
+type meter struct {
+	dispatch.Meter
+
+	outcomes []dispatch.Outcome
+}
+
+func (m *meter) Answered(o dispatch.Outcome) { m.outcomes = append(m.outcomes, o) }
+
+func (m *meter) Repeated(string, bool) {}
+
+// An operator sees who holds slots and who is refused by which limit: time at backend servers counts for
+// the workspace over all attempts, and so do refusals.
+func TestOutcomeHasWhatTheWorkspaceUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, q := &meter{}, &quotas{left: 1, belowLimit: true}
+		g := newGuarded(t, func(o *dispatch.Options) { o.Quotas, o.Meter = q, m })
+		g.activate(t, 8, map[string]*workspace.Workspace{"ka": {Name: "a", Rate: 5}})
+		g.reply = func(context.Context, string, forward.Request) (forward.Reply, error) {
+			if len(g.contacted) == 1 {
+				return forward.Reply{Result: forward.Lost, HeldMs: 30}, nil
+			}
+
+			return forward.Reply{Result: forward.Answered, Status: http.StatusOK, HeldMs: 40}, nil
+		}
+
+		send(g.dispatcher, "/safe/x", keyHeader, "ka")
+		send(g.dispatcher, "/safe/x", keyHeader, "ka")
+		assert.Equal(t, m.outcomes[0].Held, 70*time.Millisecond)
+		assert.Assert(t, m.outcomes[1].OverLimit && m.outcomes[1].BelowLimit)
+		assert.Equal(t, m.outcomes[1].Workspace, "a")
+	})
+}
+
 // A call that certainly did not run gives its part of the limit back, any other one doesn't, and a retry
 // takes none.
 func TestCallThatDidNotRunIsReturned(t *testing.T) {
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -119,6 +119,7 @@
 	}
 
 	s.attempted = append(s.attempted, c.ID)
+	s.outcome.Held += time.Duration(max(reply.HeldMs, 0)) * time.Millisecond
 
 	if reply.Result != forward.Refused && reply.Result != forward.Suspected {
 		s.outcome.Sent++
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -44,13 +44,17 @@
 		return err
 	}
 
-	failed := slices.DeleteFunc(all, func(l line) bool { return l.Number != event.CallFailed.Number })
+	failed := slices.DeleteFunc(slices.Clone(all), func(l line) bool { return l.Number != event.CallFailed.Number })
 
 	if err := writeCauses(out, failed); err != nil {
 		return err
 	}
 
-	return writeWindows(out, failed)
+	if err := writeWindows(out, failed); err != nil {
+		return err
+	}
+
+	return writeRefusals(out, all)
 }
 
 // outcomePattern matches the detail of the event that the dispatcher records for a finished call.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -6,7 +6,9 @@
 //
 //	err := explain.Call(os.Stdout, "9c41d07be2a35f68", logFiles...)
 //
-// Causes counts all failed calls by route and cause and by time.
+// For a call that was refused by its key or by a limit, Call also prints by which version or limit, with its counts.
+//
+// Causes counts all failed calls by route and cause and by time, and those refused by keys and limits.
 //
 //	err := explain.Causes(os.Stdout, logFiles...)
 //
@@ -26,6 +28,7 @@
 	"strings"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -66,10 +69,14 @@
 
 	callLines := slices.DeleteFunc(slices.Clone(all), func(l line) bool { return !l.concerns(id) })
 	if len(callLines) == 0 {
-		return ErrUnknown.With("%s; lines of calls that went well are a sample", id)
+		return ErrUnknown.With("%s; lines of calls that went well, or were refused by keys and limits, are a sample", id)
+	}
+
+	if err := write(out, id, callLines, viewChanges(all, callLines)); err != nil {
+		return err
 	}
 
-	return write(out, id, callLines, viewChanges(all, callLines))
+	return writeRefusal(out, all, callLines)
 }
 
 // concerns reports whether the line is about the call or about a call nested in it.
@@ -87,7 +94,7 @@
 	last := callLines[len(callLines)-1].Time
 
 	return slices.DeleteFunc(slices.Clone(all), func(l line) bool {
-		call := l.Number >= firstCallEvent && l.Number < endCallEvents
+		call := l.Number >= firstCallEvent && l.Number < endCallEvents || l.Number == event.KeyRefused.Number
 
 		return call || l.Number == 0 || !involved[l.Node] || l.Time.After(last) || l.Time.Before(last.Add(-viewPeriod))
 	})
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -74,3 +74,18 @@
 func TestServiceWithoutRolloutIsUnknown(t *testing.T) {
 	assert.ErrorIs(t, explain.Rollout(&bytes.Buffer{}, "x", strings.NewReader("{}\n")), explain.ErrNoRollout)
 }
+
+// A caller asks why calls were refused: the key isn't in a version that lags, or the limit is used up.
+func TestRefusalsByKeysAndLimitsAreExplained(t *testing.T) {
+	log, err := os.ReadFile("testdata/refused.log")
+	assert.NilError(t, err)
+
+	var out bytes.Buffer
+
+	for _, id := range []string{"c1", "c2"} {
+		assert.NilError(t, explain.Call(&out, id, bytes.NewReader(log)))
+	}
+
+	assert.NilError(t, explain.Causes(&out, bytes.NewReader(log)))
+	golden.Assert(t, out.String(), "refused.golden")
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -141,14 +141,14 @@
 		tries = 0
 	}
 
-	return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "other calls took what was granted")}
+	return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "other calls took what was granted"), BelowLimit: true}
 }
 
 // alone decides with this entry's own share of the limit.
 func (a *Agent) alone(e *entry, w *workspace.Workspace, l ledger.Limit) dispatch.QuotaDecision {
 	t := a.homes.of(w.Name)
 	if t.reachable { // an ask failed, but the home answers others
-		return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "its home does not grant calls yet")}
+		return dispatch.QuotaDecision{RetryAfter: contendedWait, Reason: describe(w, "its home does not grant calls yet"), BelowLimit: true}
 	}
 
 	share := wallet.Share{Limit: l, Nodes: a.known(), Lost: t.lost, Own: t.own}
@@ -192,7 +192,7 @@
 		cause = fmt.Sprintf("its home is not reachable, this node has a share of 1/%d", r.Counted)
 	}
 
-	return dispatch.QuotaDecision{RetryAfter: r.RetryAfter(), Reason: describe(w, cause)}
+	return dispatch.QuotaDecision{RetryAfter: r.RetryAfter(), Reason: describe(w, cause), BelowLimit: r.Alone}
 }
 
 func describe(w *workspace.Workspace, cause string) string {
--- a/internal/quota/run.go
+++ b/internal/quota/run.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// Uses returns the use of all limits that this node has counted lately as their home.
+func (a *Agent) Uses() []ledger.Use { return a.ledger.Uses() }
+
 // Held returns the number of wallets and buckets that this node holds.
 func (a *Agent) Held() (wallets, buckets int) {
 	a.mu.Lock()
--- a/internal/sidecar/keys_test.go
+++ b/internal/sidecar/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollencart/pollencart/internal/workspace/survey"
 	"github.com/pollencart/pollencart/platform"
 	"github.com/pollencart/pollencart/platform/standin"
 )
@@ -159,3 +161,29 @@
 		assert.Assert(t, !strings.Contains(string(metrics), key))
 	}
 }
+
+// An operator asks any host who uses the backend servers; calls came in at other hosts.
+func TestUseOfWorkspacesIsShownOverAllNodes(t *testing.T) {
+	f := newConfiguredFleet(t, func(_ int, h *host) { h.backend.Work = 20 * time.Millisecond }, "browse", "ledger")
+	f.store.Write(platform.ConfigurationKey, standin.WithTenants(standin.Document(1, "ledger"), map[string]string{"acme": firstKey}))
+	f.announceAll(t)
+
+	for _, h := range f.hosts {
+		eventually(t, func() bool { return h.ready() && h.callWithKey(t, http.DefaultClient, firstKey) == http.StatusOK })
+	}
+
+	eventually(t, func() bool {
+		_, body := f.hosts[0].get(t, "/workspaces")
+
+		var report survey.Report
+
+		assert.NilError(t, json.Unmarshal([]byte(body), &report))
+
+		return report.Nodes == len(f.hosts) && len(report.Rows) == 1 && report.Rows[0].Workspace == "acme" &&
+			report.Rows[0].Calls >= uint64(len(f.hosts)) && report.Rows[0].SlotSeconds >= 0.04
+	})
+
+	metrics := f.hosts[1].metrics(t)
+	assert.Assert(t, strings.Contains(metrics, `pollencart_workspace_calls_total{Workspace="acme"} `), metrics)
+	assert.Assert(t, !strings.Contains(metrics, firstKey))
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -52,9 +52,13 @@
 	return nil
 }
 
-// registerMetrics serves the metrics and, if enabled in the settings, profiles of the process.
+// registerMetrics serves the metrics, the use of workspaces over all nodes and, if enabled in the settings, profiles
+// of the process.
 func (n *Sidecar) registerMetrics(e *echo.Echo) {
 	e.GET("/metrics", echo.WrapHandler(n.meter.Handler()))
+	e.GET("/workspaces", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, n.survey.Report(c.Request().Context()))
+	})
 
 	if !n.config.Profiles {
 		return
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -18,6 +18,7 @@
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/peer"
+	"github.com/pollencart/pollencart/internal/workspace/usage"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -45,12 +46,13 @@
 	bytes        *prometheus.CounterVec
 	versionRuns  *prometheus.CounterVec
 	unknownKeys  prometheus.Counter
+	workspaces   *usage.Usage
 }
 
 // New returns a meter with its metrics registered and all counters at zero.
 func New() *Meter {
 	m := &Meter{
-		registry: prometheus.NewRegistry(),
+		registry: prometheus.NewRegistry(), workspaces: usage.New(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollencart_calls_total", Help: "Calls of callers by route, status and reason of an own answer.",
 		}, []string{"Route", "Status", "Own"}),
@@ -94,7 +96,8 @@
 		}),
 	}
 	m.registry.MustRegister(m.calls, m.latency, m.sends, m.contacted, m.undelivered, m.runs, m.queueTime, m.serviceTime, m.storeCalls,
-		m.epochChanges, m.retries, m.messages, m.bytes, m.versionRuns, m.unknownKeys, invariant.Collector{}, collectors.NewGoCollector())
+		m.epochChanges, m.retries, m.messages, m.bytes, m.versionRuns, m.unknownKeys, workspaces{m.workspaces},
+		invariant.Collector{}, collectors.NewGoCollector())
 
 	return m
 }
@@ -114,6 +117,10 @@
 	if o.KeyRefused {
 		m.unknownKeys.Inc()
 	}
+
+	if o.Workspace != "" {
+		m.workspaces.Add(usage.Call{Workspace: o.Workspace, OverLimit: o.OverLimit, BelowLimit: o.BelowLimit, Held: o.Held})
+	}
 }
 
 // Undelivered counts a response that could not be sent to a caller that still waited.
--- /dev/null
+++ b/internal/sidecar/meter/workspaces.go
@@ -0,0 +1,47 @@
+package meter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pollencart/pollencart/internal/workspace/usage"
+)
+
+// workspaces exports the counts of the workspaces with the most calls, and the sum of the others. A workspace that
+// joins the largest takes its counts out of that sum.
+type workspaces struct{ *usage.Usage }
+
+var (
+	workspaceCalls = prometheus.NewDesc("pollencart_workspace_calls_total",
+		"Calls of callers for a workspace; the largest ones, and the others as (rest).", []string{"Workspace"}, nil)
+	workspaceRefused = prometheus.NewDesc("pollencart_workspace_refused_total",
+		"Calls refused by the limit of their workspace, by whether the limit as a whole was not known to be used up.",
+		[]string{"Workspace", "Below"}, nil)
+	workspaceSlots = prometheus.NewDesc("pollencart_workspace_slot_seconds_total",
+		"Time that backend servers worked on calls of a workspace, in seconds.", []string{"Workspace"}, nil)
+)
+
+// Describe implements [prometheus.Collector].
+func (w workspaces) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{workspaceCalls, workspaceRefused, workspaceSlots} {
+		out <- d
+	}
+}
+
+// Collect implements [prometheus.Collector].
+func (w workspaces) Collect(out chan<- prometheus.Metric) {
+	counter := func(d *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, value, labels...)
+	}
+
+	for _, c := range w.Largest() {
+		counter(workspaceCalls, float64(c.Calls), c.Workspace)
+		counter(workspaceRefused, float64(c.OverLimit-c.BelowLimit), c.Workspace, "false")
+		counter(workspaceRefused, float64(c.BelowLimit), c.Workspace, "true")
+		counter(workspaceSlots, (time.Duration(c.HeldMs) * time.Millisecond).Seconds(), c.Workspace)
+	}
+}
+
+// Workspaces returns the counts of the workspaces with the most calls, and the sum of the others.
+func (m *Meter) Workspaces() []usage.Count { return m.workspaces.Largest() }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,6 +51,7 @@
 	"github.com/pollencart/pollencart/internal/stall"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/internal/tombstone"
+	"github.com/pollencart/pollencart/internal/workspace/survey"
 	"github.com/pollencart/pollencart/platform"
 )
 
@@ -85,6 +86,7 @@
 	tombstone  *tombstone.Registry
 	rollouts   *control.Agent // nil if versions are not told apart
 	quotas     *quota.Agent   // nil if no limits are kept
+	survey     *survey.Survey
 
 	host  *announce.Host
 	queue *slots.Queue
@@ -116,6 +118,7 @@
 	n.store = platform.NewStore(c.StoreAddress, n.epoch, m.StoreCalled, n.recordSkippedEntry)
 	n.initMembership()
 	n.initQuotas()
+	n.initSurvey()
 	n.backend()
 	n.initIngress()
 	n.registerPeerMethods()
@@ -229,6 +232,7 @@
 	n.server.Handle(forward.MethodRun, peer.Typed(n.runner.Serve))
 	n.configsync.Register(n.server)
 
+	n.server.Handle(survey.MethodUse, peer.Typed(n.survey.Serve))
 	n.server.Handle(tombstone.MethodKeep, peer.Typed(n.tombstone.ServeKeep))
 	n.server.Handle(tombstone.MethodAsk, peer.Typed(n.tombstone.ServeAsk))
 
