--- a/cmd/pollencart/main.go
+++ b/cmd/pollencart/main.go
@@ -44,6 +44,7 @@
 	addOperator(app, out)
 	addExplain(app, out)
 	addWorkspaces(app, out)
+	addLimits(app, out)
 
 	return app
 }
--- a/internal/explain/refused.go
+++ b/internal/explain/refused.go
@@ -14,7 +14,7 @@
 	// refusedPattern matches the detail of a call that was refused by its key or the limit of its workspace.
 	refusedPattern = regexp.MustCompile(`^status (401|429) route (\S*) .*? reason (.*)$`)
 	// exceededPattern matches the detail of QuotaExceeded, leftOutPattern the end of that of KeyRefused.
-	exceededPattern = regexp.MustCompile(`^workspace (.*): refused (\d+) of (\d+) calls$`)
+	exceededPattern = regexp.MustCompile(`^workspace (.*): refused (\d+) of (\d+) calls(?:; last by: .*)?$`)
 	leftOutPattern  = regexp.MustCompile(`, and (\d+) calls before it that have no line$`)
 )
 
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -5,58 +5,59 @@
 	"fmt"
 	"slices"
 	"sync"
+
+	"github.com/pollencart/pollencart/internal/dispatch"
 )
 
 const (
 	// maxLines bounds the workspaces with a line of their own in a second.
 	maxLines = 10
-	// maxNamed bounds the workspaces with metrics of their own, maxCounted those that are told apart.
-	maxNamed   = 20
+	// maxCounted bounds the workspaces that are told apart.
 	maxCounted = 10_000
 )
 
-// Rest is the name under which the metrics sum up all other workspaces.
+// Rest is the name under which lines sum up all other workspaces.
 const Rest = "(rest)"
 
-// Count is the number of calls of a workspace at this entry since the start of the process.
+// Count is the number of calls of a workspace at this entry since the last lines.
 type Count struct {
 	Workspace string
 	Calls     uint64
 	Refused   uint64
+	// Reason is that of the last refused call.
+	Reason string
 }
 
 // counts counts calls by workspace.
 type counts struct {
 	mu       sync.Mutex
-	totals   map[string]*Count
 	recently map[string]*Count // since the last lines
 }
 
-func newCounts() *counts { return &counts{totals: map[string]*Count{}, recently: map[string]*Count{}} }
+func newCounts() *counts { return &counts{recently: map[string]*Count{}} }
 
-func (c *counts) add(workspace string, allowed bool) {
+func (c *counts) add(workspace string, d dispatch.QuotaDecision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	for _, m := range []map[string]*Count{c.totals, c.recently} {
-		n := m[workspace]
-		if n == nil {
-			if len(m) >= maxCounted {
-				workspace = Rest
-			}
-
-			if n = m[workspace]; n == nil {
-				n = &Count{Workspace: workspace}
-				m[workspace] = n
-			}
+	n := c.recently[workspace]
+	if n == nil {
+		if len(c.recently) >= maxCounted {
+			workspace = Rest
 		}
 
-		n.Calls++
-
-		if !allowed {
-			n.Refused++
+		if n = c.recently[workspace]; n == nil {
+			n = &Count{Workspace: workspace}
+			c.recently[workspace] = n
 		}
 	}
+
+	n.Calls++
+
+	if !d.Allowed {
+		n.Refused++
+		n.Reason = d.Reason
+	}
 }
 
 // lines returns a line for each workspace that had calls refused since the last time.
@@ -71,23 +72,13 @@
 
 	for _, n := range append(named, rest) {
 		if n.Refused > 0 {
-			out = append(out, fmt.Sprintf("workspace %s: refused %d of %d calls", n.Workspace, n.Refused, n.Calls))
+			out = append(out, fmt.Sprintf("workspace %s: refused %d of %d calls; last by: %s", n.Workspace, n.Refused, n.Calls, n.Reason))
 		}
 	}
 
 	return out
 }
 
-// Counts returns the counts of the workspaces with the most calls, and the sum of all others.
-func (a *Agent) Counts() []Count {
-	a.counts.mu.Lock()
-	defer a.counts.mu.Unlock()
-
-	named, rest := largest(a.counts.totals, maxNamed, func(n *Count) uint64 { return n.Calls })
-
-	return append(named, rest)
-}
-
 // largest returns the largest counts in order, and the sum of the others.
 func largest(m map[string]*Count, count int, by func(*Count) uint64) (named []Count, rest Count) {
 	all := make([]Count, 0, len(m))
@@ -112,7 +103,7 @@
 
 	named = all[:min(count, len(all))]
 	for _, n := range all[len(named):] {
-		rest.Calls, rest.Refused = rest.Calls+n.Calls, rest.Refused+n.Refused
+		rest.Calls, rest.Refused, rest.Reason = rest.Calls+n.Calls, rest.Refused+n.Refused, n.Reason
 	}
 
 	return slices.Clip(named), rest
--- a/internal/quota/homes.go
+++ b/internal/quota/homes.go
@@ -1,11 +1,9 @@
 package quota
 
 import (
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/quota/home"
 	"github.com/pollencart/pollencart/internal/quota/ledger"
 )
@@ -61,6 +59,7 @@
 	silentUntil time.Time // until when a process before this one may count the delegation
 	confirmed   uint64    // the set that the home knows
 	ready       bool      // the home grants calls
+	leaving     bool      // the home is being stopped
 	asked       time.Time
 	received    time.Time // of the last answer
 	lost        time.Time // zero while it answers
@@ -169,7 +168,7 @@
 		s.asked = time.Time{} // the next ask delegates
 	}
 
-	s.confirmed, s.received, s.ready = out.Set, now, out.Ready
+	s.confirmed, s.received, s.ready, s.leaving = out.Set, now, out.Ready, out.Leaving
 
 	found := !s.lost.IsZero()
 	if found {
@@ -196,136 +195,6 @@
 	return h.set != nil && h.set.Has(id)
 }
 
-// choose updates the set of homes, and reports whether it changed.
-func (h *homes) choose(live []membership.Record, near []membership.Record) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	now := time.Now()
-	h.forget(live)
-
-	if h.next != nil {
-		return h.move(now)
-	}
-
-	wanted := h.eligible(home.Strongest(live, home.MaxHomes), now)
-	if len(wanted) == 0 {
-		wanted = h.eligible(near, now)
-	}
-
-	if len(wanted) == 0 {
-		return false
-	}
-
-	next := home.New(wanted)
-	if next.Hash() != h.wanted {
-		h.wanted, h.wantedSince = next.Hash(), now
-	}
-
-	h.prepare(next, now)
-
-	return h.next != nil && h.move(now)
-}
-
-// prepare starts the move to a chosen set. Homes that are lost are left out first: only their
-// workspaces move, and what the others hold goes on.
-func (h *homes) prepare(chosen *home.Set, now time.Time) {
-	settle := settleTime
-	if now.Sub(h.started) < youngTime {
-		settle = youngSettleTime
-	}
-
-	if h.set == nil || !h.delegated {
-		if h.set == nil || h.set.Hash() != chosen.Hash() {
-			h.next = chosen
-		}
-
-		return
-	}
-
-	remaining := slices.DeleteFunc(slices.Clone(h.set.IDs()), func(id string) bool { return !chosen.Has(id) })
-
-	switch {
-	case len(remaining) < len(h.set.IDs()) && len(remaining) > 0:
-		h.next = home.New(remaining)
-	case chosen.Hash() != h.set.Hash() && (len(remaining) == 0 || now.Sub(h.wantedSince) >= settle):
-		h.next = chosen
-	default:
-		return
-	}
-
-	h.moveAt = now
-
-	for _, id := range h.set.IDs() {
-		s := h.state(id)
-		if loses := len(remaining) == len(h.set.IDs()) || !h.next.Has(id); !loses {
-			continue
-		}
-
-		s.renewed = max(s.stamp, 1)
-
-		if ends := s.received.Add(ledger.Lease); ends.After(h.moveAt) {
-			h.moveAt = ends
-		}
-	}
-}
-
-// move replaces the set once no home that loses workspaces counts this node.
-func (h *homes) move(now time.Time) bool {
-	if now.Before(h.moveAt) {
-		return false
-	}
-
-	h.set, h.next = h.next, nil
-
-	for _, s := range h.states {
-		s.renewed, s.asked = 0, time.Time{}
-	}
-
-	return true
-}
-
-// forget drops the states of nodes that are gone and count no delegation.
-func (h *homes) forget(live []membership.Record) {
-	alive := make(map[string]bool, len(live))
-
-	for _, r := range live {
-		alive[r.ID] = true
-
-		if s := h.states[r.ID]; s != nil {
-			s.address = r.PeerAddress
-		}
-	}
-
-	for id := range h.states {
-		if !alive[id] && !h.uses(id) {
-			delete(h.states, id)
-		}
-	}
-}
-
-// uses reports whether a node is a home now or soon.
-func (h *homes) uses(id string) bool {
-	return h.set != nil && h.set.Has(id) || h.next != nil && h.next.Has(id)
-}
-
-// eligible returns the IDs of the candidates that answer, and updates their addresses.
-func (h *homes) eligible(candidates []membership.Record, now time.Time) []string {
-	var out []string
-
-	for _, r := range candidates {
-		s := h.state(r.ID)
-		s.address = r.PeerAddress
-
-		lost := !s.lost.IsZero() && (now.Sub(s.lost) > replaceAfter || !h.uses(r.ID))
-		if back := h.set == nil || h.uses(r.ID) || now.Sub(s.back) > returnAfter; r.ID == h.self || !lost && back {
-			out = append(out, r.ID)
-		}
-	}
-
-	return out
-}
-
 // due returns the homes whose delegation must be renewed now, and lost ones that are asked whether
 // they answer again. Other nodes are forgotten.
 func (h *homes) due() []target {
@@ -345,7 +214,7 @@
 		if !h.uses(id) {
 			interval = probeInterval
 
-			if s.lost.IsZero() && now.Sub(s.back) > returnAfter {
+			if s.lost.IsZero() && !s.leaving && now.Sub(s.back) > returnAfter {
 				continue
 			}
 		}
@@ -370,3 +239,19 @@
 
 	return h.set.IDs()
 }
+
+// lost returns the number of homes in use that do not answer.
+func (h *homes) lost() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	n := 0
+
+	for id, s := range h.states {
+		if h.uses(id) && !s.lost.IsZero() {
+			n++
+		}
+	}
+
+	return n
+}
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -5,14 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/pollencart/pollencart/internal/dispatch"
 	"github.com/pollencart/pollencart/internal/membership"
-	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/quota"
 	"github.com/pollencart/pollencart/internal/quota/ledger"
 	"github.com/pollencart/pollencart/internal/route"
@@ -60,6 +58,7 @@
 	sided   time.Time
 	thawed  chan struct{} // closed while it is not frozen
 	table   *route.Table
+	leaving atomic.Bool
 }
 
 func newWorld(t *testing.T, count int, random *rand.Rand, limits ...*workspace.Workspace) *world {
@@ -115,14 +114,19 @@
 }
 
 func (n *node) start() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
 	ctx, cancel := context.WithCancel(context.Background())
+
+	n.mu.Lock()
 	n.started, n.down, n.stop = time.Now(), time.Time{}, cancel
-	n.record.Incarnation = uint64(time.Now().UnixMicro()) + 1
-	n.agent = quota.New(quota.Options{Bound: bound, Tables: n, Members: n, Peers: n, Recorder: timeline.New(timeline.Size(1))})
-	agent := n.agent
+	n.mu.Unlock()
+
+	agent := quota.New(quota.Options{
+		Bound: bound, Tables: n, Members: n, Peers: n, Recorder: timeline.New(timeline.Size(1)), Leaving: n.leaving.Load,
+	})
+
+	n.mu.Lock()
+	n.agent = agent
+	n.mu.Unlock()
 
 	n.world.wg.Go(func() { agent.Run(ctx) })
 }
@@ -135,14 +139,16 @@
 	n.agent, n.down = nil, time.Now()
 }
 
-func (n *node) freeze(d time.Duration) {
+func (n *node) freeze() {
+	const length = 3 * time.Second
+
 	thawed := make(chan struct{})
 
 	n.mu.Lock()
 	n.thawed = thawed
 	n.mu.Unlock()
 
-	time.AfterFunc(d, func() { close(thawed) })
+	time.AfterFunc(length, func() { close(thawed) })
 }
 
 func (n *node) setSide(side int) {
@@ -166,6 +172,14 @@
 	<-thawed
 }
 
+// traffic returns the number of messages and the bytes of their bodies.
+func (w *world) traffic() (messages, bytes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.messages, w.bytes
+}
+
 func (w *world) stopAll() {
 	for _, n := range w.nodes {
 		if n.running() != nil {
@@ -177,168 +191,6 @@
 	time.Sleep(time.Second) // messages under way
 }
 
-// Load implements quota.Tables.
-func (n *node) Load() *route.Table {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	return n.table
-}
-
-func (n *node) setTable(t *route.Table) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	n.table = t
-}
-
-// Self implements quota.Members.
-func (n *node) Self() membership.Record { return n.record }
-
-// Live implements quota.Members.
-func (n *node) Live() []membership.Record {
-	var out []membership.Record
-
-	for _, o := range n.known() {
-		if n.seesLive(o) {
-			out = append(out, o.record)
-		}
-	}
-
-	return out
-}
-
-// known returns the nodes that the process has heard of.
-func (n *node) known() []*node {
-	const first = 4
-
-	n.mu.Lock()
-	young := time.Since(n.started) < joining
-	n.mu.Unlock()
-
-	if !young {
-		return n.world.nodes
-	}
-
-	out := []*node{n}
-
-	for _, o := range n.world.nodes[:min(first, len(n.world.nodes))] {
-		if o != n {
-			out = append(out, o)
-		}
-	}
-
-	return out
-}
-
-func (n *node) seesLive(o *node) bool {
-	if n == o {
-		return true
-	}
-
-	side, sided, _ := n.view()
-	otherSide, otherSided, down := o.view()
-
-	if !down.IsZero() {
-		return time.Since(down) < detection
-	}
-
-	return side == otherSide || time.Since(sided) < detection || time.Since(otherSided) < detection
-}
-
-func (n *node) view() (side int, sided, down time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	return n.side, n.sided, n.down
-}
-
-// FirstOf implements quota.Members.
-func (n *node) FirstOf(domain string, count int) []membership.Record {
-	var out []membership.Record
-
-	for _, r := range n.Live() {
-		if r.FailureDomain == domain && len(out) < count {
-			out = append(out, r)
-		}
-	}
-
-	return out
-}
-
-// CountKnown implements quota.Members.
-func (n *node) CountKnown(time.Duration) int { return len(n.known()) }
-
-// Link implements quota.Peers.
-func (n *node) Link(string, peer.Lane) peer.Link { return peer.LinkReady }
-
-// DoElsewhere implements quota.Peers.
-func (n *node) DoElsewhere(ctx context.Context, address string, _ peer.Lane, _ string, in, out any) error {
-	n.awaitThaw()
-
-	var to *node
-
-	for _, o := range n.world.nodes {
-		if o.record.ID == address {
-			to = o
-		}
-	}
-
-	body, _ := msgpack.Marshal(in)
-	done := make(chan ledger.Answer, 1)
-
-	go func() {
-		time.Sleep(oneWay)
-
-		if !n.reaches(to) {
-			return
-		}
-
-		to.awaitThaw()
-
-		agent := to.running()
-		if agent == nil {
-			return
-		}
-
-		var got ledger.Ask
-		if peer.Decode(body, &got) != nil {
-			return
-		}
-
-		answer, _ := agent.ServeAsk(context.Background(), got)
-
-		time.Sleep(oneWay)
-
-		if n.reaches(to) {
-			done <- answer
-		}
-	}()
-
-	select {
-	case answer := <-done:
-		*out.(*ledger.Answer) = answer
-		back, _ := msgpack.Marshal(answer)
-
-		n.world.mu.Lock()
-		defer n.world.mu.Unlock()
-
-		n.world.messages++
-		n.world.bytes += len(body) + len(back)
-
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (n *node) reaches(o *node) bool {
-	side, _, _ := n.view()
-	other, _, down := o.view()
-
-	return side == other && down.IsZero()
-}
-
 // call sends one call to a node.
 func (w *world) call(n *node, space *workspace.Workspace) {
 	w.wg.Go(func() {
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -59,6 +59,7 @@
 	e.GET("/workspaces", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, n.survey.Report(c.Request().Context()))
 	})
+	n.registerLimits(e)
 
 	if !n.config.Profiles {
 		return
--- a/internal/sidecar/meter/workspaces.go
+++ b/internal/sidecar/meter/workspaces.go
@@ -16,29 +16,30 @@
 	workspaceCalls = prometheus.NewDesc("pollencart_workspace_calls_total",
 		"Calls of callers for a workspace; the largest ones, and the others as (rest).", []string{"Workspace"}, nil)
 	workspaceRefused = prometheus.NewDesc("pollencart_workspace_refused_total",
-		"Calls refused by the limit of their workspace, by whether the limit as a whole was not known to be used up.",
-		[]string{"Workspace", "Below"}, nil)
+		"Those of the calls that were refused by the limit of the workspace.", []string{"Workspace"}, nil)
+	workspaceBelow = prometheus.NewDesc("pollencart_workspace_refused_below_limit_total",
+		"Those of the refused calls for which the limit as a whole was not known to be used up.", []string{"Workspace"}, nil)
 	workspaceSlots = prometheus.NewDesc("pollencart_workspace_slot_seconds_total",
 		"Time that backend servers worked on calls of a workspace, in seconds.", []string{"Workspace"}, nil)
 )
 
 // Describe implements [prometheus.Collector].
 func (w workspaces) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{workspaceCalls, workspaceRefused, workspaceSlots} {
+	for _, d := range []*prometheus.Desc{workspaceCalls, workspaceRefused, workspaceBelow, workspaceSlots} {
 		out <- d
 	}
 }
 
 // Collect implements [prometheus.Collector].
 func (w workspaces) Collect(out chan<- prometheus.Metric) {
-	counter := func(d *prometheus.Desc, value float64, labels ...string) {
-		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, value, labels...)
+	counter := func(d *prometheus.Desc, value float64, workspace string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, value, workspace)
 	}
 
 	for _, c := range w.Largest() {
 		counter(workspaceCalls, float64(c.Calls), c.Workspace)
-		counter(workspaceRefused, float64(c.OverLimit-c.BelowLimit), c.Workspace, "false")
-		counter(workspaceRefused, float64(c.BelowLimit), c.Workspace, "true")
+		counter(workspaceRefused, float64(c.OverLimit), c.Workspace)
+		counter(workspaceBelow, float64(c.BelowLimit), c.Workspace)
 		counter(workspaceSlots, (time.Duration(c.HeldMs) * time.Millisecond).Seconds(), c.Workspace)
 	}
 }
--- a/internal/sidecar/workspaces.go
+++ b/internal/sidecar/workspaces.go
@@ -19,7 +19,7 @@
 	if n.quotas != nil {
 		for _, u := range n.quotas.Uses() {
 			out.Limits = append(out.Limits, survey.Limit{
-				Workspace: u.Workspace, Rate: u.Limit.Rate, Burst: u.Limit.Burst, Version: u.Limit.Version, Share: u.Share, Counted: u.Counted,
+				Workspace: u.Workspace, Rate: u.Rate, Burst: u.Burst, Version: u.Version, Share: u.Share, Counted: u.Granted,
 			})
 		}
 	}
