--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -22,7 +22,6 @@
 		Tables: n.holder, Members: n.table, Peers: n.client, Recorder: n.recorder, Leaving: n.draining.Leaving,
 	})
 	n.quotas.Register(n.server)
-	n.meter.Workspaces(n.quotas.Counts)
 	n.meter.Gauge("pollencart_quota_homes_lost", "Homes of limits that do not answer this node.", func() float64 {
 		return float64(n.quotas.Lost())
 	})
