--- a/internal/quota/ledger/bucket.go
+++ b/internal/quota/ledger/bucket.go
@@ -31,6 +31,8 @@
 	tokens    float64
 	at        time.Time // of the last refill
 	asked     time.Time
+	// settled is when the bucket has what can be expected of it: a new home has taken over by then.
+	settled time.Time
 	// reserved is until when refused calls were told to come back.
 	reserved time.Time
 
@@ -91,7 +93,7 @@
 	b.tokens -= float64(n)
 	b.count(n, now)
 
-	g := Grant{Calls: n, Version: b.limit.Version, Counted: b.counted(), Unready: b.share <= 0}
+	g := Grant{Calls: n, Version: b.limit.Version, Counted: b.counted(), Unready: b.share <= 0 || n < i.Need && now.Before(b.settled)}
 	if missing := max(i.Need-n, 0); missing+i.Refused > 0 {
 		g.Short = missing > 0
 		g.WaitMs, g.SpreadMs = b.reserve(missing+i.Refused, now)
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -44,6 +44,8 @@
 	// youngTime is how long new buckets are refilled from the start of the process on: the processes
 	// before have stopped at the same time, or their callers waited meanwhile.
 	youngTime = 1500 * time.Millisecond
+	// takeOver is how long a new bucket fills while entries come to a new home.
+	takeOver = 700 * time.Millisecond
 	// readyShare is the part of the nodes whose delegations a young home waits for.
 	readyShare = 0.8
 	// maxSets bounds the sets of homes that entries have named.
@@ -272,6 +274,10 @@
 	if b == nil {
 		b = &bucket{bound: l.bound, limit: i.Limit, limitSeen: now, share: l.share(i.Workspace), at: l.steady, asked: now}
 		l.buckets[i.Workspace] = b
+
+		if now.Sub(l.steady) < takeOver {
+			b.settled = now.Add(takeOver)
+		}
 	}
 
 	return b
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -42,7 +42,7 @@
 	// maxPatience is how long a call waits for a home that grants, looking each patienceStep, and maxHeld
 	// the number of calls that do so at the same time.
 	maxPatience  = 800 * time.Millisecond
-	patienceStep = 40 * time.Millisecond
+	patienceStep = 100 * time.Millisecond
 	maxHeld      = 64
 )
 
