slots: calls leave a slow host only while half of its slots are free

Cause: near the capacity of all nodes a call that left a slow host found no room elsewhere, and the slot stayed free. Change: a slow host declines calls only while at most half of its slots are in use. TestCallStaysOnSlowHostInUse is new; the tests of slots pass, and of dispatch those of balance, oracle and slow moments.

--- a/internal/slots/slowness.go
+++ b/internal/slots/slowness.go
@@ -22,6 +22,9 @@
 	// slowFrom is the multiple of the usual slowness from which calls that may be late are sent to
 	// another node although a slot is free.
 	slowFrom = 1.2
+	// declineBelow is the share of the slots in use up to which they are. With more in use, other
+	// nodes have little room, and a declined call leaves a free slot unused.
+	declineBelow = 0.5
 )
 
 // Slowness is how long work takes on the host of the backend server, as a multiple of a standard
@@ -157,7 +160,7 @@
 // not much longer than expected. The margin is the larger one, since another node costs only a
 // millisecond. The target of the call that waits for a nested one is not known here.
 func (q *Queue) mayBeLateBySlowness(s *Slot, now time.Time) bool {
-	if q.slowness.overUsual(now) < slowFrom {
+	if q.slowness.overUsual(now) < slowFrom || float64(len(q.running)) >= declineBelow*float64(q.slots) {
 		return false
 	}
 
--- a/internal/slots/slowness_test.go
+++ b/internal/slots/slowness_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+// Calls leave a slow host that others would need: near capacity they find no room elsewhere, while the
+// slots they left stay free.
+func TestCallStaysOnSlowHostInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newStatedQueue(t)
+
+		for range 2 {
+			go func() { assert.Check(t, enter(q, time.Second, false, 300*ms) == nil) }()
+		}
+
+		synctest.Wait()
+		q.SetSlowness(2.5)
+		assert.NilError(t, enter(q, 200*ms, true, 300*ms))
+		synctest.Wait()
+	})
+}
+
 // A nested call runs on a host that is slow at this moment, and the call that waits for it is late.
 func TestNestedCallLeavesSlowHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
