--- a/internal/sidecar/meter/workspaces.go
+++ b/internal/sidecar/meter/workspaces.go
@@ -12,15 +12,18 @@
 // joins the largest takes its counts out of that sum.
 type workspaces struct{ *usage.Usage }
 
+// byWorkspace are the labels of all of them.
+var byWorkspace = []string{"Workspace"}
+
 var (
 	workspaceCalls = prometheus.NewDesc("pollencart_workspace_calls_total",
-		"Calls of callers for a workspace; the largest ones, and the others as (rest).", []string{"Workspace"}, nil)
+		"Calls of callers for a workspace; the largest ones, and the others as (rest).", byWorkspace, nil)
 	workspaceRefused = prometheus.NewDesc("pollencart_workspace_refused_total",
-		"Those of the calls that were refused by the limit of the workspace.", []string{"Workspace"}, nil)
+		"Those of the calls that were refused by the limit of the workspace.", byWorkspace, nil)
 	workspaceBelow = prometheus.NewDesc("pollencart_workspace_refused_below_limit_total",
-		"Those of the refused calls for which the limit as a whole was not known to be used up.", []string{"Workspace"}, nil)
+		"Those of the refused calls for which the limit as a whole was not known to be used up.", byWorkspace, nil)
 	workspaceSlots = prometheus.NewDesc("pollencart_workspace_slot_seconds_total",
-		"Time that backend servers worked on calls of a workspace, in seconds.", []string{"Workspace"}, nil)
+		"Time that backend servers worked on calls of a workspace, in seconds.", byWorkspace, nil)
 )
 
 // Describe implements [prometheus.Collector].
