--- a/internal/runner/notice_test.go
+++ b/internal/runner/notice_test.go
@@ -92,7 +92,8 @@
 
 	in := request()
 	in.Notice = &forward.Notice{Instance: "i-0", Leaving: true, Limited: true, Limit: 1}
-	assert.Equal(t, serve(t, r, in).Result, forward.Answered)
+	reply := serve(t, r, in)
+	assert.Equal(t, reply.Result, forward.Answered, reply.Reason)
 	assert.Assert(t, !queue.Limit().Limited)
 }
 
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -279,7 +279,7 @@
 
 	reply, err = r.Serve(context.Background(), request())
 	assert.NilError(t, err)
-	assert.Equal(t, reply.Result, forward.Answered)
+	assert.Equal(t, reply.Result, forward.Answered, reply.Reason)
 }
 
 // A backend server fails calls that it ran. Each must be recorded, not sampled, since its caller
