Comments: workspaces and hosts in the project's words

Cause: three comments outside platform/ used words of the users' pages. Change: workspace, hardware.

--- a/internal/sidecar/keys_test.go
+++ b/internal/sidecar/keys_test.go
@@ -142,7 +142,7 @@
 	at = write(3, map[string]string{"acme": secondKey, "corp": firstKey})
 	expect(at, firstKey, http.StatusOK, "corp")
 
-	// A version with an error in its tenants is rejected whole.
+	// A version with an error in its workspaces is rejected whole.
 	at = write(4, map[string]string{"acme": firstKey, "corp": firstKey})
 	eventually(t, func() bool { return strings.Count(log.String(), "a key is held by workspaces") >= 2 })
 	expect(at, secondKey, http.StatusOK, "acme")
--- a/internal/sidecar/quotas_test.go
+++ b/internal/sidecar/quotas_test.go
@@ -17,7 +17,7 @@
 	"github.com/pollencart/pollencart/platform/standin"
 )
 
-// withLimit gives the only tenant of a configuration a limit.
+// withLimit gives the only workspace of a configuration a limit.
 func withLimit(document []byte, rate string) []byte {
 	out := bytes.Replace(document, []byte(`["api-keys","name"]`), []byte(`["api-keys","name","rate-per-s"]`), 1)
 
--- a/internal/slots/slowness.go
+++ b/internal/slots/slowness.go
@@ -8,7 +8,7 @@
 
 const (
 	// slownessDecay is the time constant with which a stated slowness returns to the usual one. Slow
-	// moments of a host that shares its machine last some tenths of a second.
+	// moments of a host that shares its hardware last some tenths of a second.
 	slownessDecay = 500 * time.Millisecond
 	// slownessTTL is the age from which a stated slowness says nothing.
 	slownessTTL = 3 * slownessDecay
