membership, metrics: the loss of a process is told

Cause: after a process ended by itself no line said so. A killed process writes nothing, its host keeps nothing, and other nodes saw only links that ended.

Change: a node that learns of an earlier process of its own that has not left records 112 ProcessLost, other nodes record 307 MemberRestarted. Metrics: memory and descriptors of the process, open connections of callers.

Result: TestLostProcessIsRecordedByItsSuccessorAndByOthers; a process that left is not told.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -31,6 +31,8 @@
 	SettingsRead    = add(107, "SettingsRead", slog.LevelInfo, "The settings file was reloaded; the detail lists the changes.")
 	SettingsRefused = add(108, "SettingsRefused", slog.LevelError,
 		"The reloaded settings file is invalid, or changes a key that requires a restart; the previous settings stay active.")
+	ProcessLost = add(112, "ProcessLost", slog.LevelWarn,
+		"The process before this one on the host ended without leaving: it crashed or was killed; the detail has what other nodes knew of it.")
 	LinesLeftOut = add(109, "LinesLeftOut", slog.LevelInfo,
 		"Log lines were dropped because the reader stalled (Unread) or their level exceeded its rate limit (Sampled); totals since process start.")
 	FaultsInjected = add(106, "FaultsInjected", slog.LevelWarn, "An experiment cut or restored links of this node.")
@@ -92,6 +94,8 @@
 	MemberCleared  = add(305, "MemberCleared", slog.LevelInfo, "A suspected node responded and is no longer suspected.")
 	MemberReplaced = add(306, "MemberReplaced", slog.LevelWarn,
 		"A newer process uses this node's ID at another address; this process yields the ID.")
+	MemberRestarted = add(307, "MemberRestarted", slog.LevelWarn,
+		"A node runs in a new process, and the process before it ended without leaving.")
 	UpstreamJoined = add(310, "UpstreamJoined", slog.LevelInfo, "The local backend server announced itself.")
 	UpstreamState  = add(311, "UpstreamState", slog.LevelInfo, "The local backend server changed its state.")
 	UpstreamBroke  = add(318, "UpstreamBroke", slog.LevelWarn,
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"time"
+
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -101,6 +103,8 @@
 // higher epoch or sequence number, this node would stay dead for the others, or they would
 // keep an address that is no longer in use.
 func (t *Table) refute(r Record) bool {
+	t.recordPredecessor(r)
+
 	c := r.compareEpochSeq(t.self)
 
 	if r.Incarnation == t.self.Incarnation && (c < 0 || r.State <= t.self.State) {
@@ -129,6 +133,18 @@
 	return true
 }
 
+// recordPredecessor records, once, that an earlier process of this node ended without leaving.
+func (t *Table) recordPredecessor(r Record) {
+	if t.predecessorLost || r.Incarnation >= t.self.Incarnation || r.State == StateLeft {
+		return
+	}
+
+	t.predecessorLost = true
+	t.recorder.Record(event.ProcessLost, timeline.Entry{
+		Detail: "known as " + r.State.String() + ", started " + time.UnixMicro(int64(r.Incarnation)).UTC().Format(time.RFC3339Nano),
+	})
+}
+
 // replacedBy reports whether a later process has this ID at another address, as after a
 // stalled host was replaced and resumes. If both processes insisted on the ID, calls would
 // alternate between them, so the earlier process yields while the later one is considered
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -17,9 +17,11 @@
 	self Record
 	// replaced is set once a later process with the same ID is known.
 	replaced bool
-	members  map[string]*member
-	live     liveSet
-	domains  map[string]*liveSet // live nodes by failure domain
+	// predecessorLost is set once the loss of an earlier process of this node was recorded.
+	predecessorLost bool
+	members         map[string]*member
+	live            liveSet
+	domains         map[string]*liveSet // live nodes by failure domain
 	// addresses maps peer addresses to node IDs: usually one, more after a node was replaced
 	// at the same address.
 	addresses map[string][]string
@@ -132,6 +134,10 @@
 		old = m.record
 	}
 
+	if m != nil && r.State == StateAlive && r.Incarnation > old.Incarnation && old.State != StateLeft {
+		t.recorder.Record(event.MemberRestarted, timeline.Entry{Peer: r.ID, Detail: "was " + old.State.String()})
+	}
+
 	if old.State == r.State {
 		return
 	}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -179,3 +180,35 @@
 	records, _ := table.TakeChanges(100, "b", record("a", 1))
 	assert.Assert(t, slices.Contains(records, changed))
 }
+
+// A process that crashes or is killed writes no line of it, and its host keeps nothing.
+func TestLostProcessIsRecordedByItsSuccessorAndByOthers(t *testing.T) {
+	count := func(r *timeline.Recorder, e event.Event) int {
+		return len(r.Entries(timeline.Filter{Event: e.Name}))
+	}
+
+	for _, left := range []bool{false, true} {
+		old := record("a", 1)
+		if left {
+			old = old.WithState(membership.StateLeft)
+		}
+
+		recorder := timeline.New()
+		successor := membership.NewTable(record("a", 2), recorder)
+		successor.Merge([]membership.Record{old})
+		successor.Merge([]membership.Record{old})
+
+		others := timeline.New()
+		other := membership.NewTable(record("b", 1), others)
+		other.Merge([]membership.Record{record("a", 1)})
+		other.Merge([]membership.Record{old, record("a", 2)})
+
+		want := 1
+		if left {
+			want = 0
+		}
+
+		assert.Equal(t, count(recorder, event.ProcessLost), want)
+		assert.Equal(t, count(others, event.MemberRestarted), want)
+	}
+}
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -21,6 +21,7 @@
 			"pollencart_backend_slowness", "How long work takes on this host at this moment, as a multiple of the usual time; 0 if it is not known.",
 			func() float64 { return n.queue.Slowness().Factor },
 		},
+		{"pollencart_caller_connections", "Open connections of callers.", func() float64 { return float64(n.ingress.Connections()) }},
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
 		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
--- a/internal/sidecar/meter/meter.go
+++ b/internal/sidecar/meter/meter.go
@@ -97,7 +97,8 @@
 	}
 	m.registry.MustRegister(m.calls, m.latency, m.sends, m.contacted, m.undelivered, m.runs, m.queueTime, m.serviceTime, m.storeCalls,
 		m.epochChanges, m.retries, m.messages, m.bytes, m.versionRuns, m.unknownKeys, workspaces{m.workspaces},
-		invariant.Collector{}, collectors.NewGoCollector())
+		invariant.Collector{}, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
 	return m
 }
