backend: what is read for one call is bounded

Seen by callers: calls of kept connections were passed on to sound backend servers and their connections closed without an answer, since the process of their entry ended by itself.

Cause: heads and bodies of answers, and the head of a health check, were read without a bound until the call's time limit, at the speed of loopback. A backend server that sends without end took the memory of the process, and with it all calls of which that process was the entry. Calls given up and health checks read on for 500 ms and 1 s as well.

Change: a head may have 64 KiB, a body 7 MiB, which every node can pass on in one frame; before the answer come at most 16 informational responses or answers to other calls. Two bodies over 64 KiB are read at a time. Over a limit the connection is closed at once, the call may have run (502, or another backend server if it is idempotent), 323 AnswerTooLarge and a metric tell it, and the balancer counts it as a failure of that node.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,19 +17,36 @@
 	"github.com/pollencart/pollencart/internal/header"
 )
 
-// readBuffer, in bytes, holds the head of an answer and most bodies.
-const readBuffer = 4 << 10
+// Limits of what is read for one call. A faulty backend server may send bytes without end.
+const (
+	// readBuffer, in bytes, holds the head of an answer and most bodies.
+	readBuffer = 4 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+	// MaxBodyBytes bounds the body of an answer, so that each node can pass it on in one frame.
+	MaxBodyBytes = 7 << 20
+	// smallBodyBytes is the largest body that is read without waiting for other large ones.
+	smallBodyBytes = 64 << 10
+	// maxSkipped bounds the informational responses and the answers to other calls before the answer.
+	maxSkipped = 16
+)
 
 // conn is one connection to the backend server; it carries one request at a time.
 type conn struct {
 	raw       net.Conn
+	limit     *io.LimitedReader // bounds what is read of raw
 	in        *bufio.Reader
+	large     chan struct{} // held while a large body is read
 	lastUsed  time.Time
 	idleLimit time.Duration
 }
 
-func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBuffer), lastUsed: time.Now(), idleLimit: defaultIdleLimit}
+func newConn(raw net.Conn, large chan struct{}) *conn {
+	limit := &io.LimitedReader{R: raw}
+
+	return &conn{
+		raw: raw, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), large: large, lastUsed: time.Now(), idleLimit: defaultIdleLimit,
+	}
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
@@ -46,7 +64,7 @@
 		return
 	}
 
-	_, _ = io.Copy(io.Discard, c.raw)
+	_, _ = io.CopyN(io.Discard, c.raw, MaxBodyBytes)
 }
 
 // reusableAfter reports whether the connection may carry a call after it was idle for the given
@@ -107,7 +125,7 @@
 		}()
 	}
 
-	a, reusable, err = c.readAnswer(r, names)
+	a, reusable, err = c.readAnswer(ctx, r, names)
 	if err != nil {
 		return a, false, err
 	}
@@ -124,13 +142,11 @@
 
 // readAnswer reads up to the answer to the request. It skips informational responses and
 // answers to other calls.
-func (c *conn) readAnswer(r Request, names header.Names) (Answer, bool, error) {
-	request := &http.Request{Method: r.Method}
-
-	for {
-		response, err := http.ReadResponse(c.in, request) //nolint:bodyclose // read to its end below; the pool owns the connection
+func (c *conn) readAnswer(ctx context.Context, r Request, names header.Names) (Answer, bool, error) {
+	for range maxSkipped {
+		response, err := c.readHead(r.Method) //nolint:bodyclose // the body is read to its end, or the connection is closed
 		if err != nil {
-			return Answer{}, false, ErrLost.Wrap(err)
+			return Answer{}, false, err
 		}
 
 		if response.StatusCode < http.StatusOK {
@@ -144,9 +160,9 @@
 			r.Signaled(names.Signals(response.Header))
 		}
 
-		body, err := io.ReadAll(response.Body)
+		body, err := c.readBody(ctx, response)
 		if err != nil {
-			return Answer{}, false, ErrLost.Wrap(err)
+			return Answer{}, false, err
 		}
 
 		if id != "" && id != r.ID {
@@ -159,6 +175,71 @@
 
 		return c.parseAnswer(response, body, id, names)
 	}
+
+	return Answer{}, false, ErrTooLarge.With("%d responses before the answer", maxSkipped)
+}
+
+// readHead reads the head of a response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.N = maxHeadBytes
+
+	response, err := http.ReadResponse(c.in, &http.Request{Method: method})
+
+	switch {
+	case err != nil && c.limit.N <= 0:
+		return nil, ErrTooLarge.With("head over %d bytes", maxHeadBytes)
+	case err != nil:
+		return nil, ErrLost.Wrap(err)
+	}
+
+	return response, nil
+}
+
+// readBody reads the body of a response. Large bodies are read a few at a time, since the slots of
+// the backend server bound the number of answers, but not their memory.
+func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
+	c.limit.N = math.MaxInt64
+
+	if response.ContentLength > MaxBodyBytes {
+		return nil, ErrTooLarge.With("body of %d bytes, limit %d", response.ContentLength, MaxBodyBytes)
+	}
+
+	var body bytes.Buffer
+	if n := response.ContentLength; n > 0 && n <= smallBodyBytes {
+		body.Grow(int(n) + bytes.MinRead)
+	}
+
+	n, err := io.CopyN(&body, response.Body, smallBodyBytes)
+	if errors.Is(err, io.EOF) && n < smallBodyBytes {
+		return body.Bytes(), nil
+	}
+
+	if err != nil {
+		return nil, ErrLost.Wrap(err)
+	}
+
+	return c.readLargeBody(ctx, response, &body)
+}
+
+// readLargeBody appends the rest of a body to its beginning.
+func (c *conn) readLargeBody(ctx context.Context, response *http.Response, body *bytes.Buffer) ([]byte, error) {
+	select {
+	case c.large <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ErrLost.Wrap(ctx.Err())
+	}
+	defer func() { <-c.large }()
+
+	_, err := io.CopyN(body, response.Body, MaxBodyBytes+1-int64(body.Len()))
+
+	switch {
+	case err == nil:
+		return nil, ErrTooLarge.With("body over %d bytes", MaxBodyBytes)
+	case !errors.Is(err, io.EOF):
+		return nil, ErrLost.Wrap(err)
+	}
+
+	return body.Bytes(), nil
 }
 
 func (c *conn) parseAnswer(response *http.Response, body []byte, id string, names header.Names) (Answer, bool, error) {
@@ -209,11 +290,11 @@
 		return Health{}
 	}
 
-	response, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodGet})
+	// Closing the body would read it to its end.
+	response, err := c.readHead(http.MethodGet) //nolint:bodyclose // the connection is closed
 	if err != nil {
 		return Health{}
 	}
-	defer func() { _ = response.Body.Close() }()
 
 	load := names.Reported(response.Header)
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -32,6 +32,8 @@
 	ErrBusy = errs.New("backend.busy", http.StatusServiceUnavailable, "no connection to the backend server")
 	// ErrLost means that the request was sent and may have run.
 	ErrLost = errs.New("backend.lost", http.StatusBadGateway, "the backend server gave no whole answer")
+	// ErrTooLarge means that the request was sent and may have run, and that its answer is over a limit.
+	ErrTooLarge = errs.New("backend.large", http.StatusBadGateway, "the answer of the backend server is over a limit")
 )
 
 const (
@@ -51,6 +53,8 @@
 	// giveUpTimeout bounds the wait for the end of a call that was given up. It is longer than
 	// a busy host takes to notice a closed connection; a backend server that hangs longer runs nothing.
 	giveUpTimeout = 500 * time.Millisecond
+	// maxLarge bounds the large answers that are read at the same time.
+	maxLarge = 2
 )
 
 // Request is a call to send to the backend server.
@@ -91,11 +95,15 @@
 	mu   sync.Mutex
 	idle []*conn
 
-	opened int64
+	opened   int64
+	tooLarge int64
+	large    chan struct{}
 }
 
 // New returns a pool without connections.
-func New(address string, names header.Names) *Pool { return &Pool{address: address, names: names} }
+func New(address string, names header.Names) *Pool {
+	return &Pool{address: address, names: names, large: make(chan struct{}, maxLarge)}
+}
 
 // Opened returns the total number of connections opened.
 func (p *Pool) Opened() int64 {
@@ -105,6 +113,25 @@
 	return p.opened
 }
 
+// TooLarge returns the total number of answers over a limit.
+func (p *Pool) TooLarge() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.tooLarge
+}
+
+func (p *Pool) countTooLarge(err error) {
+	if !errors.Is(err, ErrTooLarge) {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.tooLarge++
+}
+
 // Do sends a request and returns its complete answer. ErrDown and ErrBusy mean that
 // nothing was sent.
 func (p *Pool) Do(ctx context.Context, r Request) (Answer, error) {
@@ -114,6 +141,7 @@
 	}
 
 	a, reusable, err := c.exchange(ctx, r, p.names)
+	p.countTooLarge(err)
 
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -215,7 +243,7 @@
 	p.opened++
 	p.mu.Unlock()
 
-	return newConn(raw), nil
+	return newConn(raw, p.large), nil
 }
 
 // Listens reports whether a connection to the backend server can be opened. It keeps that
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -121,6 +121,8 @@
 		"The local backend server named a limit that is not a decimal number; the limit before it stays in force. Logged once for each value.")
 	LeavingLearned = add(322, "LeavingLearned", slog.LevelInfo,
 		"An answer of the local backend server, or another node that passed one on, said that it is leaving; it receives no more calls.")
+	AnswerTooLarge = add(323, "AnswerTooLarge", slog.LevelWarn,
+		"The backend server's answer exceeded a limit; the node closed its connection, and the call may have run. The detail has the limit.")
 	GateAvoided = add(317, "GateAvoided", slog.LevelWarn,
 		"A gate node or its backend server is failing; calls are temporarily routed to other nodes.")
 )
--- a/internal/runner/classify.go
+++ b/internal/runner/classify.go
@@ -9,12 +9,14 @@
 
 	"github.com/pollencart/pollencart/internal/announce"
 	"github.com/pollencart/pollencart/internal/backend"
+	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/poison"
+	"github.com/pollencart/pollencart/internal/timeline"
 )
 
-// classify returns the reply for a call that was sent to the backend server.
-func (r *Runner) classify(ctx context.Context, s announce.State, a backend.Answer, err error) (forward.Reply, poison.Result) {
+// classify returns the reply for the call with the ID, which was sent to the backend server.
+func (r *Runner) classify(ctx context.Context, id string, s announce.State, a backend.Answer, err error) (forward.Reply, poison.Result) {
 	switch {
 	case errors.Is(err, backend.ErrDown):
 		r.options.Host.Down(s.Instance)
@@ -22,6 +24,10 @@
 		return refused(forward.ReasonNone, downRetryAfter), poison.Down
 	case errors.Is(err, backend.ErrBusy):
 		return refused(err.Error(), downRetryAfter), poison.Lost
+	case errors.Is(err, backend.ErrTooLarge):
+		r.options.Recorder.Record(event.AnswerTooLarge, timeline.Entry{Call: id, Detail: err.Error()})
+
+		return forward.Reply{Result: forward.Lost, Reason: err.Error()}, poison.Lost
 	case err != nil:
 		return r.classifyLost(ctx, s, err)
 	case a.Other:
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -255,7 +255,7 @@
 		Body: in.Body, Idempotent: in.Idempotent, Signaled: r.listener(in.ID, state.Instance, began),
 	})
 	serviceTime := time.Since(began)
-	reply, result := r.classify(ctx, state, a, err)
+	reply, result := r.classify(ctx, in.ID, state, a, err)
 	reply.Crashes = end(result)
 	reply.HeldMs = serviceTime.Milliseconds()
 
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -25,6 +25,10 @@
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
 		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
+		{
+			"pollencart_backend_answers_too_large", "Answers of the backend server that exceeded a limit.",
+			func() float64 { return float64(n.pool.TooLarge()) },
+		},
 		{
 			"pollencart_backend_limit", "Limit that the backend server here names, in calls a second; -1 for none.",
 			func() float64 { return n.limitOr(-1, func(l slots.Limit) float64 { return l.PerSecond }) },
