peer: a fault of the other node never says that nothing was sent

Seen by callers (by test): an upload whose answer does not fit in a frame between nodes was answered with 503, not run, or sent to the next node and run again, up to four times.

Cause: the gate reports an answer over the limit of a frame as the fault peer.frame.large. The client returned it like its own error of that name, which means that no byte left this process. Both engines read it as not run (dispatch, frontend, once).

Change: a fault that the peer reports is never ErrUnreachable or ErrFrameTooLarge: it is ErrBroken, the request may have run.

Evidence: TestAnswerOverTheFrameLimitIsNotTakenForUnsentRequest failed before with 'peer.frame.large: frame over the limit: 8388672 bytes', and passes.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/pkg/errs"
 )
 
 // Lane separates kinds of traffic: each lane has its own connections, so that a large
@@ -105,12 +107,22 @@
 	c.options.Exchanged(Exchange{Address: key.address, Method: method, Sent: len(body), Got: len(answer.Body)})
 
 	if answer.Fault != nil {
-		return answer.Fault
+		return remoteFault(key.address, answer.Fault)
 	}
 
 	return Decode(answer.Body, out)
 }
 
+// remoteFault returns the error for a fault that the peer reports. Errors which say that nothing left
+// this process are this process's own: the peer has the request, and may have run it.
+func remoteFault(address string, fault *errs.Error) error {
+	if errors.Is(fault, ErrUnreachable) || errors.Is(fault, ErrFrameTooLarge) {
+		return ErrBroken.With("fault of %s: %s", address, fault)
+	}
+
+	return fault
+}
+
 // simulateCut behaves like a partitioned network: it returns when ctx ends or the dial
 // timeout has passed.
 func (c *Client) simulateCut(ctx context.Context, address string) error {
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -1,8 +1,10 @@
 package peer_test
 
 import (
+	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -57,3 +59,21 @@
 	assert.ErrorIs(t, peer.NewServer().Serve(l), errNoMore)
 	<-c.closed
 }
+
+// Guards against a request that ran and is taken for one that never left this process, and so is sent again, since its answer does
+// not fit in a frame.
+func TestAnswerOverTheFrameLimitIsNotTakenForUnsentRequest(t *testing.T) {
+	e := newEndpoint(t)
+	e.server.Handle("Large", peer.Typed(func(_ context.Context, _ ping) (ping, error) {
+		return ping{Text: strings.Repeat("x", peer.MaxFrame)}, nil
+	}))
+
+	var out ping
+
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+
+	err := e.client.Do(ctx, e.address, peer.LaneCalls, "Large", ping{}, &out)
+	assert.ErrorIs(t, err, peer.ErrBroken)
+	assert.Assert(t, !errors.Is(err, peer.ErrFrameTooLarge), "%v", err)
+}
