accept: a moment without file descriptors does not end a listener

Seen by callers (by test): after a moment in which file descriptors ran out, a node stayed ready and took no caller, or no other node, until it was restarted.

Cause: ingress and peer returned from Serve at the first error of Accept, whatever it was; in 'pollencart node' the error of the peer server was dropped without a line.

Change: internal/accept tries again after errors of the system that are not about the listener itself, with pauses of 5 to 100 ms. Other errors end a listener as before.

--- /dev/null
+++ b/internal/accept/accept.go
@@ -0,0 +1,86 @@
+// Package accept keeps a listener accepting after errors that pass, such as a lack of file
+// descriptors. A server that returned at the first error would take no connection again until
+// its process is restarted.
+//
+// # Usage
+//
+//	l = accept.New(l, accept.Failed(report))
+//	conn, err := l.Accept() // an error is final
+package accept
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause before the next attempt. Callers wait for their
+	// connection meanwhile.
+	minBackoff = 5 * time.Millisecond
+	maxBackoff = 100 * time.Millisecond
+)
+
+// Options of a listener.
+type Options struct {
+	// Failed is called with the first error of each series.
+	Failed func(error)
+}
+
+// Option sets an option.
+type Option func(*Options)
+
+// Failed sets the callback for the first error of each series.
+func Failed(f func(error)) Option { return func(o *Options) { o.Failed = f } }
+
+// Listener is a listener whose Accept returns only final errors.
+type Listener struct {
+	net.Listener
+
+	options Options
+}
+
+// New wraps a listener.
+func New(l net.Listener, opts ...Option) *Listener {
+	o := Options{Failed: func(error) {}}
+	for _, opt := range opts {
+		opt(&o)
+	}
+
+	return &Listener{Listener: l, options: o}
+}
+
+// Accept waits for the next connection. It tries again after errors that pass.
+func (l *Listener) Accept() (net.Conn, error) {
+	for backoff := time.Duration(0); ; {
+		conn, err := l.Listener.Accept()
+		if err == nil || !passes(err) {
+			return conn, err
+		}
+
+		if backoff == 0 {
+			l.options.Failed(err)
+		}
+
+		backoff = min(max(2*backoff, minBackoff), maxBackoff)
+		time.Sleep(backoff)
+	}
+}
+
+// passes reports whether a later attempt may succeed. An error of the system does, unless it is
+// about the listener itself: a lack of descriptors or memory, or a connection that ended before
+// it was accepted.
+func passes(err error) bool {
+	var number syscall.Errno
+	if errors.Is(err, net.ErrClosed) || !errors.As(err, &number) {
+		return false
+	}
+
+	switch number {
+	case syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP:
+		return false
+	}
+
+	return true
+}
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -29,13 +29,15 @@
 	MaxConns int
 	Limits   func() route.Limits
 	Observer Observer
+	// AcceptFailed is called when connections can't be accepted for a moment.
+	AcceptFailed func(error)
 }
 
 // Option changes the options.
 type Option func(*Options)
 
 func newOptions(opts ...Option) Options {
-	o := Options{MaxConns: DefaultMaxConns, Limits: DefaultLimits, Observer: noopObserver{}}
+	o := Options{MaxConns: DefaultMaxConns, Limits: DefaultLimits, Observer: noopObserver{}, AcceptFailed: func(error) {}}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -69,3 +71,6 @@
 
 // WithObserver sets the observer of delayed and undelivered answers.
 func WithObserver(to Observer) Option { return func(o *Options) { o.Observer = to } }
+
+// AcceptFailed sets the callback for connections that can't be accepted for a moment.
+func AcceptFailed(f func(error)) Option { return func(o *Options) { o.AcceptFailed = f } }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/call"
 )
 
@@ -70,6 +71,8 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	l = accept.New(l, accept.Failed(s.options.AcceptFailed))
+
 	for {
 		raw, err := l.Accept()
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/acceptance"
 	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/bootstrap"
@@ -102,6 +103,7 @@
 	peerOptions := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
+		peer.AcceptFailed(n.recordAcceptFailed),
 	}
 
 	if c.TLS != nil {
@@ -178,7 +180,7 @@
 		address string
 		serve   func(net.Listener)
 	}{
-		{n.config.PeerAddress, func(l net.Listener) { _ = n.server.Serve(l) }},
+		{n.config.PeerAddress, n.servePeers},
 		{n.config.CallerAddress, n.serveHTTP(n.callerServer)},
 		{n.config.ControlAddress, n.serveHTTP(newHTTP(n.controlHandler()))},
 	}
@@ -219,12 +221,22 @@
 	n.httpServers = append(n.httpServers, s)
 
 	return func(l net.Listener) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
-		}
+		n.recordServeError(s.Serve(accept.New(l, accept.Failed(n.recordAcceptFailed))))
+	}
+}
+
+func (n *Node) servePeers(l net.Listener) { n.recordServeError(n.server.Serve(l)) }
+
+func (n *Node) recordServeError(err error) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		n.recorder.Record(event.NodeFailed, timeline.Entry{Detail: err.Error()})
 	}
 }
 
+func (n *Node) recordAcceptFailed(err error) {
+	n.recorder.Record(event.AcceptFailed, timeline.Entry{Detail: err.Error()})
+}
+
 func (n *Node) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -61,6 +61,8 @@
 	Lost func(address string)
 	// Exchanged is called for each answered request.
 	Exchanged func(Exchange)
+	// AcceptFailed is called when connections can't be accepted for a moment.
+	AcceptFailed func(error)
 	// WaitOnSuspect reports whether requests keep waiting on suspect connections instead of
 	// failing. It is true while a node drains: the peer may still be working on the requests,
 	// and the host has little processor time.
@@ -82,6 +84,7 @@
 		HelloTimeout:  DefaultHelloTimeout,
 		Lost:          func(string) {},
 		Exchanged:     func(Exchange) {},
+		AcceptFailed:  func(error) {},
 		WaitOnSuspect: func() bool { return false },
 	}
 	for _, opt := range opts {
@@ -100,6 +103,9 @@
 // Exchanged sets the callback for answered requests.
 func Exchanged(f func(Exchange)) Option { return func(o *Options) { o.Exchanged = f } }
 
+// AcceptFailed sets the callback for connections that can't be accepted for a moment.
+func AcceptFailed(f func(error)) Option { return func(o *Options) { o.AcceptFailed = f } }
+
 // WaitOnSuspect sets the function that reports whether requests keep waiting on suspect
 // connections.
 func WaitOnSuspect(f func() bool) Option { return func(o *Options) { o.WaitOnSuspect = f } }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -53,6 +54,8 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	l = accept.New(l, accept.Failed(s.options.AcceptFailed))
+
 	for {
 		conn, err := l.Accept()
 		if err != nil {
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -77,3 +78,35 @@
 	assert.ErrorIs(t, err, peer.ErrBroken)
 	assert.Assert(t, !errors.Is(err, peer.ErrFrameTooLarge), "%v", err)
 }
+
+// Guards against a node that no other node can reach after a moment without file descriptors.
+func TestPeersAreAcceptedAfterMomentWithoutDescriptors(t *testing.T) {
+	local, remote := net.Pipe()
+	assert.NilError(t, remote.Close())
+
+	c := brokenConn{Conn: local, closed: make(chan struct{})}
+	l := &failingOnce{oneConn: oneConn{conns: make(chan net.Conn, 1)}}
+	l.conns <- c
+
+	close(l.conns)
+
+	assert.ErrorIs(t, peer.NewServer().Serve(l), errNoMore)
+	<-c.closed
+}
+
+// failingOnce is a listener whose first Accept fails for lack of file descriptors.
+type failingOnce struct {
+	oneConn
+
+	failed bool
+}
+
+func (l *failingOnce) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+
+	return l.oneConn.Accept()
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -11,6 +11,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -75,6 +76,10 @@
 	}
 }
 
+func (n *Sidecar) recordAcceptFailed(err error) {
+	n.recorder.Record(event.AcceptFailed, timeline.Entry{Detail: err.Error()})
+}
+
 const readHeaderTimeout = 5 * time.Second
 
 func (n *Sidecar) serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
@@ -85,7 +90,7 @@
 	s := &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
 	n.servers = append(n.servers, s)
 
-	return s.Serve
+	return func(l net.Listener) error { return s.Serve(accept.New(l, accept.Failed(n.recordAcceptFailed))) }
 }
 
 // shutdownHTTP stops the HTTP servers for heartbeats, readiness checks and metrics after their
