soak: a process that ended by itself is told with its status and last lines

Neither the exit status nor the log of the process was kept, so that a signal before its handler, an address in use and a panic could not be told apart. The report has them now.

--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -293,12 +293,12 @@
 	go func() {
 		defer close(l.ended)
 
-		_ = process.Wait() // that it ended is all that matters here
+		err := process.Wait()
 
 		h.mu.Lock()
 		defer h.mu.Unlock()
 
-		l.over = time.Now()
+		l.over, l.status = time.Now(), err
 	}()
 
 	return nil
--- a/internal/soak/hosts/lives.go
+++ b/internal/soak/hosts/lives.go
@@ -1,8 +1,11 @@
 package hosts
 
 import (
+	"encoding/json"
+	"os"
 	"os/exec"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -15,6 +18,8 @@
 	// asked is when it was first sent SIGTERM, killed when SIGKILL, over when it ended;
 	// zero before.
 	asked, killed, over time.Time
+	// status is how it ended, nil for an exit without an error.
+	status error
 	// forced says that it was killed because its stop took too long.
 	forced bool
 }
@@ -123,7 +128,8 @@
 		switch {
 		case l.over.IsZero(): // it runs
 		case l.asked.IsZero() && l.killed.IsZero():
-			r.broken("%s: process %d ended by itself at %s", h.config.Node, i, l.over.Format(clock))
+			r.broken("%s: process %d ended by itself at %s, %s after its start: %v; its log ends: %s",
+				h.config.Node, i, l.over.Format(clock), l.over.Sub(l.started), l.status, h.logEnd(l.over))
 		case l.asked.IsZero():
 		case !l.killed.IsZero() && !l.forced, slices.ContainsFunc(h.pauses, stop.meets):
 			r.StopsLeftOut++
@@ -139,5 +145,32 @@
 	}
 }
 
+// logEnd returns the last lines that the processes of a host wrote until a moment.
+func (h *host) logEnd(until time.Time) string {
+	const lines = 5
+
+	data, err := os.ReadFile(h.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+
+	var last []string
+
+	for line := range strings.Lines(string(data)) {
+		var stamp struct {
+			Time time.Time `json:"time"`
+		}
+
+		// A line that is no JSON is part of a trace.
+		if json.Unmarshal([]byte(line), &stamp) == nil && stamp.Time.After(until) {
+			break
+		}
+
+		last = append(last, line)
+	}
+
+	return strings.Join(last[max(len(last)-lines, 0):], "")
+}
+
 // clock is how moments are printed, as in the logs of the processes.
 const clock = "15:04:05.000"
