logsink: the reader of the log may go away

Seen by callers (by test): the process ended by SIGPIPE, without a line and without a drain, when the reader of its standard output had closed the pipe: all calls of its callers were cut off.

Cause: the runtime of Go ends the process by SIGPIPE when a write to descriptor 1 or 2 fails with EPIPE. The sink counted the failed write, but the process was gone before. 'pollencart node' wrote its log to standard error on the goroutine of the call that logged, so that a reader that stalls would also block calls.

Change: logsink.Start ignores SIGPIPE and writes in the background; both commands use it.

--- a/cmd/pollencart/node.go
+++ b/cmd/pollencart/node.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/pollencart/pollencart/internal/config"
+	"github.com/pollencart/pollencart/internal/logsink"
 	"github.com/pollencart/pollencart/internal/node"
 	"github.com/pollencart/pollencart/internal/reload"
 )
@@ -29,7 +30,10 @@
 			return config.ErrConfig.With("%s: key LogLevel: %s", *file, err)
 		}
 
-		logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+		sink, stopLogging := logsink.Start(os.Stderr)
+		defer stopLogging()
+
+		logger := slog.New(sink.Handler(level))
 
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
--- a/cmd/pollencart/reload_test.go
+++ b/cmd/pollencart/reload_test.go
@@ -12,27 +12,14 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"github.com/pollencart/pollencart/internal/sidecar/config"
-	"github.com/pollencart/pollencart/platform/standin"
 )
 
 // SIGHUP that comes before main runs must not end the process, and is followed once it runs.
 func TestSignalBeforeMainReloadsSettings(t *testing.T) {
-	const private = 0o600
-
-	conf := config.Config{
-		Node: "a", Region: "r", FailureDomain: "d", Service: "s",
-		BackendAddress: standin.FreeAddress(), CallerAddress: standin.FreeAddress(), PeerAddress: standin.FreeAddress(),
-		ReadyAddress: standin.FreeAddress(), AnnounceAddress: standin.FreeAddress(), MetricsAddress: standin.FreeAddress(),
-		StoreAddress: standin.FreeAddress(), Bounds: config.Bounds{DrainSeconds: 1, GraceSeconds: 2, RetryWindowSeconds: 10},
-	}
-
-	text, err := json.Marshal(conf)
+	text, err := json.Marshal(sidecarSettings())
 	assert.NilError(t, err)
 
-	file := filepath.Join(t.TempDir(), "sidecar.jsonc")
-	assert.NilError(t, os.WriteFile(file, text, private))
+	file := settingsFile(t, text)
 
 	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	assert.NilError(t, err)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -12,8 +12,8 @@
 //
 // # Usage
 //
-//	sink := logsink.New(os.Stdout)
-//	go sink.Run(ctx)
+//	sink, stop := logsink.Start(os.Stdout)
+//	defer stop()
 //	logger := slog.New(sink.Handler(slog.LevelDebug))
 package logsink
 
@@ -21,8 +21,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"os/signal"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/event"
@@ -56,6 +58,28 @@
 // New returns a sink that writes to out; the caller must start Run.
 func New(out io.Writer) *Sink { return &Sink{out: out, lines: make(chan []byte, queueLength)} }
 
+// Start returns a sink that writes to out in the background, and a function that writes the lines
+// still queued and stops it. From then on the process ignores SIGPIPE, which would end it, with its
+// calls, when the reader of its standard output or standard error has closed the pipe.
+func Start(out io.Writer) (*Sink, func()) {
+	signal.Ignore(syscall.SIGPIPE)
+
+	s := New(out)
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+
+	go func() {
+		defer close(written)
+
+		s.Run(ctx)
+	}()
+
+	return s, func() {
+		cancel()
+		<-written
+	}
+}
+
 // Write queues a copy of the line, or drops the line if the queue is full. It never blocks.
 func (s *Sink) Write(line []byte) (int, error) {
 	select {
--- a/internal/sidecar/process/process.go
+++ b/internal/sidecar/process/process.go
@@ -25,20 +25,8 @@
 func Run(file string, conf config.Config) error {
 	limitMemory(conf)
 
-	sink := logsink.New(os.Stdout)
-	logging, stopLogging := context.WithCancel(context.Background())
-	written := make(chan struct{})
-
-	go func() {
-		defer close(written)
-
-		sink.Run(logging)
-	}()
-
-	defer func() {
-		stopLogging()
-		<-written
-	}()
+	sink, stopLogging := logsink.Start(os.Stdout)
+	defer stopLogging()
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
