backend: a lack of descriptors here is not a backend server that is down

Seen by callers (by test): while the host has no file descriptors, its node takes a sound backend server for down and sends it no call until its next heartbeat; a call that was lost meanwhile counts as one that crashed it, and its request may be refused as poison for 10 minutes.

Cause: each failed dial but one whose context had ended was ErrDown, and Listens false.

Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are ErrBusy: nothing was sent, the call is refused and goes to another node. Listens does not take them, nor the end of its context, for a crash.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -77,10 +78,7 @@
 		return false
 	}
 
-	switch number {
-	case syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP:
-		return false
-	}
+	ofListener := []syscall.Errno{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP}
 
-	return true
+	return !slices.Contains(ofListener, number)
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -15,6 +15,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +29,8 @@
 var (
 	// ErrDown means that the connection could not be opened; nothing was sent.
 	ErrDown = errs.New("backend.down", http.StatusServiceUnavailable, "the backend server does not listen")
-	// ErrBusy means that the context ended before a connection was open; nothing was sent.
+	// ErrBusy means that the context ended before a connection was open, or that this host has no
+	// descriptors or ports for one; nothing was sent.
 	ErrBusy = errs.New("backend.busy", http.StatusServiceUnavailable, "no connection to the backend server")
 	// ErrLost means that the request was sent and may have run.
 	ErrLost = errs.New("backend.lost", http.StatusBadGateway, "the backend server gave no whole answer")
@@ -232,11 +234,7 @@
 
 	raw, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() == nil {
-			return nil, ErrDown.Wrap(err)
-		}
-
-		return nil, ErrBusy.Wrap(err)
+		return nil, dialError(ctx, err)
 	}
 
 	p.mu.Lock()
@@ -246,12 +244,28 @@
 	return newConn(raw, p.large), nil
 }
 
-// Listens reports whether a connection to the backend server can be opened. It keeps that
-// connection for later calls.
+// dialError returns whether the backend server or this host kept the connection from being opened.
+// A lack of file descriptors, memory or ports here says nothing about the backend server.
+func dialError(ctx context.Context, err error) error {
+	local := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+	isError := func(target error) bool { return errors.Is(err, target) }
+
+	switch {
+	case slices.ContainsFunc(local, isError):
+		return ErrBusy.Wrap(err)
+	case errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() == nil:
+		return ErrDown.Wrap(err)
+	}
+
+	return ErrBusy.Wrap(err)
+}
+
+// Listens reports whether a connection to the backend server can be opened, or this host keeps it
+// from being opened. It keeps that connection for later calls.
 func (p *Pool) Listens(ctx context.Context) bool {
 	c, err := p.dial(ctx)
 	if err != nil {
-		return false
+		return errors.Is(err, ErrBusy)
 	}
 
 	p.release(c)
--- a/internal/soak/hosts/lives.go
+++ b/internal/soak/hosts/lives.go
@@ -158,7 +158,7 @@
 
 	for line := range strings.Lines(string(data)) {
 		var stamp struct {
-			Time time.Time `json:"time"`
+			Time time.Time // decoded without regard to case
 		}
 
 		// A line that is no JSON is part of a trace.
