ingress: a bad call does not cut off the calls before it

Seen by callers (by test): an upload that ran at a sound backend server was canceled, its caller got 502 or a closed connection, when the next call on the connection was malformed: a bad chunk, chunks with much framing, a body or a head that ends in its middle. A body within the limit, in small chunks, also ended the connection without an answer, since its framing counted as data.

Cause: each error while a body was read ended the connection, and the end of a connection cancels its calls. The raw bound of a body was the bound of its data plus 4 KiB.

Change: a call with a malformed body is answered with 400 as its connection's last, after the calls before it. A call that the caller's end of the connection cuts short is no call; those before it are answered. The decoder bounds the framing of chunks, the limit only the data. Left: a caller that ends its side after a whole call is taken to have left, as work for callers that left has to stop; both look alike until something is written.

Evidence: TestBadCallDoesNotCutOffTheCallBeforeIt failed before in seven of eight cases ('call was canceled'), TestBodyInSmallChunksIsTaken with EOF; both pass.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -83,10 +83,16 @@
 		c.write()
 	}()
 
-	c.cancel(cancelCause(c.read()))
+	err := c.read()
+	if !errors.Is(err, errCutShort) {
+		c.cancel(cancelCause(err))
+	}
+
 	close(c.queue)
 	<-written
 
+	c.cancel(ErrClosed)
+
 	_ = c.raw.Close()
 }
 
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -32,7 +33,11 @@
 	}
 
 	e := &exchange{request: request, done: make(chan struct{})}
+
 	body, err := c.readBody(e, limits)
+	if err != nil {
+		err = c.rejectBody(e, err)
+	}
 
 	return e, body, err
 }
@@ -74,8 +79,14 @@
 	return c.raw.SetReadDeadline(t)
 }
 
-// errEnded means that the connection's last answer was begun.
-var errEnded = errors.New("connection has no further answers")
+// Reasons for which no further call is read.
+var (
+	// errEnded means that the connection's last answer was begun.
+	errEnded = errors.New("connection has no further answers")
+	// errCutShort means that the caller ended its side of the connection within a call. That call is
+	// not valid, but the caller may still read the answers to the calls before it.
+	errCutShort = errors.New("call was cut short")
+)
 
 // startAwaiting marks the connection as idle between calls and sets the read deadline. It
 // fails if the connection accepts no further calls.
@@ -102,7 +113,7 @@
 	case c.limit.N <= 0:
 		return rejectedExchange(http.StatusRequestHeaderFieldsTooLarge), nil
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, err
+		return nil, errCutShort
 	}
 
 	if connErr := c.connErr(); connErr != nil {
@@ -112,14 +123,36 @@
 	return rejectedExchange(http.StatusBadRequest), nil
 }
 
+// rejectBody rejects a call whose body is malformed. If the body was not received as a whole, it
+// returns the error.
+func (c *conn) rejectBody(e *exchange, err error) error {
+	var netErr net.Error
+
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return errCutShort
+	case errors.Is(err, errEnded), errors.As(err, &netErr):
+		return err
+	}
+
+	e.reject(http.StatusBadRequest)
+
+	return nil
+}
+
 // connErr returns the network error, if any, that stops reading from the connection.
-// http.ReadRequest reports a line cut off by the read deadline and a malformed line with
-// errors that differ only in their text.
+// http.ReadRequest reports a line cut off by the read deadline, or by the end of the connection,
+// and a malformed line with errors that differ only in their text.
 func (c *conn) connErr() error {
 	var netErr net.Error
 
-	if _, err := c.in.Peek(1); errors.As(err, &netErr) {
+	_, err := c.in.Peek(1)
+
+	switch {
+	case errors.As(err, &netErr):
 		return err
+	case errors.Is(err, io.EOF) && !c.allAnswered():
+		return errCutShort
 	}
 
 	return nil
@@ -151,7 +184,8 @@
 		return nil, c.setReadDeadline(time.Time{})
 	}
 
-	c.limit.N = int64(limits.BodyBytes) + readBuffer
+	// Chunks may have more framing than data. The decoder bounds it.
+	c.limit.N = math.MaxInt64
 
 	if err := c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
