contain: a panic in one call does not end the process

Seen by callers: not seen; tried because nothing recovered, so that a panic in one call or message would have ended the process with all its calls.

Change: internal/contain recovers at the border of a call at its entry and of a message of another node, in both engines. The call is answered with 502, it may have run; the request of another node gets the fault peer.handler, which stands for 'may have run' too. 114 PanicContained tells the cause and the place. Slots and runs of poison detection are given back by defers. A violated invariant still ends a test. Left: loops in the background, and what the runtime does not let recover, such as a stack that overflows, end the process as before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,8 @@
 		"The process before this one on the host ended without leaving: it crashed or was killed; the detail has what other nodes knew of it.")
 	AcceptFailed = add(113, "AcceptFailed", slog.LevelWarn,
 		"The node can't accept connections for the moment, for example for lack of file descriptors; it tries again.")
+	PanicContained = add(114, "PanicContained", slog.LevelError,
+		"The handling of one call or message panicked; the process goes on. The detail has the cause and the place; report it.")
 	LinesLeftOut = add(109, "LinesLeftOut", slog.LevelInfo,
 		"Log lines were dropped because the reader stalled (Unread) or their level exceeded its rate limit (Sampled); totals since process start.")
 	FaultsInjected = add(106, "FaultsInjected", slog.LevelWarn, "An experiment cut or restored links of this node.")
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,6 +23,7 @@
 
 	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/retry"
 	"github.com/pollencart/pollencart/internal/timeline"
@@ -34,6 +35,7 @@
 var (
 	ErrNoSettings     = errs.New("entry.no_settings", http.StatusServiceUnavailable, "this node holds no settings yet")
 	ErrNoRoute        = errs.New("entry.no_route", http.StatusNotFound, "no route takes this request")
+	ErrPanic          = errs.New("entry.panic", http.StatusBadGateway, "the node failed to handle the request")
 	ErrBody           = errs.New("entry.body", http.StatusRequestEntityTooLarge, "request body over the route's limit")
 	ErrNoUpstream     = errs.New("entry.no_upstream", http.StatusServiceUnavailable, "no backend server of the service is ready")
 	ErrDraining       = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
@@ -126,7 +128,13 @@
 	return ulid.Make().String()
 }
 
-func (e *Entry) run(r *http.Request, id string, snapshot *settings.Snapshot) (call.Answer, error) {
+func (e *Entry) run(r *http.Request, id string, snapshot *settings.Snapshot) (a call.Answer, err error) {
+	defer contain.Panic(func(p contain.Caught) {
+		e.options.Recorder.Record(event.PanicContained, timeline.Entry{Call: id, Detail: p.String()})
+
+		a, err = call.Answer{}, call.Refuse(ErrPanic, call.RanUnknown, 0)
+	})
+
 	if snapshot == nil {
 		return call.Answer{}, call.Refuse(ErrNoSettings, call.RanNo, time.Second)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// runAdmitted runs an admitted call and releases its slot, also after a panic.
+func runAdmitted(ctx context.Context, c call.Call, next call.Handler, release func()) (call.Answer, error) {
+	defer release()
+
+	return next(ctx, c)
+}
+
 func (g *Gate) admit(next call.Handler) call.Handler {
 	return func(ctx context.Context, c call.Call) (call.Answer, error) {
 		start := time.Now()
@@ -128,10 +135,7 @@
 			timeline.Entry{Call: c.ID, Key: c.Key})
 
 		admitted := time.Now()
-		a, err := next(ctx, c)
-
-		release()
-
+		a, err := runAdmitted(ctx, c, next, release)
 		load := g.queue.Load().WithTimes(admitted.Sub(start), time.Since(admitted))
 		a.Load = load
 
--- a/internal/gate/poison.go
+++ b/internal/gate/poison.go
@@ -59,7 +59,16 @@
 			return call.Answer{}, err
 		}
 
+		pending := true
+
+		defer func() {
+			if pending { // a panic
+				end(poison.Lost)
+			}
+		}()
+
 		a, err := next(ctx, c)
+		pending = false
 		crashes := end(resultOf(err))
 
 		var r *call.Refusal
--- a/internal/ingress/accept_test.go
+++ b/internal/ingress/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/ingress"
 )
 
@@ -55,3 +57,29 @@
 	assert.ErrorIs(t, <-ended, net.ErrClosed)
 	s.Close()
 }
+
+// Guards against a process that ends, with all its calls, by a panic in one call.
+func TestPanicInOneCallIsAnsweredAndEndsNoOther(t *testing.T) {
+	caught := make(chan contain.Caught, 1)
+	release := make(chan struct{})
+	_, c, in := serve(t, func(ctx context.Context, r ingress.Request) ingress.Response {
+		if r.Path == "/bad" {
+			panic("bad call")
+		}
+
+		<-release
+
+		return echo(ctx, r)
+	}, ingress.Panicked(func(p contain.Caught) { caught <- p }))
+
+	sendGet(t, c, "/good")
+	sendGet(t, c, "/bad")
+	assert.Equal(t, (<-caught).Value, "bad call")
+	close(release)
+
+	r, _ := readAnswer(t, in)
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+
+	r, _ = readAnswer(t, in)
+	assert.Equal(t, r.StatusCode, http.StatusBadGateway)
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/idle"
 )
 
@@ -167,6 +168,10 @@
 
 func (c *conn) handle(e *exchange, body []byte, ahead int) {
 	defer e.complete()
+	defer contain.Panic(func(p contain.Caught) {
+		e.response = Response{Call: e.response.Call, Status: http.StatusBadGateway, Body: []byte("no answer, it may have run\n")}
+		c.server.options.Panicked(p)
+	})
 
 	uri := e.request.RequestURI
 	if !strings.HasPrefix(uri, "/") {
--- a/internal/ingress/neighbour_test.go
+++ b/internal/ingress/neighbour_test.go
@@ -77,7 +77,8 @@
 		}
 	})
 
-	_, err := fmt.Fprint(c, "POST /small HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", size), "0\r\n\r\n")
+	chunks := strings.Repeat("1\r\nx\r\n", size) + "0\r\n\r\n"
+	_, err := fmt.Fprint(c, "POST /small HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", chunks)
 	assert.NilError(t, err)
 
 	r, body := readAnswer(t, in)
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/route"
 )
 
@@ -31,13 +32,18 @@
 	Observer Observer
 	// AcceptFailed is called when connections can't be accepted for a moment.
 	AcceptFailed func(error)
+	// Panicked is called with a panic of the handler; its call is answered with 502.
+	Panicked func(contain.Caught)
 }
 
 // Option changes the options.
 type Option func(*Options)
 
 func newOptions(opts ...Option) Options {
-	o := Options{MaxConns: DefaultMaxConns, Limits: DefaultLimits, Observer: noopObserver{}, AcceptFailed: func(error) {}}
+	o := Options{
+		MaxConns: DefaultMaxConns, Limits: DefaultLimits, Observer: noopObserver{}, AcceptFailed: func(error) {},
+		Panicked: func(contain.Caught) {},
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -74,3 +80,6 @@
 
 // AcceptFailed sets the callback for connections that can't be accepted for a moment.
 func AcceptFailed(f func(error)) Option { return func(o *Options) { o.AcceptFailed = f } }
+
+// Panicked sets the callback for panics of the handler.
+func Panicked(f func(contain.Caught)) Option { return func(o *Options) { o.Panicked = f } }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -89,6 +89,9 @@
 	return holds
 }
 
+// Violation is the value of the panic with which a violated invariant ends a test.
+type Violation string
+
 // violated counts and records a violation, and panics in a test.
 func violated(r Recorder, i Invariant, entry timeline.Entry) {
 	counts[i].violated.Add(1)
@@ -97,7 +100,7 @@
 	r.Record(event.InvariantBroken, entry)
 
 	if panicOnViolation {
-		panic("invariant violated: " + entry.Detail)
+		panic(Violation("invariant violated: " + entry.Detail))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/pollencart/pollencart/internal/admission"
 	"github.com/pollencart/pollencart/internal/bootstrap"
 	"github.com/pollencart/pollencart/internal/config"
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/credentials"
 	"github.com/pollencart/pollencart/internal/draining"
 	"github.com/pollencart/pollencart/internal/event"
@@ -103,7 +104,7 @@
 	peerOptions := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
-		peer.AcceptFailed(n.recordAcceptFailed),
+		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic),
 	}
 
 	if c.TLS != nil {
@@ -233,6 +234,10 @@
 	}
 }
 
+func (n *Node) recordPanic(p contain.Caught) {
+	n.recorder.Record(event.PanicContained, timeline.Entry{Detail: p.String()})
+}
+
 func (n *Node) recordAcceptFailed(err error) {
 	n.recorder.Record(event.AcceptFailed, timeline.Entry{Detail: err.Error()})
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -42,6 +42,8 @@
 	ErrUnreachable = errs.New("peer.unreachable", http.StatusServiceUnavailable, "peer can't be reached")
 	// ErrBroken means that the request may have reached the peer.
 	ErrBroken = errs.New("peer.broken", http.StatusBadGateway, "connection broke before the answer")
+	// ErrHandler means that the handler of the peer panicked; the request may have had effects.
+	ErrHandler = errs.New("peer.handler", http.StatusBadGateway, "the peer failed to handle the request")
 	// ErrNoMethod means that the peer does not know the method.
 	ErrNoMethod = errs.New("peer.method", http.StatusNotImplemented, "unknown method")
 )
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -63,6 +64,8 @@
 	Exchanged func(Exchange)
 	// AcceptFailed is called when connections can't be accepted for a moment.
 	AcceptFailed func(error)
+	// Panicked is called with a panic of a handler; its request is answered with ErrHandler.
+	Panicked func(contain.Caught)
 	// WaitOnSuspect reports whether requests keep waiting on suspect connections instead of
 	// failing. It is true while a node drains: the peer may still be working on the requests,
 	// and the host has little processor time.
@@ -85,6 +88,7 @@
 		Lost:          func(string) {},
 		Exchanged:     func(Exchange) {},
 		AcceptFailed:  func(error) {},
+		Panicked:      func(contain.Caught) {},
 		WaitOnSuspect: func() bool { return false },
 	}
 	for _, opt := range opts {
@@ -106,6 +110,9 @@
 // AcceptFailed sets the callback for connections that can't be accepted for a moment.
 func AcceptFailed(f func(error)) Option { return func(o *Options) { o.AcceptFailed = f } }
 
+// Panicked sets the callback for panics of handlers.
+func Panicked(f func(contain.Caught)) Option { return func(o *Options) { o.Panicked = f } }
+
 // WaitOnSuspect sets the function that reports whether requests keep waiting on suspect
 // connections.
 func WaitOnSuspect(f func() bool) Option { return func(o *Options) { o.WaitOnSuspect = f } }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/accept"
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -276,7 +277,13 @@
 	return address != nil && c.server.options.Links.Blocked(*address)
 }
 
-func (s *Server) handle(ctx context.Context, f *Frame) (any, error) {
+func (s *Server) handle(ctx context.Context, f *Frame) (answer any, err error) {
+	defer contain.Panic(func(p contain.Caught) {
+		s.options.Panicked(p)
+
+		answer, err = nil, ErrHandler.With("%s", f.Method)
+	})
+
 	h, ok := s.handlers[f.Method]
 	if !ok {
 		return nil, ErrNoMethod.With("%s", f.Method)
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/peer"
 )
 
@@ -110,3 +111,21 @@
 
 	return l.oneConn.Accept()
 }
+
+// Guards against a process that ends, with all its calls, by a panic in the handling of one message.
+func TestPanicInOneHandlerIsAFaultOfItsRequest(t *testing.T) {
+	caught := make(chan contain.Caught, 1)
+	e := newEndpoint(t, peer.Panicked(func(p contain.Caught) { caught <- p }))
+	e.server.Handle("Bad", peer.Typed(func(context.Context, ping) (ping, error) { panic("bad message") }))
+
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+
+	var out ping
+
+	err := e.client.Do(ctx, e.address, peer.LaneCalls, "Bad", ping{}, &out)
+	assert.ErrorIs(t, err, peer.ErrHandler)
+	assert.Equal(t, (<-caught).Value, "bad message")
+	assert.NilError(t, e.client.Do(ctx, e.address, peer.LaneCalls, "Ping", ping{Text: "after"}, &out))
+	assert.Equal(t, out.Text, "after")
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -183,9 +183,19 @@
 		return r.rejected(err, w), 0
 	}
 
+	returned := false
+
+	defer func() {
+		if !returned { // a panic must not keep the slot
+			slot.Leave(0)
+		}
+	}()
+
 	busy := r.isBusy()
 	reply, serviceTime, ending := r.run(ctx, in, c)
 	usual := slot.AtUsualSpeed(serviceTime)
+	returned = true
+
 	leave(slot, routeSample(reply, serviceTime), ending)
 	r.count(ctx, in, reply, serviceTime, busy)
 
@@ -242,10 +252,16 @@
 		return suspected(err), 0, nil
 	}
 
+	pending := true
+
+	defer func() {
+		if pending { // not sent, or a panic
+			end(poison.Lost)
+		}
+	}()
+
 	state := r.options.Host.State()
 	if !state.Takes || r.closed.Load() {
-		end(poison.Lost)
-
 		return refused(forward.ReasonNone, downRetryAfter), 0, nil
 	}
 
@@ -256,6 +272,7 @@
 	})
 	serviceTime := time.Since(began)
 	reply, result := r.classify(ctx, in.ID, state, a, err)
+	pending = false
 	reply.Crashes = end(result)
 	reply.HeldMs = serviceTime.Milliseconds()
 
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/pollencart/pollencart/internal/announce"
 	"github.com/pollencart/pollencart/internal/backend"
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/header"
@@ -438,3 +439,32 @@
 	callers.Wait()
 	assert.Equal(t, surplus.Load(), int64(0))
 }
+
+// panics are suspects for which the end of an answered call panics.
+type panics struct{ noSuspects }
+
+func (panics) Begin(context.Context, call.Call) (func(poison.Result) []poison.Crash, error) {
+	return func(r poison.Result) []poison.Crash {
+		if r == poison.Finished {
+			panic("bad call")
+		}
+
+		return nil
+	}, nil
+}
+
+// Guards against a slot that is lost with each call that panics.
+func TestPanicInOneCallFreesItsSlot(t *testing.T) {
+	queue := slots.New()
+	r := newRunnerWithQueue(t, func(w http.ResponseWriter, r *http.Request) { answer(w, r, http.StatusOK) }, timeline.New(),
+		panics{}, queue)
+
+	func() {
+		defer contain.Panic(func(contain.Caught) {})
+
+		_, _ = r.Serve(context.Background(), request())
+	}()
+
+	assert.Equal(t, queue.Load().Running, 0)
+	assert.Equal(t, r.Busy(), int64(0))
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/pollencart/pollencart/internal/accept"
+	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -80,6 +81,10 @@
 	n.recorder.Record(event.AcceptFailed, timeline.Entry{Detail: err.Error()})
 }
 
+func (n *Sidecar) recordPanic(p contain.Caught) {
+	n.recorder.Record(event.PanicContained, timeline.Entry{Detail: p.String()})
+}
+
 const readHeaderTimeout = 5 * time.Second
 
 func (n *Sidecar) serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -132,7 +132,7 @@
 	links := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress), peer.WithDialTimeout(dialTimeout),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
-		peer.AcceptFailed(n.recordAcceptFailed),
+		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic),
 		peer.Exchanged(func(e peer.Exchange) { n.meter.Exchanged(e, n.table.NearAt(e.Address)) }),
 	}
 	n.server = peer.NewServer(links...)
@@ -209,7 +209,7 @@
 
 	n.dispatcher = dispatch.New(options)
 	n.ingress = ingress.New(n.dispatcher, ingress.Limits(n.holder), ingress.WithObserver(deliveryObserver{n.recorder, n.meter}),
-		ingress.AcceptFailed(n.recordAcceptFailed))
+		ingress.AcceptFailed(n.recordAcceptFailed), ingress.Panicked(n.recordPanic))
 }
 
 // registerPeerMethods registers the methods that other nodes call.
