nesting: what others nest without a bound ends no process and hides no entry

Seen by callers (by test): a process ended by a stack overflow, with all its calls, when it decoded one message of a peer that consists of nested arrays; a node learned nothing of any list, and followed no watch, while one entry in it was nested deeply; a record with port 0 or 0.0.0.0 made a node join itself or nobody.

Cause: the msgpack decoder calls itself for each level of a value that it skips. The JSON decoder gives up a whole response at 10,000 levels, before the entries are told apart. Records were checked for their form alone.

Change: msgpack messages over 64 KiB, where the stack could get large, may have 64 levels: frames of nodes, and the records in the store of 'pollencart node'. A record needs an address and a port that one node can have.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -398,6 +398,18 @@
 	})
 }
 
+// Guards against a node that ends, or joins itself or nobody, by an odd record of another writer.
+func TestOddRecordIsNotUnderstood(t *testing.T) {
+	for _, text := range []string{
+		`{"Address":"10.0.0.1:7","Other":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+		`{"Address":{"a":1e400}}`, `{"Address":"10.0.0.1:99999"}`, `{"Address":"10.0.0.1:-1"}`, `{"Address":"10.0.0.1:0"}`,
+		`{"Address":"0.0.0.0:7"}`, `{"Address":"[::]:7"}`, `{"Address":"224.0.0.1:7"}`, `{"Address":"[ff02::1]:7"}`,
+	} {
+		_, err := discovery.DecodeRecord([]byte(text))
+		assert.ErrorIs(t, err, discovery.ErrRecord, "%.60s", text)
+	}
+}
+
 // FuzzDecodeRecord looks for input that decodes to a record with an unusable address.
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add([]byte(`{"Address":"10.0.0.1:7","FailureDomain":"derby"}`))
--- a/internal/discovery/record.go
+++ b/internal/discovery/record.go
@@ -25,7 +25,9 @@
 		return Record{}, ErrRecord.Wrap(err)
 	}
 
-	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+	// An address of a group, or of any host, would connect this node to itself or to nobody.
+	a, err := netip.ParseAddrPort(r.Address)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
 		return Record{}, ErrRecord.With("address %q", r.Address)
 	}
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -23,6 +23,7 @@
 	"io"
 	"net/http"
 
+	"github.com/pollencart/pollencart/internal/nesting"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -149,6 +150,10 @@
 
 // decode is Decode that also returns the bytes after the message.
 func decode(data []byte, out any) ([]byte, error) {
+	if err := nesting.CheckMsgpack(data); err != nil {
+		return nil, ErrFrameInvalid.Wrap(err)
+	}
+
 	d := decoders.Get().(*decoder)
 	defer d.free()
 
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -112,6 +113,17 @@
 	return l.oneConn.Accept()
 }
 
+// Guards against a process that ends by a stack overflow, since a message of a peer is nested without a bound.
+func TestDeeplyNestedMessageIsInvalid(t *testing.T) {
+	deep := bytes.Repeat([]byte{0x91}, peer.MaxFrame-(64<<10))
+
+	for _, data := range [][]byte{deep, append([]byte{0x81, 0xa1, 'x'}, deep...)} {
+		var out ping
+
+		assert.ErrorIs(t, peer.Decode(data, &out), peer.ErrFrameInvalid)
+	}
+}
+
 // Guards against a process that ends, with all its calls, by a panic in the handling of one message.
 func TestPanicInOneHandlerIsAFaultOfItsRequest(t *testing.T) {
 	caught := make(chan contain.Caught, 1)
--- a/pkg/settings/records.go
+++ b/pkg/settings/records.go
@@ -10,6 +10,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/pollencart/pollencart/internal/nesting"
+
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -78,7 +80,7 @@
 
 func decode(path string, data []byte) (Branch, error) {
 	var r record
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := nesting.UnmarshalMsgpack(data, &r); err != nil {
 		return Branch{}, ErrRecord.With("/%s", path).Wrap(err)
 	}
 
