upstream, caller, operator, etcd: answers of others are bounded

In the older engine the head of an answer had a bound of 10 MiB for each call, a library for callers and the operators' commands read bodies without a bound, and so did the client of the key-value service.

What is over a bound is an unknown outcome.

Also ruled out with tests that passed at once: an answer that is cut at any byte of its head or body is no success, in the older engine and through two sidecars to the caller.

Evidence: TestAnswerWithoutEndIsGivenUp (upstream; heads took 10 MiB before), TestAnswerWithoutEndIsUnknown.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -174,6 +174,9 @@
 	return out, err
 }
 
+// maxAnswerBytes bounds the answer of a node; the largest are time lines of all nodes.
+const maxAnswerBytes = 64 << 20
+
 func (c *Client) do(ctx context.Context, method, path string, q url.Values, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+q.Encode(), bytes.NewReader(body))
 	if err != nil {
@@ -190,9 +193,13 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+
+	switch {
+	case err != nil:
 		return ErrNoAnswer.Wrap(err)
+	case len(data) > maxAnswerBytes:
+		return ErrNoAnswer.With("over %d bytes", maxAnswerBytes)
 	}
 
 	if resp.StatusCode >= http.StatusBadRequest {
--- a/internal/platform/etcd/etcd.go
+++ b/internal/platform/etcd/etcd.go
@@ -212,14 +212,22 @@
 		defer close(out)
 		defer func() { _ = resp.Body.Close() }()
 
-		forwardEvents(ctx, json.NewDecoder(resp.Body), out)
+		forwardEvents(ctx, resp.Body, out)
 	}()
 
 	return out, nil
 }
 
-func forwardEvents(ctx context.Context, dec *json.Decoder, out chan<- platform.Entry) {
+// maxMessageBytes bounds one message of the gateway: a page of a list, or the events of a watch.
+const maxMessageBytes = 64 << 20
+
+func forwardEvents(ctx context.Context, body io.Reader, out chan<- platform.Entry) {
+	limit := &io.LimitedReader{R: body}
+	dec := json.NewDecoder(limit)
+
 	for {
+		limit.N = maxMessageBytes
+
 		var r watchResponse
 		if err := dec.Decode(&r); err != nil {
 			return
@@ -245,7 +253,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes)).Decode(out); err != nil {
 		return platform.ErrUnknown.Wrap(err)
 	}
 
--- /dev/null
+++ b/internal/sidecar/cut_test.go
@@ -0,0 +1,102 @@
+package sidecar_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/platform"
+	"github.com/pollencart/pollencart/platform/standin"
+)
+
+// rawBackend is a backend server that writes the answers to calls as bytes and closes the connection.
+type rawBackend struct {
+	instance string
+	calls    atomic.Int32
+	write    func(c net.Conn, id string)
+}
+
+func (b *rawBackend) serve(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			go b.answer(c)
+		}
+	}()
+
+	return l.Addr().String()
+}
+
+func (b *rawBackend) answer(c net.Conn) {
+	defer func() { _ = c.Close() }()
+
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+
+	if r.URL.Path == "/health" {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n", b.instance)
+
+		return
+	}
+
+	_, _ = io.Copy(io.Discard, r.Body)
+
+	b.calls.Add(1)
+	b.write(c, r.Header.Get("Attempt-Id"))
+}
+
+// Guards against an empty or short success that is framed as whole, since the backend server closed in the middle of its answer.
+func TestAnswerCutShortIsNoSuccessThroughTwoNodes(t *testing.T) {
+	const form = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nhello"
+
+	var cut atomic.Int32
+
+	raw := &rawBackend{instance: "i-1", write: func(c net.Conn, id string) {
+		text := fmt.Sprintf(form, id)
+		_, _ = io.WriteString(c, text[:min(len(text), int(cut.Load()))])
+	}}
+	f := newConfiguredFleet(t, func(i int, h *host) {
+		if i == 1 {
+			h.config.BackendAddress = raw.serve(t)
+		}
+	}, "browse", "ledger")
+	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
+	f.announceAll(t)
+
+	entry, whole := f.hosts[0], len(fmt.Sprintf(form, "c-000"))
+	cut.Store(int32(whole))
+	eventually(t, entry.ready)
+	eventually(t, entry.serves)
+
+	reached := raw.calls.Load()
+
+	for i := range whole {
+		cut.Store(int32(i))
+
+		status, body, _ := entry.call(fmt.Sprintf("c-%03d", i))
+		assert.Assert(t, status >= http.StatusInternalServerError, "cut after %d of %d bytes: %d %q", i, whole, status, body)
+	}
+
+	assert.Assert(t, int(raw.calls.Load()-reached) > whole/2, "%d of %d calls reached the backend server", raw.calls.Load()-reached, whole)
+
+	cut.Store(int32(whole))
+	eventually(t, entry.serves)
+}
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -34,6 +34,9 @@
 // frame.
 const MaxAnswer = 4 << 20
 
+// maxAnswerHead bounds the head of an answer in bytes.
+const maxAnswerHead = 64 << 10
+
 // Headers of requests to the backend server and of its answers.
 const (
 	HeaderCall     = "Pollencart-Call"
@@ -52,7 +55,9 @@
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			DisableCompression:  true,
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+
+			MaxResponseHeaderBytes: maxAnswerHead,
+			DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/upstream/run_test.go
+++ b/internal/upstream/run_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -263,3 +264,77 @@
 	_, err = h.Run(ctx, upload("2", "x"))
 	assert.ErrorIs(t, err, upstream.ErrBrokenOff)
 }
+
+// scripted returns a host whose backend server answers each request with f and closes the connection.
+func scripted(t *testing.T, f func(c net.Conn)) *upstream.Host {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			go func() {
+				defer c.Close()
+
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					f(c)
+				}
+			}()
+		}
+	}()
+
+	return newHost(t, &server{listener: l})
+}
+
+func lookup(id string) call.Call {
+	return call.Call{ID: id, Service: "ledger", Method: http.MethodGet, URI: "/folders/" + id, Idempotent: true, Class: settings.ClassInteractive}
+}
+
+// Guards against an empty or short success, since the backend server closed in the middle of its answer's head or body.
+func TestAnswerCutShortIsNoAnswer(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello"
+
+	var cut atomic.Int32
+
+	h := scripted(t, func(c net.Conn) { _, _ = io.WriteString(c, whole[:cut.Load()]) })
+
+	for i := range len(whole) {
+		cut.Store(int32(i))
+
+		_, err := h.Run(t.Context(), lookup(strconv.Itoa(i)))
+		assert.Assert(t, err != nil, "cut after %q", whole[:i])
+	}
+}
+
+// Guards against a process that ends for its memory, since the head or the body of an answer has no end.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	block := bytes.Repeat([]byte("x"), 64<<10)
+
+	for _, head := range []string{"", "HTTP/1.1 200 OK\r\nA: ", "HTTP/1.1 200 OK\r\n\r\n"} {
+		ended := make(chan int, 1)
+		h := scripted(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, head)
+
+			for sent := 0; ; sent += len(block) {
+				if _, err := c.Write(block); err != nil {
+					ended <- sent
+
+					return
+				}
+			}
+		})
+
+		_, err := h.Run(t.Context(), lookup("1"))
+		assert.Assert(t, err != nil)
+
+		sent := <-ended
+		assert.Assert(t, sent < 4*upstream.MaxAnswer, "%d bytes were taken", sent)
+	}
+}
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -203,3 +203,24 @@
 	_, err = caller.New().Do(t.Context(), caller.Request{})
 	assert.Assert(t, errors.Is(err, caller.ErrNodes))
 }
+
+// Guards against a caller that ends for its memory, since a node answers without end.
+func TestAnswerWithoutEndIsUnknown(t *testing.T) {
+	endless := func(w http.ResponseWriter) {
+		w.Header().Set(caller.HeaderUpstream, "ledger-1")
+
+		block := make([]byte, 64<<10)
+		for sent := 0; sent < 8*caller.MaxAnswerBytes; sent += len(block) {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	}
+
+	_, err := do(t, startNode(t, "k", endless))
+
+	var r *caller.Refusal
+
+	assert.Assert(t, errors.As(err, &r))
+	assert.Equal(t, r.Ran, caller.Unknown)
+}
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,11 @@
 	HeaderCaller   = "Pollencart-Caller"
 )
 
+// MaxAnswerBytes bounds the body of an answer; it is more than a node passes on.
+const MaxAnswerBytes = 16 << 20
+
+var errTooLarge = fmt.Errorf("answer over %d bytes", MaxAnswerBytes)
+
 // exchange sends the request to one node and waits at most Options.Patience.
 func (c *Caller) exchange(ctx context.Context, node string, r Request, key string) (Answer, *Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Patience)
@@ -39,9 +45,13 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+
+	switch {
+	case err != nil:
 		return Answer{}, noAnswerRefusal(node, err)
+	case len(body) > MaxAnswerBytes:
+		return Answer{}, noAnswerRefusal(node, errTooLarge)
 	}
 
 	c.cacheKeyPrefix(node, resp.Header.Get(HeaderHome))
