ingress: the bodies of all calls together are bounded

Each of 3,000 connections may send a body up to the limit of the configuration, 64 MiB until one is active, and a process has 284 MB.

Change: the bodies of the calls that are not answered may take 32 MiB together, or one more than that alone. A call beyond it is refused with 503 before it runs, with a time to come back. Left: frames of other nodes have 8 MiB each, their sum has no bound of its own; a sender has this one.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -121,6 +121,8 @@
 
 		ahead, ok := c.accept(e, e.request.Close || idle.Closed(e.done))
 		if !ok {
+			c.server.bodies.free(len(body))
+
 			return c.linger()
 		}
 
@@ -168,6 +170,7 @@
 
 func (c *conn) handle(e *exchange, body []byte, ahead int) {
 	defer e.complete()
+	defer c.server.bodies.free(len(body))
 	defer contain.Panic(func(p contain.Caught) {
 		e.response = Response{Call: e.response.Call, Status: http.StatusBadGateway, Body: []byte("no answer, it may have run\n")}
 		c.server.options.Panicked(p)
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/route"
 )
 
@@ -133,6 +134,11 @@
 		return errCutShort
 	case errors.Is(err, errEnded), errors.As(err, &netErr):
 		return err
+	case errors.Is(err, errNoRoom):
+		e.response.Header = []call.Field{{Name: "Retry-After", Value: bodyRetryAfter}}
+		e.reject(http.StatusServiceUnavailable)
+
+		return nil
 	}
 
 	e.reject(http.StatusBadRequest)
@@ -195,16 +201,25 @@
 		return nil, err
 	}
 
-	body, err := io.ReadAll(io.LimitReader(e.request.Body, int64(limits.BodyBytes)+1))
+	body, err := c.server.bodies.read(e.request.Body, limits.BodyBytes)
 	if err != nil {
 		return nil, err
 	}
 
 	if len(body) > limits.BodyBytes {
+		c.server.bodies.free(len(body))
 		e.reject(http.StatusRequestEntityTooLarge)
+
+		return nil, nil
+	}
+
+	if err := c.setReadDeadline(time.Time{}); err != nil {
+		c.server.bodies.free(len(body))
+
+		return nil, err
 	}
 
-	return body, c.setReadDeadline(time.Time{})
+	return body, nil
 }
 
 // sendContinue sends 100 Continue if the caller expects it and no earlier answer is due.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -57,6 +57,7 @@
 type Server struct {
 	handler Handler
 	options Options
+	bodies  bodies
 
 	mu         sync.Mutex
 	conns      map[*conn]struct{}
