--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -23,6 +23,7 @@
 	poison := c.Flag("poison", "Send requests that crash each backend server that runs them; all hosts have one service.").Bool()
 	signals := c.Flag("signals", "Have backend servers name limits, and leave without an announcement.").Bool()
 	versions := c.Flag("versions", "Have large versions come often beside slowed hosts, and check which one is active.").Bool()
+	strain := c.Flag("strain", "Have endless answers, too few descriptors, logs without readers, odd entries in the store and bad calls.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -35,6 +36,7 @@
 			broken, err := oneSeed(ctx, hosts.Options{
 				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
 				Poison: *poison, Signals: *signals, Versions: *versions,
+				Strain: *strain,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/idle"
@@ -37,6 +38,8 @@
 	// confirmed is when the leaving of an instance was confirmed.
 	confirmed map[string]time.Time
 	leaving   bool
+	// endless says that some calls are answered without end.
+	endless atomic.Bool
 	// ends are when instances ended.
 	ends []time.Time
 }
@@ -84,7 +87,7 @@
 		Fails: func() bool { return b.trial.fails(b.version) },
 	}
 	b.listener = l
-	b.server = &http.Server{Handler: b.current, ReadHeaderTimeout: time.Minute}
+	b.server = &http.Server{Handler: b.endlessHandler(b.current), ReadHeaderTimeout: time.Minute}
 
 	go func(s *http.Server) { _ = s.Serve(l) }(b.server) // it ends with down
 }
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -53,6 +53,9 @@
 	Poison bool
 	// Signals has backend servers name limits, and leave without an announcement.
 	Signals bool
+	// Strain has backend servers answer without end, file descriptors run short, readers of logs leave, odd
+	// entries lie in the store, and bad calls follow uploads in chunks on kept connections.
+	Strain bool
 	// Versions has versions with many routes come often, beside hosts that are slowed, and checks which
 	// one is active on each host, and which keys of callers it takes.
 	Versions bool
@@ -93,6 +96,9 @@
 	file    string
 	log     *os.File
 	backend *backend
+	// pipeLogs says that the output of processes passes a pipe, which logReader reads.
+	pipeLogs  bool
+	logReader *os.File
 
 	mu sync.Mutex
 	// lives are the processes, the one that runs last.
@@ -220,7 +226,7 @@
 	services := r.options.services()
 	service := services[i%len(services)]
 
-	h := &host{file: filepath.Join(r.options.Dir, name+".jsonc")}
+	h := &host{file: filepath.Join(r.options.Dir, name+".jsonc"), pipeLogs: r.options.Strain}
 	h.backend = r.newBackend(h, name, service, versionOf(services, i))
 	h.config = config.Config{
 		Node: name, Region: "here", FailureDomain: fmt.Sprintf("d%d", i%failureDomains), Service: service, BackendAddress: h.backend.address,
@@ -283,6 +289,17 @@
 	process.Stdout, process.Stderr = h.log, h.log
 	h.planned = time.Time{}
 
+	if h.pipeLogs {
+		writer, err := h.logThroughPipe()
+		if err != nil {
+			return err
+		}
+
+		defer func() { _ = writer.Close() }() // the process has its own
+
+		process.Stdout = writer
+	}
+
 	if err := process.Start(); err != nil {
 		return err
 	}
--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -68,3 +68,8 @@
 func TestVersionsAreActiveInTimeBesideSlowHosts(t *testing.T) {
 	play(t, hosts.Options{Seed: 1, Length: 12 * time.Second, Hosts: 9, Rate: 60, Versions: true})
 }
+
+// Endless answers, a lack of descriptors, readers of logs that leave, odd entries or bad calls must end no process and cut off no call.
+func TestStrainEndsNoProcessAndCutsNoCallsOff(t *testing.T) {
+	play(t, hosts.Options{Seed: 1, Length: 10 * time.Second, Hosts: 6, Rate: 60, Strain: true})
+}
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -49,6 +49,10 @@
 		if r.options.Versions {
 			r.calling.Go(func() { r.checkVersions(callers, h) })
 		}
+
+		if r.options.Strain {
+			r.strain(callers, h)
+		}
 	}
 
 	if r.trial != nil {
@@ -102,6 +106,12 @@
 		troubles.Go(func() { r.poisonSeries(ctx, random, end) })
 	}
 
+	if r.options.Strain {
+		random := rand.New(rand.NewPCG(r.options.Seed, strainStream))
+
+		troubles.Go(func() { r.strainSeries(ctx, random, end) })
+	}
+
 	if r.options.Signals {
 		for i := range uint64(1 + len(r.hosts)/hostsPerSignals) {
 			random := rand.New(rand.NewPCG(r.options.Seed, signalStream+i))
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -29,6 +29,8 @@
 	Signals Signals
 	// Versions counts the versions, and the questions of which one was active.
 	Versions Versions
+	// Strain counts what happened in a run with strain.
+	Strain Strain
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -165,5 +167,9 @@
 		_, err = fmt.Fprintln(out, r.Versions)
 	}
 
+	if err == nil && r.Strain.Uploads.Load() > 0 {
+		_, err = fmt.Fprintln(out, &r.Strain)
+	}
+
 	return err
 }
