--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -39,6 +39,8 @@
 	runs    map[string][]string // the hosts
 	calls   []*stayed
 	notRun  map[string]bool
+	// endless are the calls that a backend server answered without end.
+	endless map[string]bool
 }
 
 // Poison counts poison requests and the backend servers that they crashed.
@@ -53,7 +55,7 @@
 func newReport(seed uint64) *Report {
 	return &Report{
 		Seed: seed, Faults: map[string]int{}, Answers: map[int]int{}, uploads: map[string]bool{}, runs: map[string][]string{},
-		notRun: map[string]bool{},
+		notRun: map[string]bool{}, endless: map[string]bool{},
 	}
 }
 
@@ -78,6 +80,22 @@
 	r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
 }
 
+func (r *Report) answeredWithoutEnd(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.Strain.Endless.Add(1)
+
+	r.endless[id] = true
+}
+
+func (r *Report) hadEndlessAnswer(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.endless[id]
+}
+
 func (r *Report) upload(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/hosts/strain.go
+++ b/internal/soak/hosts/strain.go
@@ -130,7 +130,7 @@
 
 		defer func() { _ = conn.Close() }()
 
-		b.report.Strain.Endless.Add(1)
+		b.report.answeredWithoutEnd(r.Header.Get(platform.Headers().Call))
 
 		block := fmt.Appendf(nil, "%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes))
 
@@ -149,7 +149,7 @@
 		return // the process has ended
 	}
 
-	short := unix.Rlimit{Cur: 1, Max: usual.Max}
+	short, usual := unix.Rlimit{Cur: 1, Max: usual.Max}, unix.Rlimit{Cur: usual.Max, Max: usual.Max} // as a program of Go raises it
 	if unix.Prlimit(pid, unix.RLIMIT_NOFILE, &short, nil) != nil {
 		return
 	}
@@ -220,7 +220,8 @@
 func (r *run) keepUploading(ctx context.Context, h *host) {
 	for ctx.Err() == nil {
 		if c := r.connect(ctx, h); c != nil {
-			for ctx.Err() == nil && r.uploadInChunks(c) {
+			// Without descriptors a host accepts no connection, so that the first call may not be read.
+			for accepted := false; ctx.Err() == nil && r.uploadInChunks(c, accepted); accepted = true {
 				idle.For(ctx, rand.N(aloneEvery))
 			}
 
@@ -232,8 +233,8 @@
 }
 
 // uploadInChunks sends one upload and reads its answer. It reports whether the connection may carry
-// another. A host that was well all the while must answer.
-func (r *run) uploadInChunks(c *connection) bool {
+// another. A host that was well all the while must answer on a connection that it has accepted.
+func (r *run) uploadInChunks(c *connection, accepted bool) bool {
 	id := fmt.Sprintf("u%d", lastID.Add(1))
 	names := platform.Headers()
 	began := time.Now()
@@ -260,7 +261,7 @@
 		r.report.refused(id)
 	}
 
-	if !well || !c.host.isWell(time.Now()) || r.stalls.overlap(began, time.Now()) {
+	if !accepted || !well || !c.host.isWell(time.Now()) || r.stalls.overlap(began, time.Now()) {
 		return err == nil && !bad
 	}
 
