accept: a process tries to listen again before it ends

Cause: one failed listen ended the process, whether the reason passes or not: no descriptor, no memory, an address that the process before still holds.

Change: both engines try again for 5 s at most for these reasons; others end the process at once.

Evidence: TestListenWaitsForItsAddress; before, the address in use was final at once.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -4,6 +4,7 @@
 //
 // # Usage
 //
+//	l, err := accept.Listen(address)
 //	l = accept.New(l, accept.Failed(report))
 //	conn, err := l.Accept() // an error is final
 package accept
@@ -42,6 +43,30 @@
 	options Options
 }
 
+// listenTimeout is how long Listen tries. The address may still belong to the process before, which
+// ends within seconds.
+const listenTimeout = 5 * time.Second
+
+// Listen listens on a TCP address. It tries again for a time if a lack of descriptors or memory, or
+// another process, keeps it from listening: a process that gave up would end before its first call.
+func Listen(address string) (net.Listener, error) {
+	for began, backoff := time.Now(), time.Duration(0); ; {
+		l, err := net.Listen("tcp", address)
+		if err == nil || !listensLater(err) || time.Since(began) >= listenTimeout {
+			return l, err
+		}
+
+		backoff = min(max(2*backoff, minBackoff), maxBackoff)
+		time.Sleep(backoff)
+	}
+}
+
+func listensLater(err error) bool {
+	later := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRINUSE}
+
+	return slices.ContainsFunc(later, func(target error) bool { return errors.Is(err, target) })
+}
+
 // New wraps a listener.
 func New(l net.Listener, opts ...Option) *Listener {
 	o := Options{Failed: func(error) {}}
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -69,3 +69,24 @@
 		assert.ErrorIs(t, err, final)
 	}
 }
+
+// Guards against a process that ends at its start since its address, or a descriptor, is not free for a moment.
+func TestListenWaitsForItsAddress(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	time.AfterFunc(200*time.Millisecond, func() { _ = before.Close() })
+
+	l, err := accept.Listen(before.Addr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+}
+
+// An address that can never be listened on must fail at once.
+func TestListenFailsAtOnceForAnInvalidAddress(t *testing.T) {
+	began := time.Now()
+
+	_, err := accept.Listen("192.0.2.1:7")
+	assert.ErrorIs(t, err, syscall.EADDRNOTAVAIL)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,7 +187,7 @@
 	}
 
 	for _, h := range handlers {
-		l, err := net.Listen("tcp", h.address)
+		l, err := accept.Listen(h.address)
 		if err != nil {
 			n.close()
 
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -35,7 +35,7 @@
 		{n.config.MetricsAddress, n.serveHTTP(n.registerMetrics)},
 		{n.config.CallerAddress, n.ingress.Serve},
 	} {
-		l, err := net.Listen("tcp", h.address)
+		l, err := accept.Listen(h.address)
 		if err != nil {
 			n.close()
 
--- a/internal/soak/hosts/callers.go
+++ b/internal/soak/hosts/callers.go
@@ -136,7 +136,8 @@
 	case o.status == http.StatusServiceUnavailable:
 		r.report.refused(o.id)
 	case o.left || o.status != 0:
-	case errors.Is(o.err, context.DeadlineExceeded) && !h.disturbed() && !r.stalls.overlap(time.Now().Add(-o.took), time.Now()):
+	case errors.Is(o.err, context.DeadlineExceeded) && !h.disturbed() && !h.wasShort(span{time.Now().Add(-o.took), time.Now()}) &&
+		!r.stalls.overlap(time.Now().Add(-o.took), time.Now()):
 		r.report.broken("call %s at %s had no answer after %s", o.id, h.config.Node, o.took)
 	}
 }
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -99,6 +99,8 @@
 	// pipeLogs says that the output of processes passes a pipe, which logReader reads.
 	pipeLogs  bool
 	logReader *os.File
+	// shorts are spans without descriptors.
+	shorts []span
 
 	mu sync.Mutex
 	// lives are the processes, the one that runs last.
--- a/internal/soak/hosts/strain.go
+++ b/internal/soak/hosts/strain.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -149,6 +150,8 @@
 		return // the process has ended
 	}
 
+	defer h.noteShort(time.Now())
+
 	short, usual := unix.Rlimit{Cur: 1, Max: usual.Max}, unix.Rlimit{Cur: usual.Max, Max: usual.Max} // as a program of Go raises it
 	if unix.Prlimit(pid, unix.RLIMIT_NOFILE, &short, nil) != nil {
 		return
@@ -159,6 +162,22 @@
 	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &usual, nil) // fails only if the process has ended
 }
 
+// noteShort keeps a span in which the process could open no descriptor, and so accepted no caller.
+func (h *host) noteShort(from time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.shorts = append(h.shorts, span{from, time.Now()})
+}
+
+// wasShort reports whether the process lacked descriptors in a span of time.
+func (h *host) wasShort(s span) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return slices.ContainsFunc(h.shorts, s.meets)
+}
+
 // logThroughPipe returns the end of a pipe for the output of a process. What is written to it is
 // copied to the log until its reader leaves.
 func (h *host) logThroughPipe() (*os.File, error) {
