--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -8,6 +8,7 @@
 
 func (n *Sidecar) registerGauges() {
 	n.registerVersionGauges()
+	n.registerCallerGauges()
 
 	for _, g := range []struct {
 		name, help string
@@ -21,15 +22,6 @@
 			"pollencart_backend_slowness", "How long work takes on this host at this moment, as a multiple of the usual time; 0 if it is not known.",
 			func() float64 { return n.queue.Slowness().Factor },
 		},
-		{"pollencart_caller_connections", "Open connections of callers.", func() float64 { return float64(n.ingress.Connections()) }},
-		{
-			"pollencart_body_bytes", "Bytes of the bodies of callers' calls that are not answered.",
-			func() float64 { held, _ := n.ingress.Bodies(); return float64(held) },
-		},
-		{
-			"pollencart_bodies_refused", "Calls refused since the bodies of others left no memory for theirs.",
-			func() float64 { _, refused := n.ingress.Bodies(); return float64(refused) },
-		},
 		{"pollencart_links_down", "Nodes to which no connection can be made now.", func() float64 { return float64(n.client.Down()) }},
 		{"pollencart_store_epoch", "Epoch of the platform's store that was heard of last.", func() float64 { return float64(n.epoch.Number()) }},
 		{"pollencart_backend_connections_opened", "Connections opened to the backend server.", func() float64 { return float64(n.pool.Opened()) }},
@@ -74,6 +66,20 @@
 	}
 }
 
+func (n *Sidecar) registerCallerGauges() {
+	n.meter.Gauge("pollencart_caller_connections", "Open connections of callers.", func() float64 { return float64(n.ingress.Connections()) })
+	n.meter.Gauge("pollencart_body_bytes", "Bytes of the bodies of callers' calls that are not answered.", func() float64 {
+		held, _ := n.ingress.Bodies()
+
+		return float64(held)
+	})
+	n.meter.Gauge("pollencart_bodies_refused", "Calls refused since the bodies of others left no memory for theirs.", func() float64 {
+		_, refused := n.ingress.Bodies()
+
+		return float64(refused)
+	})
+}
+
 func (n *Sidecar) registerVersionGauges() {
 	fresh := n.configsync.Freshness()
 
