--- a/internal/soak/hosts/stayed.go
+++ b/internal/soak/hosts/stayed.go
@@ -121,7 +121,7 @@
 // lostAt reports whether one of the hosts may have lost what its backend server ran.
 func (r *run) lostAt(names []string, during span) bool {
 	return slices.ContainsFunc(r.hosts, func(h *host) bool {
-		return slices.Contains(names, h.config.Node) && (h.harmed(during) || h.backend.endedIn(during))
+		return slices.Contains(names, h.config.Node) && (h.harmed(during) || h.wasShort(during) || h.backend.endedIn(during))
 	})
 }
 
