--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -18,8 +18,12 @@
 	"github.com/pollencart/pollencart/internal/invariant"
 )
 
-// maxFrames bounds the callers that are kept of a panic.
-const maxFrames = 12
+const (
+	// maxFrames bounds the callers that are kept of a panic.
+	maxFrames = 12
+	// maxTextBytes bounds the text of its value, which may quote input of others.
+	maxTextBytes = 256
+)
 
 // Caught is a panic that did not end the process.
 type Caught struct {
@@ -30,7 +34,9 @@
 
 // String describes the panic on one line.
 func (c Caught) String() string {
-	return strings.ReplaceAll(fmt.Sprint(c.Value), "\n", " ") + " at " + strings.Join(c.Frames, ", ")
+	text := strings.ReplaceAll(fmt.Sprint(c.Value), "\n", " ")
+
+	return text[:min(len(text), maxTextBytes)] + " at " + strings.Join(c.Frames, ", ")
 }
 
 // Panic recovers from a panic of the function that deferred it, and reports it. A violated
--- a/internal/contain/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -33,3 +33,11 @@
 
 	fails(invariant.Violation("broken"), func(contain.Caught) { t.Error("contained") })
 }
+
+// Guards against a line without a bound, since the value of a panic may quote input of others.
+func TestLongPanicIsCut(t *testing.T) {
+	var caught contain.Caught
+
+	fails(strings.Repeat("x", 1<<20), func(c contain.Caught) { caught = c })
+	assert.Assert(t, len(caught.String()) < 4<<10)
+}
