--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -1,4 +1,4 @@
-// Package accept keeps a listener accepting after errors that pass, such as a lack of file
+// Package accept keeps a listener accepting after transient errors, such as a lack of file
 // descriptors. A server that returned at the first error would take no connection again until
 // its process is restarted.
 //
@@ -77,11 +77,11 @@
 	return &Listener{Listener: l, options: o}
 }
 
-// Accept waits for the next connection. It tries again after errors that pass.
+// Accept waits for the next connection. It tries again after transient errors.
 func (l *Listener) Accept() (net.Conn, error) {
 	for backoff := time.Duration(0); ; {
 		conn, err := l.Listener.Accept()
-		if err == nil || !passes(err) {
+		if err == nil || !isTransient(err) {
 			return conn, err
 		}
 
@@ -94,10 +94,10 @@
 	}
 }
 
-// passes reports whether a later attempt may succeed. An error of the system does, unless it is
+// isTransient reports whether a later attempt may succeed. An error of the system does, unless it is
 // about the listener itself: a lack of descriptors or memory, or a connection that ended before
 // it was accepted.
-func passes(err error) bool {
+func isTransient(err error) bool {
 	var number syscall.Errno
 	if errors.Is(err, net.ErrClosed) || !errors.As(err, &number) {
 		return false
--- a/internal/sidecar/cut_test.go
+++ b/internal/sidecar/cut_test.go
@@ -52,8 +52,10 @@
 		return
 	}
 
+	names := platform.Headers()
+
 	if r.URL.Path == "/health" {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n", b.instance)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0,0,4\r\nContent-Length: 0\r\n\r\n", names.Instance, b.instance, names.Load)
 
 		return
 	}
@@ -61,17 +63,24 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 
 	b.calls.Add(1)
-	b.write(c, r.Header.Get("Attempt-Id"))
+	b.write(c, r.Header.Get(names.Call))
+}
+
+// signedHead returns the head of a success with a body of the given length in bytes.
+func signedHead(id string, length int) string {
+	names := platform.Headers()
+
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n", names.Call, id, names.Signature, length)
 }
 
 // Guards against an empty or short success that is framed as whole, since the backend server closed in the middle of its answer.
 func TestAnswerCutShortIsNoSuccessThroughTwoNodes(t *testing.T) {
-	const form = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nhello"
+	answer := func(id string) string { return signedHead(id, len("hello")) + "hello" }
 
 	var cut atomic.Int32
 
 	raw := &rawBackend{instance: "i-1", write: func(c net.Conn, id string) {
-		text := fmt.Sprintf(form, id)
+		text := answer(id)
 		_, _ = io.WriteString(c, text[:min(len(text), int(cut.Load()))])
 	}}
 	f := newConfiguredFleet(t, func(i int, h *host) {
@@ -82,7 +91,7 @@
 	f.store.Write(platform.ConfigurationKey, standin.Document(1, "ledger"))
 	f.announceAll(t)
 
-	entry, whole := f.hosts[0], len(fmt.Sprintf(form, "c-000"))
+	entry, whole := f.hosts[0], len(answer("c-000"))
 	cut.Store(int32(whole))
 	eventually(t, entry.ready)
 	eventually(t, entry.serves)
@@ -108,7 +117,7 @@
 
 	body := strings.Repeat("b", size)
 	raw := &rawBackend{instance: "i-1", write: func(c net.Conn, id string) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+		_, _ = io.WriteString(c, signedHead(id, len(body))+body)
 	}}
 	f := newConfiguredFleet(t, func(i int, h *host) {
 		if i == 1 {
