--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -27,6 +27,7 @@
 	return map[string]scenario{
 		"overlap": overlap,
 		"poison":  poison,
+		"leaving": leaving,
 	}
 }
 
--- a/review/_driver/overlap.go
+++ b/review/_driver/overlap.go
@@ -104,7 +104,9 @@
 		if why == "LOST" {
 			result = broken
 
-			r.note("LOST: %s sent at %s, status %d %s %s", q.id, r.at(q.sent), q.status, q.body, q.failure)
+			x := runs[q.id][len(runs[q.id])-1]
+			r.note("LOST: %s sent at %s to %s, at work from %s to %s by %s, then: status %d %s %s",
+				q.id, r.at(q.sent), q.host.name, r.at(x.began), r.at(x.ended), x.upstream, q.status, q.body, q.failure)
 		}
 	}
 
@@ -124,9 +126,10 @@
 	last := runs[len(runs)-1]
 
 	switch {
-	case last.how == "done" && last.ended.Before(q.ended.Add(-50*time.Millisecond)), last.how == "deadline":
-		// An answer that was there and is not delivered counts, too, but not here.
-		return "the upstream had ended its work"
+	case last.how != "dropped":
+		return "the upstream had ended its work by itself"
+	case last.ended.After(q.ended.Add(lossSlack)):
+		return "the requester left"
 	case q.ended.Sub(q.sent) > q.limit*95/100:
 		return "the time limit was reached"
 	}
@@ -144,5 +147,5 @@
 		return "LOST"
 	}
 
-	return "no SIGTERM of the machine that took it"
+	return "broken off, but no SIGTERM of the machine that took it"
 }
