--- a/review/_driver/host.go
+++ b/review/_driver/host.go
@@ -171,6 +171,21 @@
 	return value
 }
 
+// processes are those that this process started.
+type processes struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+var started processes
+
+func (p *processes) add(o *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.all = append(p.all, o)
+}
+
 // start starts a process with the command of the deploy file.
 func (h *host) start() error {
 	template, err := os.ReadFile("deploy/node.jsonc.tmpl")
@@ -194,6 +209,8 @@
 		return err
 	}
 
+	started.add(h.process.Process)
+
 	done := make(chan struct{})
 	h.done, h.started = done, time.Now()
 	process := h.process
--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -60,10 +60,9 @@
 		fmt.Println("logs in", dir)
 	}
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	go endOnSignal(dir)
 
-	ctx, cancel := context.WithTimeout(ctx, 115*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
 	defer cancel()
 
 	result, err := scenarios()[os.Args[1]](ctx, r, dir, os.Getenv("TROUBLE") != "0")
@@ -82,3 +81,20 @@
 
 	return result
 }
+
+// endOnSignal ends all processes that this one started if it is asked to end.
+func endOnSignal(dir string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+
+	started.mu.Lock()
+	defer started.mu.Unlock()
+
+	for _, p := range started.all {
+		_ = p.Kill() // it may have ended
+	}
+
+	_ = os.RemoveAll(dir)
+	os.Exit(couldNot)
+}
