--- a/review/_driver/caller.go
+++ b/review/_driver/caller.go
@@ -42,6 +42,16 @@
 	limit                    time.Duration
 }
 
+// head returns the head of the request.
+func (x call) head(id string) string {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", x.method, x.path, x.host, id, x.limit.Milliseconds())
+	if x.method != http.MethodGet {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(x.body))
+	}
+
+	return head + "\r\n"
+}
+
 // send sends one request on a new connection and waits for its answer until the time limit.
 func (c *requester) send(x call) *request {
 	q := &request{id: newID(), host: c.host, line: x.method + " " + x.path, sent: time.Now(), limit: x.limit}
@@ -60,14 +70,9 @@
 
 	_ = conn.SetDeadline(q.sent.Add(x.limit))
 
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", x.method, x.path, x.host, q.id, x.limit.Milliseconds())
-	if x.method != http.MethodGet {
-		head += fmt.Sprintf("Content-Length: %d\r\n", len(x.body))
-	}
-
 	q.sent = time.Now()
 
-	if _, err := io.WriteString(conn, head+"\r\n"+x.body); err != nil {
+	if _, err := io.WriteString(conn, x.head(q.id)+x.body); err != nil {
 		q.failure = err.Error()
 
 		return q
--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -28,6 +28,7 @@
 		"overlap": overlap,
 		"poison":  poison,
 		"leaving": leaving,
+		"uploads": large,
 	}
 }
 
