backend: an answer that ends with its connection needs its whole request

Callers got the part of an answer as a complete 200: the backend server answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the upload is written by a goroutine of its own while the answer is read. A socket reports a reset once. If the write gets ECONNRESET, the reads return what had arrived and then io.EOF, which ends an answer without a length.

Evidence: of 200 connections that were reset so on loopback, the reader saw io.EOF in 100, and in all of these the write had ECONNRESET; in the other 100 the reader saw the error. A close with unread input did the same (120 of 200). A peer that ended only its own side gave io.EOF 200 times, with no error of the write.

Ruled out: the framing (net/http gives such a body the end of the connection, as HTTP says), and the reuse of the connection (it is never reused). Tried and left: an error in place of io.EOF once a write has failed. It tells resets from orderly ends, but a backend server that is killed with no unread input also ends in order.

Change: an answer that ends with its connection counts only once the whole request is written, for which a second is allowed. A backend server that ends only its own side reads on meanwhile, as RFC 9112, section 9.6, asks, so its answer arrives; one that does not read on gets its early answer through only with a length or in chunks.

TestResetDuringAnUploadIsNotTakenForTheEndOfAnAnswer failed in 3 of 3 runs before, within the first 50 calls, and passes. TestEarlyAnswerToALongUploadIsDelivered passed before and after.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -30,6 +30,8 @@
 	smallBodyBytes = 64 << 10
 	// largeBlockBytes is the size of the blocks in which a larger one is read.
 	largeBlockBytes = 256 << 10
+	// finishTimeout bounds the rest of a request after its answer has ended with the connection.
+	finishTimeout = time.Second
 	// maxSkipped bounds the informational responses and the answers to other calls before the answer.
 	maxSkipped = 16
 )
@@ -40,6 +42,7 @@
 	limit     *io.LimitedReader // bounds what is read of raw
 	in        *bufio.Reader
 	large     chan struct{} // held while a large body is read
+	written   chan error    // holds the result of writing the request once it is known
 	lastUsed  time.Time
 	idleLimit time.Duration
 }
@@ -115,6 +118,7 @@
 
 	head := encode(ctx, r, names)
 	written := make(chan error, 1)
+	c.written = written
 
 	if len(r.Body) <= readBuffer {
 		_, err := c.raw.Write(append(head, r.Body...))
@@ -168,6 +172,10 @@
 			return Answer{}, false, err
 		}
 
+		if endsWithConnection(response) && !c.isWritten(ctx) {
+			return Answer{}, false, ErrLost.With("the connection ended while the request was written")
+		}
+
 		if id != "" && id != r.ID {
 			if response.Close {
 				return Answer{}, false, ErrLost.With("only an answer to another call came")
@@ -182,6 +190,28 @@
 	return Answer{}, false, ErrTooLarge.With("%d responses before the answer", maxSkipped)
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body of a response.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
+
+// isWritten reports whether the whole request was written. Otherwise the end of the connection may be
+// that of a reset: the socket reports a reset once, and if a write gets the error, reads return io.EOF.
+// A backend server that ends only its own side reads the rest of the request meanwhile.
+func (c *conn) isWritten(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+
+	select {
+	case err := <-c.written:
+		c.written <- err
+
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // readHead reads the head of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.N = maxHeadBytes
