http1, backend: a head with an invalid field name is no answer

Callers got an answer whose head had a blank in the name of a field: the line was passed on as it was, and with "Content-Length : 5" the body was all that came until the connection ended, more than the backend server had sent as its body. A line that starts with a blank was added to the value of the field before it.

Cause: http.ReadResponse keeps names with blanks for compatibility and joins folded lines. It rejects control bytes; only a leading tab counts as a fold.

Evidence: of 17 invalid heads 8 were delivered as a 200 (a blank in, after or before a name, a tab before it, a line of blanks, the same in an informational response).

Ruled out: a check of the decoded header, since a folded line can't be seen there any more.

Change: internal/http1 records the bytes of a head while net/http decodes them and checks each line. RFC 9112, section 5.2, lets a proxy replace a response with folded lines by 502.

TestMalformedAnswerReturnsErrLost failed before in the 8 cases named; all 17 pass. TestUnusualAnswersAreDelivered passed before and after.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -1,12 +1,10 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +13,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/header"
+	"github.com/pollencart/pollencart/internal/http1"
 )
 
 // Limits of what is read for one call. A faulty backend server may send bytes without end.
@@ -39,8 +38,7 @@
 // conn is one connection to the backend server; it carries one request at a time.
 type conn struct {
 	raw       net.Conn
-	limit     *io.LimitedReader // bounds what is read of raw
-	in        *bufio.Reader
+	in        *http1.Reader
 	large     chan struct{} // held while a large body is read
 	written   chan error    // holds the result of writing the request once it is known
 	lastUsed  time.Time
@@ -48,10 +46,8 @@
 }
 
 func newConn(raw net.Conn, large chan struct{}) *conn {
-	limit := &io.LimitedReader{R: raw}
-
 	return &conn{
-		raw: raw, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), large: large, lastUsed: time.Now(), idleLimit: defaultIdleLimit,
+		raw: raw, in: http1.NewReader(raw, readBuffer), large: large, lastUsed: time.Now(), idleLimit: defaultIdleLimit,
 	}
 }
 
@@ -214,13 +210,11 @@
 
 // readHead reads the head of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.N = maxHeadBytes
-
-	response, err := http.ReadResponse(c.in, &http.Request{Method: method})
+	response, err := c.in.ReadHead(method, maxHeadBytes)
 
 	switch {
-	case err != nil && c.limit.N <= 0:
-		return nil, ErrTooLarge.With("head over %d bytes", maxHeadBytes)
+	case errors.Is(err, http1.ErrTooLarge):
+		return nil, ErrTooLarge.Wrap(err)
 	case err != nil:
 		return nil, ErrLost.Wrap(err)
 	}
@@ -231,8 +225,6 @@
 // readBody reads the body of a response. Large bodies are read a few at a time, since the slots of
 // the backend server bound the number of answers, but not their memory.
 func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
-	c.limit.N = math.MaxInt64
-
 	if response.ContentLength > MaxBodyBytes {
 		return nil, ErrTooLarge.With("body of %d bytes, limit %d", response.ContentLength, MaxBodyBytes)
 	}
--- /dev/null
+++ b/internal/backend/malformed_test.go
@@ -0,0 +1,101 @@
+package backend_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/backend"
+)
+
+// secret marks bytes of a malformed answer.
+const secret = "b3c0ffee"
+
+// malformed are answers that are no HTTP responses.
+var malformed = map[string]string{
+	"BlankInName":                answerHead + "X " + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"BlankBeforeColon":           answerHead + "Content-Length : 5\r\n\r\nhello" + secret,
+	"BlankBeforeColonOfOther":    answerHead + secret + " : v\r\nContent-Length: 5\r\n\r\nhello",
+	"BlankBeforeName":            answerHead + " " + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"BlankBeforeLength":          answerHead + " Content-Length: 5\r\n\r\nhello" + secret,
+	"BlankBeforeFirstName":       "HTTP/1.1 200 OK\r\n " + secret + ": v\r\n" + answerFields + "Content-Length: 5\r\n\r\nhello",
+	"TabBeforeName":              answerHead + "\t" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"TabInName":                  answerHead + "X\t" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"ControlInName":              answerHead + "X\x01" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"ControlBeforeName":          answerHead + "\x0b" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"ReturnInName":               answerHead + "X\r" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"DeleteInName":               answerHead + "X\x7f" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"HighByteInName":             answerHead + "X\xe9" + secret + ": v\r\nContent-Length: 5\r\n\r\nhello",
+	"NoName":                     answerHead + ": " + secret + "\r\nContent-Length: 5\r\n\r\nhello",
+	"NoColon":                    answerHead + secret + "\r\nContent-Length: 5\r\n\r\nhello",
+	"BlankLineOfBlanks":          answerHead + "Content-Length: 5\r\n \r\n\r\nhello" + secret,
+	"InformationalWithBlankName": "HTTP/1.1 103 Early Hints\r\nX " + secret + ": v\r\n\r\n" + answerHead + "Content-Length: 5\r\n\r\nhello",
+}
+
+const (
+	answerFields = "Pollencart-Call: id-1\r\nPollencart-Signature: s\r\n"
+	chunked      = "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// Guards against a malformed answer that is passed on, in part or with another body, or waited for until the deadline.
+func TestMalformedAnswerReturnsErrLost(t *testing.T) {
+	for name, answer := range malformed {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			closed := make(chan struct{})
+			p := serve(t, func(c *peerConn) {
+				if _, _, err := c.request(); err != nil {
+					return
+				}
+
+				_, _ = io.WriteString(c, answer)
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+				close(closed)
+			})
+
+			a, err := do(t, p, "id-1", "")
+			assert.ErrorIs(t, err, backend.ErrLost)
+			assert.Equal(t, a.Status, 0)
+			<-closed
+		})
+	}
+}
+
+// Guards against sound answers that the checks turn away.
+func TestUnusualAnswersAreDelivered(t *testing.T) {
+	for name, answer := range map[string]string{
+		"NoLength":           answerHead + "\r\nhello",
+		"Version1.0":         strings.Replace(answerHead, "/1.1", "/1.0", 1) + "\r\nhello",
+		"NoReason":           "HTTP/1.1 200\r\n" + answerFields + "Content-Length: 5\r\n\r\nhello",
+		"LineFeeds":          strings.ReplaceAll(answerHead+"Content-Length: 5\r\n\r\nhello", "\r\n", "\n"),
+		"LengthTwice":        answerHead + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+		"NoBlankAfterColon":  strings.ReplaceAll(answerHead, ": ", ":") + "Content-Length:5\r\n\r\nhello",
+		"BlanksAroundValues": answerHead + "Content-Length: \t 5 \t\r\nX:  a\tb \r\n\r\nhello",
+		"HighBytesInValue":   answerHead + "X: caf\xe9\r\nContent-Length: 5\r\n\r\nhello",
+		"EveryTokenByte":     answerHead + "!#$%&'*+-.^_`|~09azAZ: v\r\nContent-Length: 5\r\n\r\nhello",
+		"NoValue":            answerHead + "X:\r\nContent-Length: 5\r\n\r\nhello",
+		"Chunks":             answerHead + chunked + "2\r\nhe\r\n003;a=b\r\nllo\r\n0\r\n\r\n",
+		"Trailers":           answerHead + "Trailer: X\r\n" + chunked + "5\r\nhello\r\n0\r\nX: v\r\n\r\n",
+		"LongHead":           answerHead + strings.Repeat("X: "+strings.Repeat("v", 1000)+"\r\n", 60) + "Content-Length: 5\r\n\r\nhello",
+		"Informational":      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + answerHead + "Content-Length: 5\r\n\r\nhello",
+		"Failure":            strings.Replace(answerHead, "200 OK", "599 Unusual", 1) + "Content-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			p := serve(t, func(c *peerConn) {
+				if _, _, err := c.request(); err == nil {
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+
+			a, err := do(t, p, "id-1", "")
+			assert.NilError(t, err)
+			assert.Equal(t, string(a.Body), "hello")
+		})
+	}
+}
--- /dev/null
+++ b/internal/http1/check.go
@@ -0,0 +1,48 @@
+package http1
+
+import (
+	"bytes"
+	"strings"
+)
+
+// tokenBytes are the bytes of a field name besides letters and digits.
+const tokenBytes = "!#$%&'*+-.^_`|~"
+
+// checkHead returns ErrMalformed for a head with a line that is no field. A folded line, which
+// starts with a blank, is no field either: it looks the same as a name with a blank.
+func checkHead(head []byte) error {
+	for line := range bytes.Lines(fields(head)) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if len(line) == 0 {
+			break
+		}
+
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(string(name)) {
+			return ErrMalformed.With("field name")
+		}
+	}
+
+	return nil
+}
+
+// fields returns the lines of a head after the first.
+func fields(head []byte) []byte {
+	_, lines, _ := bytes.Cut(head, []byte("\n"))
+
+	return lines
+}
+
+// isToken reports whether a text is a valid field name.
+func isToken(text string) bool {
+	for i := range len(text) {
+		b := text[i]
+
+		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		if !letter && (b < '0' || b > '9') && strings.IndexByte(tokenBytes, b) < 0 {
+			return false
+		}
+	}
+
+	return text != ""
+}
