http1: an answer with an invalid status is no answer

A backend server that answered 000 kept its callers until their deadline: the status counts as informational (below 200), so the next answer was waited for. 101, which ends the use of HTTP on a connection, was treated the same. 600 and 999 were delivered, though HTTP has no such statuses.

Cause: http.ReadResponse takes any three digits, and the skip of informational responses had no lower bound.

Evidence: TestMalformedHeadEndsTheCallAtOnce with a status of 000 on a connection that stays open took all 20 s of the call's deadline before; 600 and 999 were returned as answers. Ruled out: a delivered 000 by this client.

Change: a status below 100, above 599, or 101 ends the call at once with ErrLost.

The tests failed before (000 by its time, 600 and 999 in TestMalformedAnswerReturnsErrLost) and pass.

--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -31,6 +32,17 @@
 	"NoName":                     answerHead + ": " + secret + "\r\nContent-Length: 5\r\n\r\nhello",
 	"NoColon":                    answerHead + secret + "\r\nContent-Length: 5\r\n\r\nhello",
 	"BlankLineOfBlanks":          answerHead + "Content-Length: 5\r\n \r\n\r\nhello" + secret,
+	"Status000":                  status("000 " + secret),
+	"Status099":                  status("099 " + secret),
+	"StatusWithSign":             status("+20 " + secret),
+	"StatusBelowZero":            status("-20 " + secret),
+	"Status600":                  status("600 " + secret),
+	"Status999":                  status("999 " + secret),
+	"Status101":                  status("101 " + secret),
+	"StatusOfTwoDigits":          status("20 " + secret),
+	"StatusOfFourDigits":         status("2000 " + secret),
+	"StatusOfLetters":            status("2OO " + secret),
+	"NoStatus":                   "HTTP/1.1\r\n" + answerFields + "Content-Length: 5\r\n\r\nhello",
 	"InformationalWithBlankName": "HTTP/1.1 103 Early Hints\r\nX " + secret + ": v\r\n\r\n" + answerHead + "Content-Length: 5\r\n\r\nhello",
 }
 
@@ -39,6 +51,11 @@
 	chunked      = "Transfer-Encoding: chunked\r\n\r\n"
 )
 
+// status returns an answer with the given text after the version.
+func status(text string) string {
+	return "HTTP/1.1 " + text + "\r\n" + answerFields + "Content-Length: 5\r\n\r\nhello"
+}
+
 // Guards against a malformed answer that is passed on, in part or with another body, or waited for until the deadline.
 func TestMalformedAnswerReturnsErrLost(t *testing.T) {
 	for name, answer := range malformed {
@@ -65,6 +82,25 @@
 	}
 }
 
+// Guards against a caller that waits until its deadline for the rest of an answer that can't become one.
+func TestMalformedHeadEndsTheCallAtOnce(t *testing.T) {
+	for _, name := range []string{"Status000", "Status101"} {
+		p := serve(t, func(c *peerConn) {
+			if _, _, err := c.request(); err != nil {
+				return
+			}
+
+			_, _ = io.WriteString(c, malformed[name])
+			_, _ = io.Copy(io.Discard, c)
+		})
+
+		began := time.Now()
+		_, err := do(t, p, "id-1", "")
+		assert.ErrorIs(t, err, backend.ErrLost, name)
+		assert.Assert(t, time.Since(began) < waitLimit/2, name)
+	}
+}
+
 // Guards against sound answers that the checks turn away.
 func TestUnusualAnswersAreDelivered(t *testing.T) {
 	for name, answer := range map[string]string{
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -2,9 +2,23 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strings"
 )
 
+// maxStatus is the largest status that RFC 9110 defines as valid.
+const maxStatus = 599
+
+// checkStatus returns ErrMalformed for a status that is neither final nor informational. 101 is an
+// answer only to a request for it, and no request has one.
+func checkStatus(response *http.Response) error {
+	if status := response.StatusCode; status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+		return ErrMalformed.With("status")
+	}
+
+	return nil
+}
+
 // tokenBytes are the bytes of a field name besides letters and digits.
 const tokenBytes = "!#$%&'*+-.^_`|~"
 
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -55,6 +55,10 @@
 		return nil, err
 	}
 
+	if err := checkStatus(response); err != nil {
+		return nil, err
+	}
+
 	if err := checkHead(head); err != nil {
 		return nil, err
 	}
