http1: errors hold no bytes of a malformed answer

A caller whose call ended with a malformed answer got bytes of it in the text of the 502, such as the line of the head that could not be read, and so did the log. The line may hold what is meant for another caller.

Cause: errors of net/http and net/textproto quote the line that they reject, and the reason of a lost call is the text of its error.

Ruled out: a filter where the text is written, since each reader of the error would need it.

Change: an error that comes from neither the connection nor the context becomes ErrMalformed, for heads and bodies.

--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -61,6 +61,10 @@
 	"ChunkSizeWithSign":          answerHead + chunked + "+5\r\nhello\r\n0\r\n\r\n",
 	"ChunkLongerThanItsSize":     answerHead + chunked + "5\r\nhello" + secret + "\r\n0\r\n\r\n",
 	"ChunkSizeOver64Bits":        answerHead + chunked + "10000000000000005\r\nhello\r\n0\r\n\r\n",
+	"ControlInTrailerName":       answerHead + chunked + "5\r\nhello\r\n0\r\nX\x01" + secret + ": v\r\n\r\n",
+	"ControlInTrailerValue":      answerHead + chunked + "5\r\nhello\r\n0\r\nX: a\x00" + secret + "\r\n\r\n",
+	"NoColonInTrailer":           answerHead + chunked + "5\r\nhello\r\n0\r\n" + secret + "\r\n\r\n",
+	"BlankBeforeFirstTrailer":    answerHead + chunked + "5\r\nhello\r\n0\r\n " + secret + ": v\r\n\r\n",
 	"InformationalWithBlankName": "HTTP/1.1 103 Early Hints\r\nX " + secret + ": v\r\n\r\n" + answerHead + "Content-Length: 5\r\n\r\nhello",
 }
 
@@ -95,6 +99,7 @@
 			a, err := do(t, p, "id-1", "")
 			assert.ErrorIs(t, err, backend.ErrLost)
 			assert.Equal(t, a.Status, 0)
+			assert.Assert(t, !strings.Contains(err.Error(), secret), "%v", err)
 			<-closed
 		})
 	}
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -1,7 +1,12 @@
 package http1
 
 import (
+	"context"
+	"errors"
+	"io"
+	"net"
 	"net/http"
+	"slices"
 
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -13,3 +18,18 @@
 	// ErrTooLarge means that a head is over its limit.
 	ErrTooLarge = errs.New("http1.too_large", http.StatusBadGateway, "the head of the answer is over its limit")
 )
+
+// Failure returns an error of the connection, of the context or of this package as it is, and
+// ErrMalformed for any other: the errors of net/http quote the response.
+func Failure(err error) error {
+	var network net.Error
+
+	known := []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled, ErrMalformed, ErrTooLarge}
+	isError := func(target error) bool { return errors.Is(err, target) }
+
+	if slices.ContainsFunc(known, isError) || errors.As(err, &network) {
+		return err
+	}
+
+	return ErrMalformed
+}
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -52,7 +52,7 @@
 	case err != nil && r.limit.N <= 0:
 		return nil, ErrTooLarge.With("over %d bytes", maxBytes)
 	case err != nil:
-		return nil, err
+		return nil, Failure(err)
 	}
 
 	if err := check(response); err != nil {
@@ -64,6 +64,7 @@
 	}
 
 	r.limit.N = math.MaxInt64
+	response.Body = Body(response)
 
 	return response, nil
 }
