http1: an answer with an invalid trailer is no whole answer

Callers got an answer in chunks as whole though a name in its trailers held a blank.

Cause: http.ReadResponse keeps such a name, and trailers were never looked at, since they are not passed on.

Evidence: BlankInTrailerName of TestMalformedAnswerReturnsErrLost was a 200 before; the other four faulty trailers were rejected already.

A folded line there is not told from a value; no trailer is passed on.

--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -61,6 +61,7 @@
 	"ChunkSizeWithSign":          answerHead + chunked + "+5\r\nhello\r\n0\r\n\r\n",
 	"ChunkLongerThanItsSize":     answerHead + chunked + "5\r\nhello" + secret + "\r\n0\r\n\r\n",
 	"ChunkSizeOver64Bits":        answerHead + chunked + "10000000000000005\r\nhello\r\n0\r\n\r\n",
+	"BlankInTrailerName":         answerHead + chunked + "5\r\nhello\r\n0\r\nX " + secret + ": v\r\n\r\n",
 	"ControlInTrailerName":       answerHead + chunked + "5\r\nhello\r\n0\r\nX\x01" + secret + ": v\r\n\r\n",
 	"ControlInTrailerValue":      answerHead + chunked + "5\r\nhello\r\n0\r\nX: a\x00" + secret + "\r\n\r\n",
 	"NoColonInTrailer":           answerHead + chunked + "5\r\nhello\r\n0\r\n" + secret + "\r\n\r\n",
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -59,6 +59,17 @@
 	return nil
 }
 
+// checkNames returns ErrMalformed if a name of decoded fields is invalid.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !isToken(name) {
+			return ErrMalformed.With("field name")
+		}
+	}
+
+	return nil
+}
+
 // trimEnd removes the end of a line.
 func trimEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
