--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	go test -run '^$$' -fuzz '^FuzzDecodeConfiguration$$' -fuzztime $(FUZZ_COUNT) ./platform
 	go test -run '^$$' -fuzz '^FuzzList$$' -fuzztime 2000x ./platform
 	go test -run '^$$' -fuzz '^FuzzDecodeRecord$$' -fuzztime $(FUZZ_COUNT) ./internal/discovery
+	go test -run '^$$' -fuzz '^FuzzAnswer$$' -fuzztime $(FUZZ_COUNT) ./internal/backend
 
 # Faults of every kind at random, under load, on real processes.
 SEED ?= 1
