http1/transport, upstream: the older engine rejects broken answers too

Callers of the older engine got the same as those of the sidecar, and more: the part of an answer without a length as whole, when the backend server broke off during a long upload; answers with a blank in the name of a field; and answers with a status of 000, 099, 101 or 999, or of HTTP/2.0. The text of the failure quoted malformed answers.

Cause: net/http reads and writes a connection in two goroutines, so that a reset may be told to the write alone, and accepts what internal/http1 rejects. Unlike in the sidecar, 000 passed as a final status.

Early answers (413) to a long upload arrived before and after.

Change: internal/http1/transport checks what http.Transport returns. An answer that ends with its connection needs its whole request; net/http ends the upload with the answer, so such an early answer is a failure here even if the backend server reads on. A folded line can't be told from a value here; it is joined, as RFC 9112, section 5.2, allows.

Ruled out: a connection of our own as in internal/backend, since the limit on connections and the check for a repeated send rest on http.Transport.

TestCutAnswerIsNeverReturnedInPart and TestMalformedAnswerIsAFailure failed before and pass; each request of the grid reached the backend server once.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -170,7 +170,7 @@
 			return Answer{}, false, err
 		}
 
-		if endsWithConnection(response) && !c.isWritten(ctx) {
+		if http1.EndsWithConnection(response) && !c.isWritten(ctx) {
 			return Answer{}, false, ErrLost.With("the connection ended while the request was written")
 		}
 
@@ -188,11 +188,6 @@
 	return Answer{}, false, ErrTooLarge.With("%d responses before the answer", maxSkipped)
 }
 
-// endsWithConnection reports whether only the end of the connection ends the body of a response.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
-}
-
 // isWritten reports whether the whole request was written. Otherwise the end of the connection may be
 // that of a reset: the socket reports a reset once, and if a write gets the error, reads return io.EOF.
 // A backend server that ends only its own side reads the rest of the request meanwhile.
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -16,6 +16,10 @@
 // Body returns the body of a response that was decoded by net/http. Its errors hold no bytes of the
 // response.
 func Body(response *http.Response) io.ReadCloser {
+	if response.Body == http.NoBody {
+		return response.Body
+	}
+
 	return &body{ReadCloser: response.Body, response: response}
 }
 
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -9,6 +9,21 @@
 // maxStatus is the largest status that RFC 9110 defines as valid.
 const maxStatus = 599
 
+// Check returns ErrMalformed for a response that net/http has decoded and that is no valid one. Unlike
+// [Reader] it can't tell a folded line from a value.
+func Check(response *http.Response) error {
+	if err := check(response); err != nil {
+		return err
+	}
+
+	return checkNames(response.Header)
+}
+
+// EndsWithConnection reports whether only the end of the connection ends the body of a response.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
+
 // check returns ErrMalformed for a version other than HTTP/1.x, and for a status that is neither final
 // nor informational. 101 is an answer only to a request for it, and no request has one.
 func check(response *http.Response) error {
--- a/internal/upstream/crash.go
+++ b/internal/upstream/crash.go
@@ -39,20 +39,7 @@
 // isConnectionLoss reports whether the error shows that the connection broke.
 func isConnectionLoss(err error) bool {
 	return errors.Is(err, errTransportRetry) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EPIPE) || isServerClosed(err)
-}
-
-// isServerClosed matches a net/http error that has no sentinel value.
-func isServerClosed(err error) bool {
-	const text = "http: server closed idle connection"
-
-	for ; err != nil; err = errors.Unwrap(err) {
-		if err.Error() == text {
-			return true
-		}
-	}
-
-	return false
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EPIPE)
 }
 
 // listens connects and waits briefly for a reset: the kernel still accepts connections for a
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/internal/invariant"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -51,14 +52,14 @@
 
 func newClient(connections int) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: transport.New(&http.Transport{
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxAnswerHead,
 			DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
