platform: a broken answer of the store is an unknown outcome

A malformed answer of the store counted as its answer: a status of 600 or 999 as "not run, try again" (ErrUnavailable), an answer with a blank in a field's name as a success. The error quoted malformed heads, and goes to the log.

Cause: net/http accepts such answers, as for backend servers.

--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -22,12 +23,19 @@
 // Failure returns an error of the connection, of the context or of this package as it is, and
 // ErrMalformed for any other: the errors of net/http quote the response.
 func Failure(err error) error {
+	cause := err
+
+	var request *url.Error // a net.Error, whatever it wraps
+	if errors.As(err, &request) {
+		cause = request.Err
+	}
+
 	var network net.Error
 
 	known := []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled, ErrMalformed, ErrTooLarge}
-	isError := func(target error) bool { return errors.Is(err, target) }
+	isError := func(target error) bool { return errors.Is(cause, target) }
 
-	if slices.ContainsFunc(known, isError) || errors.As(err, &network) {
+	if slices.ContainsFunc(known, isError) || errors.As(cause, &network) {
 		return err
 	}
 
--- a/internal/http1/transport/transport.go
+++ b/internal/http1/transport/transport.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	client := &http.Client{Transport: transport.New(&http.Transport{})}
+//	client := &http.Client{Transport: transport.NewDefault()}
 package transport
 
 import (
@@ -33,6 +33,16 @@
 // New returns a transport that uses base for all requests. Responses of HTTP/1.x alone are valid.
 func New(base *http.Transport) *Transport { return &Transport{base: base} }
 
+// NewDefault returns a transport with the settings of http.DefaultTransport and connections of its own.
+func NewDefault() *Transport {
+	base, ok := http.DefaultTransport.(*http.Transport)
+	if !ok { // replaced by the program
+		base = &http.Transport{}
+	}
+
+	return New(base.Clone())
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
