etcd: an answer counts once it is read to its end

The client of etcd took an answer that broke off after its JSON value, and put the first bytes of an error that broke off into its text.

Cause: the decoder stops at the end of the first value, and the read of an error's text ignored that it failed.

Evidence: TestBrokenAnswerOfTheStoreIsAnUnknownOutcome failed at "Chunks 500", cut after 78 bytes, with the marker of the body in the error.

Change: answers and errors are read to their end, and through internal/http1/transport. Watches are streams and stay as they are: one that breaks off ends its channel.

The test failed before and passes.

--- a/internal/platform/etcd/etcd.go
+++ b/internal/platform/etcd/etcd.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/internal/platform"
 )
 
@@ -33,10 +34,10 @@
 func New(opts ...Option) *Store {
 	o := newOptions(opts...)
 
-	return &Store{options: o, http: &http.Client{Transport: &http.Transport{
+	return &Store{options: o, http: &http.Client{Transport: transport.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
-	}}}
+	})}}
 }
 
 const maxIdleConns = 4
@@ -253,7 +254,12 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMessageBytes)).Decode(out); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	if err != nil {
+		return platform.ErrUnknown.Wrap(err)
+	}
+
+	if err := json.Unmarshal(data, out); err != nil {
 		return platform.ErrUnknown.Wrap(err)
 	}
 
@@ -282,16 +288,29 @@
 	}
 
 	if resp.StatusCode != http.StatusOK {
-		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-		_ = resp.Body.Close()
+		defer func() { _ = resp.Body.Close() }()
 
-		return nil, statusError(resp.StatusCode, string(detail))
+		return nil, readError(resp)
 	}
 
 	return resp, nil
 }
 
-const maxErrorBytes = 512
+// maxErrorBytes bounds the body of an error, and maxDetailBytes what is kept of it.
+const (
+	maxErrorBytes  = 64 << 10
+	maxDetailBytes = 512
+)
+
+// readError returns the error that a response reports. A body that breaks off says nothing.
+func readError(resp *http.Response) error {
+	detail, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return platform.ErrUnknown.Wrap(err)
+	}
+
+	return statusError(resp.StatusCode, string(detail[:min(len(detail), maxDetailBytes)]))
+}
 
 func (s *Store) endpoint() string {
 	if len(s.options.Endpoints) == 0 {
