operator, pollencart: a broken answer of a node is no answer

The operators' client quoted malformed answers in its errors, and a whole answer with an error status that was no error of a node, up to 64 MB of it. The commands for limits and workspaces read a report up to the end of its first JSON value, without a bound.

Cause: errors of net/http quote the response; the client added the body for want of an error ID.

Evidence: TestBrokenAnswerOfTheNodeIsNoAnswer passed all cuts and failed at ControlInName with the bytes in the text.

Change: both use internal/http1/transport; an error status without an error ID is told by its number; the commands share one bounded read to the end.

The test failed before and passes; the requests of the test reached the node once each. The change of the two commands has no test of its own.

--- a/cmd/pollencart/limits.go
+++ b/cmd/pollencart/limits.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -46,27 +43,9 @@
 
 // fetchUses returns the use of the limits that one node is the home of.
 func fetchUses(address string) ([]ledger.Use, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), limitsTimeout)
-	defer cancel()
-
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+quota.UsesPath, http.NoBody)
-	if err != nil {
-		return nil, err
-	}
-
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d: the node keeps no limits", response.StatusCode)
-	}
-
 	var uses []ledger.Use
 
-	return uses, json.NewDecoder(response.Body).Decode(&uses)
+	return uses, fetch("http://"+address+quota.UsesPath, limitsTimeout, &uses)
 }
 
 // addUse adds the use at one home to that at the others. The limit is that of the newest version.
--- a/cmd/pollencart/workspaces.go
+++ b/cmd/pollencart/workspaces.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,27 +35,13 @@
 }
 
 func fetchWorkspaces(address string) (survey.Report, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), workspacesTimeout)
-	defer cancel()
-
 	var out survey.Report
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/workspaces", http.NoBody)
-	if err != nil {
-		return out, err
-	}
-
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return out, errWorkspaces.With("%s", address).Wrap(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-
-	if response.StatusCode != http.StatusOK {
-		return out, errWorkspaces.With("%s: status %d", address, response.StatusCode)
+	if err := fetch("http://"+address+"/workspaces", workspacesTimeout, &out); err != nil {
+		return survey.Report{}, errWorkspaces.With("%s", address).Wrap(err)
 	}
 
-	return out, json.NewDecoder(response.Body).Decode(&out)
+	return out, nil
 }
 
 func writeWorkspaces(out io.Writer, r survey.Report) error {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -45,7 +46,7 @@
 func WithTLS(config *tls.Config) ClientOption {
 	return func(c *Client) {
 		c.base = "https://" + c.address
-		c.http.Transport = &http.Transport{TLSClientConfig: config}
+		c.http.Transport = transport.New(&http.Transport{TLSClientConfig: config})
 	}
 }
 
@@ -53,7 +54,7 @@
 func NewClient(address string, opts ...ClientOption) *Client {
 	const timeout = 30 * time.Second
 
-	c := &Client{address: address, base: "http://" + address, http: &http.Client{Timeout: timeout}}
+	c := &Client{address: address, base: "http://" + address, http: &http.Client{Timeout: timeout, Transport: transport.NewDefault()}}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -205,7 +206,7 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		var e errs.Error
 		if json.Unmarshal(data, &e) != nil || e.ID == "" {
-			return ErrNode.With("status %d: %s", resp.StatusCode, data)
+			return ErrNode.With("status %d", resp.StatusCode)
 		}
 
 		return &e
