pkg/upstream: an announcement counts as taken once the answer is whole

A backend server took its announcement for accepted, and itself for known, by the head of an answer that broke off.

Cause: the body of a success was not read.

Evidence: TestBrokenAnswerOfTheNodeIsAnError failed at an answer with a length that was cut after its head.

Change: the answer is read, up to 64 KiB, and through internal/http1/transport. The announcement is renewed as before.

The test failed before and passes.

--- a/pkg/upstream/announcer.go
+++ b/pkg/upstream/announcer.go
@@ -11,6 +11,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/pkg/settings"
 )
@@ -30,6 +31,12 @@
 	drainNotice = 500 * time.Millisecond
 )
 
+// Limits of an answer of the node.
+const (
+	maxAnswerBytes = 64 << 10
+	maxErrorText   = 1 << 10
+)
+
 // Announcer announces one backend server and renews the announcement.
 type Announcer struct {
 	url     string
@@ -56,7 +63,7 @@
 
 	return &Announcer{
 		url: "http://" + node + "/v1/upstream", current: a,
-		client:  &http.Client{Timeout: time.Duration(a.TTL) / 2},
+		client:  &http.Client{Timeout: time.Duration(a.TTL) / 2, Transport: transport.NewDefault()},
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -145,12 +152,13 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		const maxErrorText = 1 << 10
-
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return ErrNode.Wrap(err)
+	}
 
-		return ErrNode.With("status %d: %s", resp.StatusCode, text)
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return ErrNode.With("status %d: %s", resp.StatusCode, text[:min(len(text), maxErrorText)])
 	}
 
 	return nil
