pkg/caller: a broken answer of a node is an unknown outcome

Callers that use the package got malformed answers as answers, and the bytes of some in the error.

Cause: as in the other clients. The package takes any http.Client, so that its transport can't be relied on.

Evidence: TestBrokenAnswerOfANodeIsAnUnknownOutcome failed at LengthOfLetters, with the bytes in the text, and after the first change still with a client of the caller's own, since a url.Error counts as one of the network.

Change: answers are checked whatever the client; one that ends with its connection is no node's, since nodes send the length. The default client uses internal/http1/transport.

The test failed before and passes, for the default client and for a plain one; no request was repeated.

--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/http1"
 )
 
 // Headers between callers and nodes.
@@ -41,17 +43,13 @@
 
 	resp, err := c.options.Client.Do(req)
 	if err != nil {
-		return Answer{}, noAnswerRefusal(node, err)
+		return Answer{}, noAnswerRefusal(node, http1.Failure(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-
-	switch {
-	case err != nil:
+	body, err := readBody(resp)
+	if err != nil {
 		return Answer{}, noAnswerRefusal(node, err)
-	case len(body) > MaxAnswerBytes:
-		return Answer{}, noAnswerRefusal(node, errTooLarge)
 	}
 
 	c.cacheKeyPrefix(node, resp.Header.Get(HeaderHome))
@@ -66,6 +64,29 @@
 	return Answer{}, decodeRefusal(node, body)
 }
 
+// readBody returns the body of a valid answer. Nodes send the length of each answer, so that one
+// which ends with its connection was cut short.
+func readBody(resp *http.Response) ([]byte, error) {
+	if err := http1.Check(resp); err != nil {
+		return nil, err
+	}
+
+	if http1.EndsWithConnection(resp) {
+		return nil, errNotNodeReply
+	}
+
+	body, err := io.ReadAll(io.LimitReader(http1.Body(resp), MaxAnswerBytes+1))
+
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > MaxAnswerBytes:
+		return nil, errTooLarge
+	}
+
+	return body, nil
+}
+
 func (c *Caller) newRequest(ctx context.Context, node string, r Request, key string) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+node+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
--- a/pkg/caller/options.go
+++ b/pkg/caller/options.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/http1/transport"
 )
 
 // Defaults of the options.
@@ -27,8 +29,10 @@
 // Option sets a field of Options.
 type Option func(*Options)
 
+var defaultClient = &http.Client{Transport: transport.NewDefault()}
+
 func newOptions(opts ...Option) Options {
-	o := Options{Client: http.DefaultClient, Tries: DefaultTries, Patience: DefaultPatience}
+	o := Options{Client: defaultClient, Tries: DefaultTries, Patience: DefaultPatience}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -39,7 +43,7 @@
 // Nodes sets the addresses at which nodes accept requests of callers, in any order.
 func Nodes(addresses ...string) Option { return func(o *Options) { o.Nodes = addresses } }
 
-// Client sets the HTTP client; the default is http.DefaultClient.
+// Client sets the HTTP client; the default is one for all callers that rejects broken answers.
 func Client(c *http.Client) Option { return func(o *Options) { o.Client = c } }
 
 // Tries sets the maximum number of sends of a request.
