--- a/internal/sidecar/cut_test.go
+++ b/internal/sidecar/cut_test.go
@@ -20,7 +20,9 @@
 type rawBackend struct {
 	instance string
 	calls    atomic.Int32
-	write    func(c net.Conn, id string)
+	// leavesBody is set if it answers before it has read the body of a call.
+	leavesBody bool
+	write      func(c net.Conn, id string)
 }
 
 func (b *rawBackend) serve(t *testing.T) string {
@@ -60,7 +62,9 @@
 		return
 	}
 
-	_, _ = io.Copy(io.Discard, r.Body)
+	if !b.leavesBody {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 
 	b.calls.Add(1)
 	b.write(c, r.Header.Get(names.Call))
