soak: backend servers that send broken answers, and answers to long uploads before they read them

Callers of all kinds look for bytes of broken answers, uploads for a success where there was none, and the sound early answers of hosts that are well must arrive.

--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -24,6 +24,7 @@
 	signals := c.Flag("signals", "Have backend servers name limits, and leave without an announcement.").Bool()
 	versions := c.Flag("versions", "Have large versions come often beside slowed hosts, and check which one is active.").Bool()
 	strain := c.Flag("strain", "Have endless answers, too few descriptors, logs without readers, odd entries in the store and bad calls.").Bool()
+	answers := c.Flag("answers", "Have backend servers send broken answers, and answers to long uploads before they read them.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -36,7 +37,7 @@
 			broken, err := oneSeed(ctx, hosts.Options{
 				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
 				Poison: *poison, Signals: *signals, Versions: *versions,
-				Strain: *strain,
+				Strain: *strain, Answers: *answers,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/soak/hosts/backend.go
+++ b/internal/soak/hosts/backend.go
@@ -40,6 +40,8 @@
 	leaving   bool
 	// endless says that some calls are answered without end.
 	endless atomic.Bool
+	// breaking counts the spans that go on in which some calls get broken answers.
+	breaking atomic.Int32
 	// ends are when instances ended.
 	ends []time.Time
 }
@@ -87,7 +89,7 @@
 		Fails: func() bool { return b.trial.fails(b.version) },
 	}
 	b.listener = l
-	b.server = &http.Server{Handler: b.endlessHandler(b.current), ReadHeaderTimeout: time.Minute}
+	b.server = &http.Server{Handler: b.breakingHandler(b.current, b.endlessHandler(b.current)), ReadHeaderTimeout: time.Minute}
 
 	go func(s *http.Server) { _ = s.Serve(l) }(b.server) // it ends with down
 }
--- a/internal/soak/hosts/callers.go
+++ b/internal/soak/hosts/callers.go
@@ -118,6 +118,10 @@
 			r.signals.answered(h, response.Header)
 		}
 
+		if err == nil {
+			r.report.checkAnswer(o.id, m.upload, o.status, response.Header, string(body))
+		}
+
 		if err == nil && o.status == http.StatusOK && string(body) != path+m.name+" "+m.name {
 			r.report.broken("call %s got the answer %.60q", o.id, body)
 		}
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -12,6 +12,7 @@
 package hosts
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,6 +57,8 @@
 	// Strain has backend servers answer without end, file descriptors run short, readers of logs leave, odd
 	// entries lie in the store, and bad calls follow uploads in chunks on kept connections.
 	Strain bool
+	// Answers has backend servers send broken answers, and answers to long uploads before they are read.
+	Answers bool
 	// Versions has versions with many routes come often, beside hosts that are slowed, and checks which
 	// one is active on each host, and which keys of callers it takes.
 	Versions bool
@@ -275,6 +278,10 @@
 	r.version++
 	document := standin.DocumentWith(routes, r.version, r.options.services()...)
 
+	if r.options.Answers {
+		document = bytes.Replace(document, []byte("1000000"), []byte(maxLongBytes), 1)
+	}
+
 	if r.options.Versions {
 		document = standin.WithTenants(document, keysOf(r.version))
 	}
--- a/internal/soak/hosts/hosts_test.go
+++ b/internal/soak/hosts/hosts_test.go
@@ -69,6 +69,11 @@
 	play(t, hosts.Options{Seed: 1, Length: 12 * time.Second, Hosts: 9, Rate: 60, Versions: true})
 }
 
+// A broken answer must reach no caller, in part or in our text, and a sound answer to an upload that is not read must.
+func TestBrokenAnswersReachNoCallers(t *testing.T) {
+	play(t, hosts.Options{Seed: 1, Length: 10 * time.Second, Hosts: 6, Rate: 60, Answers: true})
+}
+
 // Endless answers, a lack of descriptors, readers of logs that leave, odd entries or bad calls must end no process and cut off no call.
 func TestStrainEndsNoProcessAndCutsNoCallsOff(t *testing.T) {
 	play(t, hosts.Options{Seed: 1, Length: 10 * time.Second, Hosts: 6, Rate: 60, Strain: true})
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -53,6 +53,10 @@
 		if r.options.Strain {
 			r.strain(callers, h)
 		}
+
+		if r.options.Answers {
+			r.calling.Go(func() { r.sendLong(callers, h) })
+		}
 	}
 
 	if r.trial != nil {
@@ -112,6 +116,14 @@
 		troubles.Go(func() { r.strainSeries(ctx, random, end) })
 	}
 
+	if r.options.Answers {
+		for i := range uint64(1 + len(r.hosts)/hostsPerSeries) {
+			random := rand.New(rand.NewPCG(r.options.Seed, answerStream+i))
+
+			troubles.Go(func() { r.answerSeries(ctx, random, end) })
+		}
+	}
+
 	if r.options.Signals {
 		for i := range uint64(1 + len(r.hosts)/hostsPerSignals) {
 			random := rand.New(rand.NewPCG(r.options.Seed, signalStream+i))
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -31,6 +31,8 @@
 	Versions Versions
 	// Strain counts what happened in a run with strain.
 	Strain Strain
+	// Answers counts the answers of backend servers in a run with broken ones.
+	Answered Answers
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -41,6 +43,8 @@
 	notRun  map[string]bool
 	// endless are the calls that a backend server answered without end.
 	endless map[string]bool
+	// broke are the calls that a backend server answered brokenly, early those that it answered before it read them.
+	broke, early map[string]bool
 }
 
 // Poison counts poison requests and the backend servers that they crashed.
@@ -55,7 +59,7 @@
 func newReport(seed uint64) *Report {
 	return &Report{
 		Seed: seed, Faults: map[string]int{}, Answers: map[int]int{}, uploads: map[string]bool{}, runs: map[string][]string{},
-		notRun: map[string]bool{}, endless: map[string]bool{},
+		notRun: map[string]bool{}, endless: map[string]bool{}, broke: map[string]bool{}, early: map[string]bool{},
 	}
 }
 
@@ -89,6 +93,38 @@
 	r.endless[id] = true
 }
 
+func (r *Report) answeredBroken(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.Answered.Broken.Add(1)
+
+	r.broke[id] = true
+}
+
+func (r *Report) hadBrokenAnswer(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.broke[id]
+}
+
+func (r *Report) answeredEarly(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.Answered.Sound.Add(1)
+
+	r.early[id] = true
+}
+
+func (r *Report) hadEarlyAnswer(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.early[id]
+}
+
 func (r *Report) hadEndlessAnswer(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -185,6 +221,10 @@
 		_, err = fmt.Fprintln(out, r.Versions)
 	}
 
+	if err == nil && r.Answered.Long.Load() > 0 {
+		_, err = fmt.Fprintln(out, &r.Answered)
+	}
+
 	if err == nil && r.Strain.Uploads.Load() > 0 {
 		_, err = fmt.Fprintln(out, &r.Strain)
 	}
--- a/internal/soak/hosts/stayed.go
+++ b/internal/soak/hosts/stayed.go
@@ -103,7 +103,7 @@
 		count.GivenUp++
 	case s.status == 0:
 		r.report.broken("%s ran at %v and got no answer (its host was being stopped: %t)", s, ran, s.host.stopping(during))
-	case r.lostAt(ran, during), r.report.hadEndlessAnswer(s.id):
+	case r.lostAt(ran, during), r.report.hadEndlessAnswer(s.id), r.report.hadBrokenAnswer(s.id):
 		count.LeftOut++
 	default:
 		r.report.broken("%s ran at %v and was given up with %d (its host was being stopped: %t)", s, ran, s.status, s.host.stopping(during))
--- a/internal/soak/hosts/stayers.go
+++ b/internal/soak/hosts/stayers.go
@@ -259,6 +259,8 @@
 		path, want = "/once/", s.id
 	}
 
+	r.checkAnswer(s.id, s.upload, answer.StatusCode, answer.Header, body)
+
 	if id := answer.Header.Get(platform.Headers().Call); id != "" && id != s.id {
 		r.broken("call %s got the answer to %s", s.id, id)
 	}
