--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -165,15 +165,11 @@
 			r.Signaled(names.Signals(response.Header))
 		}
 
-		body, err := c.readBody(ctx, response)
+		body, err := c.readWholeBody(ctx, response)
 		if err != nil {
 			return Answer{}, false, err
 		}
 
-		if http1.EndsWithConnection(response) && !c.isWritten(ctx) {
-			return Answer{}, false, ErrLost.With("the connection ended while the request was written")
-		}
-
 		if id != "" && id != r.ID {
 			if response.Close {
 				return Answer{}, false, ErrLost.With("only an answer to another call came")
@@ -188,6 +184,16 @@
 	return Answer{}, false, ErrTooLarge.With("%d responses before the answer", maxSkipped)
 }
 
+// readWholeBody reads the body of a response, and returns ErrLost if its end may be that of a reset.
+func (c *conn) readWholeBody(ctx context.Context, response *http.Response) ([]byte, error) {
+	body, err := c.readBody(ctx, response)
+	if err == nil && http1.EndsWithConnection(response) && !c.isWritten(ctx) {
+		return nil, ErrLost.With("the connection ended while the request was written")
+	}
+
+	return body, err
+}
+
 // isWritten reports whether the whole request was written. Otherwise the end of the connection may be
 // that of a reset: the socket reports a reset once, and if a write gets the error, reads return io.EOF.
 // A backend server that ends only its own side reads the rest of the request meanwhile.
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -26,6 +26,8 @@
 
 // Guards against a part of an answer that counts as whole, wherever and however the backend server breaks off.
 func TestCutAnswerIsNeverReturnedInPart(t *testing.T) {
+	t.Parallel()
+
 	for name, answer := range framings {
 		for how, cut := range cuts {
 			for size, upload := range map[string]string{"Short": "body", "Long": strings.Repeat("x", longUpload)} {
--- a/internal/backend/health_test.go
+++ b/internal/backend/health_test.go
@@ -19,6 +19,8 @@
 
 // Guards against a backend server that counts as healthy, or as another instance, by a part of a health answer.
 func TestCutHealthAnswerIsNotHealthy(t *testing.T) {
+	t.Parallel()
+
 	head := "HTTP/1.1 200 OK\r\nPollencart-Instance: i-1\r\nPollencart-Load: 0,0,4\r\n"
 
 	for name, answer := range map[string]string{
@@ -58,6 +60,8 @@
 
 // Guards against a backend server that counts as healthy by an answer that is none.
 func TestMalformedHealthAnswerIsNotHealthy(t *testing.T) {
+	t.Parallel()
+
 	for name, answer := range malformed {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -81,6 +81,8 @@
 
 // Guards against a malformed answer that is passed on, in part or with another body, or waited for until the deadline.
 func TestMalformedAnswerReturnsErrLost(t *testing.T) {
+	t.Parallel()
+
 	for name, answer := range malformed {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -127,6 +129,8 @@
 
 // Guards against sound answers that the checks turn away.
 func TestUnusualAnswersAreDelivered(t *testing.T) {
+	t.Parallel()
+
 	for name, answer := range map[string]string{
 		"NoLength":           answerHead + "\r\nhello",
 		"Version1.0":         strings.Replace(answerHead, "/1.1", "/1.0", 1) + "\r\nhello",
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -39,8 +39,8 @@
 	return nil
 }
 
-// tokenBytes are the bytes of a field name besides letters and digits.
-const tokenBytes = "!#$%&'*+-.^_`|~"
+// nameSymbols are the bytes of a field name besides letters and digits.
+const nameSymbols = "!#$%&'*+-.^_`|~"
 
 // checkHead returns ErrMalformed for a head with a line that is no field, or with fields that
 // contradict each other about the end of the body. A folded line, which starts with a blank, is no
@@ -98,7 +98,7 @@
 		b := text[i]
 
 		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
-		if !letter && (b < '0' || b > '9') && strings.IndexByte(tokenBytes, b) < 0 {
+		if !letter && (b < '0' || b > '9') && strings.IndexByte(nameSymbols, b) < 0 {
 			return false
 		}
 	}
--- a/internal/http1/http1test/http1test.go
+++ b/internal/http1/http1test/http1test.go
@@ -41,15 +41,15 @@
 }
 
 // NewServer returns a server that runs until the test ends.
-func NewServer(t testing.TB) *Server {
-	t.Helper()
+func NewServer(tb testing.TB) *Server {
+	tb.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
-	t.Cleanup(func() { _ = l.Close() })
+	tb.Cleanup(func() { _ = l.Close() })
 
 	s := &Server{Address: l.Addr().String()}
 	s.Send(Answer{})
@@ -100,16 +100,8 @@
 func Broken(lines, body string) iter.Seq2[string, Answer] {
 	return func(yield func(string, Answer) bool) {
 		for name, whole := range framings(lines, body) {
-			for n := range len(whole) {
-				for _, reset := range []bool{false, true} {
-					if !reset && strings.HasPrefix(name, "NoLength") && strings.Contains(whole[:n], "\r\n\r\n") {
-						continue // an orderly end of the connection ends the answer
-					}
-
-					if !yield(fmt.Sprintf("%s/%d/%t", name, n, reset), Answer{whole[:n], reset}) {
-						return
-					}
-				}
+			if !yieldCuts(name, whole, yield) {
+				return
 			}
 		}
 
@@ -121,6 +113,25 @@
 	}
 }
 
+// yieldCuts yields an answer cut after each byte, and reports whether more are wanted.
+func yieldCuts(name, whole string, yield func(string, Answer) bool) bool {
+	for n := range len(whole) {
+		if !yield(fmt.Sprintf("%s/%d/Reset", name, n), Answer{whole[:n], true}) {
+			return false
+		}
+
+		if strings.HasPrefix(name, "NoLength") && strings.Contains(whole[:n], "\r\n\r\n") {
+			continue // an orderly end of the connection ends the answer
+		}
+
+		if !yield(fmt.Sprintf("%s/%d/Close", name, n), Answer{whole[:n], false}) {
+			return false
+		}
+	}
+
+	return true
+}
+
 func framings(lines, body string) map[string]string {
 	out := map[string]string{}
 
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -83,7 +83,13 @@
 
 // Guards against calls that arrive late in a planned stop of the only node, run, and are cut when it ends.
 func TestLateCallsInAStopOfOneNodeAreAnsweredOrNotRun(t *testing.T) {
-	for name, work := range map[string]time.Duration{"Short": 100 * time.Millisecond, "Medium": 700 * time.Millisecond, "Long": 3200 * time.Millisecond} {
+	t.Parallel()
+
+	document := strings.ReplaceAll(string(standin.Document(1, "ledger")), `"unsafe",2,1,1`, `"unsafe",30,30,1`)
+
+	for name, work := range map[string]time.Duration{
+		"Short": 100 * time.Millisecond, "Medium": 700 * time.Millisecond, "Long": 3200 * time.Millisecond,
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
@@ -93,7 +99,7 @@
 			)
 
 			f := newConfiguredFleet(t, func(_ int, h *host) { h.backend.Slots = slots }, "ledger")
-			f.store.Write(platform.ConfigurationKey, []byte(strings.ReplaceAll(string(standin.Document(1, "ledger")), `"unsafe",2,1,1`, `"unsafe",30,30,1`)))
+			f.store.Write(platform.ConfigurationKey, []byte(document))
 			f.announceAll(t)
 
 			h := f.hosts[0]
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -61,6 +61,8 @@
 
 // Guards against a part of an answer that counts as whole, wherever and however the backend server breaks off.
 func TestCutAnswerIsNeverReturnedInPart(t *testing.T) {
+	t.Parallel()
+
 	for name, whole := range map[string]string{
 		"Length":   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
 		"Chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
