http1, clients: an answer without end counts as no answer

A backend server took its announcement for accepted by an answer that never ended, and the stores' clients a JSON value that was followed by blanks without end.

Cause: a body over the bound was read up to it and treated as whole, since the end of an io.LimitedReader looks like that of the body.

Evidence: TestAnswerWithoutEndIsBounded of the clients failed with a status of 200 that blanks follow without end (pkg/upstream, platform, etcd). What is read was bounded before in all of them: heads to 64 KiB or what net/http allows, bodies to 64 KiB to 64 MiB, as shown by the bytes that the peer could send.

--- a/cmd/pollencart/fetch.go
+++ b/cmd/pollencart/fetch.go
@@ -4,10 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/http1"
 	"github.com/pollencart/pollencart/internal/http1/transport"
 )
 
@@ -32,7 +32,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	data, err := http1.ReadAll(response.Body, maxReportBytes)
 
 	switch {
 	case err != nil:
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -23,6 +23,20 @@
 	return &body{ReadCloser: response.Body, response: response}
 }
 
+// ReadAll reads a body to its end. It returns ErrTooLarge if the body has more than maxBytes bytes.
+func ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
+
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(data)) > maxBytes:
+		return nil, ErrTooLarge.With("body over %d bytes", maxBytes)
+	}
+
+	return data, nil
+}
+
 // Read implements io.Reader.
 func (b *body) Read(into []byte) (int, error) {
 	n, err := b.ReadCloser.Read(into)
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -16,8 +16,8 @@
 var (
 	// ErrMalformed means that the bytes are no valid response.
 	ErrMalformed = errs.New("http1.malformed", http.StatusBadGateway, "the answer is no valid HTTP response")
-	// ErrTooLarge means that a head is over its limit.
-	ErrTooLarge = errs.New("http1.too_large", http.StatusBadGateway, "the head of the answer is over its limit")
+	// ErrTooLarge means that a head or a body is over its limit.
+	ErrTooLarge = errs.New("http1.too_large", http.StatusBadGateway, "the answer is over a limit")
 )
 
 // Failure returns an error of the connection, of the context or of this package as it is, and
--- a/internal/http1/http1test/http1test.go
+++ b/internal/http1/http1test/http1test.go
@@ -29,6 +29,8 @@
 	Text string
 	// Reset makes the peer reset the connection, and not close it.
 	Reset bool
+	// Repeat, if set, follows Text again and again until the connection is closed by the other side.
+	Repeat string
 }
 
 // Server is a peer that answers the first request of each connection.
@@ -37,6 +39,7 @@
 	Address string
 
 	requests atomic.Int64
+	repeated atomic.Int64
 	answer   atomic.Pointer[Answer]
 }
 
@@ -71,6 +74,9 @@
 // Send sets the answer to later requests.
 func (s *Server) Send(a Answer) { s.answer.Store(&a) }
 
+// Repeated returns the number of bytes that answers without end have had in all.
+func (s *Server) Repeated() int64 { return s.repeated.Load() }
+
 // Requests returns the number of requests that were read.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
@@ -89,11 +95,52 @@
 	a := s.answer.Load()
 	_, _ = io.WriteString(c, a.Text)
 
+	if a.Repeat != "" {
+		s.repeat(c, a.Repeat)
+	}
+
 	if a.Reset {
 		_ = c.SetLinger(0)
 	}
 }
 
+// repeat sends a text until the connection is closed.
+func (s *Server) repeat(c net.Conn, text string) {
+	const blockBytes = 64 << 10
+
+	block := []byte(strings.Repeat(text, blockBytes/len(text)+1))
+
+	for {
+		n, err := c.Write(block)
+		s.repeated.Add(int64(n))
+
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Endless returns answers without end by name.
+func Endless() map[string]Answer {
+	const head = "HTTP/1.1 200 OK\r\n"
+
+	return map[string]Answer{
+		"NoAnswer":      {Repeat: "x"},
+		"StatusLine":    {Text: "HTTP/1.1 200 ", Repeat: "x"},
+		"Name":          {Text: head, Repeat: "x"},
+		"Value":         {Text: head + "A: ", Repeat: "x"},
+		"Lines":         {Text: head, Repeat: "A: b\r\n"},
+		"Informational": {Repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"NoLength":      {Text: head + "\r\n", Repeat: "x"},
+		"Length":        {Text: head + "Content-Length: 1000000000000\r\n\r\n", Repeat: "x"},
+		"Chunks":        {Text: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "8\r\nxxxxxxxx\r\n"},
+		"ChunkLine":     {Text: head + "Transfer-Encoding: chunked\r\n\r\n8;", Repeat: "x"},
+		"Trailers":      {Text: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "A: b\r\n"},
+		"Spaces":        {Text: head + "\r\n{}", Repeat: " "},
+		"Failure":       {Text: "HTTP/1.1 500 Internal Server Error\r\n\r\n", Repeat: "x"},
+	}
+}
+
 // Broken returns broken answers by name: each framing of an answer with the given lines of its head and
 // body, as a success and as a failure, cut after each byte by a close and by a reset, and answers
 // that are malformed. Lines end with CRLF.
@@ -116,7 +163,7 @@
 // yieldCuts yields an answer cut after each byte, and reports whether more are wanted.
 func yieldCuts(name, whole string, yield func(string, Answer) bool) bool {
 	for n := range len(whole) {
-		if !yield(fmt.Sprintf("%s/%d/Reset", name, n), Answer{whole[:n], true}) {
+		if !yield(fmt.Sprintf("%s/%d/Reset", name, n), Answer{Text: whole[:n], Reset: true}) {
 			return false
 		}
 
@@ -124,7 +171,7 @@
 			continue // an orderly end of the connection ends the answer
 		}
 
-		if !yield(fmt.Sprintf("%s/%d/Close", name, n), Answer{whole[:n], false}) {
+		if !yield(fmt.Sprintf("%s/%d/Close", name, n), Answer{Text: whole[:n]}) {
 			return false
 		}
 	}
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -50,7 +50,7 @@
 
 	switch {
 	case err != nil && r.limit.N <= 0:
-		return nil, ErrTooLarge.With("over %d bytes", maxBytes)
+		return nil, ErrTooLarge.With("head over %d bytes", maxBytes)
 	case err != nil:
 		return nil, Failure(err)
 	}
--- a/internal/operator/broken_test.go
+++ b/internal/operator/broken_test.go
@@ -27,3 +27,18 @@
 		assert.Equal(t, s.Requests(), before+1, name)
 	}
 }
+
+// Guards against a process that ends for its memory since the node sends without end.
+func TestAnswerWithoutEndIsBounded(t *testing.T) {
+	const maxBytes = 130 << 20 // 64 MiB in chunks of 8 bytes, and what the buffers of a connection hold
+
+	for name, a := range http1test.Endless() {
+		s := http1test.NewServer(t)
+		s.Send(a)
+
+		_, err := operator.NewClient(s.Address).Status(t.Context())
+		assert.ErrorIs(t, err, operator.ErrNoAnswer, name)
+
+		assert.Assert(t, s.Repeated() < maxBytes, "%s: %d MB", name, s.Repeated()>>20)
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,13 +6,13 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/http1"
 	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -194,13 +194,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-
-	switch {
-	case err != nil:
+	data, err := http1.ReadAll(resp.Body, maxAnswerBytes)
+	if err != nil {
 		return ErrNoAnswer.Wrap(err)
-	case len(data) > maxAnswerBytes:
-		return ErrNoAnswer.With("over %d bytes", maxAnswerBytes)
 	}
 
 	if resp.StatusCode >= http.StatusBadRequest {
--- a/internal/platform/etcd/broken_test.go
+++ b/internal/platform/etcd/broken_test.go
@@ -31,3 +31,18 @@
 		}
 	}
 }
+
+// Guards against a process that ends for its memory since the store sends without end.
+func TestAnswerWithoutEndIsBounded(t *testing.T) {
+	const maxBytes = 130 << 20 // 64 MiB in chunks of 8 bytes, and what the buffers of a connection hold
+
+	for name, a := range http1test.Endless() {
+		s := http1test.NewServer(t)
+		s.Send(a)
+
+		_, err := etcd.New(etcd.Endpoints("http://"+s.Address)).Get(t.Context(), "/k")
+		assert.ErrorIs(t, err, platform.ErrUnknown, name)
+
+		assert.Assert(t, s.Repeated() < maxBytes, "%s: %d MB", name, s.Repeated()>>20)
+	}
+}
--- a/internal/platform/etcd/etcd.go
+++ b/internal/platform/etcd/etcd.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollencart/pollencart/internal/http1"
 	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/internal/platform"
 )
@@ -254,7 +255,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	data, err := http1.ReadAll(resp.Body, maxMessageBytes)
 	if err != nil {
 		return platform.ErrUnknown.Wrap(err)
 	}
@@ -304,7 +305,7 @@
 
 // readError returns the error that a response reports. A body that breaks off says nothing.
 func readError(resp *http.Response) error {
-	detail, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	detail, err := http1.ReadAll(resp.Body, maxErrorBytes)
 	if err != nil {
 		return platform.ErrUnknown.Wrap(err)
 	}
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,8 +27,6 @@
 // MaxAnswerBytes bounds the body of an answer; it is more than a node passes on.
 const MaxAnswerBytes = 16 << 20
 
-var errTooLarge = fmt.Errorf("answer over %d bytes", MaxAnswerBytes)
-
 // exchange sends the request to one node and waits at most Options.Patience.
 func (c *Caller) exchange(ctx context.Context, node string, r Request, key string) (Answer, *Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Patience)
@@ -75,16 +71,7 @@
 		return nil, errNotNodeReply
 	}
 
-	body, err := io.ReadAll(io.LimitReader(http1.Body(resp), MaxAnswerBytes+1))
-
-	switch {
-	case err != nil:
-		return nil, err
-	case len(body) > MaxAnswerBytes:
-		return nil, errTooLarge
-	}
-
-	return body, nil
+	return http1.ReadAll(http1.Body(resp), MaxAnswerBytes)
 }
 
 func (c *Caller) newRequest(ctx context.Context, node string, r Request, key string) (*http.Request, error) {
--- a/pkg/upstream/announcer.go
+++ b/pkg/upstream/announcer.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/pollencart/pollencart/internal/http1"
 	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/pkg/settings"
@@ -152,7 +152,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	text, err := http1.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return ErrNode.Wrap(err)
 	}
--- a/pkg/upstream/broken_test.go
+++ b/pkg/upstream/broken_test.go
@@ -22,3 +22,18 @@
 		assert.Assert(t, !strings.Contains(err.Error(), http1test.Secret), "%s: %v", name, err)
 	}
 }
+
+// Guards against a process that ends for its memory since the node sends without end.
+func TestAnswerWithoutEndIsBounded(t *testing.T) {
+	const maxBytes = 16 << 20 // what is read, and what the buffers of a connection hold
+
+	for name, a := range http1test.Endless() {
+		s := http1test.NewServer(t)
+		s.Send(a)
+
+		err := upstream.New(s.Address, upstream.Announcement{Service: "browse"}).Announce(t.Context())
+		assert.ErrorIs(t, err, upstream.ErrNode, name)
+
+		assert.Assert(t, s.Repeated() < maxBytes, "%s: %d MB", name, s.Repeated()>>20)
+	}
+}
