--- a/cmd/pollencart/limits.go
+++ b/cmd/pollencart/limits.go
@@ -45,7 +45,9 @@
 func fetchUses(address string) ([]ledger.Use, error) {
 	var uses []ledger.Use
 
-	return uses, fetch("http://"+address+quota.UsesPath, limitsTimeout, &uses)
+	err := fetch("http://"+address+quota.UsesPath, limitsTimeout, &uses)
+
+	return uses, err
 }
 
 // addUse adds the use at one home to that at the others. The limit is that of the newest version.
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -59,12 +59,12 @@
 		}
 
 		name, _, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(string(name)) {
+		if !ok || !isToken(name) {
 			return ErrMalformed.With("field name")
 		}
 
-		length = length || strings.EqualFold(string(name), "Content-Length")
-		encoded = encoded || strings.EqualFold(string(name), "Transfer-Encoding")
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		encoded = encoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	}
 
 	if encoded && (length || !response.ProtoAtLeast(1, 1)) {
@@ -93,7 +93,7 @@
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
 // isToken reports whether a text is a valid field name.
-func isToken(text string) bool {
+func isToken[T string | []byte](text T) bool {
 	for i := range len(text) {
 		b := text[i]
 
@@ -103,5 +103,5 @@
 		}
 	}
 
-	return text != ""
+	return len(text) > 0
 }
--- a/internal/http1/transport/transport.go
+++ b/internal/http1/transport/transport.go
@@ -67,8 +67,10 @@
 		return nil, err
 	}
 
-	response.Body = &body{
-		ReadCloser: http1.Body(response), sending: &s, endsWithConnection: http1.EndsWithConnection(response),
+	if response.Body != http.NoBody {
+		response.Body = &body{
+			ReadCloser: http1.Body(response), sending: &s, endsWithConnection: http1.EndsWithConnection(response),
+		}
 	}
 
 	return response, nil
