--- a/internal/soak/hosts/answers.go
+++ b/internal/soak/hosts/answers.go
@@ -40,7 +40,8 @@
 	maxLongBytes = "6000000"
 	// lingerTime is how long a backend server keeps a connection after an early answer.
 	lingerTime = 50 * time.Millisecond
-	longEvery  = 500 * time.Millisecond
+	// longRate is how many long uploads all callers send in a second.
+	longRate = 18
 )
 
 // Answers counts the answers of backend servers in a run with broken ones.
@@ -217,9 +218,11 @@
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 
+	pause := time.Second * time.Duration(r.options.Hosts) / longRate
+
 	for ctx.Err() == nil {
 		r.longUpload(ctx, client, h)
-		idle.For(ctx, longEvery/2+rand.N(longEvery))
+		idle.For(ctx, pause/2+rand.N(pause))
 	}
 }
 
