upstream: known red, an early answer that is lost in a reset

Callers of the older engine mostly don't get the sound early answer to a long upload (413 with its length) if the backend server closes right after it, which resets the connection.

Cause, by its errors: net/http writes and reads a connection in two goroutines, and ends the request when the write fails ("write: connection reset by peer"), with the answer unread.

--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -76,3 +76,23 @@
 		})
 	}
 }
+
+// Guards against an early answer that is lost since the backend server reads nothing more, which resets the connection.
+func TestEarlyAnswerBeforeAResetIsDelivered(t *testing.T) {
+	upload := strings.Repeat("x", longUpload)
+	p := serve(t, func(c *peerConn) {
+		r, err := http.ReadRequest(c.in)
+		if err != nil {
+			return
+		}
+
+		_, _ = io.CopyN(io.Discard, r.Body, 64<<10)
+		c.answer("id-1", "large")
+	})
+
+	for range 50 {
+		a, err := do(t, p, "id-1", upload)
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "large")
+	}
+}
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -161,3 +161,17 @@
 		})
 	}
 }
+
+// Guards against an early answer that is lost since the backend server reads nothing more, which resets the connection.
+func TestEarlyAnswerBeforeAResetIsReturned(t *testing.T) {
+	h := newHost(t, answer(t, func(c *net.TCPConn) {
+		_, _ = io.CopyN(io.Discard, c, 64<<10)
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\nlarge")
+	}))
+
+	for i := range 50 {
+		a, err := h.Run(t.Context(), upload(strconv.Itoa(i), longUpload))
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "large")
+	}
+}
