--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOPLS_VERSION := v0.23.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build demo scale check test fuzz lint tools gopls soak bench load plots
+.PHONY: build demo scale check test crowd fuzz lint tools gopls soak bench load plots
 
 build:
 	go build -o bin/ ./cmd/...
@@ -12,7 +12,7 @@
 demo: build
 	bin/bench demo --deployment examples/$(DEPLOYMENT)
 
-check: tools lint test fuzz
+check: tools lint test crowd fuzz
 
 tools:
 	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
@@ -34,8 +34,14 @@
 # for seconds, as no host does that runs one node.
 TESTS_AT_ONCE ?= -p 2 -parallel 3
 
+SKIPPED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+
 test:
-	go test -race $(TESTS_AT_ONCE) $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	go test -race $(TESTS_AT_ONCE) $(SKIPPED) $$(go list ./... | grep -v /internal/crowd$$)
+
+# Crowds of clients against real processes, whose memory is measured: one at a time, apart from other tests.
+crowd:
+	go test -count=1 -timeout 30m $(SKIPPED) ./internal/crowd
 
 # What others send is decoded here: each decoder gets inputs that nobody thought of.
 FUZZ_COUNT ?= 20000x
