ingress: heads, bodies and connections of callers stay within the memory of the machine

Callers saw a node that was killed for its memory, with all its calls, when clients within the limits of the configuration sent heads of very many short fields or bodies in chunks, and 503 for most uploads beside bodies that were left open.

Cause: net/http decodes a head while it reads it, to up to 44 times its bytes; a body grew in a buffer that doubles, the room for bodies (32 MiB) was counted in bytes that had come and was kept for 30 s by bodies that did not move, and nothing bounded the sum over connections.

Change: each connection has an account, and each call a charge, in the budget of the process. The text of a head is read to its end, its decoded size is taken, then it is decoded. A body takes its buffers; the room for a long one is taken once 4 MiB of it have come. Without room, the connection of the client that would need the longest for what it holds is closed, if that is over 10 s, or the call is refused with 503 and Retry-After: it has not run. A long answer is written as it is, without a copy, and its connection counts what the socket may hold, whose send buffer is bounded. Lines 115 and 116, gauges pollencart_memory_*. Beginnings that are no request are rejected at their first line, as before.

Why it works: memory is taken before it is allocated, at its real size, and what clients hold without moving is given up when others need it. Heads and bodies have one budget, so they are one change.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -10,6 +10,7 @@
 package accept
 
 import (
+	"context"
 	"errors"
 	"net"
 	"slices"
@@ -47,11 +48,17 @@
 // ends within seconds.
 const listenTimeout = 5 * time.Second
 
-// Listen listens on a TCP address. It tries again for a time if a lack of descriptors or memory, or
+// Listen listens on a TCP address, with the system's own buffers. See ListenWith.
+func Listen(address string) (net.Listener, error) { return ListenWith(address, 0) }
+
+// ListenWith listens on a TCP address whose connections have a send buffer of the given size in bytes, or the system's own
+// with 0. It tries again for a time if a lack of descriptors or memory, or
 // another process, keeps it from listening: a process that gave up would end before its first call.
-func Listen(address string) (net.Listener, error) {
+func ListenWith(address string, sendBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setSendBuffer(raw, sendBuffer) }}
+
 	for began, backoff := time.Now(), time.Duration(0); ; {
-		l, err := net.Listen("tcp", address)
+		l, err := config.Listen(context.Background(), "tcp", address)
 		if err == nil || !listensLater(err) || time.Since(began) >= listenTimeout {
 			return l, err
 		}
@@ -61,6 +68,17 @@
 	}
 }
 
+// setSendBuffer sets the send buffer of a socket, which connections of a listener inherit.
+func setSendBuffer(raw syscall.RawConn, size int) error {
+	if size == 0 {
+		return nil
+	}
+
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, size) // without it, the system's own is used
+	})
+}
+
 func listensLater(err error) bool {
 	later := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRINUSE}
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/ingress"
+	"github.com/pollencart/pollencart/internal/loglimit"
 	"github.com/pollencart/pollencart/internal/notice/memory"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
@@ -57,7 +58,7 @@
 	retryDetector *retryDetector
 	subsets       *subsets
 	notices       *memory.Memory
-	refusedKeys   refusals
+	refusedKeys   loglimit.Limiter
 }
 
 // New returns a dispatcher.
--- a/internal/dispatch/workspace.go
+++ b/internal/dispatch/workspace.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
@@ -111,7 +110,7 @@
 
 // recordKeyRefused records a call with an unknown key. Of many, some are left out and counted.
 func (d *Dispatcher) recordKeyRefused(o Outcome) {
-	leftOut, ok := d.refusedKeys.next(time.Now())
+	leftOut, ok := d.refusedKeys.Next(time.Now())
 	if !ok {
 		return
 	}
@@ -123,35 +122,3 @@
 
 	d.options.Recorder.Record(event.KeyRefused, timeline.Entry{Call: o.ID, Version: o.Version, Detail: detail})
 }
-
-// refusalsPerSecond is the number of refusals in a second that have lines of their own.
-const refusalsPerSecond = 2
-
-// refusals bounds the lines about refusals.
-type refusals struct {
-	mu      sync.Mutex
-	began   time.Time // of the current second
-	lines   int       // in the current second
-	leftOut int       // since the last line
-}
-
-// next reports whether the next refusal has a line, and how many before it had none.
-func (r *refusals) next(now time.Time) (leftOut int, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	if now.Sub(r.began) >= time.Second {
-		r.began, r.lines = now, 0
-	}
-
-	if r.lines == refusalsPerSecond {
-		r.leftOut++
-
-		return 0, false
-	}
-
-	r.lines++
-	leftOut, r.leftOut = r.leftOut, 0
-
-	return leftOut, true
-}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,12 @@
 		"The node can't accept connections for the moment, for example for lack of file descriptors; it tries again.")
 	PanicContained = add(114, "PanicContained", slog.LevelError,
 		"The handling of one call or message panicked; the process goes on. The detail has the cause and the place; report it.")
+	ConnectionEvicted = add(115, "ConnectionEvicted", slog.LevelWarn,
+		"Clients make the process keep as much memory as it may; the connection of one that held much and moved little was closed. "+
+			"Of many such connections some have no line; the next line has their number.")
+	MemoryRefused = add(116, "MemoryRefused", slog.LevelWarn,
+		"A call was refused with 503 since there is no memory for it; it has not run. "+
+			"Of many such calls some have no line; the next line has their number.")
 	LinesLeftOut = add(109, "LinesLeftOut", slog.LevelInfo,
 		"Log lines were dropped because the reader stalled (Unread) or their level exceeded its rate limit (Sampled); totals since process start.")
 	FaultsInjected = add(106, "FaultsInjected", slog.LevelWarn, "An experiment cut or restored links of this node.")
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -16,11 +16,21 @@
 
 	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/membudget"
 )
 
 const (
 	// readBuffer, in bytes, holds a typical request; most have no body.
 	readBuffer = 4 << 10
+	// connBytes is what a connection takes without a call: its buffer, goroutines, and the buffers of its socket.
+	connBytes = 64 << 10
+	// SendBuffer is the size of the send buffer, in bytes, that the listener's sockets should have. The system's own grows
+	// to megabytes for a caller that reads slowly.
+	SendBuffer = 128 << 10
+	// callBytes is what a call takes beside its head, body and answer.
+	callBytes = 16 << 10
+	// fieldBytes is what a header field takes beside its text: entries of a map and of two lists.
+	fieldBytes = 192
 	// maxPipelined bounds the concurrent calls on one connection.
 	maxPipelined = 32
 	// bodyTimeout bounds reading a request body.
@@ -35,8 +45,10 @@
 // conn is one connection from a caller.
 type conn struct {
 	server      *Server
+	account     *membudget.Account
+	socket      *membudget.Charge // what the socket holds beside connBytes
 	raw         net.Conn
-	limit       *io.LimitedReader
+	source      *source
 	in          *bufio.Reader
 	ctx         context.Context //nolint:containedctx // ends with the connection
 	cancel      context.CancelCauseFunc
@@ -48,6 +60,9 @@
 	pending      []*exchange // accepted calls without an answer, in order of arrival
 	writing      bool        // an answer is being written
 	awaitingCall bool        // no byte of the next call has been read
+	unread       bool        // the socket may hold a part of a long answer
+	idle         bool        // nothing is read or written and no call is unanswered
+	reading      bool        // a part of the next call has been read
 	hasCalls     bool        // at least one call was accepted
 	closing      bool        // no call is accepted while another is unanswered; the connection closes after the last answer
 	ended        bool        // the last answer is being written or was written; further input is discarded
@@ -56,6 +71,8 @@
 // exchange is one call and its answer.
 type exchange struct {
 	request    *http.Request
+	charge     *membudget.Charge // what the call and its answer take
+	body       []byte
 	response   Response
 	acceptedAt time.Time
 	done       chan struct{}
@@ -64,16 +81,40 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	limit := &io.LimitedReader{R: raw}
+	in := &source{from: raw}
 
 	return &conn{
-		server: s, raw: raw, limit: limit, in: bufio.NewReaderSize(limit, readBuffer), ctx: ctx, cancel: cancel,
-		queue: make(chan *exchange, maxPipelined), connectedAt: time.Now(),
+		server: s, raw: raw, source: in, in: bufio.NewReaderSize(in, readBuffer), ctx: ctx, cancel: cancel,
+		queue: make(chan *exchange, maxPipelined), connectedAt: time.Now(), idle: true,
+	}
+}
+
+// openAccount takes the memory of the connection itself. It reports whether there is some.
+func (c *conn) openAccount() bool {
+	account, ok := c.server.options.Budget.Open(c.raw.RemoteAddr().String(), connBytes, c.evict)
+	c.account, c.source.account = account, account
+	c.socket = account.Charge()
+
+	return ok
+}
+
+// evict closes the connection since others need its memory. What the socket still holds is dropped.
+func (c *conn) evict() {
+	c.cancel(ErrEvicted)
+	c.reset()
+	_ = c.raw.Close()
+}
+
+// reset has the socket drop what its caller has not read when it is closed.
+func (c *conn) reset() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 }
 
 // run serves calls until the caller or this node closes the connection.
 func (c *conn) run() {
+	defer c.account.Close()
 	defer c.server.untrack(c)
 
 	written := make(chan struct{})
@@ -110,7 +151,10 @@
 // it detects when the caller disconnects.
 func (c *conn) read() error {
 	for {
-		e, body, err := c.readCall()
+		e, err := c.readCall()
+		if e != nil && err != nil {
+			c.release(e)
+		}
 
 		switch {
 		case errors.Is(err, errEnded), errors.Is(err, os.ErrDeadlineExceeded) && c.startClosing():
@@ -121,13 +165,13 @@
 
 		ahead, ok := c.accept(e, e.request.Close || idle.Closed(e.done))
 		if !ok {
-			c.server.bodies.free(len(body))
+			c.release(e)
 
 			return c.linger()
 		}
 
 		if !idle.Closed(e.done) {
-			go c.handle(e, body, ahead)
+			go c.handle(e, ahead)
 		}
 
 		c.queue <- e
@@ -141,15 +185,20 @@
 // linger discards input until the caller closes the connection or lingerTimeout after the
 // last answer has passed.
 func (c *conn) linger() error {
-	c.limit.N = DefaultBodyBytes
-
-	if _, err := io.Copy(io.Discard, c.in); err != nil {
+	if _, err := io.CopyN(io.Discard, c.in, DefaultBodyBytes); err != nil {
 		return err
 	}
 
 	return io.EOF
 }
 
+// release frees what a call and its answer take.
+func (c *conn) release(e *exchange) {
+	c.server.bodies.add(-len(e.body))
+	e.body, e.response.Body = nil, nil
+	e.charge.Release()
+}
+
 // startClosing stops accepting calls. It reports whether the connection has to stay open
 // for the answers to earlier calls or for the caller to read the last one.
 func (c *conn) startClosing() bool {
@@ -168,9 +217,8 @@
 // busy reports whether a call is unanswered or an answer is being written. The caller holds mu.
 func (c *conn) busy() bool { return len(c.pending) > 0 || c.writing }
 
-func (c *conn) handle(e *exchange, body []byte, ahead int) {
+func (c *conn) handle(e *exchange, ahead int) {
 	defer e.complete()
-	defer c.server.bodies.free(len(body))
 	defer contain.Panic(func(p contain.Caught) {
 		e.response = Response{Call: e.response.Call, Status: http.StatusBadGateway, Body: []byte("no answer, it may have run\n")}
 		c.server.options.Panicked(p)
@@ -183,8 +231,8 @@
 
 	path, _, _ := strings.Cut(uri, "?")
 
-	e.response = c.server.handler.Serve(c.ctx, Request{
-		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: body, Arrived: e.acceptedAt,
+	e.response = c.server.handler.Serve(membudget.With(c.ctx, e.charge), Request{
+		Method: e.request.Method, Host: e.request.Host, URI: uri, Path: path, Header: e.request.Header, Body: e.body, Arrived: e.acceptedAt,
 		Connected: c.connectedAt, Ahead: ahead,
 	})
 }
@@ -209,6 +257,8 @@
 	c.closing = c.closing || last
 	c.hasCalls = true
 
+	c.endReading()
+
 	e.acceptedAt = time.Now()
 	c.pending = append(c.pending, e)
 
@@ -236,6 +286,7 @@
 	defer c.mu.Unlock()
 
 	c.writing = false
+	c.updateIdle()
 
 	if c.ended || !c.closing || len(c.pending) > 0 {
 		return false
@@ -246,6 +297,54 @@
 	return true
 }
 
+// beginReading says that the rest of a call is waited for.
+func (c *conn) beginReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.unread && !c.busy() {
+		c.unread = false
+		c.socket.Release() // a caller that sends its next call has read the answer
+	}
+
+	c.reading = true
+	c.updateIdle()
+	c.account.Wait()
+}
+
+// holdUnread counts what the socket may hold of a long answer until its caller has read it.
+func (c *conn) holdUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.unread {
+		c.unread = true
+		c.socket.Force(membudget.Connections, SendBuffer)
+	}
+}
+
+// endReading ends the wait for the rest of a call. The caller holds mu.
+func (c *conn) endReading() {
+	if c.reading {
+		c.reading = false
+		c.account.Resume()
+	}
+}
+
+// updateIdle says whether the next call is waited for, with nothing else to do. The caller holds mu.
+func (c *conn) updateIdle() {
+	now := !c.reading && !c.busy()
+
+	switch {
+	case now && !c.idle:
+		c.account.Wait()
+	case !now && c.idle:
+		c.account.Resume()
+	}
+
+	c.idle = now
+}
+
 func (c *conn) allAnswered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ingress/observer.go
+++ b/internal/ingress/observer.go
@@ -14,6 +14,7 @@
 var (
 	ErrCallerDisconnected = errs.New("ingress.caller_left", http.StatusBadRequest, "the caller closed the connection")
 	ErrNotRead            = errs.New("ingress.not_read", http.StatusRequestTimeout, "the caller does not read its answers")
+	ErrEvicted            = errs.New("ingress.evicted", http.StatusRequestTimeout, "others need the memory that this caller holds")
 	ErrClosed             = errs.New("ingress.closed", http.StatusServiceUnavailable, "this node closed the connection")
 )
 
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -3,44 +3,45 @@
 import (
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/call"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/route"
 )
 
 // readCall reads one call. A call over a limit is returned already rejected.
-func (c *conn) readCall() (*exchange, []byte, error) {
+func (c *conn) readCall() (*exchange, error) {
 	limits := c.server.options.Limits()
-	c.limit.N = int64(limits.HeaderBytes) + readBuffer
 
 	if err := c.awaitFirstByte(limits); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 
+	c.beginReading()
+
 	if err := c.setReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 
-	request, err := http.ReadRequest(c.in)
-	if err != nil {
-		e, err := c.rejectHead(err)
+	e := &exchange{charge: c.account.Charge(), done: make(chan struct{})}
 
-		return e, nil, err
+	request, err := c.readHead(limits.HeaderBytes+readBuffer, e.charge)
+	if err != nil {
+		return e, c.rejectHead(e, err)
 	}
 
-	e := &exchange{request: request, done: make(chan struct{})}
+	e.request = request
 
-	body, err := c.readBody(e, limits)
+	e.body, err = c.readBody(e, limits)
 	if err != nil {
 		err = c.rejectBody(e, err)
 	}
 
-	return e, body, err
+	return e, err
 }
 
 // awaitFirstByte waits for the next call to begin. Retire ends the wait.
@@ -107,21 +108,34 @@
 	return c.raw.SetReadDeadline(until)
 }
 
-// rejectHead returns a rejected call for a request head that is too large or is not valid
-// HTTP. If the head was not received in time, it returns the error and no call.
-func (c *conn) rejectHead(err error) (*exchange, error) {
+// rejectHead rejects a call whose head is too large, is not valid HTTP or does not fit in the memory. If the head
+// was not received as a whole, it returns the error.
+func (c *conn) rejectHead(e *exchange, err error) error {
+	e.request = &http.Request{Method: http.MethodGet}
+
 	switch {
-	case c.limit.N <= 0:
-		return rejectedExchange(http.StatusRequestHeaderFieldsTooLarge), nil
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, errCutShort
+	case errors.Is(err, errHeadTooLarge):
+		e.reject(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, errMalformed):
+		e.reject(http.StatusBadRequest)
+	case errors.Is(err, membudget.ErrNoRoom):
+		c.refuse(e)
+	case errors.Is(err, io.EOF):
+		return errCutShort
+	default:
+		return err
 	}
 
-	if connErr := c.connErr(); connErr != nil {
-		return nil, connErr
-	}
+	return nil
+}
 
-	return rejectedExchange(http.StatusBadRequest), nil
+// refuse rejects a call for which there is no memory. It has not run.
+func (c *conn) refuse(e *exchange) {
+	c.server.bodies.refuse()
+	c.server.options.Refused(c.raw.RemoteAddr().String())
+
+	e.response.Header = []call.Field{{Name: "Retry-After", Value: memoryRetryAfter}}
+	e.reject(http.StatusServiceUnavailable)
 }
 
 // rejectBody rejects a call whose body is malformed. If the body was not received as a whole, it
@@ -134,9 +148,8 @@
 		return errCutShort
 	case errors.Is(err, errEnded), errors.As(err, &netErr):
 		return err
-	case errors.Is(err, errNoRoom):
-		e.response.Header = []call.Field{{Name: "Retry-After", Value: bodyRetryAfter}}
-		e.reject(http.StatusServiceUnavailable)
+	case errors.Is(err, membudget.ErrNoRoom):
+		c.refuse(e)
 
 		return nil
 	}
@@ -146,33 +159,6 @@
 	return nil
 }
 
-// connErr returns the network error, if any, that stops reading from the connection.
-// http.ReadRequest reports a line cut off by the read deadline, or by the end of the connection,
-// and a malformed line with errors that differ only in their text.
-func (c *conn) connErr() error {
-	var netErr net.Error
-
-	_, err := c.in.Peek(1)
-
-	switch {
-	case errors.As(err, &netErr):
-		return err
-	case errors.Is(err, io.EOF) && !c.allAnswered():
-		return errCutShort
-	}
-
-	return nil
-}
-
-// rejectedExchange returns an exchange that is already answered with the status. Its
-// connection closes after that answer.
-func rejectedExchange(status int) *exchange {
-	e := &exchange{request: &http.Request{Method: http.MethodGet}, done: make(chan struct{})}
-	e.reject(status)
-
-	return e
-}
-
 func (e *exchange) reject(status int) {
 	e.request.Close = true
 	e.response.Status = status
@@ -190,9 +176,6 @@
 		return nil, c.setReadDeadline(time.Time{})
 	}
 
-	// Chunks may have more framing than data. The decoder bounds it.
-	c.limit.N = math.MaxInt64
-
 	if err := c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
@@ -201,25 +184,23 @@
 		return nil, err
 	}
 
-	body, err := c.server.bodies.read(e.request.Body, limits.BodyBytes)
+	size := limits.BodyBytes + 1
+	if e.request.ContentLength > 0 {
+		size = int(e.request.ContentLength)
+	}
+
+	body, err := c.server.bodies.read(e.request.Body, size, e.charge)
 	if err != nil {
 		return nil, err
 	}
 
 	if len(body) > limits.BodyBytes {
-		c.server.bodies.free(len(body))
 		e.reject(http.StatusRequestEntityTooLarge)
 
-		return nil, nil
-	}
-
-	if err := c.setReadDeadline(time.Time{}); err != nil {
-		c.server.bodies.free(len(body))
-
-		return nil, err
+		return body, nil
 	}
 
-	return body, nil
+	return body, c.setReadDeadline(time.Time{})
 }
 
 // sendContinue sends 100 Continue if the caller expects it and no earlier answer is due.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -81,7 +81,7 @@
 		}
 
 		c := newConn(s, raw)
-		if !s.track(c) {
+		if !s.admit(c) {
 			_ = raw.Close()
 
 			continue
@@ -91,22 +91,28 @@
 	}
 }
 
-func (s *Server) track(c *conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if len(s.conns) >= s.options.MaxConns {
+// admit takes the memory of a connection and tracks it. At the limit of connections, the one with the slowest
+// caller is closed for it.
+func (s *Server) admit(c *conn) bool {
+	if s.Connections() >= s.options.MaxConns && !s.options.Budget.CloseSlowest() || !c.openAccount() {
 		return false
 	}
 
+	s.track(c)
+
+	return true
+}
+
+func (s *Server) track(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
 	s.conns[c] = struct{}{}
 	c.excluded = s.excludeNew
 
 	if s.retiring {
 		c.retire()
 	}
-
-	return true
 }
 
 func (s *Server) untrack(c *conn) {
--- a/internal/ingress/write.go
+++ b/internal/ingress/write.go
@@ -14,6 +14,13 @@
 // to be reported to Observer.Held.
 const heldThreshold = 100 * time.Millisecond
 
+const (
+	// shortBody, in bytes, is what of a body is copied behind its head and sent with it.
+	shortBody = 16 << 10
+	// writeBlock, in bytes, is what of a body is written at a time, so that the pace of its caller is known.
+	writeBlock = 64 << 10
+)
+
 // write writes the answers in the order of the calls.
 func (c *conn) write() {
 	var failed error
@@ -36,9 +43,12 @@
 			// Later answers can't be delivered either, so their calls are canceled.
 			c.cancel(ErrNotRead)
 			c.undelivered(e, failed)
+			c.reset()
 		case time.Since(e.readyAt) > heldThreshold:
 			c.server.options.Observer.Held(c.delivery(e, nil))
 		}
+
+		c.release(e)
 	}
 }
 
@@ -63,7 +73,7 @@
 		return err
 	}
 
-	if _, err := c.raw.Write(e.response.encode(e.request.Method, last)); err != nil {
+	if err := c.sendBytes(e.response.encode(e.request.Method, last)); err != nil {
 		return err
 	}
 
@@ -74,6 +84,38 @@
 	return c.closeWrite()
 }
 
+// sendBytes writes the parts of an answer. Their caller is waited for meanwhile.
+func (c *conn) sendBytes(head, body []byte) error {
+	c.account.Wait()
+	defer c.account.Resume()
+
+	if err := c.writeBytes(head); err != nil {
+		return err
+	}
+
+	if len(body) > 0 {
+		c.holdUnread()
+	}
+
+	for len(body) > 0 {
+		block := body[:min(len(body), writeBlock)]
+		if err := c.writeBytes(block); err != nil {
+			return err
+		}
+
+		body = body[len(block):]
+	}
+
+	return nil
+}
+
+func (c *conn) writeBytes(data []byte) error {
+	n, err := c.raw.Write(data)
+	c.account.Moved(n)
+
+	return err
+}
+
 // closeWrite half-closes the connection and bounds the time in which the caller can read the
 // last answer.
 func (c *conn) closeWrite() error {
@@ -91,11 +133,12 @@
 var _ interface{ CloseWrite() error } = (*net.TCPConn)(nil)
 
 // encode returns the answer in HTTP/1.1 form, with its length, so that the caller can
-// detect a truncated answer.
-func (r Response) encode(method string, last bool) []byte {
+// detect a truncated answer. A short body follows the head; a long one is returned as it is.
+func (r Response) encode(method string, last bool) (head, body []byte) {
 	const usualHead = 256
 
-	b := bytes.NewBuffer(make([]byte, 0, usualHead+len(r.Body)))
+	short := min(len(r.Body), shortBody)
+	b := bytes.NewBuffer(make([]byte, 0, usualHead+short))
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(r.Status))
 	b.WriteByte(' ')
@@ -116,18 +159,20 @@
 	if bodyless(r.Status) {
 		b.WriteString("\r\n")
 
-		return b.Bytes()
+		return b.Bytes(), nil
 	}
 
 	b.WriteString("Content-Length: ")
 	b.WriteString(strconv.Itoa(len(r.Body)))
 	b.WriteString("\r\n\r\n")
 
-	if method != http.MethodHead {
-		b.Write(r.Body)
+	if method == http.MethodHead {
+		return b.Bytes(), nil
 	}
 
-	return b.Bytes()
+	b.Write(r.Body[:short])
+
+	return b.Bytes(), r.Body[short:]
 }
 
 func bodyless(status int) bool {
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -9,6 +9,7 @@
 func (n *Sidecar) registerGauges() {
 	n.registerVersionGauges()
 	n.registerCallerGauges()
+	n.registerMemoryGauges()
 
 	for _, g := range []struct {
 		name, help string
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -14,6 +14,7 @@
 	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/ingress"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 	"github.com/pollencart/pollencart/platform"
@@ -35,7 +36,12 @@
 		{n.config.MetricsAddress, n.serveHTTP(n.registerMetrics)},
 		{n.config.CallerAddress, n.ingress.Serve},
 	} {
-		l, err := accept.Listen(h.address)
+		buffer := 0
+		if h.address == n.config.CallerAddress {
+			buffer = ingress.SendBuffer
+		}
+
+		l, err := accept.ListenWith(h.address, buffer)
 		if err != nil {
 			n.close()
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -35,6 +35,7 @@
 	"github.com/pollencart/pollencart/internal/forward"
 	"github.com/pollencart/pollencart/internal/ingress"
 	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/poison"
 	"github.com/pollencart/pollencart/internal/quota"
@@ -69,6 +70,8 @@
 	recorder *timeline.Recorder
 	meter    *meter.Meter
 	draining *draining.Intake
+	memory   *membudget.Budget
+	lines    memoryLines
 	// withdrawn is set once the drain has announced the backend server as draining.
 	withdrawn atomic.Bool
 
@@ -115,6 +118,7 @@
 	n.settings.Store(&c)
 	n.recorder = timeline.New(timeline.Node(c.Node), timeline.Logger(logger), timeline.Size(timelineSize))
 	n.store = platform.NewStore(c.StoreAddress, n.epoch, m.StoreCalled, n.recordSkippedEntry)
+	n.initBudget()
 	n.initMembership()
 	n.initQuotas()
 	n.initSurvey()
@@ -209,7 +213,8 @@
 
 	n.dispatcher = dispatch.New(options)
 	n.ingress = ingress.New(n.dispatcher, ingress.Limits(n.holder), ingress.WithObserver(deliveryObserver{n.recorder, n.meter}),
-		ingress.AcceptFailed(n.recordAcceptFailed), ingress.Panicked(n.recordPanic))
+		ingress.AcceptFailed(n.recordAcceptFailed), ingress.Panicked(n.recordPanic), ingress.WithBudget(n.memory),
+		ingress.Refused(n.recordRefused))
 }
 
 // registerPeerMethods registers the methods that other nodes call.
