peer, backend: messages of nodes and answers stay within the memory of the machine

Operators saw a node over its memory that the clients never called, and one that anybody on the peers' address could fill with announced frames.

Cause: a gate held the answer, the encoded frame and what the buffers grew through for as long as the link was slow, the entry the frame, its decoded copy and a copy with its head for as long as its caller was slow. A frame was allocated by its announced length. A bound at the entry alone moves the fault to the gate.

Change: the charge of a call travels in its context. The backend client takes the body of an answer from it and waits for room; the peer server takes long frames before it reads them and requests before it decodes them, the peer client answers before it reads them. A run request without room is refused with peer.overloaded: no handler got it, so the entry asks another node and says 503 in the end. An answer without room at the entry is 502 (peer.no_memory), after a client that holds more and is waited for was closed. A peer that has sent nothing whole may be closed like any client. Encoders have the size of a long message from the start.

Why it works: both ends of a link count what they keep, in the same budget as callers, and the answer's part of it can't be used by requests.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollencart/pollencart/internal/header"
 	"github.com/pollencart/pollencart/internal/http1"
+	"github.com/pollencart/pollencart/internal/membudget"
 )
 
 // Limits of what is read for one call. A faulty backend server may send bytes without end.
@@ -27,8 +28,6 @@
 	MaxBodyBytes = 32 << 20
 	// smallBodyBytes is the largest body that is read without waiting for other large ones.
 	smallBodyBytes = 64 << 10
-	// largeBlockBytes is the size of the blocks in which a larger one is read.
-	largeBlockBytes = 256 << 10
 	// finishTimeout bounds the rest of a request after its answer has ended with the connection.
 	finishTimeout = time.Second
 	// maxSkipped bounds the informational responses and the answers to other calls before the answer.
@@ -223,72 +222,58 @@
 	return response, nil
 }
 
-// readBody reads the body of a response. Large bodies are read a few at a time, since the slots of
-// the backend server bound the number of answers, but not their memory.
+// readBody reads the body of a response. Its memory is that of the call. Large bodies are read a few at a time,
+// since the slots of the backend server bound the number of answers, but not their memory.
 func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
 	if response.ContentLength > MaxBodyBytes {
 		return nil, ErrTooLarge.With("body of %d bytes, limit %d", response.ContentLength, MaxBodyBytes)
 	}
 
-	var body bytes.Buffer
-	if n := response.ContentLength; n > 0 && n <= smallBodyBytes {
-		body.Grow(int(n) + bytes.MinRead)
+	if response.Body == http.NoBody {
+		return nil, nil
 	}
 
-	n, err := io.CopyN(&body, response.Body, smallBodyBytes)
-	if errors.Is(err, io.EOF) && n < smallBodyBytes {
-		return body.Bytes(), nil
+	size := MaxBodyBytes + 1
+	if response.ContentLength >= 0 {
+		size = int(response.ContentLength)
 	}
 
-	if err != nil {
+	charge, reading := membudget.From(ctx), false
+
+	defer func() {
+		if reading {
+			<-c.large
+		}
+	}()
+
+	body, err := membudget.ReadBody(response.Body, size, func(n int) bool {
+		if n > smallBodyBytes && !reading {
+			if reading = c.readLarge(ctx); !reading {
+				return false
+			}
+		}
+
+		return charge.Await(ctx, membudget.Answers, n)
+	}, func(n int) { charge.Free(membudget.Answers, n) })
+
+	switch {
+	case err != nil:
 		return nil, ErrLost.Wrap(err)
+	case len(body) > MaxBodyBytes:
+		return nil, ErrTooLarge.With("body over %d bytes", MaxBodyBytes)
 	}
 
-	return c.readLargeBody(ctx, response, body.Bytes())
+	return body, nil
 }
 
-// readLargeBody reads the rest of a body and returns it with its beginning. It reads in blocks, since
-// a buffer that grows would need three times the memory.
-func (c *conn) readLargeBody(ctx context.Context, response *http.Response, beginning []byte) ([]byte, error) {
+// readLarge waits until a large body may be read, and reports whether it may.
+func (c *conn) readLarge(ctx context.Context) bool {
 	select {
 	case c.large <- struct{}{}:
+		return true
 	case <-ctx.Done():
-		return nil, ErrLost.Wrap(ctx.Err())
-	}
-	defer func() { <-c.large }()
-
-	blocks := [][]byte{beginning}
-
-	for size := len(beginning); size <= MaxBodyBytes; {
-		block := make([]byte, largeBlockBytes)
-		n, err := fill(block, response.Body)
-		blocks = append(blocks, block[:n])
-		size += n
-
-		switch {
-		case err == nil:
-		case size > MaxBodyBytes:
-		case errors.Is(err, io.EOF):
-			return bytes.Join(blocks, nil), nil
-		default:
-			return nil, ErrLost.Wrap(err)
-		}
-	}
-
-	return nil, ErrTooLarge.With("body over %d bytes", MaxBodyBytes)
-}
-
-// fill reads until the block is full or the reader returns an error. Unlike io.ReadFull it tells the end
-// of a body from one that was cut short.
-func fill(block []byte, from io.Reader) (n int, err error) {
-	for n < len(block) && err == nil {
-		var more int
-
-		more, err = from.Read(block[n:])
-		n += more
+		return false
 	}
-
-	return n, err
 }
 
 func (c *conn) parseAnswer(response *http.Response, body []byte, id string, names header.Names) (Answer, bool, error) {
@@ -356,11 +341,11 @@
 	}
 }
 
-// encode returns the head of a request, with capacity for its body.
+// encode returns the head of a request, with capacity for a short body.
 func encode(ctx context.Context, r Request, names header.Names) []byte {
 	const usualHead = 512
 
-	b := bytes.NewBuffer(make([]byte, 0, usualHead+len(r.Body)))
+	b := bytes.NewBuffer(make([]byte, 0, usualHead+min(len(r.Body), readBuffer)))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -159,8 +159,8 @@
 	switch {
 	case err == nil:
 		return reply, nil
-	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFrameTooLarge):
-		// Nothing of the call has left this process.
+	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFrameTooLarge), errors.Is(err, peer.ErrOverloaded):
+		// Nothing of the call has left this process, or the other node has not passed it on.
 		return forward.Reply{Result: forward.Refused, Reason: err.Error()}, err
 	}
 
@@ -184,6 +184,8 @@
 		return balancer.Abandoned
 	case s.ctx.Err() != nil:
 		return balancer.Failed // no reply before the deadline
+	case errors.Is(err, peer.ErrOverloaded), errors.Is(err, peer.ErrNoMemory):
+		return balancer.Busy
 	case err != nil:
 		return balancer.Unreached
 	case reply.Result == forward.Refused && reply.Reason == forward.ReasonNone:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -66,6 +66,21 @@
 	return r.Notice.Check()
 }
 
+// Size returns about how many bytes the request has when it is encoded.
+func (r Request) Size() int { return len(r.Body) + size(r.Header) }
+
+// size returns about how many bytes fields have when they are encoded.
+func size(fields []call.Field) int {
+	const others = 8 // codes and lengths
+
+	n := 0
+	for _, f := range fields {
+		n += len(f.Name) + len(f.Value) + others
+	}
+
+	return n
+}
+
 // Remaining returns the time until the caller's deadline.
 func (r *Request) Remaining() time.Duration { return time.Duration(r.RemainingMs) * time.Millisecond }
 
@@ -173,6 +188,9 @@
 	return r.Notice.Check()
 }
 
+// Size returns about how many bytes the reply has when it is encoded.
+func (r Reply) Size() int { return len(r.Body) + size(r.Header) }
+
 // Elsewhere reports whether the node rejected the call in favor of other nodes, and would
 // run it if they do not.
 func (r *Reply) Elsewhere() bool {
--- a/internal/frontend/attempt.go
+++ b/internal/frontend/attempt.go
@@ -180,7 +180,7 @@
 // ErrNodeStopped means that this node is stopping while the caller still waits.
 func refusalOf(ctx context.Context, err error) error {
 	ran := call.RanUnknown
-	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge) {
+	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge) || errors.Is(err, peer.ErrOverloaded) {
 		ran = call.RanNo
 	}
 
--- a/internal/nesting/nesting.go
+++ b/internal/nesting/nesting.go
@@ -62,6 +62,20 @@
 	return nil
 }
 
+// CountMsgpack returns the number of values, nested ones included, in data, which is one or more msgpack values.
+// Decoded, each takes memory beside its bytes.
+func CountMsgpack(data []byte) int {
+	n := 0
+
+	for len(data) > 0 {
+		size, _ := value(data)
+		data = data[min(size, uint64(len(data))):]
+		n++
+	}
+
+	return n
+}
+
 // UnmarshalMsgpack decodes one msgpack value that is not nested too deeply.
 func UnmarshalMsgpack(data []byte, out any) error {
 	if err := CheckMsgpack(data); err != nil {
--- a/internal/nesting/nesting_test.go
+++ b/internal/nesting/nesting_test.go
@@ -69,3 +69,11 @@
 	assert.NilError(t, json.Unmarshal(nesting.PruneJSON([]byte(deep), 3), &values))
 	assert.Equal(t, len(values), 3)
 }
+
+func TestCountMsgpackCountsNestedValues(t *testing.T) {
+	data, err := msgpack.Marshal([]any{"a", []string{"b", "c"}, map[string]int{"d": 1}})
+	assert.NilError(t, err)
+	assert.Equal(t, nesting.CountMsgpack(data), 8)
+	assert.Equal(t, nesting.CountMsgpack(data[:len(data)-1]), 7)
+	assert.Equal(t, nesting.CountMsgpack(nil), 0)
+}
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -123,7 +123,7 @@
 
 // neverSent reports whether the error shows that no part of the message left this process.
 func (g *guard) neverSent(err error) bool {
-	return errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge)
+	return errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrFrameTooLarge) || errors.Is(err, peer.ErrOverloaded)
 }
 
 // closeRetryDelay is the pause before a request to close an attempt is retried.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/idle"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
 
@@ -84,12 +85,22 @@
 	e := newEncoder()
 	defer e.free()
 
+	if size := sizeOf(in); size > smallMessage {
+		free, err := takeMessage(membudget.From(ctx), size)
+		if err != nil {
+			return err
+		}
+		defer free()
+
+		e.grow(size)
+	}
+
 	body, err := e.message(in)
 	if err != nil {
 		return err
 	}
 
-	if len(body) > MaxFrame/2 {
+	if len(body) > MaxMessage {
 		return ErrFrameTooLarge.With("message of %d bytes", len(body))
 	}
 
@@ -110,7 +121,27 @@
 		return remoteFault(key.address, answer.Fault)
 	}
 
-	return Decode(answer.Body, out)
+	err = Decode(answer.Body, out)
+
+	if len(answer.Body) > smallFrame {
+		membudget.From(ctx).Free(membudget.Answers, len(answer.Body))
+	}
+
+	return err
+}
+
+// takeMessage takes the memory to encode a message, in two forms, and returns a function that frees it.
+func takeMessage(charge *membudget.Charge, size int) (free func(), err error) {
+	const forms = 2
+
+	switch {
+	case size > MaxMessage:
+		return nil, ErrFrameTooLarge.With("message of %d bytes", size)
+	case !charge.Take(membudget.Requests, forms*size):
+		return nil, ErrOverloaded.With("message of %d bytes", size)
+	}
+
+	return func() { charge.Free(membudget.Requests, forms*size) }, nil
 }
 
 // remoteFault returns the error for a fault that the peer reports. Errors which say that nothing left
--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pollencart/pollencart/internal/membudget"
 )
 
 // exchange sends a request on the shared connection and waits for the answer. If the
@@ -30,6 +32,12 @@
 	}
 }
 
+// pending is a request without an answer.
+type pending struct {
+	answer chan *Frame
+	charge *membudget.Charge // takes the memory of the answer
+}
+
 type clientConn struct {
 	client  *Client
 	key     connKey
@@ -44,7 +52,7 @@
 	replacement *replacement
 
 	mu            sync.Mutex
-	pending       map[uint64]chan *Frame
+	pending       map[uint64]pending
 	lastID        uint64
 	broken        bool
 	closedIdle    bool
@@ -59,7 +67,7 @@
 
 func newClientConn(c *Client, key connKey) *clientConn {
 	return &clientConn{
-		client: c, key: key, ready: make(chan struct{}), firstFrame: make(chan struct{}), pending: map[uint64]chan *Frame{},
+		client: c, key: key, ready: make(chan struct{}), firstFrame: make(chan struct{}), pending: map[uint64]pending{},
 	}
 }
 
@@ -125,7 +133,7 @@
 	in := bufio.NewReaderSize(cc.conn, readBuffer)
 
 	for n := 0; ; n++ {
-		f, size, err := Read(in)
+		f, size, err := cc.readFrame(in)
 		if err != nil {
 			break
 		}
@@ -146,6 +154,49 @@
 	cc.fail()
 }
 
+// readFrame reads the next frame, whose memory is taken from the charge of its request. Without room the answer
+// is discarded, and the frame is a fault in its place.
+func (cc *clientConn) readFrame(in *bufio.Reader) (*Frame, int, error) {
+	const forms = 2 // the frame and its decoded message
+
+	size, err := readSize(in)
+	if err != nil {
+		return nil, 0, err
+	}
+
+	if size > smallFrame {
+		if p := peek(in, size); p.kind == KindAnswer && !cc.chargeOf(p.id).Claim(membudget.Answers, forms*size) {
+			return noMemory(p.id), size, skip(in, size)
+		}
+
+		return readFrame(in, size)
+	}
+
+	f, size, err := readFrame(in, size)
+	if err != nil || f.Kind != KindAnswer {
+		return f, size, err
+	}
+
+	if charge := cc.chargeOf(f.ID); charge != nil && !charge.Claim(membudget.Answers, messageBytes(f.Body)) {
+		f = noMemory(f.ID)
+	}
+
+	return f, size, nil
+}
+
+// noMemory returns the answer to a request for whose answer there is no memory.
+func noMemory(id uint64) *Frame {
+	return &Frame{Kind: KindAnswer, ID: id, Fault: ErrNoMemory}
+}
+
+// chargeOf returns the charge of a pending request, or nil.
+func (cc *clientConn) chargeOf(id uint64) *membudget.Charge {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+
+	return cc.pending[id].charge
+}
+
 func (cc *clientConn) deliver(f *Frame) {
 	waiting := cc.removePending(f.ID)
 	if waiting != nil {
@@ -157,7 +208,7 @@
 // answer, or nil.
 func (cc *clientConn) removePending(id uint64) chan *Frame {
 	cc.mu.Lock()
-	waiting := cc.pending[id]
+	waiting := cc.pending[id].answer
 	delete(cc.pending, id)
 
 	if len(cc.pending) == 0 {
@@ -189,9 +240,9 @@
 	defer cc.mu.Unlock()
 
 	cc.broken = true
-	for id, waiting := range cc.pending {
+	for id, p := range cc.pending {
 		delete(cc.pending, id)
-		close(waiting)
+		close(p.answer)
 	}
 }
 
@@ -220,7 +271,7 @@
 
 	cc.lastID++
 	f.ID = cc.lastID
-	cc.pending[f.ID] = waiting
+	cc.pending[f.ID] = pending{waiting, membudget.From(ctx)}
 	cc.liveness.start(cc)
 	cc.mu.Unlock()
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// grow makes room for a message of a size in bytes, so that the buffer is not copied as it grows.
+func (e *encoder) grow(size int) {
+	const others = 1 << 10 // beside what the size counts
+
+	e.buf.Reset()
+	e.buf.Grow(size + others)
+}
+
 // message encodes a message without a frame. The returned bytes are valid until free.
 func (e *encoder) message(v any) ([]byte, error) {
 	e.buf.Reset()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -32,6 +32,9 @@
 // before memory is allocated; otherwise one corrupt length would exhaust the node's memory.
 const MaxFrame = 8 << 20
 
+// MaxMessage bounds the message of a request in bytes.
+const MaxMessage = MaxFrame / 2
+
 const lengthBytes = 4
 
 // Errors of the connection.
@@ -43,6 +46,11 @@
 	ErrUnreachable = errs.New("peer.unreachable", http.StatusServiceUnavailable, "peer can't be reached")
 	// ErrBroken means that the request may have reached the peer.
 	ErrBroken = errs.New("peer.broken", http.StatusBadGateway, "connection broke before the answer")
+	// ErrOverloaded means that a node has no memory for the request. No handler got it, or no byte of it left this
+	// process.
+	ErrOverloaded = errs.New("peer.overloaded", http.StatusServiceUnavailable, "no memory for the request")
+	// ErrNoMemory means that the answer came, and that this node has no memory for it.
+	ErrNoMemory = errs.New("peer.no_memory", http.StatusBadGateway, "no memory for the answer")
 	// ErrHandler means that the handler of the peer panicked; the request may have had effects.
 	ErrHandler = errs.New("peer.handler", http.StatusBadGateway, "the peer failed to handle the request")
 	// ErrNoMethod means that the peer does not know the method.
@@ -110,20 +118,35 @@
 // It returns io.EOF if the connection ends between frames and ErrFrameShort if it ends within
 // a frame.
 func Read(r *bufio.Reader) (*Frame, int, error) {
+	size, err := readSize(r)
+	if err != nil {
+		return nil, 0, err
+	}
+
+	return readFrame(r, size)
+}
+
+// readSize reads the length prefix of a frame.
+func readSize(r *bufio.Reader) (int, error) {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(r, head[:1]); err != nil {
-		return nil, 0, io.EOF
+		return 0, io.EOF
 	}
 
 	if _, err := io.ReadFull(r, head[1:]); err != nil {
-		return nil, 0, ErrFrameShort.Wrap(err)
+		return 0, ErrFrameShort.Wrap(err)
 	}
 
 	size := binary.BigEndian.Uint32(head[:])
 	if size > MaxFrame {
-		return nil, 0, ErrFrameTooLarge.With("%d bytes, limit %d", size, MaxFrame)
+		return 0, ErrFrameTooLarge.With("%d bytes, limit %d", size, MaxFrame)
 	}
 
+	return int(size), nil
+}
+
+// readFrame reads a frame whose length prefix was read.
+func readFrame(r *bufio.Reader, size int) (*Frame, int, error) {
 	body := make([]byte, size)
 	if n, err := io.ReadFull(r, body); err != nil {
 		return nil, 0, ErrFrameShort.With("%d of %d bytes", n, size).Wrap(err)
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pollencart/pollencart/internal/contain"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/timeline"
 )
 
@@ -66,6 +67,10 @@
 	AcceptFailed func(error)
 	// Panicked is called with a panic of a handler; its request is answered with ErrHandler.
 	Panicked func(contain.Caught)
+	// Budget is the memory for what other nodes send and for answers to them. Refusable are the methods whose
+	// requests are refused with ErrOverloaded if it has no room.
+	Budget    *membudget.Budget
+	Refusable []string
 	// WaitOnSuspect reports whether requests keep waiting on suspect connections instead of
 	// failing. It is true while a node drains: the peer may still be working on the requests,
 	// and the host has little processor time.
@@ -117,6 +122,11 @@
 // connections.
 func WaitOnSuspect(f func() bool) Option { return func(o *Options) { o.WaitOnSuspect = f } }
 
+// WithBudget sets the memory for what other nodes send, and the methods whose requests are refused without.
+func WithBudget(b *membudget.Budget, refusable ...string) Option {
+	return func(o *Options) { o.Budget, o.Refusable = b, refusable }
+}
+
 // WithIdleTimeout sets how long an unused control connection is kept open.
 func WithIdleTimeout(d time.Duration) Option { return func(o *Options) { o.IdleTimeout = d } }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,13 +4,16 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/contain"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -125,6 +128,9 @@
 func (s *Server) serveConn(raw net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 
+	account, ok := s.options.Budget.Open(raw.RemoteAddr().String(), linkBytes, func() { _ = raw.Close() })
+	defer account.Close()
+
 	defer func() {
 		cancel()
 		s.mu.Lock()
@@ -133,6 +139,10 @@
 		_ = raw.Close()
 	}()
 
+	if !ok {
+		return
+	}
+
 	conn, err := s.handshake(raw)
 	if err != nil {
 		return
@@ -140,27 +150,25 @@
 
 	sc := &serverConn{
 		server:  s,
+		conn:    conn,
+		account: account,
+		in:      bufio.NewReaderSize(conn, readBuffer),
 		out:     newWriter(conn, &s.Sent),
 		slots:   make(chan struct{}, s.options.MaxInFlight),
 		running: map[uint64]context.CancelFunc{},
 	}
 	s.setWriter(raw, sc.out)
 
-	in := bufio.NewReaderSize(conn, readBuffer)
-
-	for n := 0; ; n++ {
-		f, size, err := Read(in)
+	for {
+		f, charge, err := sc.read()
 		if err != nil {
 			return
 		}
 
-		if n == 0 {
-			_ = conn.SetReadDeadline(time.Time{})
+		if f != nil {
+			s.options.Clock.Observe(f.Clock)
+			sc.receive(ctx, f, charge)
 		}
-
-		s.Received.Add(int64(size))
-		s.options.Clock.Observe(f.Clock)
-		sc.receive(ctx, f)
 	}
 }
 
@@ -182,20 +190,140 @@
 }
 
 type serverConn struct {
-	server *Server
-	out    *writer
-	slots  chan struct{}
-	peer   atomic.Pointer[string] // address of the node at the other end
+	server  *Server
+	account *membudget.Account
+	conn    net.Conn
+	in      *bufio.Reader
+	known   bool // a whole frame was read
+	out     *writer
+	slots   chan struct{}
+	peer    atomic.Pointer[string] // address of the node at the other end
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
 }
 
-func (c *serverConn) receive(ctx context.Context, f *Frame) {
+// read reads the next frame with the charge for its memory. The frame is nil if it was refused.
+func (c *serverConn) read() (*Frame, *membudget.Charge, error) {
+	size, err := readSize(c.in)
+	if err != nil {
+		return nil, nil, err
+	}
+
+	charge := c.server.options.Budget.Charge()
+
+	if size > smallFrame {
+		if err := c.admitLarge(size, charge); err != nil {
+			return nil, nil, c.refuseUnread(size, err)
+		}
+	}
+
+	f, n, err := readFrame(c.in, size)
+	c.server.Received.Add(int64(n))
+
+	if err != nil {
+		charge.Release()
+
+		return nil, nil, err
+	}
+
+	if !c.known || size > smallFrame {
+		c.known = true
+		c.account.Resume()
+
+		return f, charge, c.conn.SetReadDeadline(time.Time{})
+	}
+
+	return f, charge, nil
+}
+
+// admitLarge takes the memory of a large frame, which is then waited for. A node that has sent no whole frame yet may
+// be any client.
+func (c *serverConn) admitLarge(size int, charge *membudget.Charge) error {
+	p := peek(c.in, size)
+
+	take := charge.Claim // what nodes need to work together
+	if !c.known || c.server.isRefusable(p) {
+		take = charge.Take
+	}
+
+	if !take(membudget.Requests, size) {
+		return &unread{p.id}
+	}
+
+	if !c.known {
+		return nil // waited for since the connection was accepted
+	}
+
+	c.account.Wait()
+
+	return c.conn.SetReadDeadline(time.Now().Add(largeFrameTimeout))
+}
+
+// unread is the error for a request that was refused before it was read.
+type unread struct{ id uint64 }
+
+func (u *unread) Error() string { return "request was refused" }
+
+// refuseUnread answers a request that was refused before it was read, and reads past it.
+func (c *serverConn) refuseUnread(size int, err error) error {
+	var u *unread
+	if !errors.As(err, &u) || !c.known {
+		return err
+	}
+
+	if err := c.conn.SetReadDeadline(time.Now().Add(largeFrameTimeout)); err != nil {
+		return err
+	}
+
+	if err := skip(c.in, size); err != nil {
+		return err
+	}
+
+	c.refuse(u.id)
+
+	return c.conn.SetReadDeadline(time.Time{})
+}
+
+// refuse answers that a request got to no handler.
+func (c *serverConn) refuse(id uint64) {
+	data, err := Encode(&Frame{Kind: KindAnswer, ID: id, Clock: c.server.options.Clock.Now(), Fault: ErrOverloaded})
+	if err == nil && !c.blocked() {
+		_ = c.out.write(data) // the read loop closes a broken connection
+	}
+}
+
+func (s *Server) isRefusable(p preview) bool {
+	return p.kind == KindRequest && slices.Contains(s.options.Refusable, p.method)
+}
+
+// admit takes the memory for the message of a request. It reports whether there is room.
+func (c *serverConn) admit(f *Frame, charge *membudget.Charge) bool {
+	if c.server.isRefusable(preview{kind: f.Kind, method: f.Method}) {
+		return charge.Take(membudget.Requests, requestBytes+messageBytes(f.Body))
+	}
+
+	charge.Force(membudget.Requests, requestBytes+2*len(f.Body))
+
+	return true
+}
+
+func (c *serverConn) receive(ctx context.Context, f *Frame, charge *membudget.Charge) {
+	if f.Kind != KindRequest {
+		defer charge.Release()
+	}
+
 	switch f.Kind {
 	case KindCancel:
 		c.cancel(f.ID)
 	case KindRequest:
+		if !c.admit(f, charge) {
+			charge.Release()
+			c.refuse(f.ID)
+
+			return
+		}
+
 		c.slots <- struct{}{}
 
 		ctx, cancel := requestContext(ctx, f)
@@ -210,8 +338,9 @@
 			defer c.server.running.Add(-1)
 			defer func() { <-c.slots }()
 			defer c.cancel(f.ID)
+			defer charge.Release()
 
-			c.answer(ctx, f)
+			c.answer(membudget.With(ctx, charge), f, charge)
 		}()
 	case KindHello:
 		c.peer.Store(&f.Method)
@@ -247,7 +376,7 @@
 	}
 }
 
-func (c *serverConn) answer(ctx context.Context, f *Frame) {
+func (c *serverConn) answer(ctx context.Context, f *Frame, charge *membudget.Charge) {
 	out := &Frame{Kind: KindAnswer, ID: f.ID, Clock: c.server.options.Clock.Now()}
 
 	message, err := c.server.handle(ctx, f)
@@ -258,6 +387,14 @@
 	e := newEncoder()
 	defer e.free()
 
+	if size := sizeOf(message); size > smallMessage {
+		if charge.Await(ctx, membudget.Answers, size) {
+			e.grow(size)
+		} else {
+			out.Fault, message = ErrHandler.With("no memory for its answer"), nil
+		}
+	}
+
 	if err := e.frame(out, message); err != nil {
 		out.Fault = errs.From(err)
 
@@ -266,6 +403,10 @@
 		}
 	}
 
+	if size := sizeOf(message); size > smallMessage {
+		charge.Free(membudget.Answers, size) // only the frame is kept, which may wait for the other node
+	}
+
 	if !c.blocked() {
 		_ = c.out.write(e.buf.Bytes())
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -137,6 +137,7 @@
 		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress), peer.WithDialTimeout(dialTimeout),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
 		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic),
+		peer.WithBudget(n.memory, forward.MethodRun),
 		peer.Exchanged(func(e peer.Exchange) { n.meter.Exchanged(e, n.table.NearAt(e.Address)) }),
 	}
 	n.server = peer.NewServer(links...)
