--- a/internal/peer/cut_test.go
+++ b/internal/peer/cut_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"strings"
@@ -52,7 +53,13 @@
 	}
 	defer func() { _ = out.Close() }()
 
-	go func() { _, _ = io.Copy(out, in) }()
+	// A link that breaks before the request is sent is another failure.
+	begun := make([]byte, 1)
+	if _, err := io.ReadFull(in, begun); err != nil {
+		return
+	}
+
+	go func() { _, _ = io.Copy(out, io.MultiReader(bytes.NewReader(begun), in)) }()
 
 	n, _ := io.Copy(in, io.LimitReader(out, r.passed.Load()))
 	r.replied.Store(n)
