httpserver: the platform's and collectors' listeners stay within the memory of the machine

Operators saw a node over its memory by heads without end at the ready, announce or metrics address.

Cause: net/http allows a megabyte a head, five to ten times that decoded, and any number of connections.

Change: internal/httpserver takes connections, the lines of heads as they are read, bodies and requests from the budget of the process, and closes a connection without room. 64 connections each; for one more, the one that has waited longest is closed. Writes end after 10 s, reads of a request after 10 s, idle connections after 2 minutes.

Why it works: the decoded size is taken line by line, before net/http has the rest, and a readiness check gets in beside any number of connections that only stay.

--- /dev/null
+++ b/internal/httpserver/httpserver_test.go
@@ -0,0 +1,162 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/internal/httpserver"
+	"github.com/pollencart/pollencart/internal/membudget"
+)
+
+const waitLimit = 20 * time.Second
+
+// serve returns the address of a server that answers with the body of each request, or with 413 if it can't be read.
+func serve(t *testing.T, b *membudget.Budget, opts ...httpserver.Option) (*httpserver.Server, string) {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	s := httpserver.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if errors.Is(err, membudget.ErrNoRoom) {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		}
+
+		_, _ = w.Write(body)
+	}), b, opts...)
+
+	go func() { _ = s.Serve(s.Listener(l)) }()
+
+	t.Cleanup(func() { _ = s.Close() })
+
+	return s, l.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(waitLimit)))
+	t.Cleanup(func() { _ = c.Close() })
+
+	return c, bufio.NewReader(c)
+}
+
+func get(t *testing.T, c net.Conn, in *bufio.Reader) int {
+	t.Helper()
+
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+
+	r, err := http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+
+	_, err = io.Copy(io.Discard, r.Body)
+	assert.NilError(t, err)
+
+	return r.StatusCode
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+
+	for began := time.Now(); !f(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(began) < waitLimit)
+	}
+}
+
+func TestMemoryOfRequestsAndConnectionsIsFreed(t *testing.T) {
+	b := membudget.New(10 << 20)
+	s, address := serve(t, b)
+	c, in := dial(t, address)
+
+	for range 3 {
+		assert.Equal(t, get(t, c, in), http.StatusOK)
+	}
+
+	eventually(t, func() bool { return b.Usage().ByPart[membudget.Requests] == 0 })
+	assert.Assert(t, b.Usage().ByPart[membudget.Connections] > 0)
+	assert.NilError(t, c.Close())
+	eventually(t, func() bool { return b.Usage().Held == 0 && s.Connections() == 0 })
+}
+
+// Guards against heads whose decoded fields take the memory of the process.
+func TestHeadWithoutMemoryClosesItsConnection(t *testing.T) {
+	_, address := serve(t, membudget.New(300<<10))
+	c, in := dial(t, address)
+
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 3000)+"\r\n")
+	assert.NilError(t, err)
+
+	_, err = http.ReadResponse(in, nil)
+	assert.Assert(t, err != nil)
+
+	c, in = dial(t, address)
+	assert.Equal(t, get(t, c, in), http.StatusOK)
+}
+
+// Guards against connections that only stay and keep a readiness check out.
+func TestOldestConnectionIsClosedAtTheLimit(t *testing.T) {
+	const most = 5
+
+	s, address := serve(t, membudget.New(10<<20), httpserver.MaxConns(most))
+	oldest, _ := dial(t, address)
+
+	for range 10 * most {
+		c, in := dial(t, address)
+		assert.Equal(t, get(t, c, in), http.StatusOK)
+	}
+
+	_, err := oldest.Read(make([]byte, 1))
+	assert.Assert(t, err != nil && !errors.Is(err, io.ErrNoProgress))
+	eventually(t, func() bool { return s.Connections() <= most })
+}
+
+// Guards against bodies that take the memory of the process.
+func TestBodyWithoutMemoryIsNotRead(t *testing.T) {
+	_, address := serve(t, membudget.New(1<<20))
+
+	for size, status := range map[int]int{10 << 10: http.StatusOK, 2 << 20: http.StatusRequestEntityTooLarge} {
+		r, err := http.Post("http://"+address, "", strings.NewReader(strings.Repeat("x", size)))
+		assert.NilError(t, err)
+		assert.Check(t, r.StatusCode == status, "%d: %d", size, r.StatusCode)
+
+		_, _ = io.Copy(io.Discard, r.Body)
+		assert.NilError(t, r.Body.Close())
+	}
+}
+
+// Guards against requests that are served without memory for them.
+func TestRequestWithoutMemoryIsRefused(t *testing.T) {
+	b := membudget.New(1 << 20)
+	_, address := serve(t, b, httpserver.Refuse(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	c, in := dial(t, address)
+	assert.Equal(t, get(t, c, in), http.StatusOK)
+
+	others := b.Charge()
+	others.Force(membudget.Requests, 1<<20-b.Usage().Held-100<<10)
+
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+
+	r, err := http.ReadResponse(in, nil)
+	if err == nil { // without memory for the head the connection ends
+		assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	}
+
+	others.Release()
+
+	c, in = dial(t, address)
+	assert.Equal(t, get(t, c, in), http.StatusOK)
+}
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -14,6 +14,7 @@
 	"github.com/pollencart/pollencart/internal/accept"
 	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/httpserver"
 	"github.com/pollencart/pollencart/internal/ingress"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -91,17 +92,20 @@
 	n.recorder.Record(event.PanicContained, timeline.Entry{Detail: p.String()})
 }
 
-const readHeaderTimeout = 5 * time.Second
+// readTimeout bounds the time to read a heartbeat or a readiness check.
+const readTimeout = 10 * time.Second
 
 func (n *Sidecar) serveHTTP(register func(*echo.Echo)) func(net.Listener) error {
 	e := echo.New()
 	e.HideBanner = true
 	register(e)
 
-	s := &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	s := httpserver.New(e, n.memory, httpserver.ReadTimeout(readTimeout))
 	n.servers = append(n.servers, s)
 
-	return func(l net.Listener) error { return s.Serve(accept.New(l, accept.Failed(n.recordAcceptFailed))) }
+	return func(l net.Listener) error {
+		return s.Serve(s.Listener(accept.New(l, accept.Failed(n.recordAcceptFailed))))
+	}
 }
 
 // shutdownHTTP stops the HTTP servers for heartbeats, readiness checks and metrics after their
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,7 +16,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,7 @@
 	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/httpserver"
 	"github.com/pollencart/pollencart/internal/ingress"
 	"github.com/pollencart/pollencart/internal/membership"
 	"github.com/pollencart/pollencart/internal/membudget"
@@ -105,7 +105,7 @@
 	listeners []net.Listener
 	// callerListener is the element of listeners that accepts callers.
 	callerListener net.Listener
-	servers        []*http.Server
+	servers        []*httpserver.Server
 }
 
 // New returns a sidecar that does not listen until Run.
