timeline, logsink: entries and queued lines are bounded in bytes

Operators saw a node over its memory by calls with long IDs while the reader of its log stalled.

Cause: 4,096 lines and 1,024 entries were bounded in number. A caller chooses the ID of its call, up to the limit of a head, and JSON writes six bytes for one that is no text.

Change: names of an entry are cut at 128 bytes, its detail at 2 KiB; queued lines have 2 MiB together, further ones are dropped and counted as before.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -34,6 +34,8 @@
 	// queueLength is the capacity of the queue in lines of about 250 bytes: two
 	// seconds of lines at the rate limits, while the reader stalls.
 	queueLength = 4096
+	// maxQueuedBytes bounds the bytes of the queued lines, which may be long.
+	maxQueuedBytes = 2 << 20
 	// DebugPerSecond limits the lines of successful calls. A sample is enough, since
 	// the lines only serve for comparison with failures.
 	DebugPerSecond = 10
@@ -50,6 +52,7 @@
 type Sink struct {
 	out   io.Writer
 	lines chan []byte
+	bytes atomic.Int64 // of the queued lines
 
 	dropped atomic.Int64 // queue full, or the write failed
 	sampled atomic.Int64 // over a rate limit
@@ -82,12 +85,17 @@
 
 // Write queues a copy of the line, or drops the line if the queue is full. It never blocks.
 func (s *Sink) Write(line []byte) (int, error) {
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
+	if s.bytes.Add(int64(len(line))) <= maxQueuedBytes {
+		select {
+		case s.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
 
+	s.bytes.Add(-int64(len(line)))
+	s.dropped.Add(1)
+
 	return len(line), nil
 }
 
@@ -113,9 +121,12 @@
 func (s *Sink) write(line []byte) {
 	const maxWrite = 16 << 10
 
+	s.bytes.Add(-int64(len(line)))
+
 	for len(line) < maxWrite {
 		select {
 		case next := <-s.lines:
+			s.bytes.Add(-int64(len(next)))
 			line = append(line, next...)
 
 			continue
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -100,7 +100,7 @@
 // Once records an entry unless an entry with the same event and detail was already
 // recorded by Once. A sender of unreadable data retries several times a second.
 func (r *Recorder) Once(e event.Event, entry Entry) {
-	name := e.Name + " " + entry.Detail
+	name := e.Name + " " + clip(entry.Detail, maxDetailBytes)
 
 	r.mu.Lock()
 	_, known := r.recorded.Get(name)
@@ -114,6 +114,7 @@
 
 // Record stamps, stores and logs the entry.
 func (r *Recorder) Record(e event.Event, entry Entry) {
+	entry = entry.clipped()
 	entry.Stamp = r.clock.Now()
 	entry.Node = r.options.Node
 	entry.Number = e.Number
@@ -122,6 +123,29 @@
 	r.log(e, entry)
 }
 
+const (
+	// maxNameBytes bounds the names of an entry, and maxDetailBytes its detail: clients choose some of them.
+	maxNameBytes   = 128
+	maxDetailBytes = 2 << 10
+)
+
+// clipped returns the entry with its texts cut to their bounds.
+func (e Entry) clipped() Entry {
+	e.Call, e.Key, e.Peer = clip(e.Call, maxNameBytes), clip(e.Key, maxNameBytes), clip(e.Peer, maxNameBytes)
+	e.Detail = clip(e.Detail, maxDetailBytes)
+
+	return e
+}
+
+// clip returns a copy of the beginning of a long text, which does not keep the rest in memory.
+func clip(text string, most int) string {
+	if len(text) <= most {
+		return text
+	}
+
+	return strings.Clone(text[:most])
+}
+
 func (r *Recorder) add(e event.Event, entry Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
