node: clients of the node without the users' platform stay within the memory of the machine

Operators saw that node over its memory by heads without end at the callers' or the operators' address.

Cause: as for the sidecar, with the bounds of net/http at each listener and none for the sum.

Change: callers and operators are served through internal/httpserver, messages of nodes and answers of backend servers take from the same budget. A call without room is refused with entry.overloaded (503, not run, come back in 0.5 s) or peer.overloaded.

Bodies and answers of this node have no test with a crowd.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -84,6 +84,9 @@
 	return nil
 }
 
+// Size returns about how many bytes the call has when it is encoded.
+func (c Call) Size() int { return len(c.Body) }
+
 // WithRoute returns the call with the settings of its route.
 func (c Call) WithRoute(r settings.Resolved, version uint64) Call {
 	c.Route = r.Path
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -25,6 +25,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/contain"
 	"github.com/pollencart/pollencart/internal/event"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/retry"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
@@ -37,6 +38,7 @@
 	ErrNoRoute        = errs.New("entry.no_route", http.StatusNotFound, "no route takes this request")
 	ErrPanic          = errs.New("entry.panic", http.StatusBadGateway, "the node failed to handle the request")
 	ErrBody           = errs.New("entry.body", http.StatusRequestEntityTooLarge, "request body over the route's limit")
+	ErrOverloaded     = errs.New("entry.overloaded", http.StatusServiceUnavailable, "no memory for the request")
 	ErrNoUpstream     = errs.New("entry.no_upstream", http.StatusServiceUnavailable, "no backend server of the service is ready")
 	ErrDraining       = errs.New("entry.leaving", http.StatusServiceUnavailable, "this node is leaving")
 	ErrNodeStopped    = errs.New("entry.given_up", http.StatusBadGateway, "this node ended before the answer came")
@@ -150,7 +152,7 @@
 	}
 
 	if err != nil {
-		return call.Answer{}, call.Refuse(err, call.RanNo, 0)
+		return call.Answer{}, call.Refuse(err, call.RanNo, retryAfter(err))
 	}
 
 	c = c.WithRoute(route, snapshot.Version().Number)
@@ -164,7 +166,7 @@
 func decode(r *http.Request, id string, limit int) (call.Call, error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if err != nil {
-		return call.Call{}, ErrBody.Wrap(err)
+		return call.Call{}, bodyError(err)
 	}
 
 	if len(body) > limit {
@@ -193,6 +195,39 @@
 	}, nil
 }
 
+// bodyError returns the reason for which a body was not read.
+func bodyError(err error) error {
+	if errors.Is(err, membudget.ErrNoRoom) {
+		return ErrOverloaded.Wrap(err)
+	}
+
+	return ErrBody.Wrap(err)
+}
+
+// retryAfter returns the retry delay of a call that was not accepted, or 0 if another attempt has the same end.
+func retryAfter(err error) time.Duration {
+	if errors.Is(err, ErrOverloaded) {
+		return memoryRetryAfter
+	}
+
+	return 0
+}
+
+// memoryRetryAfter is the retry delay of a call for which there is no memory. Most calls end within it.
+const memoryRetryAfter = 500 * time.Millisecond
+
+// RefuseForMemory answers a call for which there is no memory.
+func (e *Entry) RefuseForMemory(w http.ResponseWriter, r *http.Request) {
+	c := echo.New().NewContext(r, w)
+	id := callID(r)
+
+	w.Header().Set(HeaderNode, e.options.Node)
+	w.Header().Set(HeaderCall, id)
+	w.Header().Set("Connection", "close")
+
+	_ = e.writeRejection(c, id, call.Refuse(ErrOverloaded, call.RanNo, memoryRetryAfter)) // fails if the caller has left
+}
+
 func headerInt(r *http.Request, name string) (int, error) {
 	text := r.Header.Get(name)
 	if text == "" {
--- a/internal/frontend/reasons_test.go
+++ b/internal/frontend/reasons_test.go
@@ -22,10 +22,11 @@
 
 	for _, e := range []*errs.Error{
 		frontend.ErrNoSettings, frontend.ErrDraining, frontend.ErrNoRoute, frontend.ErrHeader, frontend.ErrBody, frontend.ErrNoUpstream,
+		frontend.ErrOverloaded,
 		frontend.ErrDeadline, frontend.ErrNodeStopped, frontend.ErrCanceled, frontend.ErrAnswerMismatch,
 		admission.ErrWait, admission.ErrFull, admission.ErrShare, admission.ErrDeadline, admission.ErrCanceled, admission.ErrClosed,
 		upstream.ErrNone, upstream.ErrUnreached, upstream.ErrShed, upstream.ErrNoAnswer, upstream.ErrTooLarge,
-		peer.ErrUnreachable, peer.ErrBroken,
+		peer.ErrUnreachable, peer.ErrBroken, peer.ErrOverloaded, peer.ErrNoMemory,
 	} {
 		line := fmt.Sprintf("| `%s` | %d |", e.ID, e.Code)
 		assert.Assert(t, strings.Contains(string(page), line), "docs/CALLERS.md lacks %s", line)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -29,6 +29,15 @@
 	Refusal *call.Refusal `msgpack:"Refusal,omitempty"`
 }
 
+// Size returns about how many bytes the reply has when it is encoded.
+func (r Reply) Size() int {
+	if r.Answer == nil {
+		return 0
+	}
+
+	return len(r.Answer.Body)
+}
+
 // Check returns an error unless a decoded reply has either an answer or a refusal.
 func (r *Reply) Check() error {
 	if (r.Answer == nil) == (r.Refusal == nil) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -27,7 +28,10 @@
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/frontend"
 	"github.com/pollencart/pollencart/internal/gate"
+	"github.com/pollencart/pollencart/internal/httpserver"
+	"github.com/pollencart/pollencart/internal/loglimit"
 	"github.com/pollencart/pollencart/internal/membership"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/once"
 	"github.com/pollencart/pollencart/internal/once/attempt"
 	"github.com/pollencart/pollencart/internal/once/shard"
@@ -89,8 +93,10 @@
 
 	listeners      []net.Listener
 	callerListener net.Listener
-	httpServers    []*http.Server
-	callerServer   *http.Server
+	httpServers    []*httpserver.Server
+	callerServer   *httpserver.Server
+	memory         *membudget.Budget
+	evicted        loglimit.Limiter // bounds the lines about closed connections
 }
 
 // New returns a node that does not listen yet.
@@ -101,10 +107,13 @@
 	n.recorder = timeline.New(timeline.Node(c.ID), timeline.Logger(logger))
 	n.faults = &peer.Faults{}
 
+	n.memory = membudget.New(membudget.SizeFor(c.MemoryBytes()))
+	n.memory.OnClosed(n.recordEvicted)
+
 	peerOptions := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
-		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic),
+		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic), peer.WithBudget(n.memory, gate.MethodRun),
 	}
 
 	if c.TLS != nil {
@@ -175,15 +184,16 @@
 		}
 	}
 
-	n.callerServer = newHTTP(n.entryHandler())
+	n.callerServer = httpserver.New(n.entryHandler(), n.memory, httpserver.MaxConns(maxCallers), httpserver.Refuse(n.entry.RefuseForMemory))
 	n.callerServer.BaseContext = func(net.Listener) context.Context { return n.work }
+	control := httpserver.New(n.controlHandler(), n.memory)
 	handlers := []struct {
 		address string
 		serve   func(net.Listener)
 	}{
 		{n.config.PeerAddress, n.servePeers},
 		{n.config.CallerAddress, n.serveHTTP(n.callerServer)},
-		{n.config.ControlAddress, n.serveHTTP(newHTTP(n.controlHandler()))},
+		{n.config.ControlAddress, n.serveHTTP(control)},
 	}
 
 	for _, h := range handlers {
@@ -195,9 +205,15 @@
 		}
 
 		n.listeners = append(n.listeners, l)
+		l = accept.New(l, accept.Failed(n.recordAcceptFailed))
 
 		if h.address == n.config.CallerAddress {
-			n.callerListener = l
+			n.callerListener = n.listeners[len(n.listeners)-1]
+			l = n.callerServer.Listener(l)
+		}
+
+		if h.address == n.config.ControlAddress {
+			l = control.Listener(l)
 		}
 
 		if h.address == n.config.ControlAddress && n.tlsSource != nil && n.config.TLS.Operators {
@@ -210,20 +226,13 @@
 	return nil
 }
 
-// readHeaderTimeout bounds the time to read a request header; without it, slow or idle
-// connections exhaust the resources of the process.
-const readHeaderTimeout = 5 * time.Second
-
-func newHTTP(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-}
+// maxCallers bounds the connections of callers.
+const maxCallers = 3000
 
-func (n *Node) serveHTTP(s *http.Server) func(net.Listener) {
+func (n *Node) serveHTTP(s *httpserver.Server) func(net.Listener) {
 	n.httpServers = append(n.httpServers, s)
 
-	return func(l net.Listener) {
-		n.recordServeError(s.Serve(accept.New(l, accept.Failed(n.recordAcceptFailed))))
-	}
+	return func(l net.Listener) { n.recordServeError(s.Serve(l)) }
 }
 
 func (n *Node) servePeers(l net.Listener) { n.recordServeError(n.server.Serve(l)) }
@@ -238,6 +247,13 @@
 	n.recorder.Record(event.PanicContained, timeline.Entry{Detail: p.String()})
 }
 
+func (n *Node) recordEvicted(c membudget.Closed) {
+	if leftOut, ok := n.evicted.Next(time.Now()); ok {
+		n.recorder.Record(event.ConnectionEvicted, timeline.Entry{Peer: c.Client, Detail: fmt.Sprintf(
+			"held %d bytes, moved %d a second, waited for %s, without a line before %d", c.Held, c.Pace, c.Waited, leftOut)})
+	}
+}
+
 func (n *Node) recordAcceptFailed(err error) {
 	n.recorder.Record(event.AcceptFailed, timeline.Entry{Detail: err.Error()})
 }
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -15,6 +15,7 @@
 	"github.com/pollencart/pollencart/internal/call"
 	"github.com/pollencart/pollencart/internal/http1/transport"
 	"github.com/pollencart/pollencart/internal/invariant"
+	"github.com/pollencart/pollencart/internal/membudget"
 	"github.com/pollencart/pollencart/internal/timeline"
 	"github.com/pollencart/pollencart/pkg/errs"
 )
@@ -151,7 +152,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	return readAnswer(resp)
+	return readAnswer(req.Context(), resp)
 }
 
 func newRequest(ctx context.Context, address string, c call.Call) (*http.Request, error) {
@@ -199,8 +200,16 @@
 	return call.Refuse(ErrNoAnswer.Wrap(err), call.RanUnknown, time.Second)
 }
 
-func readAnswer(resp *http.Response) (call.Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+// readAnswer reads an answer. Its memory is that of the call.
+func readAnswer(ctx context.Context, resp *http.Response) (call.Answer, error) {
+	charge, size := membudget.From(ctx), MaxAnswer+1
+	if resp.ContentLength >= 0 {
+		size = int(min(resp.ContentLength, MaxAnswer+1))
+	}
+
+	body, err := membudget.ReadBody(resp.Body, size, func(n int) bool {
+		return charge.Await(ctx, membudget.Answers, n)
+	}, func(n int) { charge.Free(membudget.Answers, n) })
 	if err != nil {
 		return call.Answer{}, call.Refuse(ErrNoAnswer.Wrap(err), call.RanUnknown, time.Second)
 	}
