forward/upload: long uploads reach other hosts, within the memory of the machine

A caller whose upload of 60 MB, within max-body-bytes, reached a node of another service was told 503 and to come back, for ever; the node was killed for its memory with all that it had passed on.

Cause: a message between nodes has 4 MiB at most, and the whole message was encoded, in a buffer that doubles, before its length was looked at, for up to four nodes in turn.

Change: a longer body is sent in parts of 256 KiB first, under a name of its own; the gate takes the memory for all with the first part, and runs the call that names it. Nothing runs before the last part is there, so a refusal is true. Parts without a call are dropped after 5 s.

--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -9,6 +9,7 @@
 	"github.com/pollencart/pollencart/internal/balancer"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/forward/upload"
 	"github.com/pollencart/pollencart/internal/ingress"
 	"github.com/pollencart/pollencart/internal/peer"
 	"github.com/pollencart/pollencart/internal/retrybudget"
@@ -152,10 +153,38 @@
 		do = s.dispatcher.options.Peers.DoElsewhere
 	}
 
+	if len(s.request.Body) >= upload.MinBytes {
+		return s.sendUploaded(c.Address)
+	}
+
 	var reply forward.Reply
 
 	err := do(s.ctx, c.Address, peer.LaneCalls, forward.MethodRun, s.request, &reply)
 
+	return outcome(reply, err)
+}
+
+// sendUploaded sends a call whose body does not fit into a message. Until its parts are there, it does not run.
+func (s *callState) sendUploaded(address string) (forward.Reply, error) {
+	peers := s.dispatcher.options.Peers
+
+	id, err := upload.Send(s.ctx, peers, address, s.request.Body)
+	if err != nil {
+		return forward.Reply{Result: forward.Refused, Reason: err.Error()}, err
+	}
+
+	uploaded := forward.Uploaded{Upload: id, Request: s.request}
+	uploaded.Request.Body = nil
+
+	var reply forward.Reply
+
+	err = peers.Do(s.ctx, address, peer.LaneCalls, forward.MethodRunUploaded, uploaded, &reply)
+
+	return outcome(reply, err)
+}
+
+// outcome returns what is known of a call after an attempt to send it.
+func outcome(reply forward.Reply, err error) (forward.Reply, error) {
 	switch {
 	case err == nil:
 		return reply, nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -32,6 +32,7 @@
 	"github.com/pollencart/pollencart/internal/epoch"
 	"github.com/pollencart/pollencart/internal/event"
 	"github.com/pollencart/pollencart/internal/forward"
+	"github.com/pollencart/pollencart/internal/forward/upload"
 	"github.com/pollencart/pollencart/internal/httpserver"
 	"github.com/pollencart/pollencart/internal/ingress"
 	"github.com/pollencart/pollencart/internal/membership"
@@ -137,7 +138,7 @@
 		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress), peer.WithDialTimeout(dialTimeout),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
 		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic),
-		peer.WithBudget(n.memory, forward.MethodRun),
+		peer.WithBudget(n.memory, forward.MethodRun, forward.MethodPart, forward.MethodRunUploaded),
 		peer.Exchanged(func(e peer.Exchange) { n.meter.Exchanged(e, n.table.NearAt(e.Address)) }),
 	}
 	n.server = peer.NewServer(links...)
@@ -225,6 +226,11 @@
 	n.server.Handle(membership.MethodDigest, peer.Typed(n.gossip.ServeDigest))
 	n.server.Handle(membership.MethodRecords, peer.Typed(n.gossip.ServeRecords))
 	n.server.Handle(forward.MethodRun, peer.Typed(n.runner.Serve))
+
+	uploads := upload.NewStore(n.memory)
+	n.server.Handle(forward.MethodPart, peer.Typed(uploads.ServePart))
+	n.server.Handle(forward.MethodRunUploaded, peer.Typed(uploads.Runs(n.runner.Serve)))
+
 	n.configsync.Register(n.server)
 
 	n.server.Handle(survey.MethodUse, peer.Typed(n.survey.Serve))
