--- a/cmd/bench/hosts.go
+++ b/cmd/bench/hosts.go
@@ -25,6 +25,7 @@
 	versions := c.Flag("versions", "Have large versions come often beside slowed hosts, and check which one is active.").Bool()
 	strain := c.Flag("strain", "Have endless answers, too few descriptors, logs without readers, odd entries in the store and bad calls.").Bool()
 	answers := c.Flag("answers", "Have backend servers send broken answers, and answers to long uploads before they read them.").Bool()
+	crowds := c.Flag("crowds", "Have crowds of clients hold what they can: heads, bodies, answers, connections, frames.").Bool()
 	keep := c.Flag("keep", "Keep the logs of all seeds.").Bool()
 
 	c.Action(func(*kingpin.ParseContext) error {
@@ -37,7 +38,7 @@
 			broken, err := oneSeed(ctx, hosts.Options{
 				Seed: seed, Length: *length, Hosts: *size, Rate: *rate, Work: *work, Program: *program, Rollout: *rollout,
 				Poison: *poison, Signals: *signals, Versions: *versions,
-				Strain: *strain, Answers: *answers,
+				Strain: *strain, Answers: *answers, Crowds: *crowds,
 			}, *keep)
 			if err != nil {
 				return err
--- a/internal/soak/hosts/hosts.go
+++ b/internal/soak/hosts/hosts.go
@@ -59,6 +59,8 @@
 	Strain bool
 	// Answers has backend servers send broken answers, and answers to long uploads before they are read.
 	Answers bool
+	// Crowds has crowds of clients at single hosts hold what they can, on machines with little memory.
+	Crowds bool
 	// Versions has versions with many routes come often, beside hosts that are slowed, and checks which
 	// one is active on each host, and which keys of callers it takes.
 	Versions bool
@@ -72,6 +74,15 @@
 	return backendWork
 }
 
+// memory returns the memory, in bytes, that a process may have at its peak.
+func (o Options) memory() int64 {
+	if o.Crowds {
+		return crowdMemoryMB * megabyte
+	}
+
+	return maxMemory
+}
+
 const (
 	// settle is how long the fleet has to be whole again after the last fault.
 	settle = 15 * time.Second
@@ -245,6 +256,10 @@
 		h.config.Bounds.ExposeShare = exposeShare
 	}
 
+	if r.options.Crowds {
+		h.config.MemoryMb = crowdMemoryMB
+	}
+
 	for _, address := range []*string{
 		&h.config.CallerAddress, &h.config.PeerAddress, &h.config.ReadyAddress, &h.config.AnnounceAddress, &h.config.MetricsAddress,
 	} {
--- a/internal/soak/hosts/play.go
+++ b/internal/soak/hosts/play.go
@@ -43,20 +43,7 @@
 	var troubles sync.WaitGroup
 
 	for _, h := range r.hosts {
-		r.calling.Go(func() { r.call(callers, h) })
-		r.calling.Go(func() { r.stay(callers, h) })
-
-		if r.options.Versions {
-			r.calling.Go(func() { r.checkVersions(callers, h) })
-		}
-
-		if r.options.Strain {
-			r.strain(callers, h)
-		}
-
-		if r.options.Answers {
-			r.calling.Go(func() { r.sendLong(callers, h) })
-		}
+		r.attend(callers, h)
 	}
 
 	if r.trial != nil {
@@ -102,6 +89,28 @@
 	}
 }
 
+// attend starts the callers and checks of a host.
+func (r *run) attend(callers context.Context, h *host) {
+	r.calling.Go(func() { r.call(callers, h) })
+	r.calling.Go(func() { r.stay(callers, h) })
+
+	if r.options.Versions {
+		r.calling.Go(func() { r.checkVersions(callers, h) })
+	}
+
+	if r.options.Strain {
+		r.strain(callers, h)
+	}
+
+	if r.options.Answers {
+		r.calling.Go(func() { r.sendLong(callers, h) })
+	}
+
+	if r.options.Crowds {
+		r.calling.Go(func() { r.watchMemory(callers, h) })
+	}
+}
+
 // beginSeries starts the series of poison requests and of signals.
 func (r *run) beginSeries(ctx context.Context, troubles *sync.WaitGroup, end time.Time) {
 	if r.options.Poison {
@@ -124,6 +133,12 @@
 		}
 	}
 
+	if r.options.Crowds {
+		random := rand.New(rand.NewPCG(r.options.Seed, crowdStream))
+
+		troubles.Go(func() { r.crowdSeries(ctx, random, end) })
+	}
+
 	if r.options.Signals {
 		for i := range uint64(1 + len(r.hosts)/hostsPerSignals) {
 			random := rand.New(rand.NewPCG(r.options.Seed, signalStream+i))
--- a/internal/soak/hosts/report.go
+++ b/internal/soak/hosts/report.go
@@ -33,6 +33,8 @@
 	Strain Strain
 	// Answers counts the answers of backend servers in a run with broken ones.
 	Answered Answers
+	// Crowds counts the clients of a run with crowds.
+	Crowds Crowds
 	// Broken are the promises that did not hold.
 	Broken []string
 
@@ -225,6 +227,10 @@
 		_, err = fmt.Fprintln(out, &r.Answered)
 	}
 
+	if err == nil && r.Crowds.Clients.Load() > 0 {
+		_, err = fmt.Fprintf(out, "%s, most memory of a process %d MB\n", &r.Crowds, r.Strain.Memory.Load()/megabyte)
+	}
+
 	if err == nil && r.Strain.Uploads.Load() > 0 {
 		_, err = fmt.Fprintln(out, &r.Strain)
 	}
--- a/internal/soak/hosts/strain.go
+++ b/internal/soak/hosts/strain.go
@@ -208,7 +208,7 @@
 		used := peakMemory(h.current().process.Process.Pid)
 
 		for most := r.report.Strain.Memory.Load(); used > most; most = r.report.Strain.Memory.Load() {
-			if r.report.Strain.Memory.CompareAndSwap(most, used) && used > maxMemory {
+			if r.report.Strain.Memory.CompareAndSwap(most, used) && used > r.options.memory() {
 				r.report.broken("%s: a process had %d MB", h.config.Node, used/megabyte)
 			}
 		}
