sidecar: the stand-in of broken answers says that it closes its connections

Cause: the stand-in answers one call on a connection and closes it without saying so, so the node may use the connection for the next call before it sees the end; that is 502, and right. Shown by waiting 30 ms before the close: the test then fails at once without this change and passes with it. Its sound answers now have "Connection: close"; what is checked is the same.

--- a/internal/sidecar/cut_test.go
+++ b/internal/sidecar/cut_test.go
@@ -70,11 +70,12 @@
 	b.write(c, r.Header.Get(names.Call))
 }
 
-// signedHead returns the head of a success with a body of the given length in bytes.
+// signedHead returns the head of a success with a body of the given length in bytes, the last answer of its connection.
 func signedHead(id string, length int) string {
 	names := platform.Headers()
 
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n", names.Call, id, names.Signature, length)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+		names.Call, id, names.Signature, length)
 }
 
 // Guards against an empty or short success that is framed as whole, since the backend server closed in the middle of its answer.
