membudget: who moves at an ordinary pace is closed for nobody, small calls not for large ones

Found by reading: a new connection, or an answer, could close the one that holds the most of all that are waited for, also one that is read at an ordinary pace; and a client that holds much could close many that hold little and are slow.

Change: a connection closes slow ones only; an answer closes one that holds more and would need over 10 s at its pace, in its first second at what it has moved so far; a call is not closed for a client that holds over four times as much.

--- a/internal/membudget/account.go
+++ b/internal/membudget/account.go
@@ -36,10 +36,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	for !b.fits(nil, n, b.limit(n)) {
-		if !b.closeGreediest(nil, n) {
-			return nil, b.refuse()
-		}
+	if !b.fits(nil, n, n, b.limit(n)) {
+		return nil, b.refuse()
 	}
 
 	b.accounts[a] = struct{}{}
@@ -135,12 +133,21 @@
 	return pace
 }
 
-// transferTime returns how long the client needs for what it holds at its pace, or 0 if it is not waited for or
-// that is not known yet. The caller holds budget.mu.
-func (a *Account) transferTime(now time.Time) time.Duration {
+// inCall reports whether the account holds more than its connection. The caller holds budget.mu.
+func (a *Account) inCall() bool { return a.held > a.parts[Connections] }
+
+// slowness returns the transfer time of a client that has been waited for long enough to know it, or 0. The caller
+// holds budget.mu.
+func (a *Account) slowness(now time.Time) time.Duration {
 	if a.waits == 0 || now.Sub(a.waitingSince) < minWait {
 		return 0
 	}
 
+	return a.transferTime(now)
+}
+
+// transferTime returns how long the client needs for what it holds at its pace. In its first second the pace is what
+// it has moved so far. The caller holds budget.mu.
+func (a *Account) transferTime(now time.Time) time.Duration {
 	return time.Duration(float64(a.held) / float64(a.pace(now)+1) * float64(time.Second))
 }
--- a/internal/membudget/charge.go
+++ b/internal/membudget/charge.go
@@ -156,7 +156,7 @@
 		return false
 	}
 
-	return c.budget.fits(c.account, n, limit)
+	return c.budget.fits(c.account, n, c.own()+n, limit)
 }
 
 // add changes what the charge holds. The caller holds budget.mu.
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -71,6 +71,8 @@
 	reserveFactor = 16
 	// reservePart divides the size: one such part is left for answers, and one at the most for other requests.
 	reservePart = 16
+	// greed is how many times as much as a call a client may hold that has the connection of the call closed.
+	greed = 4
 	// minWait is how long a client must have been waited for until it may be closed as slow.
 	minWait = time.Second
 	// maxTransfer is how long a client may need for what it holds.
@@ -153,10 +155,11 @@
 	return b.size - part - min(part, own*reserveFactor)
 }
 
-// fits makes room for n more bytes of a client below a limit, and reports whether there is. The caller holds mu.
-func (b *Budget) fits(a *Account, n, limit int) bool {
+// fits makes room for n more bytes of a client that then holds own bytes, and reports whether there is below a
+// limit. The caller holds mu.
+func (b *Budget) fits(a *Account, n, own, limit int) bool {
 	for b.held+n > limit {
-		if !b.closeSlowest(a) {
+		if !b.closeSlowest(a, own) {
 			return false
 		}
 	}
@@ -185,12 +188,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	return b.closeSlowest(nil)
+	return b.closeSlowest(nil, 0)
 }
 
 // closeSlowest closes the connection, other than that of an account, whose client would need the longest for
-// what it holds. It reports whether there was one to close. The caller holds mu.
-func (b *Budget) closeSlowest(except *Account) bool {
+// what it holds, for a client that holds own bytes. One that holds much closes no call that holds little. It reports
+// whether there was one to close. The caller holds mu.
+func (b *Budget) closeSlowest(except *Account, own int) bool {
 	now := time.Now()
 	if now.Sub(b.noSlow) < rescanAfter {
 		return false
@@ -202,7 +206,11 @@
 	)
 
 	for a := range b.accounts {
-		if transfer := a.transferTime(now); transfer > longest && a != except {
+		if a == except || a.inCall() && a.held*greed < own {
+			continue
+		}
+
+		if transfer := a.slowness(now); transfer > longest {
 			slowest, longest = a, transfer
 		}
 	}
@@ -218,13 +226,15 @@
 	return true
 }
 
-// closeGreediest closes the connection that holds the most of those whose clients are waited for, if it holds more
-// than a number of bytes. The caller holds mu.
+// closeGreediest closes the connection that holds the most of those whose clients are waited for and have not moved
+// at an ordinary pace, if it holds more than a number of bytes. The caller holds mu.
 func (b *Budget) closeGreediest(except *Account, own int) bool {
 	var greediest *Account
 
+	now := time.Now()
+
 	for a := range b.accounts {
-		if a.waits > 0 && a != except && a.held > own {
+		if a.waits > 0 && a != except && a.held > own && a.transferTime(now) > maxTransfer {
 			greediest, own = a, a.held
 		}
 	}
@@ -233,7 +243,7 @@
 		return false
 	}
 
-	b.evict(greediest, time.Now())
+	b.evict(greediest, now)
 
 	return true
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -184,6 +184,46 @@
 	})
 }
 
+// Guards against callers who read at an ordinary pace, and are closed for the answer of another or for a new connection.
+func TestClientOfOrdinaryPaceIsNotClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := membudget.New(1000 * kilobyte)
+		reader, other := open(t, b, kilobyte), open(t, b, kilobyte)
+		assert.Assert(t, reader.Charge().Claim(membudget.Answers, 900*kilobyte))
+		reader.Moved(100 * kilobyte)
+		time.Sleep(100 * time.Millisecond)
+
+		assert.Assert(t, !other.Charge().Claim(membudget.Answers, 200*kilobyte))
+
+		_, ok := b.Open("client", 200*kilobyte, nil)
+		assert.Assert(t, !ok)
+		synctest.Wait()
+		assert.Assert(t, !reader.closed && !other.closed)
+	})
+}
+
+// Guards against calls that hold little and are slow, and are closed for one that holds much.
+func TestGreedyClientClosesNoSmallCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := membudget.New(1000 * kilobyte)
+		slow, idle := open(t, b, kilobyte), open(t, b, 100*kilobyte)
+		assert.Assert(t, slow.Charge().Take(membudget.Requests, 100*kilobyte))
+		time.Sleep(time.Minute)
+
+		greedy := open(t, b, kilobyte)
+		assert.Assert(t, !greedy.Charge().Take(membudget.Requests, 800*kilobyte))
+		synctest.Wait()
+		assert.Assert(t, !slow.closed && idle.closed)
+
+		greedy.Close()
+		time.Sleep(time.Minute)
+		assert.Assert(t, open(t, b, kilobyte).Charge().Take(membudget.Requests, 400*kilobyte))
+		assert.Assert(t, open(t, b, kilobyte).Charge().Take(membudget.Requests, 390*kilobyte))
+		synctest.Wait()
+		assert.Assert(t, slow.closed)
+	})
+}
+
 func TestAwaitEndsWithRoomOrContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := membudget.New(1000 * kilobyte)
