--- a/internal/crowd/fleet_test.go
+++ b/internal/crowd/fleet_test.go
@@ -52,7 +52,8 @@
 
 	defer func() { _ = os.RemoveAll(dir) }()
 
-	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/pollencart", "../../cmd/pollencart-sidecar").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/pollencart", "../../cmd/pollencart-sidecar",
+		"../../cmd/standin").CombinedOutput()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, string(out))
 
@@ -147,7 +148,7 @@
 	return h
 }
 
-// start starts a program with settings. The process is ended with the test.
+// start starts a program with settings in a file.
 func start(t *testing.T, name string, log *os.File, settings any, program string, command ...string) (*exec.Cmd, chan error) {
 	t.Helper()
 
@@ -158,13 +159,22 @@
 	file := filepath.Join(dir, name+".jsonc")
 	assert.NilError(t, os.WriteFile(file, data, 0o600))
 
+	return launch(t, name, log, program, append(command, "--settings", file)...)
+}
+
+// launch starts a program with arguments. The process is ended with the test.
+func launch(t *testing.T, name string, log *os.File, program string, args ...string) (*exec.Cmd, chan error) {
+	t.Helper()
+
 	if log == nil {
-		log, err = os.Create(filepath.Join(dir, name+".log"))
+		var err error
+
+		log, err = os.Create(filepath.Join(t.TempDir(), name+".log"))
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = log.Close() })
 	}
 
-	process := exec.Command(filepath.Join(programs, program), append(command, "--settings", file)...)
+	process := exec.Command(filepath.Join(programs, program), args...)
 	process.Stdout, process.Stderr = log, log
 	assert.NilError(t, process.Start())
 
