peer: a frame that does not end is counted from 4 KiB on

Found by reading: frames up to 64 KiB were allocated before their memory was taken, "one for each connection", and there may be 4,096 connections: 256 MiB that a peer could keep by saying hello and sending frames short of their end. An answer that nobody waits for any more was read whole without being counted.

Change: the memory of a frame over 4 KiB is taken before it is read, its sender is waited for meanwhile, and the rest must come in 10 s, as for long frames before. An answer without a request is read past. The decoded form of an answer is counted by its values at any length.

--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -157,19 +157,18 @@
 // readFrame reads the next frame, whose memory is taken from the charge of its request. Without room the answer
 // is discarded, and the frame is a fault in its place.
 func (cc *clientConn) readFrame(in *bufio.Reader) (*Frame, int, error) {
-	const forms = 2 // the frame and its decoded message
-
 	size, err := readSize(in)
 	if err != nil {
 		return nil, 0, err
 	}
 
 	if size > smallFrame {
-		if p := peek(in, size); p.kind == KindAnswer && !cc.chargeOf(p.id).Claim(membudget.Answers, forms*size) {
+		p := peek(in, size)
+
+		charge, waiting := cc.chargeOf(p.id)
+		if p.kind == KindAnswer && (!waiting || !charge.Claim(membudget.Answers, size)) {
 			return noMemory(p.id), size, skip(in, size)
 		}
-
-		return readFrame(in, size)
 	}
 
 	f, size, err := readFrame(in, size)
@@ -177,7 +176,7 @@
 		return f, size, err
 	}
 
-	if charge := cc.chargeOf(f.ID); charge != nil && !charge.Claim(membudget.Answers, messageBytes(f.Body)) {
+	if charge, _ := cc.chargeOf(f.ID); charge != nil && !charge.Claim(membudget.Answers, messageBytes(f.Body)) {
 		f = noMemory(f.ID)
 	}
 
@@ -189,12 +188,14 @@
 	return &Frame{Kind: KindAnswer, ID: id, Fault: ErrNoMemory}
 }
 
-// chargeOf returns the charge of a pending request, or nil.
-func (cc *clientConn) chargeOf(id uint64) *membudget.Charge {
+// chargeOf returns the charge of a request, which may be nil, and whether the request is pending.
+func (cc *clientConn) chargeOf(id uint64) (*membudget.Charge, bool) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 
-	return cc.pending[id].charge
+	p, ok := cc.pending[id]
+
+	return p.charge, ok
 }
 
 func (cc *clientConn) deliver(f *Frame) {
--- a/internal/peer/memory.go
+++ b/internal/peer/memory.go
@@ -14,7 +14,7 @@
 const (
 	// smallFrame is the size in bytes up to which a frame is read before its memory is taken: each connection reads
 	// one at a time.
-	smallFrame = 64 << 10
+	smallFrame = 4 << 10
 	// smallMessage is the size in bytes up to which the memory to encode a message is not taken.
 	smallMessage = 4 << 10
 	// linkBytes is what a connection takes without a request.
