membudget: an answer that comes when its call has ended takes nothing

Found by reading: the reader of a link looks up the charge of a request and takes the answer from it; if the call ends in between, its charge was given back before, and what the answer took stayed with the caller's connection until its end, at a gate for good.

Change: a charge is closed with its call, and takes nothing afterwards.

Measured: TestClosedChargeTakesNothing (new); tests of membudget, ingress and forward with the race detector passed.

--- a/internal/forward/upload/upload.go
+++ b/internal/forward/upload/upload.go
@@ -136,7 +136,7 @@
 
 		b.expiry.Stop()
 
-		defer b.charge.Release()
+		defer b.charge.Close()
 
 		if len(b.data) < cap(b.data) {
 			return forward.Reply{Result: forward.Refused, Reason: ErrUnknown.Error()}, nil
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -196,7 +196,7 @@
 func (c *conn) release(e *exchange) {
 	c.server.bodies.add(-len(e.body))
 	e.body, e.response.Body = nil, nil
-	e.charge.Release()
+	e.charge.Close()
 }
 
 // startClosing stops accepting calls. It reports whether the connection has to stay open
--- a/internal/membudget/charge.go
+++ b/internal/membudget/charge.go
@@ -11,8 +11,9 @@
 	account *Account // nil for a call of another node
 
 	// Guarded by budget.mu.
-	held  int
-	parts [parts]int
+	held   int
+	parts  [parts]int
+	closed bool // the call has ended, and nothing more is taken
 }
 
 // Charge returns a charge without bytes for a call of the connection.
@@ -74,7 +75,7 @@
 	defer c.budget.mu.Unlock()
 
 	for !c.fits(n, c.budget.size) {
-		if c.account != nil && c.account.settled || !c.budget.closeGreediest(c.account, c.own()+n) {
+		if c.closed || c.account != nil && c.account.settled || !c.budget.closeGreediest(c.account, c.own()+n) {
 			return false
 		}
 	}
@@ -141,6 +142,23 @@
 	}
 }
 
+// Close gives back all bytes of the charge for good: what is taken later, such as for an answer that comes after its call
+// has ended, is refused.
+func (c *Charge) Close() {
+	if c == nil {
+		return
+	}
+
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+
+	for p, n := range c.parts {
+		c.add(Part(p), -n)
+	}
+
+	c.closed = true
+}
+
 // own returns what the client holds. The caller holds budget.mu.
 func (c *Charge) own() int {
 	if c.account != nil {
@@ -152,7 +170,7 @@
 
 // fits reports whether n more bytes fit below a limit. The caller holds budget.mu.
 func (c *Charge) fits(n, limit int) bool {
-	if c.account != nil && c.account.settled {
+	if c.closed || c.account != nil && c.account.settled {
 		return false
 	}
 
@@ -161,6 +179,10 @@
 
 // add changes what the charge holds. The caller holds budget.mu.
 func (c *Charge) add(p Part, n int) {
+	if c.closed {
+		return
+	}
+
 	c.held += n
 	c.parts[p] += n
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -12,9 +12,9 @@
 // # Usage
 //
 //	budget := membudget.New(membudget.SizeFor(machineBytes))
-//	account, ok := budget.Open(bytes, closeConnection)
+//	account, ok := budget.Open(remoteAddress, bytes, closeConnection)
 //	charge := account.Charge()
-//	defer charge.Release()
+//	defer charge.Close()
 //
 //	if !charge.Take(membudget.Requests, len(head)) { // refuse the request
 //	}
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -224,6 +224,23 @@
 	})
 }
 
+// Guards against memory that stays taken for an answer that comes when its call has ended.
+func TestClosedChargeTakesNothing(t *testing.T) {
+	b := membudget.New(1000 * kilobyte)
+	c := open(t, b, kilobyte)
+
+	for _, charge := range []*membudget.Charge{c.Charge(), b.Charge()} {
+		assert.Assert(t, charge.Take(membudget.Requests, kilobyte))
+		charge.Close()
+		assert.Assert(t, !charge.Claim(membudget.Answers, kilobyte))
+		assert.Assert(t, !charge.Take(membudget.Requests, kilobyte))
+		charge.Force(membudget.Answers, kilobyte)
+		charge.Free(membudget.Answers, kilobyte)
+		charge.Close()
+		assert.Equal(t, b.Usage().Held, kilobyte)
+	}
+}
+
 func TestAwaitEndsWithRoomOrContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := membudget.New(1000 * kilobyte)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -338,7 +338,7 @@
 			defer c.server.running.Add(-1)
 			defer func() { <-c.slots }()
 			defer c.cancel(f.ID)
-			defer charge.Release()
+			defer charge.Close()
 
 			c.answer(membudget.With(ctx, charge), f, charge)
 		}()
