--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pollencart/pollencart/platform"
 )
 
 // client is what one member of a crowd does on a connection. An error ends the connection.
@@ -98,7 +100,9 @@
 
 // head returns the beginning of a head. Fields may follow.
 func head(method, path, id string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: %s\r\nDeadline-Ms: 15000\r\n", method, path, id)
+	names := platform.Headers()
+
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: %s\r\n%s: 15000\r\n", method, path, names.Call, id, names.Deadline)
 }
 
 // longAnswer gets a long answer and reads it slowly.
