membudget: links and readiness checks fit beside requests that use all they may

Found by reading: connections of other nodes and of the platform were admitted below the same limit as requests, so a node full of small requests would refuse new links and readiness checks, and seem to have failed.

Change: like answers they may use all of the budget; their number has a bound of its own.

Measured: TestNeededConnectionsFitBesideRequests (new; the same with Open is refused in it); tests of membudget and httpserver with the race detector passed.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -130,7 +130,12 @@
 	c := &conn{Conn: raw, since: time.Now()}
 	c.inHead.Store(true)
 
-	account, ok := s.budget.Open(raw.RemoteAddr().String(), connBytes, c.evict)
+	open := s.budget.Open
+	if s.options.Refuse == nil {
+		open = s.budget.OpenNeeded
+	}
+
+	account, ok := open(raw.RemoteAddr().String(), connBytes, c.evict)
 	if !ok {
 		return nil
 	}
--- a/internal/membudget/account.go
+++ b/internal/membudget/account.go
@@ -30,13 +30,27 @@
 		return nil, true
 	}
 
+	return b.open(client, n, b.limit(n), closeConn)
+}
+
+// OpenNeeded is Open for a connection of another node or of the platform, whose number has a bound of its own: like an
+// answer it may use all of the budget. Without such connections a node that is full would seem to have failed.
+func (b *Budget) OpenNeeded(client string, n int, closeConn func()) (*Account, bool) {
+	if b == nil {
+		return nil, true
+	}
+
+	return b.open(client, n, b.size, closeConn)
+}
+
+func (b *Budget) open(client string, n, limit int, closeConn func()) (*Account, bool) {
 	now := time.Now()
 	a := &Account{budget: b, client: client, close: closeConn, waits: 1, waitingSince: now, windowAt: now}
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	if !b.fits(nil, n, n, b.limit(n)) {
+	if !b.fits(nil, n, n, limit) {
 		return nil, b.refuse()
 	}
 
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -241,6 +241,21 @@
 	}
 }
 
+// Guards against links and readiness checks that find no room beside requests that use all they may.
+func TestNeededConnectionsFitBesideRequests(t *testing.T) {
+	b := membudget.New(1000 * kilobyte)
+	charge := b.Charge()
+
+	for charge.Take(membudget.Requests, kilobyte/10) {
+	}
+
+	_, ok := b.Open("client", 10*kilobyte, nil)
+	assert.Assert(t, !ok)
+
+	_, ok = b.OpenNeeded("node", 10*kilobyte, nil)
+	assert.Assert(t, ok)
+}
+
 func TestAwaitEndsWithRoomOrContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := membudget.New(1000 * kilobyte)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -128,7 +128,7 @@
 func (s *Server) serveConn(raw net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 
-	account, ok := s.options.Budget.Open(raw.RemoteAddr().String(), linkBytes, func() { _ = raw.Close() })
+	account, ok := s.options.Budget.OpenNeeded(raw.RemoteAddr().String(), linkBytes, func() { _ = raw.Close() })
 	defer account.Close()
 
 	defer func() {
