httpserver: tests of the time to read a request

That the bound cancels requests which are served for longer was suspected on reading, and is not so: the test passes on the code as it stands. An open body ends with it.

--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -160,3 +160,50 @@
 	c, in = dial(t, address)
 	assert.Equal(t, get(t, c, in), http.StatusOK)
 }
+
+// Guards against requests that are canceled since they are served for longer than their body may take to come.
+func TestReadTimeoutDoesNotBoundTheAnswer(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	s := httpserver.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+
+		select {
+		case <-r.Context().Done():
+		case <-time.After(10 * timeout):
+			_, _ = io.WriteString(w, "served")
+		}
+	}), membudget.New(10<<20), httpserver.ReadTimeout(timeout))
+
+	go func() { _ = s.Serve(s.Listener(l)) }()
+
+	t.Cleanup(func() { _ = s.Close() })
+
+	for method, text := range map[string]io.Reader{http.MethodGet: nil, http.MethodPost: strings.NewReader("body")} {
+		request, err := http.NewRequest(method, "http://"+l.Addr().String(), text)
+		assert.NilError(t, err)
+
+		r, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+
+		body, err := io.ReadAll(r.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, r.Body.Close())
+		assert.Equal(t, string(body), "served", method)
+	}
+}
+
+// Guards against bodies that stay open for as long as their client likes.
+func TestReadTimeoutEndsAnOpenBody(t *testing.T) {
+	_, address := serve(t, membudget.New(10<<20), httpserver.ReadTimeout(50*time.Millisecond))
+	c, in := dial(t, address)
+
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nbody")
+	assert.NilError(t, err)
+
+	_, err = io.Copy(io.Discard, in) // until the server closes the connection
+	assert.NilError(t, err)
+}
