--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"bytes"
 	"crypto/tls"
 	"io"
 	"net"
@@ -40,8 +39,6 @@
 
 // Read implements net.Conn. A head takes memory as it is read: net/http decodes it at once.
 func (c *conn) Read(b []byte) (int, error) {
-	const copies = 2
-
 	n, err := c.Conn.Read(b)
 	c.account.Moved(n)
 
@@ -49,7 +46,7 @@
 		return n, err
 	}
 
-	if !c.charge.Take(membudget.Requests, copies*n+fieldBytes*bytes.Count(b[:n], []byte("\n"))) {
+	if !c.charge.Take(membudget.Requests, membudget.HeadBytes(b[:n])) {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: membudget.ErrNoRoom} // net/http answers other errors with 400
 	}
 
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -37,8 +37,6 @@
 	connBytes = 64 << 10
 	// requestBytes is what a request takes beside its head and body.
 	requestBytes = 32 << 10
-	// fieldBytes is what a header field takes beside its text.
-	fieldBytes = 192
 )
 
 // Options of a server.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -29,8 +29,6 @@
 	SendBuffer = 128 << 10
 	// callBytes is what a call takes beside its head, body and answer.
 	callBytes = 16 << 10
-	// fieldBytes is what a header field takes beside its text: entries of a map and of two lists.
-	fieldBytes = 192
 	// maxPipelined bounds the concurrent calls on one connection.
 	maxPipelined = 32
 	// bodyTimeout bounds reading a request body.
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -98,9 +98,7 @@
 
 // decodeHead decodes the head that is next in the buffer.
 func (c *conn) decodeHead(head []byte, charge *membudget.Charge) (*http.Request, error) {
-	const copies = 2
-
-	if !charge.Take(membudget.Requests, callBytes+copies*len(head)+fieldBytes*bytes.Count(head, []byte("\n"))) {
+	if !charge.Take(membudget.Requests, callBytes+membudget.HeadBytes(head)) {
 		return nil, membudget.ErrNoRoom
 	}
 
--- a/internal/membudget/body.go
+++ b/internal/membudget/body.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -54,6 +55,16 @@
 	return body, nil
 }
 
+// fieldBytes is what a decoded header field takes beside its text: entries of a map and of two lists.
+const fieldBytes = 192
+
+// HeadBytes returns about what a head, or a part of one, takes with its decoded form.
+func HeadBytes(text []byte) int {
+	const copies = 2
+
+	return copies*len(text) + fieldBytes*bytes.Count(text, []byte("\n"))
+}
+
 // nextSize returns the size of the buffer that follows one of a size.
 func nextSize(size, whole int) int {
 	switch {
