httpserver: the test of bodies waits for the memory of the one before

TestBodyWithoutMemoryIsNotRead failed once: its sizes come in any order, and after the large body the connection gives its memory back only when it is closed, after the answer, so that a small one right behind it may find none.

--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -125,9 +125,13 @@
 
 // Guards against bodies that take the memory of the process.
 func TestBodyWithoutMemoryIsNotRead(t *testing.T) {
-	_, address := serve(t, membudget.New(1<<20))
+	b := membudget.New(1 << 20)
+	_, address := serve(t, b)
 
 	for size, status := range map[int]int{10 << 10: http.StatusOK, 2 << 20: http.StatusRequestEntityTooLarge} {
+		// A connection whose body was not read gives its memory back when it is closed, after the answer.
+		eventually(t, func() bool { return b.Usage().ByPart[membudget.Requests] == 0 })
+
 		r, err := http.Post("http://"+address, "", strings.NewReader(strings.Repeat("x", size)))
 		assert.NilError(t, err)
 		assert.Check(t, r.StatusCode == status, "%d: %d", size, r.StatusCode)
