membudget: metrics and lines at both kinds of node, and of calls refused at a gate

Found by reading: the node without the users' platform had no gauges of the budget, a call of another node that was refused for lack of memory had no line at the node that refused it, the two kinds of node had the text of an evicted connection twice, and a call with a name over 128 bytes was not found by it in the time line.

Change: the budget describes itself, with its gauges; line 116 also names nodes whose calls were refused; filters are cut like entries.

Measured: tests of membudget, peer, node, timeline and event with the race detector passed, with TestLongNamesAreCutAndFound (new; not run on the code before).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,7 +41,7 @@
 		"Clients make the process keep as much memory as it may; the connection of one that held much and moved little was closed. "+
 			"Of many such connections some have no line; the next line has their number.")
 	MemoryRefused = add(116, "MemoryRefused", slog.LevelWarn,
-		"A call was refused with 503 since there is no memory for it; it has not run. "+
+		"A call of a caller (503) or of another node was refused since there is no memory for it; it has not run. "+
 			"Of many such calls some have no line; the next line has their number.")
 	LinesLeftOut = add(109, "LinesLeftOut", slog.LevelInfo,
 		"Log lines were dropped because the reader stalled (Unread) or their level exceeded its rate limit (Sampled); totals since process start.")
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -22,6 +22,8 @@
 package membudget
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -93,6 +95,11 @@
 	Waited time.Duration
 }
 
+// String describes the connection for logs.
+func (c Closed) String() string {
+	return fmt.Sprintf("held %d bytes, moved %d a second, waited for %s", c.Held, c.Pace, c.Waited.Round(time.Millisecond))
+}
+
 // Budget is the memory of one process for its clients. A nil budget is unlimited.
 type Budget struct {
 	size int
@@ -148,6 +155,42 @@
 	return u
 }
 
+// String describes the usage for logs.
+func (u Usage) String() string {
+	text := fmt.Sprintf("%d of %d", u.Held, u.Size)
+	for _, p := range Parts() {
+		text += fmt.Sprintf(" %s %d", strings.ToLower(p.String()), u.ByPart[p])
+	}
+
+	return text
+}
+
+// Gauge is a figure of a budget for metrics.
+type Gauge struct {
+	Name, Help string
+	Value      func() float64
+}
+
+// Gauges returns the figures of the budget.
+func (b *Budget) Gauges() []Gauge {
+	gauges := []Gauge{
+		{"pollencart_memory_budget_bytes", "Bytes that clients and other nodes may make this process keep.", func() float64 {
+			return float64(b.Usage().Size)
+		}},
+		{"pollencart_memory_evicted", "Connections closed since others needed their memory.", func() float64 { return float64(b.Usage().Closed) }},
+		{"pollencart_memory_refused", "Takings of memory that were refused.", func() float64 { return float64(b.Usage().Refused) }},
+	}
+
+	for _, p := range Parts() {
+		name := strings.ToLower(p.String())
+		gauges = append(gauges, Gauge{"pollencart_memory_" + name + "_bytes", "Bytes of the budget used by " + name + ".", func() float64 {
+			return float64(b.Usage().ByPart[p])
+		}})
+	}
+
+	return gauges
+}
+
 // limit returns what may be held in all once a client holds own bytes with its requests.
 func (b *Budget) limit(own int) int {
 	part := b.size / reservePart
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -143,5 +143,9 @@
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: m.name, Help: m.help}, m.value))
 	}
 
+	for _, g := range n.memory.Gauges() {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.Name, Help: g.Help}, g.Value))
+	}
+
 	return r
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,8 @@
 	httpServers    []*httpserver.Server
 	callerServer   *httpserver.Server
 	memory         *membudget.Budget
-	evicted        loglimit.Limiter // bounds the lines about closed connections
+	// evicted and refused bound the lines about connections that were closed, and requests that were refused, for lack of memory.
+	evicted, refused loglimit.Limiter
 }
 
 // New returns a node that does not listen yet.
@@ -114,6 +115,7 @@
 		peer.WithClock(n.recorder.Clock()), peer.WithLinks(n.faults), peer.Address(c.PeerAddress),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
 		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic), peer.WithBudget(n.memory, gate.MethodRun),
+		peer.Refused(n.recordRefused),
 	}
 
 	if c.TLS != nil {
@@ -250,7 +252,15 @@
 func (n *Node) recordEvicted(c membudget.Closed) {
 	if leftOut, ok := n.evicted.Next(time.Now()); ok {
 		n.recorder.Record(event.ConnectionEvicted, timeline.Entry{Peer: c.Client, Detail: fmt.Sprintf(
-			"held %d bytes, moved %d a second, waited for %s, without a line before %d", c.Held, c.Pace, c.Waited, leftOut)})
+			"%s, budget %s, without a line before %d", c, n.memory.Usage(), leftOut)})
+	}
+}
+
+// recordRefused records a request of another node that was refused for lack of memory. Calls of callers have lines of their own.
+func (n *Node) recordRefused(client string) {
+	if leftOut, ok := n.refused.Next(time.Now()); ok {
+		n.recorder.Record(event.MemoryRefused, timeline.Entry{Peer: client, Detail: fmt.Sprintf(
+			"budget %s, without a line before %d", n.memory.Usage(), leftOut)})
 	}
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -71,6 +71,8 @@
 	// requests are refused with ErrOverloaded if it has no room.
 	Budget    *membudget.Budget
 	Refusable []string
+	// Refused is called with the remote address of a node whose request was refused for lack of memory.
+	Refused func(client string)
 	// WaitOnSuspect reports whether requests keep waiting on suspect connections instead of
 	// failing. It is true while a node drains: the peer may still be working on the requests,
 	// and the host has little processor time.
@@ -94,6 +96,7 @@
 		Exchanged:     func(Exchange) {},
 		AcceptFailed:  func(error) {},
 		Panicked:      func(contain.Caught) {},
+		Refused:       func(string) {},
 		WaitOnSuspect: func() bool { return false },
 	}
 	for _, opt := range opts {
@@ -127,6 +130,9 @@
 	return func(o *Options) { o.Budget, o.Refusable = b, refusable }
 }
 
+// Refused sets the callback for requests that were refused for lack of memory.
+func Refused(f func(client string)) Option { return func(o *Options) { o.Refused = f } }
+
 // WithIdleTimeout sets how long an unused control connection is kept open.
 func WithIdleTimeout(d time.Duration) Option { return func(o *Options) { o.IdleTimeout = d } }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -287,6 +287,8 @@
 
 // refuse answers that a request got to no handler.
 func (c *serverConn) refuse(id uint64) {
+	c.server.options.Refused(c.conn.RemoteAddr().String())
+
 	data, err := Encode(&Frame{Kind: KindAnswer, ID: id, Clock: c.server.options.Clock.Now(), Fault: ErrOverloaded})
 	if err == nil && !c.blocked() {
 		_ = c.out.write(data) // the read loop closes a broken connection
--- a/internal/sidecar/gauges.go
+++ b/internal/sidecar/gauges.go
@@ -9,7 +9,6 @@
 func (n *Sidecar) registerGauges() {
 	n.registerVersionGauges()
 	n.registerCallerGauges()
-	n.registerMemoryGauges()
 
 	for _, g := range []struct {
 		name, help string
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -137,7 +137,7 @@
 	links := []peer.Option{
 		peer.WithClock(n.recorder.Clock()), peer.Address(c.PeerAddress), peer.WithDialTimeout(dialTimeout),
 		peer.Lost(func(address string) { n.gossip.ProbeSoon(address) }), peer.WaitOnSuspect(n.draining.Leaving),
-		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic),
+		peer.AcceptFailed(n.recordAcceptFailed), peer.Panicked(n.recordPanic), peer.Refused(n.recordRefused),
 		peer.WithBudget(n.memory, forward.MethodRun, forward.MethodPart, forward.MethodRunUploaded),
 		peer.Exchanged(func(e peer.Exchange) { n.meter.Exchanged(e, n.table.NearAt(e.Address)) }),
 	}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -181,6 +181,8 @@
 // Entries returns the stored entries that match the filter, oldest first. A limit
 // keeps the newest entries, and drops those of single calls first.
 func (r *Recorder) Entries(f Filter) []Entry {
+	f.Call, f.Key = clip(f.Call, maxNameBytes), clip(f.Key, maxNameBytes) // as they are stored
+
 	r.mu.Lock()
 	other, calls := r.other.matching(f), r.calls.matching(f)
 	r.mu.Unlock()
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -125,3 +125,14 @@
 	jumped.Observe(effect)
 	assert.Assert(t, jumped.Now().Compare(effect) > 0)
 }
+
+// Guards against long names of callers that are kept whole, or not found again.
+func TestLongNamesAreCutAndFound(t *testing.T) {
+	r := timeline.New()
+	name := strings.Repeat("x", 10_000)
+	r.Record(event.CallAnswered, timeline.Entry{Call: name, Key: name, Peer: name, Detail: name})
+
+	found := r.Entries(timeline.Filter{Call: name, Key: name})
+	assert.Equal(t, len(found), 1)
+	assert.Assert(t, len(found[0].Call+found[0].Key+found[0].Peer+found[0].Detail) < 3000)
+}
