sidecar: late calls of a stop come at every point of a call's length

All 32 callers began at once and stayed in step, with 10 ms between an answer and the next call. The host ends when no call waits and looks every 20 ms: if it looks in these 10 ms, all calls have been answered and no one comes late. That is allowed.

The callers now begin spread over the length of a call, so that some are always between the start of the stop and its end.

--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -116,8 +116,12 @@
 
 			var sending sync.WaitGroup
 
-			for _, c := range callers {
-				sending.Go(c.send)
+			// Spread over the length of a call: with all calls in step, the process ends between two of them and refuses none.
+			for i, c := range callers {
+				sending.Go(func() {
+					time.Sleep(work * time.Duration(i) / time.Duration(len(callers)))
+					c.send()
+				})
 			}
 
 			time.Sleep(time.Second)
