crowd: slow readers at the node without the users' platform

What this node keeps for callers who read slowly had no test: bodies and heads only. 200 clients send 1.9 MB, which is the answer, and read it with 512 bytes each 250 ms or with 20 kB each 200 ms.

--- a/internal/crowd/clients_test.go
+++ b/internal/crowd/clients_test.go
@@ -230,3 +230,16 @@
 		return wait(c)
 	}
 }
+
+// echo sends a body, which is the answer, and reads the answer slowly.
+func echo(size, read int, every time.Duration) client {
+	body := strings.Repeat("x", size)
+
+	return func(ctx context.Context, c net.Conn, id string) error {
+		if _, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head("POST", "/safe/x", id), size, body); err != nil {
+			return err
+		}
+
+		return readSlowly(ctx, c, read, every)
+	}
+}
--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -39,10 +40,11 @@
 	"Service": {"Slots": 64, "Connections": 100}, "Overrides": {"Idempotent": true, "Deadline": "10s", "BodyLimit": 2000000},
 	"Routes": {"any": {"Match": {"Method": "POST", "PathPrefix": "/safe/"}}}}}}}}`
 
-// Guards against bodies and heads of calls at the node that runs without the users' platform.
+// Guards against bodies, heads and answers of calls at the node that runs without the users' platform.
 func TestCallsAtANodeStayWithinMemory(t *testing.T) {
 	for name, do := range map[string]client{
 		"OpenBodies": almost(1_900_000), "Chunks": chunks(1_900_000, 1000, true), "Heads": heads("/safe/x", shortFields(headBytes), true),
+		"SlowReaders": echo(1_900_000, 512, 250*time.Millisecond), "SteadyReaders": echo(1_900_000, 20_000, 200*time.Millisecond),
 	} {
 		t.Run(name, func(t *testing.T) {
 			platform, control, caller, backend := standin.FreeAddress(), standin.FreeAddress(), standin.FreeAddress(), standin.FreeAddress()
