ingress: what happens at the limit of connections, in its comment

The comment of MaxConns said that further connections are closed at once. Since the limits on memory the connection of the slowest caller is closed for a further one, if a caller is slow. No change of code.

--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// MaxConns bounds the open connections; further ones are closed at once.
+// MaxConns bounds the open connections. For a further one the connection of the slowest caller is closed, or the
+// further one if no caller is slow.
 func MaxConns(n int) Option { return func(o *Options) { o.MaxConns = n } }
 
 // WithBudget sets the memory for all callers.
