membudget: a size from outside that overflows is refused

A node names the size of a body that it sends in parts. For some sizes near the end of the range (3<<58, the largest) the sums of the budget overflowed, and the memory was taken: the part then failed, but the taking stayed, and all later requests were refused, or none. Found by reading.

Change: what is larger than the budget never fits, before any sum is made. TestHugeSizeDoesNotFit failed before (taken for two of four sizes, held - afterwards) and passes now, with the other tests of the package and those of forward/upload with the race detector.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -195,12 +195,16 @@
 func (b *Budget) limit(own int) int {
 	part := b.size / reservePart
 
-	return b.size - part - min(part, own*reserveFactor)
+	return b.size - part - min(part, min(own, b.size)*reserveFactor)
 }
 
 // fits makes room for n more bytes of a client that then holds own bytes, and reports whether there is below a
 // limit. The caller holds mu.
 func (b *Budget) fits(a *Account, n, own, limit int) bool {
+	if n > b.size {
+		return false // others may choose n, and a sum with it may overflow
+	}
+
 	for b.held+n > limit {
 		if !b.closeSlowest(a, own) {
 			return false
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -256,6 +257,22 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a size from outside for which the arithmetic overflows: it was taken, and nothing fitted any more.
+func TestHugeSizeDoesNotFit(t *testing.T) {
+	b := membudget.New(1000 * kilobyte)
+
+	for _, n := range []int{1 << 59, 3 << 58, 1<<62 + 1, math.MaxInt} {
+		assert.Check(t, !b.Charge().Take(membudget.Requests, n), "%d", n)
+		assert.Check(t, !b.Charge().Claim(membudget.Answers, n), "%d", n)
+
+		_, ok := b.Open("client", n, func() {})
+		assert.Check(t, !ok, "%d", n)
+	}
+
+	assert.Equal(t, b.Usage().Held, 0)
+	assert.Assert(t, b.Charge().Take(membudget.Requests, kilobyte))
+}
+
 func TestAwaitEndsWithRoomOrContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := membudget.New(1000 * kilobyte)
