ingress: what was put back is kept when the limit of a head shrinks

Between two calls of a pipeline the configuration can lower the limit of heads. What an earlier head had put back, and the shorter buffer of the next one did not hold, was dropped, and the connection would have been read from a wrong place. Found by reading; no test shows it, with a limit that stays nothing is left over.

--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -59,7 +59,7 @@
 	defer charge.Free(membudget.Requests, 2*cap(head)+readBuffer)
 
 	rest, _ := c.in.Peek(c.in.Buffered()) // can't fail: nothing is read
-	c.source.back = slices.Concat(head, rest)
+	c.source.back = slices.Concat(head, rest, c.source.back)
 	c.in.Reset(c.source)
 
 	return c.decodeHead(head[:end], charge)
