review: show that a crashing request reaches servers again after a herd kill

What is known of a request that crashes servers is only in the memory of the nodes. After all processes were killed at once it reached 8 servers more than 3 s after the third crash; 3 retries are allowed.

--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -20,7 +20,9 @@
 )
 
 var cases = map[string]func(w *world) int{
-	"quota": quotaCase,
+	"drain":  drainCase,
+	"poison": poisonCase,
+	"quota":  quotaCase,
 }
 
 func main() { os.Exit(play()) }
--- a/review/_driver2/server.go
+++ b/review/_driver2/server.go
@@ -30,6 +30,7 @@
 	instance string
 	http     *http.Server // nil while the server is down
 	sequence int
+	leaving  bool
 	running  atomic.Int64
 	gate     chan struct{}
 }
@@ -49,7 +50,7 @@
 	beatTime = 1500 * time.Millisecond
 	// crashPart is the path element of a request that crashes each server that runs it.
 	crashPart = "/crash"
-	crashTime = 20 * time.Millisecond
+	crashTime = 150 * time.Millisecond
 	// awayTime is how long a crashed server is down.
 	awayTime = 1500 * time.Millisecond
 )
@@ -107,7 +108,10 @@
 
 		if r.URL.Path == "/health" {
 			w.Header().Set("Instance-Id", instance)
-			w.WriteHeader(http.StatusOK)
+
+			if s.isLeaving() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
 
 			return
 		}
@@ -171,26 +175,17 @@
 	})
 }
 
-// beats sends heartbeats until the world ends.
+// beats sends heartbeats until the world ends or the server leaves.
 func (s *server) beats() {
 	client := &http.Client{Timeout: time.Second}
 
-	for {
+	for !s.isLeaving() {
 		s.mu.Lock()
 		up := s.http != nil
-		s.sequence++
-		body, _ := json.Marshal(map[string]any{
-			"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": "ready",
-			"warmup-left-s": 0, "sequence": s.sequence,
-		})
-		url := "http://" + s.control + "/-/Instances.Heartbeat/" + s.instance
 		s.mu.Unlock()
 
 		if up {
-			response, err := client.Post(url, "application/json", bytes.NewReader(body))
-			if err == nil {
-				_ = response.Body.Close()
-			}
+			_, _ = post(client, s.beat())
 		}
 
 		select {
@@ -200,3 +195,73 @@
 		}
 	}
 }
+
+// message is a call to the control address.
+type message struct {
+	url  string
+	body []byte
+}
+
+// beat returns the next heartbeat.
+func (s *server) beat() message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.sequence++
+	body, _ := json.Marshal(map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": "ready",
+		"warmup-left-s": 0, "sequence": s.sequence,
+	})
+
+	return message{"http://" + s.control + "/-/Instances.Heartbeat/" + s.instance, body}
+}
+
+func (s *server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.leaving
+}
+
+func post(client *http.Client, m message) (int, error) {
+	response, err := client.Post(m.url, "application/json", bytes.NewReader(m.body))
+	if err != nil {
+		return 0, err
+	}
+
+	_ = response.Body.Close()
+
+	return response.StatusCode, nil
+}
+
+// deregister leaves without a draining state, and asks until that is confirmed or the limit has passed. The server
+// goes on serving, and its health check fails.
+func (s *server) deregister(limit time.Duration) (instance string, confirmed bool) {
+	s.mu.Lock()
+	s.leaving = true
+	instance = s.instance
+	m := message{"http://" + s.control + "/-/Instances.Deregister/" + instance, nil}
+	s.mu.Unlock()
+
+	client := &http.Client{Timeout: time.Second}
+
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if status, err := post(client, m); err == nil && status == http.StatusOK {
+			return instance, true
+		}
+	}
+
+	return instance, false
+}
+
+// exit ends the server for good.
+func (s *server) exit() {
+	s.mu.Lock()
+	h := s.http
+	s.http = nil
+	s.mu.Unlock()
+
+	if h != nil {
+		_ = h.Close()
+	}
+}
