review: show that a request in the body of another one is run

A length with a blank before its colon is kept as an unknown field, so that the body is taken for a second request, which a server runs.

--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -20,9 +20,10 @@
 )
 
 var cases = map[string]func(w *world) int{
-	"drain":  drainCase,
-	"poison": poisonCase,
-	"quota":  quotaCase,
+	"drain":   drainCase,
+	"poison":  poisonCase,
+	"quota":   quotaCase,
+	"smuggle": smuggleCase,
 }
 
 func main() { os.Exit(play()) }
