review: renumber the cases, and drop the one that review/4 shows already

The case of a crashing request after a herd kill is that of review/4. The leaving is now lost in a drill of the store, which leaves the copies at other nodes as the only record; the fault of review/3 does not hide it any more.

--- a/review/_driver2/case_drain.go
+++ b/review/_driver2/case_drain.go
@@ -12,16 +12,18 @@
 	servesOn = 9 * time.Second
 	// beatDelay is how late its last heartbeat arrives.
 	beatDelay = 4 * time.Second
-	// drainOutage is how long the store does not answer.
-	drainOutage   = 3 * time.Second
-	leaveAfter    = 300 * time.Millisecond // of the start of the outage
+	// leaveAfter is how much older the copy is than the leaving.
+	leaveAfter    = 300 * time.Millisecond
 	confirmWithin = 1500 * time.Millisecond
+	// awayAfter is when the store goes away after the confirmation, storeAway for how long.
+	awayAfter = 200 * time.Millisecond
+	storeAway = time.Second
 )
 
-// drainCase has a server leave while the store is away, and the process beside it killed after it has confirmed that.
+// drainCase has the store come back from a copy that is older than a confirmed leaving, and the process that
+// confirmed it killed.
 func drainCase(w *world) int {
-	w.store.silent = true
-	w.store.write("op/config", poisonConfig(7))
+	w.store.write("op/config", deskConfig(7))
 
 	for i := range 8 {
 		w.addNode(fmt.Sprintf("sidecar-%d", i+1), fmt.Sprintf("zone-%d", i%4+1), "desk", 9, 30*time.Millisecond)
@@ -31,7 +33,7 @@
 		return fail(err)
 	}
 
-	time.Sleep(wavePause)
+	time.Sleep(settleTime)
 
 	end := make(chan struct{})
 
@@ -44,12 +46,7 @@
 	time.Sleep(2 * time.Second)
 
 	leaving := w.nodes[0].server
-	began := time.Now()
-
-	if w.trouble {
-		w.note("the store does not answer")
-		w.store.setDown(true)
-	}
+	older := w.store.copy()
 
 	time.Sleep(leaveAfter)
 
@@ -68,19 +65,10 @@
 	touchAt := confirmedAt
 
 	if w.trouble {
-		w.note("the process of %s is killed", w.nodes[0].name)
-		w.nodes[0].kill()
-		time.Sleep(downTime)
-		w.note("the process of %s is started again", w.nodes[0].name)
-
-		if err := w.nodes[0].start(); err != nil {
+		if err := w.drill(older); err != nil {
 			return fail(err)
 		}
 
-		time.Sleep(time.Until(began.Add(drainOutage)))
-		w.note("the store answers again")
-		w.store.setDown(false)
-
 		touchAt = time.Now().Add(stabilityWindow)
 	}
 
@@ -101,6 +89,29 @@
 	return w.judgeDrain(instance, confirmedAt, touchAt)
 }
 
+// drill kills the process that confirmed the leaving, and brings the store back from a copy. It returns when the
+// process was started again.
+func (w *world) drill(older snapshot) error {
+	n := w.nodes[0]
+
+	w.note("the process of %s is killed", n.name)
+	n.kill()
+	killedAt := time.Now()
+
+	time.Sleep(awayAfter)
+	w.note("the store is away")
+	w.store.setDown(true)
+	time.Sleep(storeAway)
+	w.store.restore(older)
+	w.store.setDown(false)
+	w.note("the store is back from a copy of before the leaving")
+
+	time.Sleep(time.Until(killedAt.Add(downTime + awayAfter + storeAway)))
+	w.note("the process of %s is started again", n.name)
+
+	return n.start()
+}
+
 // judgeDrain counts the requests that reached the leaving server too late, while all machines were in touch.
 func (w *world) judgeDrain(instance string, confirmedAt, touchAt time.Time) int {
 	w.mu.Lock()
--- a/review/_driver2/case_quota.go
+++ b/review/_driver2/case_quota.go
@@ -17,8 +17,6 @@
 
 	tenantName = "huka270"
 	tenantKey  = "ta828m82thhkmgjqnirt"
-	routeHost  = "ficu95.example"
-	routePath  = "/lohu930/"
 )
 
 // The traffic of the tenant, over all machines. Its limit is 1.6 times what it usually sends.
--- a/review/_driver2/case_smuggle.go
+++ b/review/_driver2/case_smuggle.go
@@ -16,7 +16,7 @@
 )
 
 func smuggleConfig(version int) map[string]any {
-	c := poisonConfig(version)
+	c := deskConfig(version)
 	c["routes"].(map[string]any)["rows"] = [][]any{
 		{"r-1", routeHost, routePath, "safe", 2, 0.4, 0, "desk", 2}, {"r-2", routeHost, "/xapu221/", "unsafe", 2, 0.4, 0, "desk", 2},
 	}
@@ -36,7 +36,7 @@
 		return fail(err)
 	}
 
-	time.Sleep(wavePause)
+	time.Sleep(settleTime)
 
 	field := "Content-Length:"
 	if w.trouble {
--- a/review/_driver2/main.go
+++ b/review/_driver2/main.go
@@ -1,7 +1,7 @@
 // Command driver2 plays one case of the review on a small deployment: nodes as separate processes, and
 // stand-ins of the store, the application servers and the requesters in this process.
 //
-//	driver2 -case quota -program target/pollencart-sidecar -record review/6/record.txt
+//	driver2 -case quota -program target/pollencart-sidecar -record review/7/record.txt
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
@@ -21,7 +21,6 @@
 
 var cases = map[string]func(w *world) int{
 	"drain":   drainCase,
-	"poison":  poisonCase,
 	"quota":   quotaCase,
 	"smuggle": smuggleCase,
 }
--- a/review/_driver2/server.go
+++ b/review/_driver2/server.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,14 +46,7 @@
 	tenant   string
 }
 
-const (
-	beatTime = 1500 * time.Millisecond
-	// crashPart is the path element of a request that crashes each server that runs it.
-	crashPart = "/crash"
-	crashTime = 150 * time.Millisecond
-	// awayTime is how long a crashed server is down.
-	awayTime = 1500 * time.Millisecond
-)
+const beatTime = 1500 * time.Millisecond
 
 // start begins a new boot of the server.
 func (s *server) start() error {
@@ -77,24 +69,6 @@
 	return nil
 }
 
-// crash ends the boot at once, with all requests, and starts the next one later.
-func (s *server) crash(instance string) {
-	s.mu.Lock()
-	h := s.http
-
-	if s.instance != instance || h == nil {
-		s.mu.Unlock()
-
-		return
-	}
-
-	s.http = nil
-	s.mu.Unlock()
-	_ = h.Close()
-
-	time.AfterFunc(awayTime, func() { _ = s.start() })
-}
-
 func (s *server) load() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,14 +119,6 @@
 
 		s.world.ran(run{time.Now(), s.name, instance, id, r.Method, r.RequestURI, r.Header.Get("Tenant")})
 
-		if strings.Contains(r.URL.Path, crashPart) {
-			time.Sleep(crashTime)
-			s.world.crashed(s.name, instance, id)
-			s.crash(instance)
-
-			return
-		}
-
 		limit := time.Hour
 		if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 			limit = time.Duration(ms) * time.Millisecond
--- a/review/_driver2/store.go
+++ b/review/_driver2/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -40,8 +42,8 @@
 	revision int64
 	leases   map[int64]*lease
 	changed  chan struct{}
-	downAt   time.Time // zero while the store is up
-	up       chan struct{}
+	downAt   time.Time     // zero while the store is up
+	era      int           // rises with each return from an older copy
 	silent   bool          // while it is down, it does not answer at all
 	slow     time.Duration // additional time of an answer
 }
@@ -54,7 +56,7 @@
 
 	s := &store{
 		address: l.Addr().String(), items: map[string]entry{}, revision: 100, leases: map[int64]*lease{},
-		changed: make(chan struct{}), up: make(chan struct{}),
+		changed: make(chan struct{}), era: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.get)
@@ -78,6 +80,7 @@
 		wait := answerTime + s.slow
 		s.mu.Unlock()
 		time.Sleep(wait)
+		w.Header().Set("Store-Era", strconv.Itoa(s.currentEra()))
 
 		if s.isDown() && s.silent {
 			<-r.Context().Done() // no answer comes on this connection
@@ -102,6 +105,48 @@
 	return !s.downAt.IsZero()
 }
 
+func (s *store) currentEra() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.era
+}
+
+// snapshot is a copy of the store.
+type snapshot struct {
+	items    map[string]entry
+	history  []entry
+	revision int64
+	leases   map[int64]*lease
+}
+
+func (s *store) copy() snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	out := snapshot{maps.Clone(s.items), slices.Clone(s.history), s.revision, map[int64]*lease{}}
+	for id, l := range s.leases {
+		out.leases[id] = &lease{l.ttl, time.Now().Add(l.ttl)}
+	}
+
+	return out
+}
+
+// restore replaces what the store holds by a copy. What was written since is lost.
+func (s *store) restore(c snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.items, s.history, s.revision, s.leases = c.items, c.history, c.revision, c.leases
+	s.era++
+
+	for _, l := range s.leases {
+		l.ends = time.Now().Add(l.ttl)
+	}
+
+	s.wake()
+}
+
 // setDown takes the store down or up. Leases pause while it is down.
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
@@ -253,6 +298,12 @@
 		at, changed, down := s.revision, s.changed, !s.downAt.IsZero()
 		s.mu.Unlock()
 
+		if after > at {
+			reply(w, http.StatusGone, map[string]any{"store-revision": at})
+
+			return
+		}
+
 		if down && s.silent {
 			<-r.Context().Done()
 
--- a/review/_driver2/world.go
+++ b/review/_driver2/world.go
@@ -24,10 +24,9 @@
 	done    chan struct{}
 	began   time.Time
 
-	mu      sync.Mutex
-	out     io.Writer
-	runs    []run
-	crashes []time.Time
+	mu   sync.Mutex
+	out  io.Writer
+	runs []run
 }
 
 func newWorld(dir, program string, trouble bool, record io.Writer) (*world, error) {
@@ -62,21 +61,6 @@
 	w.line(r.at, "run   %s %s %s at %s tenant %q", r.id, r.method, r.uri, r.instance, r.tenant)
 }
 
-func (w *world) crashed(name, instance, id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	w.crashes = append(w.crashes, time.Now())
-	w.line(time.Now(), "crash of %s by %s", instance, id)
-}
-
-func (w *world) countCrashes() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	return len(w.crashes)
-}
-
 // startAll starts all servers and nodes, and waits until all nodes are ready.
 func (w *world) startAll() error {
 	for _, n := range w.nodes {
